--- /dev/null
+++ b/src/bin/scalewood/commands/status.rs
@@ -0,0 +1,59 @@
+//! `scalewood status`: how the system stands, as one voter sees it.
+
+use clap::{ArgMatches, Command};
+use scalewood::wire::admin::Status;
+
+use crate::{commands, exit::Exit};
+
+/// The age of a report after which a box counts as silent, in milliseconds.
+const SILENT_MS: u64 = 5000;
+
+pub(crate) fn cli() -> Command {
+    Command::new("status").about("Shows the voters, the boxes and who is behind")
+}
+
+pub(crate) async fn exec(matches: &ArgMatches) -> Exit {
+    let status = commands::client(matches)?.status().await?;
+    if commands::is_json(matches) {
+        commands::print_json(&status);
+        return Ok(());
+    }
+    print(&status);
+    Ok(())
+}
+
+fn print(status: &Status) {
+    let leader = status
+        .voter
+        .leader
+        .as_ref()
+        .map_or("none".into(), |node| node.name.to_string());
+    println!(
+        "revision {}, term {}, leader {leader}",
+        status.revision, status.voter.term
+    );
+    for node in status.voter.members.voters() {
+        println!("voter {node}");
+    }
+    for node in status.voter.members.learners() {
+        println!("learner {node}");
+    }
+    for one in &status.boxes {
+        let beat = &one.beat;
+        let state = match (one.age_ms > SILENT_MS, one.current, beat.ready) {
+            (true, _, _) => "silent",
+            (_, false, _) => "behind",
+            (_, _, false) => "not ready",
+            _ => "in force",
+        };
+        let services: Vec<_> = beat.dispatches.iter().map(ToString::to_string).collect();
+        println!(
+            "box {} in {}: revision {} ({state}), dispatches [{}], heard {} ms ago",
+            beat.name,
+            beat.zone,
+            beat.revision,
+            services.join(", "),
+            one.age_ms
+        );
+    }
+}
--- /dev/null
+++ b/src/scalewood/board/entry.rs
@@ -0,0 +1,201 @@
+//! The facts of an entry box.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use tokio::sync::mpsc;
+
+use crate::{
+    board::{feed, view},
+    core::{attempt, claim, dispatch, limit, member, name, retry, unit},
+    util::{
+        clock::Clock,
+        lock::{lock, Sharded},
+        metric,
+    },
+    wire::peer::Load,
+};
+
+/// What this box is, from its settings.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// Its name.
+    pub name: name::Box,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// Which start of the box this is.
+    pub incarnation: unit::Incarnation,
+}
+
+/// An open request of this box.
+#[derive(Debug)]
+pub struct Ticket {
+    /// The service.
+    pub service: name::Service,
+    /// The zone whose dispatcher is asked.
+    pub zone: name::Zone,
+    /// The dispatcher that was asked last.
+    pub dispatcher: Option<name::Box>,
+    /// What was asked for; its age counts from `asked_at`.
+    pub ask: dispatch::Ask,
+    /// When it was asked for.
+    pub asked_at: Duration,
+    /// The endpoint that it runs at, and since when.
+    pub held: Option<(name::Endpoint, Duration)>,
+    /// Tokens that this attempt has delivered.
+    pub tokens: unit::Tokens,
+    /// Where orders go.
+    pub orders: mpsc::UnboundedSender<dispatch::Order>,
+}
+
+impl Ticket {
+    /// What a dispatcher that knows nothing of it has to be told.
+    pub fn report(&self, now: Duration) -> dispatch::Report {
+        let mut ask = self.ask.clone();
+        ask.age += now.saturating_sub(self.asked_at);
+        match &self.held {
+            None => dispatch::Report::Ask(ask),
+            Some((endpoint, since)) => dispatch::Report::Held(dispatch::Held {
+                ask,
+                endpoint: endpoint.clone(),
+                tokens: self.tokens,
+                held: now.saturating_sub(*since),
+            }),
+        }
+    }
+}
+
+/// The buckets of a team in use.
+#[derive(Debug)]
+pub struct Buckets {
+    /// Requests.
+    pub requests: Option<limit::Bucket>,
+    /// Model tokens.
+    pub tokens: Option<limit::Bucket>,
+}
+
+/// A report for another box's dispatcher.
+pub type Told = (name::Service, dispatch::Report);
+
+/// The facts of an entry box.
+#[derive(Debug)]
+pub struct Board<C> {
+    /// What this box is.
+    pub own: Own,
+    /// The clock.
+    pub clock: C,
+    /// The log.
+    pub log: slog::Logger,
+    /// The metrics.
+    pub metrics: metric::Metrics,
+    /// The configuration as it is followed.
+    pub feed: Arc<feed::Feed>,
+    /// The configuration as requests need it.
+    pub view: ArcSwap<view::View>,
+    /// Open requests.
+    pub tickets: Sharded<attempt::Request, Ticket>,
+    /// Dispatchers that this box holds.
+    pub dispatchers: Sharded<name::Service, dispatch::Dispatcher>,
+    /// Limits of the teams in use.
+    pub limits: Sharded<name::Team, Buckets>,
+    /// Retry budgets.
+    pub budgets: Sharded<name::Service, retry::Budget>,
+    /// The zone's membership.
+    pub members: Mutex<member::Members>,
+    /// The boxes of the zone that are alive, this one included.
+    pub alive: ArcSwap<Vec<name::Box>>,
+    /// Claims that this box holds.
+    pub claims: Mutex<claim::Holder>,
+    /// Loads of dispatchers, with the time at which they were measured.
+    pub loads: Mutex<BTreeMap<(name::Service, name::Zone), (Load, Duration)>>,
+    /// Queues towards other boxes' dispatchers.
+    pub links: Mutex<HashMap<name::Box, mpsc::UnboundedSender<Told>>>,
+    /// Subscribers to the orders of the dispatchers here.
+    pub subscribers: Mutex<HashMap<name::Box, mpsc::UnboundedSender<dispatch::Order>>>,
+    /// Whether this box is about to stop.
+    pub draining: AtomicBool,
+    /// Whether this box takes new work.
+    pub ready: AtomicBool,
+    pulse: AtomicU64,
+    stale_until: AtomicU64,
+}
+
+/// A gap in the pulse after which the process counts as having been frozen.
+const FREEZE: Duration = Duration::from_millis(1000);
+/// How long after a freeze grants are not trusted.
+const DISTRUST: Duration = Duration::from_millis(500);
+
+impl<C: Clock> Board<C> {
+    /// A board with nothing on it.
+    pub fn new(own: Own, clock: C, log: slog::Logger, retention: Duration) -> Self {
+        let now = clock.now();
+        let members = member::Members::new(
+            member::Settings::default(),
+            own.name.clone(),
+            own.incarnation,
+            rand::random(),
+        );
+        let claims = claim::Holder::new(own.name.clone(), retention, now);
+        Self {
+            own,
+            clock,
+            log,
+            metrics: metric::Metrics::default(),
+            feed: Arc::default(),
+            view: ArcSwap::default(),
+            tickets: Sharded::default(),
+            dispatchers: Sharded::default(),
+            limits: Sharded::default(),
+            budgets: Sharded::default(),
+            members: Mutex::new(members),
+            alive: ArcSwap::default(),
+            claims: Mutex::new(claims),
+            loads: Mutex::default(),
+            links: Mutex::default(),
+            subscribers: Mutex::default(),
+            draining: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
+            pulse: AtomicU64::new(millis(now)),
+            stale_until: AtomicU64::new(0),
+        }
+    }
+
+    /// Notes that the process runs; a long gap means that it was frozen.
+    pub fn beat(&self) {
+        let now = self.clock.now();
+        let last = self.pulse.swap(millis(now), Ordering::Relaxed);
+        if millis(now).saturating_sub(last) > millis(FREEZE) {
+            self.stale_until
+                .store(millis(now + DISTRUST), Ordering::Relaxed);
+        }
+    }
+
+    /// Whether a grant that is read now may be one that has long expired, because
+    /// the process was frozen while it waited to be read.
+    pub fn may_be_stale(&self) -> bool {
+        let now = millis(self.clock.now());
+        let gap = now.saturating_sub(self.pulse.load(Ordering::Relaxed));
+        gap > millis(FREEZE) || now < self.stale_until.load(Ordering::Relaxed)
+    }
+
+    /// Whether this box is about to stop.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// The link queue towards a box, if a link is kept.
+    pub fn link(&self, to: &name::Box) -> Option<mpsc::UnboundedSender<Told>> {
+        lock(&self.links).get(to).cloned()
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/scalewood/board/view.rs
@@ -0,0 +1,112 @@
+//! The configuration as requests need it: looked up, compiled, indexed.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use crate::core::{claim, config, dispatch, name, policy, secret, unit};
+
+/// A revision of the configuration with its indexes.
+#[derive(Debug, Default)]
+pub struct View {
+    /// The revision.
+    pub revision: unit::Revision,
+    /// The document.
+    pub document: Arc<config::Document>,
+    teams: HashMap<secret::Hash, name::Team>,
+    models: HashMap<String, name::Service>,
+    programs: HashMap<name::Service, policy::Program>,
+}
+
+impl View {
+    /// Indexes a revision.
+    pub fn new(revision: unit::Revision, document: Arc<config::Document>) -> Self {
+        let teams = document
+            .teams
+            .iter()
+            .map(|(name, team)| (team.token_hash, name.clone()));
+        let teams = teams.collect();
+        let models = document.services.iter().flat_map(|(name, service)| {
+            service
+                .models
+                .iter()
+                .map(|model| (model.to_string(), name.clone()))
+        });
+        let models = models.collect();
+        let compile = |policy: &config::Policy| policy::Program::compile(&policy.program).ok();
+        let programs = document.policies.values();
+        let programs = programs.filter_map(|p| Some((p.service.clone(), compile(p)?)));
+        let programs = programs.collect();
+        Self {
+            revision,
+            document,
+            teams,
+            models,
+            programs,
+        }
+    }
+
+    /// The team that a token belongs to.
+    pub fn team(&self, token: &str) -> Option<(&name::Team, &config::Team)> {
+        let name = self.teams.get(&secret::Hash::of(token))?;
+        self.document.teams.get_key_value(name)
+    }
+
+    /// The service that serves a model.
+    pub fn service_of(&self, model: &str) -> Option<&name::Service> {
+        self.models.get(model)
+    }
+
+    /// The policy program of a service.
+    pub fn program(&self, service: &name::Service) -> Option<&policy::Program> {
+        self.programs.get(service)
+    }
+
+    /// The endpoints of a service in a zone.
+    pub fn endpoints<'a>(
+        &'a self,
+        service: &'a name::Service,
+        zone: &'a name::Zone,
+    ) -> impl Iterator<Item = (&'a name::Endpoint, &'a config::Endpoint)> {
+        let endpoints = self.document.endpoints.iter();
+        endpoints.filter(move |(_, e)| e.service == *service && e.zone == *zone)
+    }
+
+    /// What a dispatcher of a service in a zone is configured with.
+    pub fn dispatch_input(&self, service: &name::Service, zone: &name::Zone) -> dispatch::Input {
+        let specs = self
+            .endpoints(service, zone)
+            .map(|(name, endpoint)| dispatch::Spec {
+                name: name.clone(),
+                slots: endpoint.slots.0,
+                leaving: endpoint.leaving,
+            });
+        let classes = self.document.classes_of(service);
+        let classes: BTreeMap<_, _> = classes
+            .map(|(key, class)| (key.class.clone(), class.clone()))
+            .collect();
+        dispatch::Input::Configure(specs.collect(), classes)
+    }
+
+    /// The configured boxes with their zones.
+    pub fn box_zones(&self) -> BTreeMap<name::Box, name::Zone> {
+        let boxes = self.document.boxes.iter();
+        boxes
+            .map(|(name, item)| (name.clone(), item.zone.clone()))
+            .collect()
+    }
+
+    /// The boxes of a zone.
+    pub fn boxes_of<'a>(&'a self, zone: &'a name::Zone) -> impl Iterator<Item = &'a name::Box> {
+        let boxes = self.document.boxes.iter();
+        boxes
+            .filter(move |(_, item)| item.zone == *zone)
+            .map(|(name, _)| name)
+    }
+
+    /// The holders of a key.
+    pub fn holders(&self, key: claim::Key) -> Vec<name::Box> {
+        claim::holders(key, &self.box_zones())
+    }
+}
--- /dev/null
+++ b/src/scalewood/core/change.rs
@@ -0,0 +1,198 @@
+//! Changes of the configuration: what an operator asks for, and the answer.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{config, name, unit};
+
+/// The longest change id, in bytes.
+pub const MAX_ID: usize = 64;
+
+/// An operator's own identity for a change. Sent again under the same id, a change
+/// gets its first answer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Id(String);
+
+impl FromStr for Id {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+        if text.is_empty() || text.len() > MAX_ID || !text.bytes().all(allowed) {
+            return Err(format!(
+                "a change id has 1 to {MAX_ID} letters, digits, `-`, `_` and `.`"
+            ));
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl TryFrom<String> for Id {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        text.parse()
+    }
+}
+
+impl From<Id> for String {
+    fn from(id: Id) -> String {
+        id.0
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// An item with its name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Item {
+    /// An entry box.
+    Box(name::Box, config::Box),
+    /// A service.
+    Service(name::Service, config::Service),
+    /// A class.
+    Class(config::ClassKey, config::Class),
+    /// A team.
+    Team(name::Team, config::Team),
+    /// An endpoint.
+    Endpoint(name::Endpoint, config::Endpoint),
+    /// A policy.
+    Policy(name::Policy, config::Policy),
+}
+
+/// The name of an item with its kind.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Key {
+    /// An entry box.
+    Box(name::Box),
+    /// A service.
+    Service(name::Service),
+    /// A class.
+    Class(config::ClassKey),
+    /// A team.
+    Team(name::Team),
+    /// An endpoint.
+    Endpoint(name::Endpoint),
+    /// A policy.
+    Policy(name::Policy),
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Key::Box(name) => write!(f, "box {name}"),
+            Key::Service(name) => write!(f, "service {name}"),
+            Key::Class(name) => write!(f, "class {name}"),
+            Key::Team(name) => write!(f, "team {name}"),
+            Key::Endpoint(name) => write!(f, "endpoint {name}"),
+            Key::Policy(name) => write!(f, "policy {name}"),
+        }
+    }
+}
+
+impl Item {
+    /// The item's key.
+    pub fn key(&self) -> Key {
+        match self {
+            Item::Box(name, _) => Key::Box(name.clone()),
+            Item::Service(name, _) => Key::Service(name.clone()),
+            Item::Class(name, _) => Key::Class(name.clone()),
+            Item::Team(name, _) => Key::Team(name.clone()),
+            Item::Endpoint(name, _) => Key::Endpoint(name.clone()),
+            Item::Policy(name, _) => Key::Policy(name.clone()),
+        }
+    }
+}
+
+/// One step of a change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Edit {
+    /// Adds an item, or replaces the one of that name.
+    Set(Item),
+    /// Removes an item.
+    Remove(Key),
+}
+
+impl Edit {
+    /// The key of the item that the edit touches.
+    pub fn key(&self) -> Key {
+        match self {
+            Edit::Set(item) => item.key(),
+            Edit::Remove(key) => key.clone(),
+        }
+    }
+
+    /// Applies the edit; returns false if there was nothing to remove.
+    pub fn apply(&self, to: &mut config::Document) -> bool {
+        match self {
+            Edit::Set(item) => {
+                set(to, item.clone());
+                true
+            }
+            Edit::Remove(key) => remove(to, key),
+        }
+    }
+}
+
+fn set(to: &mut config::Document, item: Item) {
+    match item {
+        Item::Box(name, value) => drop(to.boxes.insert(name, value)),
+        Item::Service(name, value) => drop(to.services.insert(name, value)),
+        Item::Class(name, value) => drop(to.classes.insert(name, value)),
+        Item::Team(name, value) => drop(to.teams.insert(name, value)),
+        Item::Endpoint(name, value) => drop(to.endpoints.insert(name, value)),
+        Item::Policy(name, value) => drop(to.policies.insert(name, value)),
+    }
+}
+
+fn remove(from: &mut config::Document, key: &Key) -> bool {
+    match key {
+        Key::Box(name) => from.boxes.remove(name).is_some(),
+        Key::Service(name) => from.services.remove(name).is_some(),
+        Key::Class(name) => from.classes.remove(name).is_some(),
+        Key::Team(name) => from.teams.remove(name).is_some(),
+        Key::Endpoint(name) => from.endpoints.remove(name).is_some(),
+        Key::Policy(name) => from.policies.remove(name).is_some(),
+    }
+}
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// The operator's own identity for the change.
+    pub id: Id,
+    /// The revision that the change was made against.
+    pub base: unit::Revision,
+    /// Why it is made; goes into the audit trail.
+    pub why: String,
+    /// The steps, applied in order, all or none.
+    pub edits: Vec<Edit>,
+}
+
+/// The answer to a change; the same for every resend.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "outcome")]
+pub enum Answer {
+    /// The change is accepted and durable.
+    Accepted {
+        /// The revision that it made.
+        revision: unit::Revision,
+    },
+    /// The change was not applied, and never will be under this id.
+    NotApplied {
+        /// The revision in force at the time.
+        current: unit::Revision,
+        /// Why not, and what to do.
+        why: Vec<String>,
+    },
+}
--- /dev/null
+++ b/src/scalewood/core/config.rs
@@ -0,0 +1,415 @@
+//! The configuration: services, classes, teams, endpoints and policies.
+//!
+//! A [`Document`] is one accepted state of it, and is always valid: every name that
+//! an item mentions exists. [`Document::check`] finds all problems at once, so that
+//! an operator mends a change in one go.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{name, policy, secret, unit};
+
+/// What a service runs on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Model engines: streams, priorities, resumption.
+    #[default]
+    Model,
+    /// Plain HTTP replicas.
+    Plain,
+}
+
+/// A service that callers ask.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Service {
+    /// What it runs on.
+    pub kind: Kind,
+    /// The models that it serves, as callers name them; empty for a plain service.
+    pub models: BTreeSet<name::Model>,
+}
+
+/// A class of requests within a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Class {
+    /// Its rank; 0 is the highest.
+    pub tier: unit::Tier,
+    /// The time within which the first token (of a plain service: the answer) is due.
+    #[serde(rename = "target_ms", with = "millis")]
+    pub target: Duration,
+    /// The longest that a request waits before it is shed.
+    #[serde(rename = "deadline_ms", with = "millis")]
+    pub deadline: Duration,
+    /// The part of granted slots that the class gets when it has requests waiting.
+    pub share: unit::Share,
+    /// Whether its runs may be interrupted for a higher tier and resumed later.
+    pub preemptible: bool,
+    /// Whether a request that may have run can be run again.
+    pub repeatable: bool,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            tier: unit::Tier(2),
+            target: Duration::from_millis(950),
+            deadline: Duration::from_secs(30),
+            share: unit::Share::default(),
+            preemptible: false,
+            repeatable: true,
+        }
+    }
+}
+
+/// A class by its service and its own name.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ClassKey {
+    /// The service.
+    pub service: name::Service,
+    /// The class within it.
+    pub class: name::Class,
+}
+
+impl fmt::Display for ClassKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.service, self.class)
+    }
+}
+
+impl std::str::FromStr for ClassKey {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (service, class) = text
+            .split_once('/')
+            .ok_or_else(|| format!("`{text}` is not a class: write SERVICE/CLASS"))?;
+        Ok(Self {
+            service: service.parse().map_err(|e: name::Error| e.to_string())?,
+            class: class.parse().map_err(|e: name::Error| e.to_string())?,
+        })
+    }
+}
+
+impl TryFrom<String> for ClassKey {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        text.parse()
+    }
+}
+
+impl From<ClassKey> for String {
+    fn from(key: ClassKey) -> String {
+        key.to_string()
+    }
+}
+
+/// A team that calls services.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// The hash of its bearer token.
+    pub token_hash: secret::Hash,
+    /// The classes that it may use; the first of a service is its default there.
+    pub classes: Vec<ClassKey>,
+    /// Requests that it may start each second; absent for no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub requests: Option<unit::Rate>,
+    /// Tokens, asked and answered, that it may use each second; absent for no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tokens: Option<unit::Rate>,
+}
+
+/// An endpoint of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// The service that it serves.
+    pub service: name::Service,
+    /// Where it stands.
+    pub zone: name::Zone,
+    /// Its HTTP address.
+    pub address: SocketAddr,
+    /// How many requests it runs at once.
+    pub slots: unit::Slots,
+    /// Whether it gets no new work because it is about to go.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// A policy program for a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Policy {
+    /// The service whose requests it sees.
+    pub service: name::Service,
+    /// The program's text, in rhai.
+    pub program: String,
+}
+
+/// An entry box.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Box {
+    /// Where it stands.
+    pub zone: name::Zone,
+    /// Where the other boxes of the system reach it.
+    pub address: SocketAddr,
+}
+
+/// One accepted state of the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Document {
+    /// Entry boxes by name.
+    pub boxes: BTreeMap<name::Box, Box>,
+    /// Services by name.
+    pub services: BTreeMap<name::Service, Service>,
+    /// Classes by service and name.
+    pub classes: BTreeMap<ClassKey, Class>,
+    /// Teams by name.
+    pub teams: BTreeMap<name::Team, Team>,
+    /// Endpoints by name.
+    pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
+    /// Policies by name.
+    pub policies: BTreeMap<name::Policy, Policy>,
+}
+
+/// Something in a document that can't stand.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// The item, as `kind name`.
+    pub item: String,
+    /// What is wrong and what to do.
+    pub why: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.item, self.why)
+    }
+}
+
+/// The most slots that an endpoint may have.
+pub const MAX_SLOTS: u32 = 4096;
+
+impl Document {
+    /// Finds everything that can't stand, in the order of the document.
+    pub fn check(&self) -> Vec<Problem> {
+        let mut found = Vec::new();
+        self.check_boxes(&mut found);
+        self.check_services(&mut found);
+        self.check_classes(&mut found);
+        self.check_teams(&mut found);
+        self.check_endpoints(&mut found);
+        self.check_policies(&mut found);
+        found
+    }
+
+    /// The classes of one service.
+    pub fn classes_of<'a>(
+        &'a self,
+        service: &'a name::Service,
+    ) -> impl Iterator<Item = (&'a ClassKey, &'a Class)> {
+        self.classes
+            .iter()
+            .filter(move |(key, _)| key.service == *service)
+    }
+
+    /// The service that serves a model.
+    pub fn service_of(&self, model: &str) -> Option<&name::Service> {
+        let serves = |service: &Service| service.models.iter().any(|m| m.as_str() == model);
+        self.services
+            .iter()
+            .find(|(_, s)| serves(s))
+            .map(|(name, _)| name)
+    }
+
+    fn check_boxes(&self, found: &mut Vec<Problem>) {
+        let mut owner = BTreeMap::new();
+        for (name, item) in &self.boxes {
+            if let Some(other) = owner.insert(item.address, name) {
+                let why = format!("box {other} has the same address");
+                found.push(Problem {
+                    item: format!("box {name}"),
+                    why,
+                });
+            }
+        }
+    }
+
+    fn check_services(&self, found: &mut Vec<Problem>) {
+        let mut owner = BTreeMap::new();
+        for (name, service) in &self.services {
+            let mut problem = |why: String| {
+                found.push(Problem {
+                    item: format!("service {name}"),
+                    why,
+                })
+            };
+            match service.kind {
+                Kind::Model if service.models.is_empty() => {
+                    problem("a model service names at least one model in `models`".into());
+                }
+                Kind::Plain if !service.models.is_empty() => {
+                    problem("a plain service has no models; leave `models` out".into());
+                }
+                Kind::Model | Kind::Plain => {}
+            }
+            for model in &service.models {
+                if let Some(other) = owner.insert(model, name) {
+                    problem(format!(
+                        "model {model} is already served by service {other}"
+                    ));
+                }
+            }
+        }
+    }
+
+    fn check_classes(&self, found: &mut Vec<Problem>) {
+        let mut shares: BTreeMap<&name::Service, f64> = BTreeMap::new();
+        for (key, class) in &self.classes {
+            let mut problem = |why: &str| {
+                found.push(Problem {
+                    item: format!("class {key}"),
+                    why: why.into(),
+                });
+            };
+            if !self.services.contains_key(&key.service) {
+                problem("its service is not configured; set the service first");
+            }
+            if class.tier > unit::LOWEST_TIER {
+                problem("a tier is a number from 0, the highest, to 15");
+            }
+            if class.target.is_zero() || class.deadline < class.target {
+                problem("`target_ms` is above 0, and `deadline_ms` is no less than `target_ms`");
+            }
+            let plain = self
+                .services
+                .get(&key.service)
+                .is_some_and(|s| s.kind == Kind::Plain);
+            if plain && class.preemptible {
+                problem("a call of a plain service is never preempted; leave `preemptible` out");
+            }
+            if class.preemptible && !class.repeatable {
+                problem("a class that may not be repeated can't be preempted");
+            }
+            *shares.entry(&key.service).or_default() += class.share.get();
+        }
+        for (service, _) in shares.iter().filter(|(_, sum)| **sum > MAX_SHARES) {
+            found.push(Problem {
+                item: format!("service {service}"),
+                why: format!("the shares of its classes add up to more than {MAX_SHARES}"),
+            });
+        }
+    }
+
+    fn check_teams(&self, found: &mut Vec<Problem>) {
+        let mut owner = BTreeMap::new();
+        for (name, team) in &self.teams {
+            let mut problem = |why: String| {
+                found.push(Problem {
+                    item: format!("team {name}"),
+                    why,
+                })
+            };
+            if let Some(other) = owner.insert(team.token_hash, name) {
+                problem(format!(
+                    "it has the same token as team {other}; make a new one"
+                ));
+            }
+            if team.classes.is_empty() {
+                problem("it may use no class; name at least one in `classes`".into());
+            }
+            for key in team
+                .classes
+                .iter()
+                .filter(|key| !self.classes.contains_key(key))
+            {
+                problem(format!(
+                    "class {key} is not configured; set the class first"
+                ));
+            }
+        }
+    }
+
+    fn check_endpoints(&self, found: &mut Vec<Problem>) {
+        let mut owner = BTreeMap::new();
+        for (name, endpoint) in &self.endpoints {
+            let mut problem = |why: String| {
+                found.push(Problem {
+                    item: format!("endpoint {name}"),
+                    why,
+                });
+            };
+            if !self.services.contains_key(&endpoint.service) {
+                problem(format!(
+                    "service {} is not configured; set it first",
+                    endpoint.service
+                ));
+            }
+            if endpoint.slots.0 == 0 || endpoint.slots.0 > MAX_SLOTS {
+                problem(format!("`slots` is a number from 1 to {MAX_SLOTS}"));
+            }
+            if let Some(other) = owner.insert(endpoint.address, name) {
+                problem(format!("endpoint {other} has the same address"));
+            }
+        }
+    }
+
+    fn check_policies(&self, found: &mut Vec<Problem>) {
+        let mut owner = BTreeMap::new();
+        for (name, item) in &self.policies {
+            let mut problem = |why: String| {
+                found.push(Problem {
+                    item: format!("policy {name}"),
+                    why,
+                });
+            };
+            if !self.services.contains_key(&item.service) {
+                problem(format!(
+                    "service {} is not configured; set it first",
+                    item.service
+                ));
+            }
+            if let Some(other) = owner.insert(&item.service, name) {
+                problem(format!(
+                    "service {} already has policy {other}",
+                    item.service
+                ));
+            }
+            let classes: Vec<_> = self.classes_of(&item.service).collect();
+            if let Err(error) = policy::Program::trial(&item.program, &classes) {
+                problem(error.to_string());
+            }
+        }
+    }
+}
+
+/// The most that the shares of a service's classes may add up to. The rest is left
+/// to the order by tier, or the tiers would mean nothing.
+pub const MAX_SHARES: f64 = 0.5;
+
+/// Durations as whole milliseconds.
+mod millis {
+    use std::time::Duration;
+
+    use serde::{Deserialize as _, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(value: &Duration, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_u64(u64::try_from(value.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
+        u64::deserialize(from).map(Duration::from_millis)
+    }
+}
--- /dev/null
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -0,0 +1,510 @@
+//! The endpoints of a service, and which of them gets the next request.
+//!
+//! What was granted is known exactly; that is what slots are counted by. Load
+//! reports lag, so they only lower the weight of an endpoint that is slower than
+//! its peers. Endpoints with a free slot stand in an ordered index, so that a
+//! choice takes logarithmic time however many there are.
+//!
+//! An endpoint that fails again and again is ejected for a while, then probed with
+//! a single request, then given more as it succeeds. Only a bounded part of the set
+//! is ejected at once: if more than that fails, the fault is likely elsewhere.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use crate::core::{
+    dispatch::{message, Settings},
+    estimate, invariant, name, rendezvous,
+};
+
+/// Where an endpoint stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Active,
+    /// Gets nothing until the time given.
+    Ejected(Duration),
+    /// Gets one request, which decides.
+    Probing,
+}
+
+/// An index into the set; stable while the endpoint is configured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Index(usize);
+
+/// An endpoint's place in the order of choice; the lowest goes first.
+type Score = u64;
+
+#[derive(Debug)]
+struct Endpoint {
+    name: name::Endpoint,
+    slots: u32,
+    running: u32,
+    state: State,
+    /// Since when it is known to leave.
+    leaving: Option<Duration>,
+    /// Whether it is still configured; runs may outlast that.
+    configured: bool,
+    /// Failures since the last success, by weight.
+    failures: u32,
+    /// How often it was ejected since it last did well.
+    ejections: u32,
+    /// Slots that it may use while it proves itself.
+    ramp: u32,
+    /// Seconds for each token, or for each call of a plain service.
+    pace: estimate::Ewma,
+    /// Its speed beside its peers, from above 0 to 1.
+    speed: f64,
+    /// What its load reports say of requests that wait inside of it.
+    backlog: u32,
+    /// Its place in the index, if it stands there.
+    score: Option<Score>,
+    /// What it adds to the set's count of allowed requests.
+    counted: u32,
+}
+
+impl Endpoint {
+    /// How many requests it may run at once.
+    fn allowed(&self) -> u32 {
+        if !self.configured || self.leaving.is_some() {
+            return 0;
+        }
+        match self.state {
+            State::Ejected(_) => 0,
+            State::Probing => 1,
+            State::Active => self.paced().min(self.ramp).max(1),
+        }
+    }
+
+    /// Its slots, lowered for slowness.
+    fn paced(&self) -> u32 {
+        // The product is at most `slots`, so the cast is exact.
+        (f64::from(self.slots) * self.speed).ceil() as u32
+    }
+
+    fn score(&self) -> Option<Score> {
+        let allowed = self.allowed();
+        if self.running >= allowed {
+            return None;
+        }
+        let used = u64::from(self.running + 1) * 1000 / u64::from(allowed);
+        Some(u64::from(self.failures) * 1_000_000 + used + u64::from(self.backlog))
+    }
+}
+
+/// A configured endpoint, as the set needs it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spec {
+    /// Its name.
+    pub name: name::Endpoint,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Whether it is configured to leave.
+    pub leaving: bool,
+}
+
+/// Where a prefix is likely cached.
+#[derive(Clone, Copy, Debug)]
+struct Hint {
+    index: Index,
+    until: Duration,
+}
+
+/// The endpoints of a service.
+#[derive(Debug, Default)]
+pub(super) struct Set {
+    endpoints: Vec<Endpoint>,
+    names: HashMap<name::Endpoint, Index>,
+    ready: BTreeSet<(Score, Index)>,
+    hints: HashMap<message::Prefix, Hint>,
+    allowed: u32,
+    running: u32,
+    refreshed: Duration,
+}
+
+/// Failures, by weight, after which an endpoint is ejected.
+const EJECT_AT: u32 = 3;
+/// How often the speeds are compared.
+const REFRESH: Duration = Duration::from_millis(500);
+/// The speed under which an endpoint counts as slow: noise stays above it.
+const SLOW: f64 = 0.67;
+/// The least weight of a slow endpoint.
+const MIN_SPEED: f64 = 0.1;
+/// The most prefix hints that are kept.
+const MAX_HINTS: usize = 8192;
+
+impl Set {
+    /// Sets what is configured. Endpoints that are gone keep their runs.
+    pub(super) fn configure(&mut self, specs: &[Spec], now: Duration, settings: &Settings) {
+        for endpoint in &mut self.endpoints {
+            endpoint.configured = false;
+        }
+        for spec in specs {
+            let index = self.index_or_add(&spec.name, settings);
+            let endpoint = &mut self.endpoints[index.0];
+            endpoint.configured = true;
+            endpoint.slots = spec.slots;
+            match (spec.leaving, endpoint.leaving) {
+                (true, None) => endpoint.leaving = Some(now),
+                (false, Some(_)) => endpoint.leaving = None,
+                _ => {}
+            }
+        }
+        self.rescore_all();
+    }
+
+    fn index_or_add(&mut self, name: &name::Endpoint, settings: &Settings) -> Index {
+        if let Some(index) = self.names.get(name) {
+            return *index;
+        }
+        let index = Index(self.endpoints.len());
+        self.names.insert(name.clone(), index);
+        self.endpoints.push(Endpoint {
+            name: name.clone(),
+            slots: 0,
+            running: 0,
+            state: State::Active,
+            leaving: None,
+            configured: false,
+            failures: 0,
+            ejections: 0,
+            ramp: settings.ramp,
+            pace: estimate::Ewma::default(),
+            speed: 1.0,
+            backlog: 0,
+            score: None,
+            counted: 0,
+        });
+        index
+    }
+
+    /// Adds a run that was granted elsewhere; its endpoint may be unknown here.
+    pub(super) fn adopt(&mut self, name: &name::Endpoint, settings: &Settings) -> Index {
+        let index = self.index_or_add(name, settings);
+        self.take(index);
+        index
+    }
+
+    /// Notes the first sign that an endpoint leaves, or that it came back.
+    pub(super) fn set_leaving(&mut self, name: &name::Endpoint, leaving: bool, now: Duration) {
+        let Some(index) = self.names.get(name).copied() else {
+            return;
+        };
+        let endpoint = &mut self.endpoints[index.0];
+        if leaving {
+            endpoint.leaving.get_or_insert(now);
+        } else {
+            endpoint.leaving = None;
+        }
+        self.rescore(index);
+    }
+
+    /// Notes a load report: requests that wait inside of the endpoint.
+    pub(super) fn set_backlog(&mut self, name: &name::Endpoint, waiting: u32) {
+        let Some(index) = self.names.get(name).copied() else {
+            return;
+        };
+        self.endpoints[index.0].backlog = waiting;
+        self.rescore(index);
+    }
+
+    /// Notes a cache event. Events come late and with gaps, so they only hint.
+    pub(super) fn set_cached(
+        &mut self,
+        name: &name::Endpoint,
+        prefix: message::Prefix,
+        cached: bool,
+        until: Duration,
+    ) {
+        let Some(index) = self.names.get(name).copied() else {
+            return;
+        };
+        if cached {
+            self.hint(prefix, index, until);
+        } else if self
+            .hints
+            .get(&prefix)
+            .is_some_and(|hint| hint.index == index)
+        {
+            self.hints.remove(&prefix);
+        }
+    }
+
+    fn hint(&mut self, prefix: message::Prefix, index: Index, until: Duration) {
+        if self.hints.len() >= MAX_HINTS && !self.hints.contains_key(&prefix) {
+            return;
+        }
+        self.hints.insert(prefix, Hint { index, until });
+    }
+
+    /// Whether any endpoint could get work now or after a while.
+    pub(super) fn is_hopeless(&self) -> bool {
+        !self
+            .endpoints
+            .iter()
+            .any(|e| e.configured && e.leaving.is_none())
+    }
+
+    /// How many requests may run at once in all.
+    pub(super) fn allowed(&self) -> u32 {
+        self.allowed
+    }
+
+    /// How many run.
+    pub(super) fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Whether any endpoint has a free slot.
+    pub(super) fn has_free(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    pub(super) fn name(&self, index: Index) -> &name::Endpoint {
+        &self.endpoints[index.0].name
+    }
+
+    /// Chooses an endpoint with a free slot and takes the slot.
+    pub(super) fn choose(
+        &mut self,
+        prefix: Option<message::Prefix>,
+        avoid: Option<&name::Endpoint>,
+        now: Duration,
+        settings: &Settings,
+    ) -> Option<Index> {
+        let mut candidates = self.ready.iter().take(2);
+        let mut best = *candidates.next()?;
+        if avoid.is_some_and(|name| self.endpoints[best.1 .0].name == *name) {
+            best = candidates.next().copied().unwrap_or(best);
+        }
+        let hinted = prefix.and_then(|p| self.hinted(p, best.0, avoid, now, settings));
+        let index = hinted.unwrap_or(best.1);
+        self.check_grant(index, now);
+        self.take(index);
+        if let Some(prefix) = prefix {
+            self.hint(prefix, index, now + settings.hint_life);
+        }
+        Some(index)
+    }
+
+    /// The endpoint that likely caches a prefix, while it costs little to wait for.
+    fn hinted(
+        &self,
+        prefix: message::Prefix,
+        best: Score,
+        avoid: Option<&name::Endpoint>,
+        now: Duration,
+        settings: &Settings,
+    ) -> Option<Index> {
+        let hint = self.hints.get(&prefix).filter(|hint| hint.until > now)?;
+        let endpoint = &self.endpoints[hint.index.0];
+        let score = endpoint.score?;
+        let avoided = avoid.is_some_and(|name| endpoint.name == *name);
+        (!avoided && score <= best + settings.hint_slack).then_some(hint.index)
+    }
+
+    fn check_grant(&self, index: Index, now: Duration) {
+        /// How long after the first sign a leaving endpoint may still get work.
+        const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+        let endpoint = &self.endpoints[index.0];
+        invariant::check(
+            endpoint
+                .leaving
+                .is_none_or(|since| now.saturating_sub(since) <= LEAVING_LIMIT),
+            invariant::Rule::LeavingGrant,
+            || format!("grant to leaving endpoint {}", endpoint.name),
+        );
+        invariant::check(
+            endpoint.running < endpoint.slots,
+            invariant::Rule::SlotHolder,
+            || {
+                format!(
+                    "{} of {} slots of {} held",
+                    endpoint.running, endpoint.slots, endpoint.name
+                )
+            },
+        );
+    }
+
+    fn take(&mut self, index: Index) {
+        self.endpoints[index.0].running += 1;
+        self.running += 1;
+        self.rescore(index);
+    }
+
+    /// Frees a slot.
+    pub(super) fn free(&mut self, index: Index) {
+        let endpoint = &mut self.endpoints[index.0];
+        endpoint.running = endpoint.running.saturating_sub(1);
+        self.running = self.running.saturating_sub(1);
+        self.rescore(index);
+    }
+
+    /// Notes an endpoint's pace: seconds for each token, or for each call.
+    pub(super) fn observe_pace(&mut self, index: Index, seconds: f64) {
+        /// The weight of a new observation.
+        const WEIGHT: f64 = 0.2;
+        self.endpoints[index.0].pace.observe(seconds, WEIGHT);
+    }
+
+    /// Notes that an attempt did well.
+    pub(super) fn succeeded(&mut self, index: Index) {
+        let endpoint = &mut self.endpoints[index.0];
+        endpoint.failures = 0;
+        endpoint.state = State::Active;
+        if endpoint.ramp < endpoint.slots {
+            endpoint.ramp = endpoint.ramp.saturating_mul(2).max(1);
+        } else {
+            endpoint.ejections = 0;
+        }
+        self.rescore(index);
+    }
+
+    /// Notes that an attempt failed; `weight` says how sure a sign of a fault it is.
+    pub(super) fn failed(&mut self, index: Index, weight: u32, now: Duration, settings: &Settings) {
+        let ejected = self
+            .endpoints
+            .iter()
+            .filter(|e| e.configured && e.state != State::Active);
+        let configured = self.endpoints.iter().filter(|e| e.configured).count();
+        // The product is at most `configured`, so the cast is exact.
+        let most = (configured as f64 * settings.max_ejected) as usize;
+        let may_eject = ejected.count() < most;
+        let endpoint = &mut self.endpoints[index.0];
+        endpoint.failures = (endpoint.failures + weight).min(EJECT_AT * 2);
+        let probing = endpoint.state == State::Probing;
+        if probing || (endpoint.failures >= EJECT_AT && may_eject) {
+            endpoint.state = State::Ejected(now + ejection(endpoint, settings));
+            endpoint.ejections += 1;
+            endpoint.ramp = 1;
+        }
+        self.rescore(index);
+    }
+
+    /// Moves on what depends on time.
+    pub(super) fn tick(&mut self, now: Duration) {
+        for i in 0..self.endpoints.len() {
+            let endpoint = &mut self.endpoints[i];
+            if matches!(endpoint.state, State::Ejected(until) if until <= now) {
+                endpoint.state = State::Probing;
+                self.rescore(Index(i));
+            }
+        }
+        if now.saturating_sub(self.refreshed) >= REFRESH {
+            self.refreshed = now;
+            self.hints.retain(|_, hint| hint.until > now);
+            self.compare_speeds();
+        }
+    }
+
+    /// Compares each endpoint's pace with the median.
+    fn compare_speeds(&mut self) {
+        let mut paces: Vec<_> = self.endpoints.iter().filter_map(|e| e.pace.get()).collect();
+        if paces.len() < 2 {
+            return;
+        }
+        paces.sort_by(f64::total_cmp);
+        // The lower median: with two endpoints the faster one is the measure.
+        let median = paces[(paces.len() - 1) / 2];
+        for i in 0..self.endpoints.len() {
+            let endpoint = &mut self.endpoints[i];
+            let Some(pace) = endpoint.pace.get() else {
+                continue;
+            };
+            let speed = if pace > 0.0 {
+                (median / pace).clamp(MIN_SPEED, 1.0)
+            } else {
+                1.0
+            };
+            let speed = if speed < SLOW { speed } else { 1.0 };
+            if (speed - endpoint.speed).abs() > f64::EPSILON {
+                endpoint.speed = speed;
+                self.rescore(Index(i));
+            }
+        }
+    }
+
+    fn rescore_all(&mut self) {
+        for i in 0..self.endpoints.len() {
+            self.rescore(Index(i));
+        }
+    }
+
+    /// Brings an endpoint's place in the index up to date.
+    fn rescore(&mut self, index: Index) {
+        let endpoint = &mut self.endpoints[index.0];
+        if let Some(score) = endpoint.score.take() {
+            self.ready.remove(&(score, index));
+        }
+        endpoint.score = endpoint.score();
+        if let Some(score) = endpoint.score {
+            self.ready.insert((score, index));
+        }
+        let allowed = endpoint.allowed();
+        self.allowed = self.allowed - endpoint.counted + allowed;
+        endpoint.counted = allowed;
+    }
+
+    /// A view of each endpoint that is configured or still runs something.
+    pub(super) fn views(&self) -> impl Iterator<Item = View> + '_ {
+        self.endpoints
+            .iter()
+            .filter(|e| e.configured || e.running > 0)
+            .map(|e| View {
+                name: e.name.clone(),
+                slots: e.slots,
+                running: e.running,
+                allowed: e.allowed(),
+                ejected: matches!(e.state, State::Ejected(_)),
+                leaving: e.leaving.is_some(),
+            })
+    }
+
+    /// Forgets the endpoints that are gone, at a time when nothing runs.
+    pub(super) fn forget_gone(&mut self) {
+        if self.running > 0 || self.endpoints.iter().all(|e| e.configured) {
+            return;
+        }
+        self.ready.clear();
+        self.hints.clear();
+        self.allowed = 0;
+        self.endpoints.retain(|e| e.configured);
+        let names = self.endpoints.iter().enumerate();
+        self.names = names.map(|(i, e)| (e.name.clone(), Index(i))).collect();
+        for endpoint in &mut self.endpoints {
+            endpoint.score = None;
+            endpoint.counted = 0;
+        }
+        self.rescore_all();
+    }
+}
+
+/// How an endpoint stands, for status pages.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct View {
+    /// Its name.
+    pub name: name::Endpoint,
+    /// Configured slots.
+    pub slots: u32,
+    /// Slots that are held.
+    pub running: u32,
+    /// Slots that may be used now.
+    pub allowed: u32,
+    /// Whether it is ejected.
+    pub ejected: bool,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+/// How long an endpoint is ejected: doubling, spread by up to a half so that many
+/// do not come back at once.
+fn ejection(endpoint: &Endpoint, settings: &Settings) -> Duration {
+    let doubled = settings
+        .ejection
+        .saturating_mul(1 << endpoint.ejections.min(5));
+    let seed = rendezvous::hash(&[endpoint.name.as_str(), &endpoint.ejections.to_string()]);
+    // The remainder is below 1000, so the cast is exact.
+    let spread = (seed % 1000) as f64 / 2000.0;
+    doubled.min(settings.max_ejection).mul_f64(1.0 + spread)
+}
--- /dev/null
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -0,0 +1,526 @@
+//! The dispatcher: one queue for a service in an availability zone.
+//!
+//! One entry box holds the dispatcher of a (service, zone). It alone queues that
+//! service's requests there and hands out the endpoints' slots, so that the order
+//! of tiers holds over all entry boxes of the zone, and a slot is counted exactly.
+//! The entry boxes send the requests to the endpoints themselves and report what
+//! becomes of them; the loss of a dispatcher cuts no stream.
+//!
+//! A step takes one input and the time, and appends the orders that follow. The
+//! algorithm after each input:
+//!
+//! 1. While a slot is free: the next request gets it. That is the class that is
+//!    owed a whole run by its share ([`share`]), else the first by tier and slack
+//!    ([`queue`]). The endpoint with the lowest use goes first, or the one that
+//!    likely caches the prompt's prefix ([`endpoint`]).
+//! 2. If requests are left that have to start now: for each of them a run of a
+//!    lower tier is preempted, the one that loses the least work ([`preempt`]).
+//! 3. Requests that would wait past their deadline are shed at once ([`shed`]).
+//!
+//! A new dispatcher settles first: it adopts the runs that the entry boxes
+//! announce, and grants nothing until all boxes that are alive have announced theirs.
+//! They take no more grants from the dispatcher before, so nothing is missing then.
+//! A box that does not announce is waited for until the last dispatcher's unused
+//! grants are void.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use crate::core::{attempt, config, estimate, name, unit};
+
+mod endpoint;
+mod message;
+mod preempt;
+mod queue;
+mod run;
+mod share;
+mod shed;
+mod work;
+
+pub use endpoint::{Spec, View};
+pub use message::{Ask, End, Held, Order, Prefix, Reason, Report};
+
+/// Settings of a dispatcher.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// How long a grant lives unused.
+    pub grant_life: Duration,
+    /// How long a new dispatcher grants nothing.
+    pub settle: Duration,
+    /// The most requests that wait.
+    pub max_waiting: usize,
+    /// How long before its due time a request may preempt.
+    pub preempt_lead: Duration,
+    /// How long a run is expected to hold a slot before any was seen.
+    pub first_guess: Duration,
+    /// The part of the endpoints that may be ejected at once.
+    pub max_ejected: f64,
+    /// How long an endpoint is ejected at first; it doubles.
+    pub ejection: Duration,
+    /// The longest that an endpoint is ejected.
+    pub max_ejection: Duration,
+    /// Slots that a new endpoint may use before its first success.
+    pub ramp: u32,
+    /// How long a prefix counts as cached.
+    pub hint_life: Duration,
+    /// How much fuller, in thousandths, an endpoint that caches the prefix may be.
+    pub hint_slack: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            grant_life: Duration::from_secs(2),
+            settle: Duration::from_millis(2500),
+            max_waiting: 20_000,
+            preempt_lead: Duration::from_millis(60),
+            first_guess: Duration::from_secs(1),
+            max_ejected: 0.5,
+            ejection: Duration::from_secs(1),
+            max_ejection: Duration::from_secs(30),
+            ramp: 8,
+            hint_life: Duration::from_secs(120),
+            hint_slack: 250,
+        }
+    }
+}
+
+/// What a dispatcher is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// An entry box reports.
+    Report(name::Box, Report),
+    /// The endpoints and classes that are configured.
+    Configure(Vec<Spec>, BTreeMap<name::Class, config::Class>),
+    /// An endpoint leaves, or came back.
+    Leaving(name::Endpoint, bool),
+    /// An endpoint reports how many requests wait inside of it.
+    Backlog(name::Endpoint, u32),
+    /// An endpoint reports that it caches a prefix, or does so no more.
+    Cached(name::Endpoint, Prefix, bool),
+    /// An entry box has lost its link for long: its requests are void.
+    Gone(name::Box),
+    /// The entry boxes of the zone that are alive. The requests of all others are
+    /// void.
+    Boxes(BTreeSet<name::Box>),
+    /// Time has passed.
+    Tick,
+}
+
+/// An order and the box that it is for.
+pub type Output = (name::Box, Order);
+
+/// What is known of a class.
+#[derive(Debug)]
+struct Class {
+    hold: estimate::Histogram,
+    first: estimate::Histogram,
+    flow: Flow,
+    tier: unit::Tier,
+}
+
+/// How much work arrives, in slot-seconds a second, over about ten seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
+    rate: f64,
+    at: Duration,
+}
+
+impl Flow {
+    /// The time over which the rate is averaged, in seconds.
+    const SPAN: f64 = 10.0;
+
+    fn rate(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.rate * (-passed / Self::SPAN).exp()
+    }
+
+    fn add(&mut self, work: f64, now: Duration) {
+        self.rate = self.rate(now) + work / Self::SPAN;
+        self.at = now;
+    }
+}
+
+/// The queue and the slots of a service in an availability zone.
+#[derive(Debug)]
+pub struct Dispatcher {
+    settings: Settings,
+    endpoints: endpoint::Set,
+    queue: queue::Queue,
+    runs: run::Runs,
+    classes: HashMap<name::Class, Class>,
+    shares: share::Shares,
+    settled_at: Duration,
+    /// The entry boxes that are alive, and those that have announced what they hold.
+    alive: BTreeSet<name::Box>,
+    announced: BTreeSet<name::Box>,
+    /// Slots that preemptions freed and that are not handed out yet.
+    freed: u32,
+    outputs: Vec<Output>,
+}
+
+/// How busy a dispatcher is; dispatchers of a service exchange this.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Summary {
+    /// Slots that may be used.
+    pub slots: u32,
+    /// Slots that are held.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// The predicted wait of a new request, by tier.
+    pub waits: BTreeMap<unit::Tier, Duration>,
+}
+
+impl Dispatcher {
+    /// A dispatcher that settles first.
+    pub fn new(settings: Settings, now: Duration) -> Self {
+        let settled_at = now + settings.settle;
+        Self {
+            settings,
+            endpoints: endpoint::Set::default(),
+            queue: queue::Queue::default(),
+            runs: run::Runs::default(),
+            classes: HashMap::new(),
+            shares: share::Shares::default(),
+            settled_at,
+            alive: BTreeSet::new(),
+            announced: BTreeSet::new(),
+            freed: 0,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Takes an input; returns the orders that follow from it.
+    pub fn step(&mut self, input: Input, now: Duration) -> Vec<Output> {
+        self.queue.age(now);
+        match input {
+            Input::Report(origin, report) => self.report(origin, report, now),
+            Input::Configure(specs, classes) => self.configure(&specs, &classes, now),
+            Input::Leaving(name, leaving) => self.endpoints.set_leaving(&name, leaving, now),
+            Input::Backlog(name, waiting) => self.endpoints.set_backlog(&name, waiting),
+            Input::Cached(name, prefix, cached) => {
+                let until = now + self.settings.hint_life;
+                self.endpoints.set_cached(&name, prefix, cached, until);
+            }
+            Input::Gone(origin) => self.lose(&origin),
+            Input::Boxes(alive) => self.set_boxes(alive),
+            Input::Tick => self.tick(now),
+        }
+        self.grant(now);
+        self.preempt(now);
+        if self.queue.is_empty() {
+            self.freed = 0;
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn configure(
+        &mut self,
+        specs: &[Spec],
+        classes: &BTreeMap<name::Class, config::Class>,
+        now: Duration,
+    ) {
+        self.endpoints.configure(specs, now, &self.settings);
+        let shares = classes
+            .iter()
+            .map(|(name, class)| (name.clone(), class.share.get()));
+        self.shares.configure(&shares.collect());
+        self.classes.retain(|name, _| classes.contains_key(name));
+        for (name, class) in classes {
+            self.class(name, class.tier).tier = class.tier;
+        }
+        self.shed_hopeless();
+    }
+
+    fn class(&mut self, name: &name::Class, tier: unit::Tier) -> &mut Class {
+        let guess = self.settings.first_guess;
+        self.classes.entry(name.clone()).or_insert_with(|| Class {
+            hold: estimate::Histogram::with_guess(guess),
+            first: estimate::Histogram::with_guess(FIRST_TOKEN_GUESS),
+            flow: Flow::default(),
+            tier,
+        })
+    }
+
+    fn report(&mut self, origin: name::Box, report: Report, now: Duration) {
+        match report {
+            Report::Hello => self.lose(&origin),
+            Report::Announced => drop(self.announced.insert(origin)),
+            Report::Ask(ask) => self.ask(origin, ask, now),
+            Report::Withdraw(attempt) => drop(self.queue.remove(attempt)),
+            Report::Started(attempt) => self.runs.set_started(attempt),
+            Report::First(attempt) => self.first(attempt, now),
+            Report::Progress(attempt, tokens) => self.runs.set_tokens(attempt, tokens),
+            Report::End(attempt, end, tokens) => self.end(attempt, end, tokens, now),
+            Report::Held(held) => self.adopt(origin, held, now),
+        }
+    }
+
+    fn ask(&mut self, origin: name::Box, ask: Ask, now: Duration) {
+        let attempt = ask.attempt;
+        if self.queue.contains(attempt) || self.runs.get(attempt).is_some() {
+            return;
+        }
+        let first = ask.hold.is_none();
+        let class = self.class(&ask.class, ask.tier);
+        let hold = ask.hold.unwrap_or_else(|| class.hold.mean()).as_secs_f64();
+        let lead = if first {
+            class.first.quantile(LEAD_QUANTILE)
+        } else {
+            class.first.mean()
+        };
+        class.flow.add(hold, now);
+        // The arrival may lie before the clock's start, so ages are taken off last.
+        let due = (now + ask.target).saturating_sub(ask.age + lead);
+        let give_up = (now + ask.deadline).saturating_sub(ask.age);
+        let times = queue::Times { due, give_up, hold };
+        self.queue.insert(origin, ask, times, now);
+        self.shed_on_arrival(attempt, now);
+    }
+
+    fn first(&mut self, attempt: attempt::Attempt, now: Duration) {
+        self.runs.set_first(attempt, now);
+        let Some(run) = self.runs.get(attempt) else {
+            return;
+        };
+        let (name, tier) = (run.ask.class.clone(), run.ask.tier);
+        let waited = now.saturating_sub(run.granted);
+        self.class(&name, tier).first.observe(waited);
+    }
+
+    fn end(&mut self, attempt: attempt::Attempt, end: End, tokens: unit::Tokens, now: Duration) {
+        self.queue.remove(attempt);
+        let Some(run) = self.runs.remove(attempt) else {
+            return;
+        };
+        self.endpoints.free(run.endpoint);
+        self.freed += u32::from(run.preempting);
+        match end {
+            End::Done => self.done(&run, tokens, now),
+            End::Unreachable | End::Silent => {
+                self.endpoints.failed(run.endpoint, 2, now, &self.settings);
+            }
+            End::Broken => self.endpoints.failed(run.endpoint, 1, now, &self.settings),
+            End::Cancelled | End::Preempted | End::Refused | End::Unused => {}
+        }
+    }
+
+    fn done(&mut self, run: &run::Run, tokens: unit::Tokens, now: Duration) {
+        self.endpoints.succeeded(run.endpoint);
+        let held = now.saturating_sub(run.granted);
+        let first = run.first.unwrap_or(run.granted);
+        let streamed = now.saturating_sub(first).as_secs_f64();
+        let pace = match tokens.0 {
+            0 | 1 => held.as_secs_f64(),
+            // Answers are far shorter than 2^52 tokens, so the cast is exact.
+            n => streamed / (n - 1) as f64,
+        };
+        self.endpoints.observe_pace(run.endpoint, pace);
+        self.class(&run.ask.class, run.ask.tier).hold.observe(held);
+    }
+
+    fn adopt(&mut self, origin: name::Box, held: Held, now: Duration) {
+        if self.runs.get(held.ask.attempt).is_some() {
+            return;
+        }
+        self.queue.remove(held.ask.attempt);
+        let endpoint = self.endpoints.adopt(&held.endpoint, &self.settings);
+        self.runs.insert(run::Run {
+            origin,
+            ask: held.ask,
+            endpoint,
+            granted: now.saturating_sub(held.held),
+            started: true,
+            first: (held.tokens.0 > 0).then_some(now),
+            tokens: held.tokens,
+            preempting: false,
+        });
+    }
+
+    fn set_boxes(&mut self, alive: BTreeSet<name::Box>) {
+        let origins = self.queue.all().map(|w| &w.origin);
+        let origins = origins.chain(self.runs.all().map(|r| &r.origin));
+        let zone: BTreeSet<_> = origins
+            .filter(|name| self.alive.contains(*name))
+            .cloned()
+            .collect();
+        for origin in zone.difference(&alive) {
+            self.lose(origin);
+        }
+        self.announced.retain(|name| alive.contains(name));
+        self.alive = alive;
+    }
+
+    fn lose(&mut self, origin: &name::Box) {
+        let waiting = self.queue.all().filter(|w| w.origin == *origin);
+        let waiting: Vec<_> = waiting.map(|w| w.ask.attempt).collect();
+        for attempt in waiting {
+            self.queue.remove(attempt);
+        }
+        let running = self.runs.all().filter(|r| r.origin == *origin);
+        let running: Vec<_> = running.map(|r| r.ask.attempt).collect();
+        for attempt in running {
+            if let Some(run) = self.runs.remove(attempt) {
+                self.endpoints.free(run.endpoint);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        self.endpoints.tick(now);
+        self.endpoints.forget_gone();
+        self.expire_grants(now);
+        self.shed_expired(now);
+        self.shed_late(now);
+    }
+
+    fn expire_grants(&mut self, now: Duration) {
+        let before = now.saturating_sub(self.settings.grant_life);
+        while let Some(attempt) = self.runs.unused(before) {
+            let Some(run) = self.runs.remove(attempt) else {
+                break;
+            };
+            self.endpoints.free(run.endpoint);
+            self.outputs.push((run.origin, Order::Expired(attempt)));
+        }
+    }
+
+    /// Hands out the free slots.
+    fn grant(&mut self, now: Duration) {
+        if !self.is_settled(now) {
+            return;
+        }
+        while self.endpoints.has_free() {
+            let Some(attempt) = self.next(now) else { break };
+            let Some(waiting) = self.queue.get(attempt) else {
+                break;
+            };
+            let ask = &waiting.ask;
+            let (prefix, avoid) = (ask.prefix, ask.avoid.as_ref());
+            let chosen = self.endpoints.choose(prefix, avoid, now, &self.settings);
+            let Some(endpoint) = chosen else { break };
+            let Some(waiting) = self.queue.remove(attempt) else {
+                break;
+            };
+            self.start(waiting, endpoint, now);
+        }
+    }
+
+    /// The request that gets the next free slot.
+    fn next(&self, now: Duration) -> Option<attempt::Attempt> {
+        let first = self.queue.first()?;
+        // A slot that a preemption freed goes to the request that it was freed for.
+        if self.freed > 0 || self.runs.preempting() > 0 {
+            return Some(first);
+        }
+        let waits = |class: &name::Class| self.queue.count(class) > 0;
+        let owed = self.shares.owed(waits, |class| self.mean_hold(class));
+        let owed = owed.and_then(|class| self.queue.first_of(class));
+        Some(
+            owed.filter(|attempt| self.may_go_first(*attempt, now))
+                .unwrap_or(first),
+        )
+    }
+
+    /// Whether a slot can be given to a request without a higher tier being shed
+    /// for it: whoever is about to be shed goes first.
+    fn may_go_first(&self, attempt: attempt::Attempt, now: Duration) -> bool {
+        let Some(waiting) = self.queue.get(attempt) else {
+            return false;
+        };
+        let gap = Duration::from_secs_f64(self.slot_gap());
+        let soonest = self.queue.soonest_give_up_above(waiting.ask.tier);
+        soonest.is_none_or(|give_up| give_up > now + 2 * gap)
+    }
+
+    fn start(&mut self, waiting: queue::Waiting, endpoint: endpoint::Index, now: Duration) {
+        self.freed = self.freed.saturating_sub(1);
+        let attempt = waiting.ask.attempt;
+        let class = waiting.ask.class.clone();
+        let queue = &self.queue;
+        let classes = &self.classes;
+        let guess = self.settings.first_guess;
+        let mean = |name: &name::Class| {
+            classes
+                .get(name)
+                .map_or(guess, |class| class.hold.mean())
+                .as_secs_f64()
+        };
+        self.shares
+            .granted(&class, waiting.hold, |name| queue.count(name) > 0, mean);
+        let name = self.endpoints.name(endpoint).clone();
+        self.outputs
+            .push((waiting.origin.clone(), Order::Grant(attempt, name)));
+        self.runs.insert(run::Run {
+            origin: waiting.origin,
+            ask: waiting.ask,
+            endpoint,
+            granted: now,
+            started: false,
+            first: None,
+            tokens: unit::Tokens(0),
+            preempting: false,
+        });
+    }
+
+    fn mean_hold(&self, class: &name::Class) -> f64 {
+        let guess = self.settings.first_guess;
+        self.classes
+            .get(class)
+            .map_or(guess, |class| class.hold.mean())
+            .as_secs_f64()
+    }
+
+    /// The mean time between two slots that come free, in seconds.
+    fn slot_gap(&self) -> f64 {
+        let slots = f64::from(self.endpoints.allowed().max(1));
+        let holds = self
+            .classes
+            .values()
+            .map(|class| class.hold.mean().as_secs_f64());
+        holds.fold(0.0, f64::max) / slots
+    }
+
+    /// How busy the dispatcher is.
+    pub fn summary(&self, now: Duration) -> Summary {
+        let tiers = self.classes.values().map(|class| class.tier);
+        let wait = |tier| (tier, self.predicted_wait(tier, now + SUMMARY_DUE, now));
+        Summary {
+            slots: self.endpoints.allowed(),
+            running: self.endpoints.running(),
+            waiting: self.queue.len(),
+            waits: tiers.map(wait).collect(),
+        }
+    }
+
+    /// How its endpoints stand.
+    pub fn endpoints(&self) -> Vec<View> {
+        self.endpoints.views().collect()
+    }
+
+    /// How many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// How many runs hold a slot.
+    pub fn running(&self) -> usize {
+        self.runs.all().count()
+    }
+
+    /// Whether it grants already.
+    pub fn is_settled(&self, now: Duration) -> bool {
+        let all_announced = !self.alive.is_empty() && self.alive.is_subset(&self.announced);
+        now >= self.settled_at || all_announced
+    }
+}
+
+/// How long a first token takes before any was seen.
+const FIRST_TOKEN_GUESS: Duration = Duration::from_millis(100);
+/// The quantile of first-token times that is kept free before the target.
+const LEAD_QUANTILE: f64 = 0.9;
+/// How far ahead the due time of a summary's imagined request lies.
+const SUMMARY_DUE: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/src/scalewood/core/dispatch/run.rs
@@ -0,0 +1,145 @@
+//! The runs that hold a slot.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use crate::core::{
+    attempt,
+    dispatch::{endpoint, message},
+    name, unit,
+};
+
+/// A run that holds a slot.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub(super) origin: name::Box,
+    pub(super) ask: message::Ask,
+    pub(super) endpoint: endpoint::Index,
+    pub(super) granted: Duration,
+    pub(super) started: bool,
+    pub(super) first: Option<Duration>,
+    /// Tokens that this attempt has delivered.
+    pub(super) tokens: unit::Tokens,
+    /// Whether it was told to stop.
+    pub(super) preempting: bool,
+}
+
+/// Preemptions of one request after which it is left to finish.
+const MAX_PREEMPTED: u32 = 3;
+
+/// A place among the runs that may be preempted: the lowest tier first, then the
+/// least loss.
+type Place = (Reverse<unit::Tier>, u64, attempt::Attempt);
+
+impl Run {
+    fn may_be_preempted(&self) -> bool {
+        self.ask.preemptible && !self.preempting && self.ask.preempted < MAX_PREEMPTED
+    }
+
+    /// What a preemption costs: tokens that have to be processed once more.
+    fn loss(&self) -> u64 {
+        self.ask.prompt.0 + self.ask.delivered.0 + self.tokens.0
+    }
+
+    fn place(&self) -> Place {
+        (Reverse(self.ask.tier), self.loss(), self.ask.attempt)
+    }
+}
+
+/// All runs that hold a slot.
+#[derive(Debug, Default)]
+pub(super) struct Runs {
+    runs: HashMap<attempt::Attempt, Run>,
+    victims: BTreeSet<Place>,
+    unstarted: BTreeSet<(Duration, attempt::Attempt)>,
+    preempting: usize,
+}
+
+impl Runs {
+    pub(super) fn get(&self, attempt: attempt::Attempt) -> Option<&Run> {
+        self.runs.get(&attempt)
+    }
+
+    pub(super) fn all(&self) -> impl Iterator<Item = &Run> {
+        self.runs.values()
+    }
+
+    /// Runs that were told to stop and still hold their slot.
+    pub(super) fn preempting(&self) -> usize {
+        self.preempting
+    }
+
+    pub(super) fn insert(&mut self, run: Run) {
+        if run.may_be_preempted() {
+            self.victims.insert(run.place());
+        }
+        if !run.started {
+            self.unstarted.insert((run.granted, run.ask.attempt));
+        }
+        self.runs.insert(run.ask.attempt, run);
+    }
+
+    pub(super) fn remove(&mut self, attempt: attempt::Attempt) -> Option<Run> {
+        let run = self.runs.remove(&attempt)?;
+        self.victims.remove(&run.place());
+        self.unstarted.remove(&(run.granted, attempt));
+        if run.preempting {
+            self.preempting -= 1;
+        }
+        Some(run)
+    }
+
+    pub(super) fn set_started(&mut self, attempt: attempt::Attempt) {
+        let Some(run) = self.runs.get_mut(&attempt) else {
+            return;
+        };
+        run.started = true;
+        self.unstarted.remove(&(run.granted, attempt));
+    }
+
+    pub(super) fn set_first(&mut self, attempt: attempt::Attempt, now: Duration) {
+        if let Some(run) = self.runs.get_mut(&attempt) {
+            run.first.get_or_insert(now);
+        }
+    }
+
+    pub(super) fn set_tokens(&mut self, attempt: attempt::Attempt, tokens: unit::Tokens) {
+        let Some(run) = self.runs.get_mut(&attempt) else {
+            return;
+        };
+        let listed = self.victims.remove(&run.place());
+        run.tokens = run.tokens.max(tokens);
+        if listed {
+            self.victims.insert(run.place());
+        }
+    }
+
+    /// The run to preempt for a tier: of a lower one, with the least loss.
+    pub(super) fn victim_for(&self, tier: unit::Tier) -> Option<&Run> {
+        let (Reverse(lowest), _, attempt) = self.victims.first()?;
+        if !tier.outranks(*lowest) {
+            return None;
+        }
+        self.runs.get(attempt)
+    }
+
+    pub(super) fn set_preempting(&mut self, attempt: attempt::Attempt) {
+        let Some(run) = self.runs.get_mut(&attempt) else {
+            return;
+        };
+        self.victims.remove(&run.place());
+        run.preempting = true;
+        self.preempting += 1;
+    }
+
+    /// A grant that was not used until `before`.
+    pub(super) fn unused(&self, before: Duration) -> Option<attempt::Attempt> {
+        self.unstarted
+            .first()
+            .filter(|(granted, _)| *granted < before)
+            .map(|(_, a)| *a)
+    }
+}
--- /dev/null
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -0,0 +1,174 @@
+//! Shedding: who is given up on, and when to come back.
+//!
+//! A request is shed at once when it is predicted to wait past its deadline: the
+//! caller learns it early enough to do something else. The prediction is the work
+//! that goes first, over the slots that are left once the flow of higher tiers and
+//! the shares of others are taken off. When the queue is full, the last request of
+//! the lowest tier that waits is shed, never a higher one.
+
+use std::time::Duration;
+
+use crate::core::{
+    attempt,
+    dispatch::{message, queue, Dispatcher},
+    invariant, unit,
+};
+
+/// The part of the slots that a tier can count on at least.
+const MIN_CAPACITY: f64 = 0.05;
+/// The soonest that a caller is told to come back.
+const MIN_RETRY: Duration = Duration::from_secs(1);
+/// The latest that a caller is told to come back.
+const MAX_RETRY: Duration = Duration::from_secs(60);
+/// Requests that one tick sheds at most for a prediction, so that it stays short.
+const MAX_LATE_SHEDS: usize = 64;
+
+impl Dispatcher {
+    /// The predicted wait of a request of a tier that has to start by `due`.
+    pub(super) fn predicted_wait(
+        &self,
+        tier: unit::Tier,
+        due: Duration,
+        now: Duration,
+    ) -> Duration {
+        let slots = f64::from(self.endpoints.allowed());
+        if slots <= 0.0 {
+            return Duration::MAX;
+        }
+        let before = self.queue.work_before(tier, due, now);
+        if before <= 0.0 && self.endpoints.has_free() {
+            return Duration::ZERO;
+        }
+        let above = self
+            .classes
+            .values()
+            .filter(|class| class.tier.outranks(tier));
+        let taken: f64 = above.map(|class| class.flow.rate(now)).sum();
+        let reserved = slots * self.reserved_below(tier);
+        let left = (slots - taken - reserved).max(slots * MIN_CAPACITY);
+        Duration::try_from_secs_f64(self.slot_gap() + before / left).unwrap_or(Duration::MAX)
+    }
+
+    /// The shares of the classes below a tier that wait: slots that a request of the
+    /// tier can't count on.
+    fn reserved_below(&self, tier: unit::Tier) -> f64 {
+        self.shares.reserved(|name| {
+            let below = self
+                .classes
+                .get(name)
+                .is_some_and(|class| tier.outranks(class.tier));
+            below && self.queue.count(name) > 0
+        })
+    }
+
+    /// Sheds what an arrival makes hopeless: the arrival itself, if it would wait
+    /// past its deadline, or the last of the lowest tier, if the queue is full.
+    pub(super) fn shed_on_arrival(&mut self, attempt: attempt::Attempt, now: Duration) {
+        if self.endpoints.is_hopeless() {
+            return self.shed(attempt, message::Reason::NoEndpoint, now);
+        }
+        if self.queue.len() > self.settings.max_waiting {
+            if let Some(last) = self.queue.last() {
+                self.check_lowest(last);
+                self.shed(last, message::Reason::Full, now);
+            }
+        }
+        if self.is_predicted_late(attempt, now) {
+            self.shed(attempt, message::Reason::Deadline, now);
+        }
+    }
+
+    /// Sheds the requests whose time is over.
+    pub(super) fn shed_expired(&mut self, now: Duration) {
+        while let Some(attempt) = self.queue.expired(now) {
+            self.shed(attempt, message::Reason::Deadline, now);
+        }
+    }
+
+    /// Sheds late requests that are predicted to wait past their deadline, from the
+    /// end of each tier's late band.
+    pub(super) fn shed_late(&mut self, now: Duration) {
+        for _ in 0..MAX_LATE_SHEDS {
+            let tails = self.queue.late_tails();
+            let late = tails
+                .into_iter()
+                .rev()
+                .find(|a| self.is_predicted_late(*a, now));
+            let Some(attempt) = late else { break };
+            self.shed(attempt, message::Reason::Deadline, now);
+        }
+    }
+
+    /// Sheds everything when no endpoint is left.
+    pub(super) fn shed_hopeless(&mut self) {
+        while self.endpoints.is_hopeless() {
+            let Some(attempt) = self.queue.last() else {
+                break;
+            };
+            self.shed(attempt, message::Reason::NoEndpoint, Duration::ZERO);
+        }
+    }
+
+    fn is_predicted_late(&self, attempt: attempt::Attempt, now: Duration) -> bool {
+        let Some(waiting) = self.queue.get(attempt) else {
+            return false;
+        };
+        if self.endpoints.allowed() == 0 || !self.is_settled(now) {
+            // Endpoints that are ejected may come back before the deadline.
+            return false;
+        }
+        let tier = waiting.ask.tier;
+        if self.runs.victim_for(tier).is_some() {
+            // A lower tier gives way before this one is given up on.
+            return false;
+        }
+        let wait = self.predicted_wait(tier, waiting.due, now);
+        now.saturating_add(wait.saturating_sub(self.own_part(waiting))) > waiting.give_up
+    }
+
+    /// The part of a predicted wait that is the request's own work.
+    fn own_part(&self, waiting: &queue::Waiting) -> Duration {
+        let slots = f64::from(self.endpoints.allowed().max(1));
+        Duration::from_secs_f64(waiting.hold / slots)
+    }
+
+    fn check_lowest(&self, attempt: attempt::Attempt) {
+        let tier = self.queue.get(attempt).map(|waiting| waiting.ask.tier);
+        let lowest = self.queue.lowest_tier();
+        invariant::check(tier == lowest, invariant::Rule::ShedOrder, || {
+            format!("{attempt} of tier {tier:?} is shed while {lowest:?} waits")
+        });
+    }
+
+    fn shed(&mut self, attempt: attempt::Attempt, reason: message::Reason, now: Duration) {
+        if reason == message::Reason::Deadline {
+            self.check_deadline_shed(attempt, now);
+        }
+        let Some(waiting) = self.queue.remove(attempt) else {
+            return;
+        };
+        let wait = match reason {
+            message::Reason::NoEndpoint => MIN_RETRY,
+            _ => self.predicted_wait(waiting.ask.tier, now + waiting.ask.target, now),
+        };
+        let retry = wait.clamp(MIN_RETRY, MAX_RETRY);
+        self.outputs
+            .push((waiting.origin, message::Order::Shed(attempt, reason, retry)));
+    }
+
+    /// A request that is not over its time is shed only where no run of a lower tier
+    /// could give way to it.
+    fn check_deadline_shed(&self, attempt: attempt::Attempt, now: Duration) {
+        let Some(waiting) = self.queue.get(attempt) else {
+            return;
+        };
+        let over = waiting.give_up <= now;
+        let victim = self.runs.victim_for(waiting.ask.tier);
+        invariant::check(over || victim.is_none(), invariant::Rule::ShedOrder, || {
+            format!(
+                "{attempt} is shed while {:?} runs",
+                victim.map(|run| run.ask.attempt)
+            )
+        });
+    }
+}
--- /dev/null
+++ b/src/scalewood/core/ledger.rs
@@ -0,0 +1,214 @@
+//! The ledger: the configuration's revisions, the answers given, the audit trail.
+//!
+//! It is the state that the voters agree on: a deterministic machine over
+//! [`Command`]s. Whoever applies the same commands in the same order has the same
+//! ledger, and gives the same answers.
+//!
+//! An answer is remembered where a resend could otherwise get another one: an
+//! acceptance, and a refusal whose base lies ahead. The other refusals stay refusals,
+//! since the revision only rises.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{agree, audit, change, config, name, unit};
+
+/// How many answers are remembered for resends: 20 days at 500 changes a day.
+pub const MAX_ANSWERS: usize = 10_000;
+
+/// How many audit records are kept.
+pub const MAX_RECORDS: usize = 10_000;
+
+/// How many revisions back a box may be and still get the differences.
+pub const MAX_DIFFERENCES: usize = 256;
+
+/// A change as the log holds it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Command {
+    /// The change.
+    pub change: change::Change,
+    /// Who made it.
+    pub operator: name::Operator,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+}
+
+/// An answer that was given, with what it answered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Given {
+    change: change::Change,
+    operator: name::Operator,
+    answer: change::Answer,
+}
+
+/// The configuration's revisions, the answers given, the audit trail.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Ledger {
+    revision: unit::Revision,
+    document: Arc<config::Document>,
+    answers: VecDeque<Given>,
+    records: VecDeque<audit::Record>,
+}
+
+impl Ledger {
+    /// The revision in force.
+    pub fn revision(&self) -> unit::Revision {
+        self.revision
+    }
+
+    /// The document in force.
+    pub fn document(&self) -> &Arc<config::Document> {
+        &self.document
+    }
+
+    /// The audit trail, the oldest record first.
+    pub fn records(&self) -> impl DoubleEndedIterator<Item = &audit::Record> {
+        self.records.iter()
+    }
+
+    /// The edits of each revision after `from`, if they are all remembered.
+    pub fn since(&self, from: unit::Revision) -> Option<Vec<(unit::Revision, Vec<change::Edit>)>> {
+        let missing = usize::try_from(self.revision.0.checked_sub(from.0)?).ok()?;
+        if missing > MAX_DIFFERENCES {
+            return None;
+        }
+        let newer = self
+            .answers
+            .iter()
+            .rev()
+            .filter_map(|given| match given.answer {
+                change::Answer::Accepted { revision } => {
+                    Some((revision, given.change.edits.clone()))
+                }
+                change::Answer::NotApplied { .. } => None,
+            });
+        let mut edits: Vec<_> = newer.take(missing).collect();
+        edits.reverse();
+        (edits.len() == missing).then_some(edits)
+    }
+
+    /// The answer that a change got before, if it did.
+    pub fn answered(
+        &self,
+        change: &change::Change,
+        operator: &name::Operator,
+    ) -> Option<change::Answer> {
+        let given = self
+            .answers
+            .iter()
+            .rev()
+            .find(|given| given.change.id == change.id)?;
+        if given.change == *change && given.operator == *operator {
+            return Some(given.answer.clone());
+        }
+        let why = format!(
+            "change id {} was used for another change; take a new id",
+            change.id
+        );
+        Some(self.refuse(vec![why]))
+    }
+
+    fn refuse(&self, why: Vec<String>) -> change::Answer {
+        change::Answer::NotApplied {
+            current: self.revision,
+            why,
+        }
+    }
+
+    /// The answer to a new change, and the document if it is accepted.
+    fn weigh(&self, change: &change::Change) -> Result<config::Document, change::Answer> {
+        if change.base != self.revision {
+            let why = format!(
+                "it was made against revision {}, and {} is in force; look at what changed and try again",
+                change.base, self.revision
+            );
+            return Err(self.refuse(vec![why]));
+        }
+        self.edited(change).map_err(|why| self.refuse(why))
+    }
+
+    /// The document after a change, or all that is wrong with it.
+    fn edited(&self, change: &change::Change) -> Result<config::Document, Vec<String>> {
+        if change.edits.is_empty() {
+            return Err(vec!["it has no edits; name at least one".into()]);
+        }
+        let mut document = config::Document::clone(&self.document);
+        let mut wrong = Vec::new();
+        for edit in &change.edits {
+            if !edit.apply(&mut document) {
+                wrong.push(format!(
+                    "{} does not exist, so it can't be removed",
+                    edit.key()
+                ));
+            }
+        }
+        let removed = self
+            .document
+            .boxes
+            .keys()
+            .filter(|b| !document.boxes.contains_key(*b));
+        if removed.count() > 1 {
+            // Each key's claims stand at two boxes at least; see `claim`.
+            wrong.push("it removes more than one box; remove them one change at a time".into());
+        }
+        wrong.extend(document.check().iter().map(ToString::to_string));
+        if wrong.is_empty() {
+            Ok(document)
+        } else {
+            Err(wrong)
+        }
+    }
+
+    fn remember(&mut self, command: &Command, answer: change::Answer) {
+        self.answers.push_back(Given {
+            change: command.change.clone(),
+            operator: command.operator.clone(),
+            answer,
+        });
+        if self.answers.len() > MAX_ANSWERS {
+            self.answers.pop_front();
+        }
+    }
+
+    fn accept(&mut self, command: &Command, document: config::Document) -> change::Answer {
+        let change = &command.change;
+        self.revision = self.revision.next();
+        self.records.push_back(audit::Record {
+            revision: self.revision,
+            base: change.base,
+            id: change.id.clone(),
+            operator: command.operator.clone(),
+            at_unix_ms: command.at_unix_ms,
+            why: change.why.clone(),
+            differences: audit::differences(&self.document, &document, &change.edits),
+        });
+        if self.records.len() > MAX_RECORDS {
+            self.records.pop_front();
+        }
+        self.document = Arc::new(document);
+        change::Answer::Accepted {
+            revision: self.revision,
+        }
+    }
+}
+
+impl agree::State for Ledger {
+    type Command = Command;
+    type Answer = change::Answer;
+
+    fn apply(&mut self, command: &Command) -> change::Answer {
+        if let Some(answer) = self.answered(&command.change, &command.operator) {
+            return answer;
+        }
+        let ahead = command.change.base > self.revision;
+        let (answer, lasting) = match self.weigh(&command.change) {
+            Ok(document) => (self.accept(command, document), true),
+            Err(answer) => (answer, ahead),
+        };
+        if lasting {
+            self.remember(command, answer.clone());
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/src/scalewood/core/mod.rs
@@ -0,0 +1,25 @@
+//! What things are and how decisions are made: pure types and state machines.
+//!
+//! Nothing here does I/O, spawns a task or reads a clock. A machine takes an
+//! input and the time, and returns outputs; the daemons, the randomised runs and
+//! the benchmarks drive the same code.
+
+pub mod agree;
+pub mod attempt;
+pub mod audit;
+pub mod change;
+pub mod claim;
+pub mod config;
+pub mod dispatch;
+pub mod estimate;
+pub mod invariant;
+pub mod ledger;
+pub mod limit;
+pub mod member;
+pub mod name;
+pub mod policy;
+pub mod rendezvous;
+pub mod retry;
+pub mod secret;
+pub mod unit;
+pub mod verdict;
--- /dev/null
+++ b/src/scalewood/core/policy.rs
@@ -0,0 +1,241 @@
+//! Policies: short programs that set a request's service level.
+//!
+//! A program is written in rhai. It sees the constants `team`, `class`, `service`,
+//! `hour` (0 to 23, UTC), `prompt_tokens`, `max_tokens` and `load` (waiting
+//! requests for each slot) and returns a map with any of `class`, `target_ms`,
+//! `deadline_ms`, `preemptible` and `spill`. What it leaves out stays as the class
+//! has it. It can't raise a request above the tiers of its service: it picks among
+//! the service's classes, and the class gives the tier and the share.
+//!
+//! A program is compiled once for each revision and runs under an operation limit.
+//! Before it is accepted it is tried against every class of its service.
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use rhai::{Dynamic, Engine, Scope, AST};
+
+use crate::core::{config, name, unit};
+
+/// The operations after which a program is stopped.
+pub const MAX_OPERATIONS: u64 = 10_000;
+
+/// The longest program, in bytes.
+pub const MAX_PROGRAM: usize = 16 * 1024;
+
+/// What a program sees of a request.
+#[derive(Clone, Debug)]
+pub struct Facts<'a> {
+    /// The team that asks.
+    pub team: &'a str,
+    /// The class that was asked for, or the team's default.
+    pub class: &'a name::Class,
+    /// The service.
+    pub service: &'a name::Service,
+    /// The hour of the day in UTC.
+    pub hour: u8,
+    /// The size of the prompt, as estimated.
+    pub prompt: unit::Tokens,
+    /// The most tokens of the answer.
+    pub max_output: unit::Tokens,
+    /// Waiting requests for each slot of the service.
+    pub load: f64,
+}
+
+/// What a program decided; absent parts stay as the class has them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Decision {
+    /// The class to serve the request as.
+    pub class: Option<name::Class>,
+    /// Another target.
+    pub target: Option<Duration>,
+    /// Another deadline.
+    pub deadline: Option<Duration>,
+    /// Whether the run may be preempted.
+    pub preemptible: Option<bool>,
+    /// Whether the request may go to another availability zone.
+    pub spill: Option<bool>,
+}
+
+impl Decision {
+    /// A class with what was decided put over it.
+    pub fn over(self, class: config::Class) -> config::Class {
+        let target = self.target.unwrap_or(class.target);
+        config::Class {
+            target,
+            deadline: self.deadline.unwrap_or(class.deadline).max(target),
+            // A program can protect a run, but not expose one that its class protects.
+            preemptible: class.preemptible && self.preemptible.unwrap_or(true),
+            ..class
+        }
+    }
+}
+
+/// Why a program can't be used, or failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error(String);
+
+impl Error {
+    /// The error for a class that the service does not have.
+    pub fn unknown_class() -> Self {
+        Self("it picks a class that the service does not have".into())
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A compiled program.
+#[derive(Clone)]
+pub struct Program {
+    engine: Arc<Engine>,
+    ast: Arc<AST>,
+}
+
+impl fmt::Debug for Program {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Program(..)")
+    }
+}
+
+impl Program {
+    /// Compiles a program's text.
+    pub fn compile(text: &str) -> Result<Self, Error> {
+        if text.len() > MAX_PROGRAM {
+            return Err(Error(format!(
+                "the program is longer than {MAX_PROGRAM} bytes; shorten it"
+            )));
+        }
+        let engine = engine();
+        let ast = engine
+            .compile(text)
+            .map_err(|e| Error(format!("the program does not parse: {e}; mend it there")))?;
+        Ok(Self {
+            engine: Arc::new(engine),
+            ast: Arc::new(ast),
+        })
+    }
+
+    /// Compiles a program and tries it against each class of its service.
+    pub fn trial(
+        text: &str,
+        classes: &[(&config::ClassKey, &config::Class)],
+    ) -> Result<Self, Error> {
+        let program = Self::compile(text)?;
+        for (key, _) in classes {
+            for (hour, load) in [(0, 0.0), (9, 1.0), (23, 10.0)] {
+                program.try_class(key, hour, load, classes)?;
+            }
+        }
+        Ok(program)
+    }
+
+    fn try_class(
+        &self,
+        key: &config::ClassKey,
+        hour: u8,
+        load: f64,
+        classes: &[(&config::ClassKey, &config::Class)],
+    ) -> Result<(), Error> {
+        let facts = Facts {
+            team: "trial",
+            class: &key.class,
+            service: &key.service,
+            hour,
+            prompt: unit::Tokens(100),
+            max_output: unit::Tokens(100),
+            load,
+        };
+        let context = |why: String| Error(format!("tried against class {key} it fails: {why}"));
+        let decision = self.decide(&facts).map_err(|e| context(e.0))?;
+        match decision.class {
+            Some(class) if !classes.iter().any(|(k, _)| k.class == class) => Err(context(format!(
+                "it picks class {class}, which the service does not have"
+            ))),
+            _ => Ok(()),
+        }
+    }
+
+    /// Runs the program for a request.
+    pub fn decide(&self, facts: &Facts<'_>) -> Result<Decision, Error> {
+        let mut scope = Scope::new();
+        scope.push_constant("team", facts.team.to_owned());
+        scope.push_constant("class", facts.class.to_string());
+        scope.push_constant("service", facts.service.to_string());
+        scope.push_constant("hour", i64::from(facts.hour));
+        scope.push_constant("prompt_tokens", clamp(facts.prompt));
+        scope.push_constant("max_tokens", clamp(facts.max_output));
+        scope.push_constant("load", facts.load);
+        let result = self
+            .engine
+            .eval_ast_with_scope::<rhai::Map>(&mut scope, &self.ast)
+            .map_err(|e| Error(format!("the program stopped: {e}")))?;
+        read(result)
+    }
+}
+
+fn clamp(tokens: unit::Tokens) -> i64 {
+    i64::try_from(tokens.0).unwrap_or(i64::MAX)
+}
+
+fn engine() -> Engine {
+    let mut engine = Engine::new();
+    engine.set_max_operations(MAX_OPERATIONS);
+    engine.set_max_expr_depths(32, 16);
+    engine.set_max_call_levels(8);
+    engine.set_max_string_size(1024);
+    engine.set_max_array_size(64);
+    engine.set_max_map_size(64);
+    engine.disable_symbol("eval");
+    engine.disable_symbol("import");
+    engine.on_print(|_| {});
+    engine.on_debug(|_, _, _| {});
+    engine
+}
+
+/// Reads what a program returned; unknown keys and wrong types are errors.
+fn read(map: rhai::Map) -> Result<Decision, Error> {
+    let mut decision = Decision::default();
+    for (key, value) in map {
+        match key.as_str() {
+            "class" => decision.class = Some(read_class(value)?),
+            "target_ms" => decision.target = Some(read_millis(&key, &value)?),
+            "deadline_ms" => decision.deadline = Some(read_millis(&key, &value)?),
+            "preemptible" => decision.preemptible = Some(read_bool(&key, &value)?),
+            "spill" => decision.spill = Some(read_bool(&key, &value)?),
+            other => {
+                return Err(Error(format!(
+                    "it returns `{other}`; known are class, target_ms, deadline_ms, preemptible and spill"
+                )));
+            }
+        }
+    }
+    Ok(decision)
+}
+
+fn read_class(value: Dynamic) -> Result<name::Class, Error> {
+    let text = value
+        .into_string()
+        .map_err(|_| Error("`class` must be a text".into()))?;
+    text.parse().map_err(|e: name::Error| Error(e.to_string()))
+}
+
+fn read_millis(key: &str, value: &Dynamic) -> Result<Duration, Error> {
+    let millis = value
+        .as_int()
+        .ok()
+        .and_then(|n| u64::try_from(n).ok())
+        .filter(|n| *n > 0);
+    let millis = millis.ok_or_else(|| Error(format!("`{key}` must be a whole number above 0")))?;
+    Ok(Duration::from_millis(millis))
+}
+
+fn read_bool(key: &str, value: &Dynamic) -> Result<bool, Error> {
+    value
+        .as_bool()
+        .map_err(|_| Error(format!("`{key}` must be true or false")))
+}
--- /dev/null
+++ b/src/scalewood/core/verdict.rs
@@ -0,0 +1,68 @@
+//! Whether a request that failed may have run.
+//!
+//! A caller may repeat a request that did not run. So `NotRun` is said only where
+//! the request's bytes can't have reached an endpoint, or where the endpoint
+//! itself said that it refused the request unread.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a request may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The request did not run: asking again is safe.
+    NotRun,
+    /// The request may have run, wholly or in part.
+    MayHaveRun,
+    /// The request ran.
+    Ran,
+}
+
+impl Verdict {
+    /// All verdicts, from the weakest to the strongest.
+    pub const ALL: [Verdict; 3] = [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran];
+
+    /// The text that headers and bodies carry.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::NotRun => "not-run",
+            Verdict::MayHaveRun => "may-have-run",
+            Verdict::Ran => "ran",
+        }
+    }
+
+    /// The verdict over two attempts at one request.
+    #[must_use]
+    pub fn and(self, other: Verdict) -> Verdict {
+        self.max(other)
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A text that is no verdict.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error;
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a verdict is one of not-run, may-have-run and ran")
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl FromStr for Verdict {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let found = Verdict::ALL.into_iter().find(|v| v.as_str() == text);
+        found.ok_or(Error)
+    }
+}
--- /dev/null
+++ b/src/scalewood/ops/control/admin.rs
@@ -0,0 +1,264 @@
+//! The administration API: JSON over HTTP, by warp.
+//!
+//! Every path but `/healthz` needs an operator's bearer token. What is not known is
+//! told apart: `409` means not applied, `503` not run, `504` not known.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use error_stack::{Report, ResultExt as _};
+use warp::{http::StatusCode, Filter, Rejection, Reply};
+
+use crate::{
+    core::{agree, change, config, name, secret, verdict},
+    event,
+    ops::control::{server, Error, Handle},
+    wire::{
+        admin::{Config, Failure, History},
+        control::Passed,
+    },
+};
+
+/// The largest body, in bytes: a document of 27,000 teams fits.
+const MAX_BODY: u64 = 32 * 1024 * 1024;
+
+/// What the API works on.
+#[derive(Clone, Debug)]
+pub(super) struct Admin {
+    pub(super) handle: Handle,
+    pub(super) server: server::Server,
+    pub(super) log: slog::Logger,
+}
+
+type Operators = Arc<BTreeMap<secret::Hash, name::Operator>>;
+
+/// A request without a token that is known.
+#[derive(Debug)]
+struct Unauthorised;
+
+impl warp::reject::Reject for Unauthorised {}
+
+/// Serves the API.
+pub(super) async fn serve(
+    address: SocketAddr,
+    operators: BTreeMap<name::Operator, secret::Hash>,
+    admin: Admin,
+) -> Result<(), Report<Error>> {
+    let listener = tokio::net::TcpListener::bind(address)
+        .await
+        .change_context(Error)
+        .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
+    let operators = operators
+        .into_iter()
+        .map(|(name, hash)| (hash, name))
+        .collect();
+    tokio::spawn(
+        warp::serve(routes(Arc::new(operators), admin))
+            .incoming(listener)
+            .run(),
+    );
+    Ok(())
+}
+
+fn routes(
+    operators: Operators,
+    admin: Admin,
+) -> impl Filter<Extract = (impl Reply,), Error = std::convert::Infallible> + Clone {
+    let log = admin.log.clone();
+    let with = warp::any().map(move || admin.clone());
+    let known = authorised(operators, log);
+    let path = warp::path("admin").and(warp::path("v1"));
+    let get = |name: &'static str| {
+        warp::get()
+            .and(path)
+            .and(warp::path(name))
+            .and(warp::path::end())
+    };
+    let post = |name: &'static str| {
+        warp::post()
+            .and(path)
+            .and(warp::path(name))
+            .and(warp::path::end())
+    };
+    let body = warp::body::content_length_limit(MAX_BODY).and(warp::body::bytes());
+    let health = warp::get()
+        .and(warp::path("healthz"))
+        .and(warp::path::end())
+        .map(|| "alive\n");
+    let config = get("config")
+        .and(known.clone())
+        .and(with.clone())
+        .map(|_, a: Admin| a.config());
+    let history = get("history")
+        .and(known.clone())
+        .and(with.clone())
+        .map(|_, a: Admin| a.history());
+    let status = get("status")
+        .and(known.clone())
+        .and(with.clone())
+        .map(|_, a: Admin| a.status());
+    let changes = post("changes")
+        .and(known.clone())
+        .and(with.clone())
+        .and(body)
+        .then(|operator, admin: Admin, bytes| async move { admin.change(operator, bytes).await });
+    let voters =
+        post("voters").and(known).and(with).and(body).then(
+            |operator, admin: Admin, bytes| async move { admin.voters(operator, bytes).await },
+        );
+    health
+        .or(config)
+        .or(history)
+        .or(status)
+        .or(changes)
+        .or(voters)
+        .recover(|rejection| async move { Ok::<_, std::convert::Infallible>(refusal(&rejection)) })
+}
+
+/// Extracts the operator that a request's token belongs to.
+fn authorised(
+    operators: Operators,
+    log: slog::Logger,
+) -> impl Filter<Extract = (name::Operator,), Error = Rejection> + Clone {
+    warp::header::optional::<String>("authorization").and_then(move |header: Option<String>| {
+        let token = header
+            .as_deref()
+            .and_then(|text| text.strip_prefix("Bearer "));
+        let operator = token.and_then(|token| operators.get(&secret::Hash::of(token)).cloned());
+        if operator.is_none() {
+            event!(log, TokenRefused, "what" => "administration");
+        }
+        async move { operator.ok_or_else(|| warp::reject::custom(Unauthorised)) }
+    })
+}
+
+/// The answer to a request that no path took.
+fn refusal(rejection: &Rejection) -> warp::reply::Response {
+    if rejection.find::<Unauthorised>().is_some() {
+        let why = "the operator's token is missing or wrong; send `Authorization: Bearer TOKEN`";
+        return failure(StatusCode::UNAUTHORIZED, why, verdict::Verdict::NotRun);
+    }
+    if rejection.find::<warp::reject::PayloadTooLarge>().is_some() {
+        let why = format!("the body is over {MAX_BODY} bytes; make the change in parts");
+        return failure(StatusCode::PAYLOAD_TOO_LARGE, why, verdict::Verdict::NotRun);
+    }
+    if rejection.find::<warp::reject::LengthRequired>().is_some() {
+        let why = "the body's length is not given; send Content-Length";
+        return failure(StatusCode::LENGTH_REQUIRED, why, verdict::Verdict::NotRun);
+    }
+    if rejection.find::<warp::reject::MethodNotAllowed>().is_some() {
+        let why = "the path does not take this method; see docs/OPERATING.md";
+        return failure(
+            StatusCode::METHOD_NOT_ALLOWED,
+            why,
+            verdict::Verdict::NotRun,
+        );
+    }
+    let why = "there is nothing at this path; see docs/OPERATING.md";
+    failure(StatusCode::NOT_FOUND, why, verdict::Verdict::NotRun)
+}
+
+fn failure(
+    status: StatusCode,
+    why: impl Into<String>,
+    verdict: verdict::Verdict,
+) -> warp::reply::Response {
+    let body = Failure {
+        error: why.into(),
+        verdict,
+    };
+    warp::reply::with_status(warp::reply::json(&body), status).into_response()
+}
+
+impl Admin {
+    fn config(&self) -> warp::reply::Response {
+        let ledger = self.handle.published().ledger;
+        let document = config::Document::clone(ledger.document());
+        warp::reply::json(&Config {
+            revision: ledger.revision(),
+            document,
+        })
+        .into_response()
+    }
+
+    fn history(&self) -> warp::reply::Response {
+        let ledger = self.handle.published().ledger;
+        let records = ledger.records().cloned().collect();
+        warp::reply::json(&History { records }).into_response()
+    }
+
+    fn status(&self) -> warp::reply::Response {
+        warp::reply::json(&self.server.status()).into_response()
+    }
+
+    async fn change(&self, operator: name::Operator, bytes: bytes::Bytes) -> warp::reply::Response {
+        let change: change::Change = match serde_json::from_slice(&bytes) {
+            Ok(change) => change,
+            Err(error) => return malformed(&error),
+        };
+        let id = change.id.clone();
+        let passed = self.handle.change(change, operator.clone()).await;
+        match &passed {
+            Passed::Answer(change::Answer::Accepted { revision }) => {
+                event!(self.log, ChangeAccepted, "change" => %id, "operator" => %operator,
+                    "revision" => %revision);
+            }
+            Passed::Answer(change::Answer::NotApplied { .. }) => {
+                event!(self.log, ChangeRefused, "change" => %id, "operator" => %operator);
+            }
+            _ => {}
+        }
+        answer(passed, |answer| match &answer {
+            change::Answer::Accepted { .. } => (StatusCode::OK, warp::reply::json(&answer)),
+            change::Answer::NotApplied { .. } => (StatusCode::CONFLICT, warp::reply::json(&answer)),
+        })
+    }
+
+    async fn voters(&self, operator: name::Operator, bytes: bytes::Bytes) -> warp::reply::Response {
+        let request: agree::MembersRequest = match serde_json::from_slice(&bytes) {
+            Ok(request) => request,
+            Err(error) => return malformed(&error),
+        };
+        event!(self.log, VoterChanged, "operator" => %operator, "request" => ?request);
+        answer(self.handle.members(request).await, |()| {
+            (
+                StatusCode::OK,
+                warp::reply::json(&serde_json::json!({ "outcome": "accepted" })),
+            )
+        })
+    }
+}
+
+fn malformed(error: &serde_json::Error) -> warp::reply::Response {
+    let why = format!("the body is not what this path takes: {error}; see docs/OPERATING.md");
+    failure(StatusCode::BAD_REQUEST, why, verdict::Verdict::NotRun)
+}
+
+fn answer<A>(
+    passed: Passed<A>,
+    decided: impl FnOnce(A) -> (StatusCode, warp::reply::Json),
+) -> warp::reply::Response {
+    match passed {
+        Passed::Answer(answer) => {
+            let (status, body) = decided(answer);
+            warp::reply::with_status(body, status).into_response()
+        }
+        Passed::NotLeader => {
+            let why = "no voter leads that can be reached from here; try again in a second";
+            failure(
+                StatusCode::SERVICE_UNAVAILABLE,
+                why,
+                verdict::Verdict::NotRun,
+            )
+        }
+        Passed::Unknown => {
+            let why = "it is not known whether the change was accepted; send it again under the \
+                       same id to learn it";
+            failure(
+                StatusCode::GATEWAY_TIMEOUT,
+                why,
+                verdict::Verdict::MayHaveRun,
+            )
+        }
+        Passed::Refused(why) => failure(StatusCode::CONFLICT, why, verdict::Verdict::NotRun),
+    }
+}
--- /dev/null
+++ b/src/scalewood/ops/control/link.rs
@@ -0,0 +1,165 @@
+//! Links from a voter to the other voters.
+//!
+//! A link may lose messages, but never keeps them for long: what does not go out at
+//! once is dropped, and the machine sends what still matters again.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use jsonrpsee::ws_client::WsClient;
+use tokio::sync::mpsc;
+
+use crate::{
+    core::{agree, change, ledger, name},
+    event,
+    ops::rpc,
+    util::lock::lock,
+    wire::control::{ControlClient as _, Envelope, Passed},
+};
+
+/// Messages that wait for a link.
+const QUEUE: usize = 256;
+/// The wait before a lost link is tried again.
+const AGAIN: Duration = Duration::from_millis(200);
+
+type Message = agree::Message<ledger::Ledger>;
+
+#[derive(Debug)]
+struct Link {
+    address: SocketAddr,
+    sender: mpsc::Sender<Envelope>,
+}
+
+/// Links to the other voters, made as they are needed.
+#[derive(Clone, Debug)]
+pub(super) struct Links {
+    own: SocketAddr,
+    runtime: tokio::runtime::Handle,
+    log: slog::Logger,
+    addresses: Arc<Mutex<HashMap<agree::Node, SocketAddr>>>,
+    links: Arc<Mutex<HashMap<agree::Node, Link>>>,
+}
+
+impl Links {
+    pub(super) fn new(own: SocketAddr, log: slog::Logger) -> Self {
+        let runtime = tokio::runtime::Handle::current();
+        Self {
+            own,
+            runtime,
+            log,
+            addresses: Arc::default(),
+            links: Arc::default(),
+        }
+    }
+
+    /// Notes where a node said that it takes answers. The members' list goes first;
+    /// a learner does not have it yet.
+    pub(super) fn learn(&self, node: &agree::Node, address: SocketAddr) {
+        lock(&self.addresses).insert(node.clone(), address);
+    }
+
+    /// Sends messages, or drops those that can't go out.
+    pub(super) fn send(&self, status: &agree::Status, sends: Vec<(agree::Node, Message)>) {
+        if sends.is_empty() {
+            return;
+        }
+        for (node, address) in status.members.addresses() {
+            lock(&self.addresses).insert(node.clone(), *address);
+        }
+        for (to, message) in sends {
+            let Some(address) = lock(&self.addresses).get(&to).copied() else {
+                continue;
+            };
+            let from = status.node.clone();
+            let envelope = Envelope {
+                from,
+                address: self.own,
+                to: to.clone(),
+                message,
+            };
+            let _ = self.link(&to, address).try_send(envelope);
+        }
+    }
+
+    fn link(&self, to: &agree::Node, address: SocketAddr) -> mpsc::Sender<Envelope> {
+        let mut links = lock(&self.links);
+        if let Some(link) = links.get(to).filter(|link| link.address == address) {
+            return link.sender.clone();
+        }
+        let (sender, receiver) = mpsc::channel(QUEUE);
+        links.insert(
+            to.clone(),
+            Link {
+                address,
+                sender: sender.clone(),
+            },
+        );
+        self.runtime
+            .spawn(carry(to.clone(), address, receiver, self.log.clone()));
+        sender
+    }
+
+    async fn leader(&self, leader: Option<agree::Node>) -> Option<Arc<WsClient>> {
+        let address = lock(&self.addresses).get(&leader?).copied()?;
+        rpc::connect(address).await.ok()
+    }
+
+    /// Passes a change on to the leader.
+    pub(super) async fn pass_change(
+        &self,
+        leader: Option<agree::Node>,
+        change: change::Change,
+        operator: name::Operator,
+    ) -> Passed<change::Answer> {
+        let Some(client) = self.leader(leader).await else {
+            return Passed::NotLeader;
+        };
+        client
+            .change(change, operator)
+            .await
+            .unwrap_or(Passed::Unknown)
+    }
+
+    /// Passes a change of the voters on to the leader.
+    pub(super) async fn pass_members(
+        &self,
+        leader: Option<agree::Node>,
+        request: agree::MembersRequest,
+    ) -> Passed<()> {
+        let Some(client) = self.leader(leader).await else {
+            return Passed::NotLeader;
+        };
+        client.members(request).await.unwrap_or(Passed::Unknown)
+    }
+}
+
+/// Carries messages to one node for as long as they come.
+async fn carry(
+    to: agree::Node,
+    address: SocketAddr,
+    mut receiver: mpsc::Receiver<Envelope>,
+    log: slog::Logger,
+) {
+    let mut client: Option<Arc<WsClient>> = None;
+    while let Some(first) = receiver.recv().await {
+        let mut envelopes = vec![first];
+        while let Ok(next) = receiver.try_recv() {
+            envelopes.push(next);
+        }
+        if client.as_ref().is_none_or(|client| !client.is_connected()) {
+            client = rpc::connect(address).await.ok();
+        }
+        let Some(connected) = &client else {
+            tokio::time::sleep(AGAIN).await;
+            continue;
+        };
+        if connected.messages(envelopes).await.is_err() {
+            event!(log, VoterUnreachable, "voter" => %to, "address" => %address);
+            client = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/scalewood/ops/control/mod.rs
@@ -0,0 +1,246 @@
+//! A voter's process: agreement, the administration API, orders to endpoints.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use error_stack::{Report, ResultExt as _};
+
+use crate::{
+    board::feed,
+    core::{agree, ledger, name, secret},
+    event,
+    ops::{rpc, source},
+    store::{folder, identity, journal},
+    util::{clock, settings, signal},
+    wire::{control::ControlServer as _, source::SourceServer as _},
+};
+
+mod admin;
+mod link;
+mod replica;
+mod server;
+
+pub use replica::{Handle, Published};
+
+/// Settings of a voter's process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The box that it runs on.
+    pub name: name::Box,
+    /// Where the other processes of the system reach it.
+    pub listen: SocketAddr,
+    /// Where operators reach it.
+    pub admin: SocketAddr,
+    /// Its data folder.
+    pub data: PathBuf,
+    /// The operators and the hashes of their tokens.
+    pub operators: BTreeMap<name::Operator, secret::Hash>,
+    /// Settings of the agreement.
+    pub agree: agree::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            name: "control".parse().expect("the default name is valid"),
+            listen: ([127, 0, 0, 1], 7100).into(),
+            admin: ([127, 0, 0, 1], 7101).into(),
+            data: "data".into(),
+            operators: BTreeMap::new(),
+            agree: agree::Settings::default(),
+        }
+    }
+}
+
+impl settings::Settings for Settings {
+    fn read(reader: &mut settings::Reader<'_>) -> Self {
+        let default = Self::default();
+        let name = reader.required("box", "c1").unwrap_or(default.name);
+        let listen = reader
+            .required("listen", "127.0.0.1:7100")
+            .unwrap_or(default.listen);
+        let admin = reader
+            .required("admin", "127.0.0.1:7101")
+            .unwrap_or(default.admin);
+        let data: Option<String> = reader.required("data", "/var/lib/scalewood");
+        let operators = reader.list::<Operator>("operators");
+        let agree = agree::Settings {
+            election: reader.duration("election", default.agree.election),
+            heartbeat: reader.duration("heartbeat", default.agree.heartbeat),
+            margin: reader.duration("lease_margin", default.agree.margin),
+            compact: reader.number("compact_after", default.agree.compact),
+            ..default.agree
+        };
+        if listen == admin {
+            reader.problem(
+                "admin",
+                "it is the same address as `listen`",
+                "another port",
+            );
+        }
+        if agree.heartbeat * 2 > agree.election {
+            reader.problem(
+                "heartbeat",
+                "it is over half of `election`",
+                "a shorter one",
+            );
+        }
+        if agree.margin >= agree.election {
+            reader.problem(
+                "lease_margin",
+                "it is no less than `election`",
+                "a shorter one",
+            );
+        }
+        let count = operators.len();
+        let operators: BTreeMap<_, _> = operators.into_iter().flat_map(|o| o.0).collect();
+        if operators.is_empty() {
+            let instead = "\"operators\": [{ \"name\": \"...\", \"token_hash\": \"...\" }]";
+            reader.problem("operators", "nobody may administer the system", instead);
+        } else if operators.len() < count {
+            reader.problem(
+                "operators",
+                "an operator is named twice",
+                "each operator once",
+            );
+        }
+        Self {
+            name,
+            listen,
+            admin,
+            data: data.unwrap_or_default().into(),
+            operators,
+            agree,
+        }
+    }
+}
+
+/// An operator as settings name one.
+struct Operator(Option<(name::Operator, secret::Hash)>);
+
+impl settings::Settings for Operator {
+    fn read(reader: &mut settings::Reader<'_>) -> Self {
+        let name = reader.required("name", "nara");
+        let hash = reader.required("token_hash", "64 hexadecimal digits");
+        Self(name.zip(hash))
+    }
+}
+
+/// A voter's process that can't start or go on.
+#[derive(Debug)]
+pub struct Error;
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the control process can't run")
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Gives a data folder the identity and journal of the first voter of a new system.
+///
+/// # Errors
+///
+/// Fails if the folder was initialised before or can't be written.
+pub fn init(settings: &Settings) -> Result<agree::Node, Report<Error>> {
+    let address = settings.listen;
+    initialise(settings, |node| agree::Kept::first(node, address))
+}
+
+/// Gives a data folder the identity of a voter that joins a system.
+///
+/// # Errors
+///
+/// Fails if the folder was initialised before or can't be written.
+pub fn join(settings: &Settings) -> Result<agree::Node, Report<Error>> {
+    initialise(settings, |_| agree::Kept::default())
+}
+
+fn initialise(
+    settings: &Settings,
+    kept: impl FnOnce(agree::Node) -> agree::Kept<ledger::Ledger>,
+) -> Result<agree::Node, Report<Error>> {
+    let mut folder = open_folder(settings)?;
+    let node = identity::make(&mut folder, &settings.name).change_context(Error)?;
+    journal::Journal::create(folder, kept(node.clone())).change_context(Error)?;
+    Ok(node)
+}
+
+fn open_folder(settings: &Settings) -> Result<folder::Folder, Report<Error>> {
+    folder::Folder::open(&settings.data)
+        .change_context(Error)
+        .attach_with(|| {
+            format!(
+                "the data folder {} can't be opened",
+                settings.data.display()
+            )
+        })
+}
+
+/// Runs a voter until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails if the data folder or an address can't be used, or the disk fails.
+pub async fn run(settings: Settings, log: slog::Logger) -> Result<(), Report<Error>> {
+    let clock = clock::System::default();
+    let folder = open_folder(&settings)?;
+    let node = identity::read(&folder, &settings.name).change_context(Error)?;
+    let opened = journal::Journal::open(folder).change_context(Error)?;
+    event!(log, StoreOpened, "node" => %node, "bytes" => opened.journal.len());
+    if opened.dropped > 0 {
+        event!(log, StoreRepaired, "bytes" => opened.dropped);
+    }
+    let feed = Arc::new(feed::Feed::default());
+    let keeper = journal::Keeper::new(opened.journal, opened.kept);
+    let (mut handle, failed) =
+        replica::start(&settings, node, keeper, feed.clone(), clock, log.clone());
+    let server = server::Server::new(handle.clone(), clock);
+    let mut methods = server.clone().into_rpc();
+    methods
+        .merge(source::Server::new(feed).into_rpc())
+        .change_context(Error)?;
+    let rpc = rpc::serve(settings.listen, methods)
+        .await
+        .change_context(Error)?;
+    event!(log, Listening, "what" => "processes", "address" => %settings.listen);
+    let admin = admin::Admin {
+        handle: handle.clone(),
+        server,
+        log: log.clone(),
+    };
+    admin::serve(settings.admin, settings.operators, admin)
+        .await
+        .change_context(Error)?;
+    event!(log, Listening, "what" => "operators", "address" => %settings.admin);
+    event!(log, Started, "box" => %settings.name);
+    tokio::select! {
+        stopped = signal::stop() => stopped.change_context(Error)?,
+        failure = failed => {
+            let why = failure.unwrap_or_else(|_| "the voter has stopped".into());
+            return Err(Report::new(Error).attach(why));
+        }
+    }
+    event!(log, Stopping, "box" => %settings.name);
+    handle.leave().await;
+    let _ = rpc.stop();
+    event!(log, Stopped, "box" => %settings.name);
+    Ok(())
+}
+
+/// Milliseconds since the Unix epoch.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// How long a proposal may take before its outcome is called unknown.
+const PROPOSAL: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/src/scalewood/ops/control/replica.rs
@@ -0,0 +1,367 @@
+//! The voter's thread: the only one that touches its journal.
+//!
+//! It takes all inputs that wait, steps the machine through them, makes the writes
+//! last with a single sync, and only then sends messages and gives answers. A disk
+//! that hangs stops this thread and nothing else.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc, Arc, Mutex,
+    },
+    time::Duration,
+};
+
+use tokio::sync::{oneshot, watch};
+
+use crate::{
+    board::feed,
+    core::{agree, change, ledger, name},
+    event,
+    ops::control::{self, link},
+    store::{folder, journal},
+    util::{
+        clock::{self, Clock as _},
+        lock::lock,
+    },
+    wire::control::{Envelope, Passed},
+};
+
+/// How often the machine is told that time has passed.
+const TICK: Duration = Duration::from_millis(20);
+/// The most inputs in one step.
+const BATCH: usize = 256;
+
+type Ledger = ledger::Ledger;
+type Outcome = agree::Outcome<change::Answer>;
+
+/// What a voter's thread is told.
+enum Command {
+    Input(agree::Input<Ledger>),
+    Stop(oneshot::Sender<()>),
+}
+
+/// What a voter's thread shows.
+#[derive(Clone, Debug)]
+pub struct Published {
+    /// How the voter stands.
+    pub status: agree::Status,
+    /// The ledger.
+    pub ledger: Arc<Ledger>,
+    /// Until when it holds the control lease, by its clock.
+    pub lease: Option<Duration>,
+}
+
+type Waiters = Arc<Mutex<HashMap<agree::Ticket, oneshot::Sender<Outcome>>>>;
+
+/// Speaks to a voter's thread.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    commands: mpsc::SyncSender<Command>,
+    published: watch::Receiver<Published>,
+    waiters: Waiters,
+    tickets: Arc<AtomicU64>,
+    links: link::Links,
+}
+
+impl std::fmt::Debug for Command {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Command")
+    }
+}
+
+impl Handle {
+    /// What the voter shows now.
+    pub fn published(&self) -> Published {
+        self.published.borrow().clone()
+    }
+
+    /// Waits for what the voter shows next.
+    pub fn watch(&self) -> watch::Receiver<Published> {
+        self.published.clone()
+    }
+
+    /// Takes a message of another voter, if it is for this one.
+    pub fn message(&self, envelope: Envelope) {
+        if envelope.to != self.published.borrow().status.node {
+            return;
+        }
+        self.links.learn(&envelope.from, envelope.address);
+        // A full queue loses the message, as a network would.
+        let input = agree::Input::Message(envelope.from, envelope.message);
+        let _ = self.commands.try_send(Command::Input(input));
+    }
+
+    /// Agrees on a change, here or by way of the leader.
+    pub async fn change(
+        &self,
+        change: change::Change,
+        operator: name::Operator,
+    ) -> Passed<change::Answer> {
+        match self.change_here(change.clone(), operator.clone()).await {
+            Passed::NotLeader => {
+                self.links
+                    .pass_change(self.leader(), change, operator)
+                    .await
+            }
+            passed => passed,
+        }
+    }
+
+    /// Agrees on a change if this voter leads.
+    pub async fn change_here(
+        &self,
+        change: change::Change,
+        operator: name::Operator,
+    ) -> Passed<change::Answer> {
+        let published = self.published();
+        if let Some(answer) = published.ledger.answered(&change, &operator) {
+            return Passed::Answer(answer);
+        }
+        let command = ledger::Command {
+            change,
+            operator,
+            at_unix_ms: control::unix_ms(),
+        };
+        match self
+            .ask(|ticket| agree::Input::Propose(ticket, command))
+            .await
+        {
+            agree::Outcome::Applied(answer) => Passed::Answer(answer),
+            agree::Outcome::NotLeader(_) => Passed::NotLeader,
+            agree::Outcome::Unknown => Passed::Unknown,
+            agree::Outcome::Refused(why) => Passed::Refused(why),
+        }
+    }
+
+    /// Agrees on a change of the voters, here or by way of the leader.
+    pub async fn members(&self, request: agree::MembersRequest) -> Passed<()> {
+        match self.members_here(request.clone()).await {
+            Passed::NotLeader => self.links.pass_members(self.leader(), request).await,
+            passed => passed,
+        }
+    }
+
+    /// Agrees on a change of the voters if this voter leads.
+    pub async fn members_here(&self, request: agree::MembersRequest) -> Passed<()> {
+        match self
+            .ask(|ticket| agree::Input::Members(ticket, request))
+            .await
+        {
+            // A membership entry has no answer of its own.
+            agree::Outcome::Refused(why) if why.is_empty() => Passed::Answer(()),
+            agree::Outcome::Applied(_) => Passed::Answer(()),
+            agree::Outcome::NotLeader(_) => Passed::NotLeader,
+            agree::Outcome::Unknown => Passed::Unknown,
+            agree::Outcome::Refused(why) => Passed::Refused(why),
+        }
+    }
+
+    fn leader(&self) -> Option<agree::Node> {
+        self.published.borrow().status.leader.clone()
+    }
+
+    async fn ask(&self, input: impl FnOnce(agree::Ticket) -> agree::Input<Ledger>) -> Outcome {
+        let ticket = agree::Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.waiters).insert(ticket, sender);
+        if self
+            .commands
+            .try_send(Command::Input(input(ticket)))
+            .is_err()
+        {
+            lock(&self.waiters).remove(&ticket);
+            return agree::Outcome::Refused("the voter is overloaded; try again".into());
+        }
+        let outcome = tokio::time::timeout(control::PROPOSAL, receiver).await;
+        lock(&self.waiters).remove(&ticket);
+        match outcome {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => agree::Outcome::Unknown,
+        }
+    }
+
+    /// Hands the lead on and stops the thread.
+    pub async fn leave(&mut self) {
+        let (sender, receiver) = oneshot::channel();
+        if self.commands.try_send(Command::Stop(sender)).is_ok() {
+            let _ = tokio::time::timeout(control::PROPOSAL, receiver).await;
+        }
+        // The last messages are with the links; let them go out.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Starts a voter's thread. The receiver tells why it failed, if it does.
+pub(super) fn start(
+    settings: &control::Settings,
+    node: agree::Node,
+    keeper: journal::Keeper<folder::Folder, Ledger>,
+    feed: Arc<feed::Feed>,
+    clock: clock::System,
+    log: slog::Logger,
+) -> (Handle, oneshot::Receiver<String>) {
+    let (commands, receiver) = mpsc::sync_channel(4096);
+    let (fail, failed) = oneshot::channel();
+    let kept = keeper.kept().clone();
+    let voter = agree::Voter::new(
+        settings.agree.clone(),
+        node,
+        kept,
+        rand::random(),
+        clock.now(),
+    );
+    let first = Published {
+        status: voter.status(),
+        ledger: Arc::new(voter.state().clone()),
+        lease: None,
+    };
+    let (publish, published) = watch::channel(first);
+    let waiters = Waiters::default();
+    let links = link::Links::new(settings.listen, log.clone());
+    let handle = Handle {
+        commands,
+        published,
+        waiters: waiters.clone(),
+        tickets: Arc::default(),
+        links: links.clone(),
+    };
+    let thread = Thread {
+        voter,
+        keeper,
+        feed,
+        clock,
+        log,
+        publish,
+        waiters,
+        links,
+        led: false,
+    };
+    std::thread::spawn(move || {
+        if let Err(error) = thread.run(&receiver) {
+            let _ = fail.send(error.to_string());
+        }
+    });
+    (handle, failed)
+}
+
+struct Thread {
+    voter: agree::Voter<Ledger>,
+    keeper: journal::Keeper<folder::Folder, Ledger>,
+    feed: Arc<feed::Feed>,
+    clock: clock::System,
+    log: slog::Logger,
+    publish: watch::Sender<Published>,
+    waiters: Waiters,
+    links: link::Links,
+    led: bool,
+}
+
+impl Thread {
+    fn run(mut self, commands: &mpsc::Receiver<Command>) -> Result<(), journal::Error> {
+        self.publish_feed();
+        let mut ticked = Duration::ZERO;
+        loop {
+            let mut output = agree::Output::default();
+            let mut stop = None;
+            let first = commands.recv_timeout(TICK);
+            if matches!(first, Err(mpsc::RecvTimeoutError::Disconnected)) {
+                return Ok(());
+            }
+            for command in first.into_iter().chain(commands.try_iter()).take(BATCH) {
+                match command {
+                    Command::Input(input) => {
+                        output.merge(self.voter.step(input, self.clock.now()));
+                    }
+                    Command::Stop(sender) => stop = Some(sender),
+                }
+            }
+            if stop.is_some() {
+                output.merge(self.voter.step(agree::Input::Leave, self.clock.now()));
+            }
+            if self.clock.now() >= ticked + TICK {
+                ticked = self.clock.now();
+                output.merge(self.voter.step(agree::Input::Tick, ticked));
+            }
+            self.carry_out(output)?;
+            if let Some(sender) = stop {
+                let _ = sender.send(());
+                return Ok(());
+            }
+        }
+    }
+
+    /// Does what steps want done, in the order that makes it safe.
+    fn carry_out(&mut self, output: agree::Output<Ledger>) -> Result<(), journal::Error> {
+        match self.keeper.keep(output.writes) {
+            Ok(false) => {}
+            Ok(true) => {
+                event!(self.log, StoreCompacted, "bytes" => self.keeper.journal().len());
+            }
+            Err(error) => {
+                event!(self.log, StoreFailed, "why" => %error);
+                return Err(error);
+            }
+        }
+        self.publish();
+        self.links.send(&self.voter.status(), output.sends);
+        let mut waiters = lock(&self.waiters);
+        for (ticket, outcome) in output.answers {
+            if let Some(waiter) = waiters.remove(&ticket) {
+                let _ = waiter.send(outcome);
+            }
+        }
+        Ok(())
+    }
+
+    fn publish(&mut self) {
+        self.publish_feed();
+        let status = self.voter.status();
+        let lease = self.voter.lease();
+        if self.led != self.voter.is_leader() {
+            self.led = self.voter.is_leader();
+            if self.led {
+                event!(self.log, BecameLeader, "term" => %status.term);
+            } else {
+                event!(self.log, LostLead, "term" => %status.term);
+            }
+        }
+        let voter = &self.voter;
+        let log = &self.log;
+        self.publish.send_if_modified(|published| {
+            let moved = published.status.committed != status.committed;
+            let changed = published.status != status || published.lease != lease;
+            if published.status.members != status.members {
+                event!(log, VoterChanged, "voters" => status.members.voters().count(),
+                    "learners" => status.members.learners().count());
+            }
+            if moved {
+                published.ledger = Arc::new(voter.state().clone());
+            }
+            published.status = status;
+            published.lease = lease;
+            changed
+        });
+    }
+
+    /// Brings the feed up to what was agreed.
+    fn publish_feed(&self) {
+        let ledger = self.voter.state();
+        let have = self.feed.current().revision;
+        if ledger.revision() <= have {
+            return;
+        }
+        match ledger.since(have) {
+            Some(newer) if have.0 > 0 => {
+                for (revision, edits) in newer {
+                    self.feed.publish_edits(revision, edits);
+                }
+            }
+            _ => drop(
+                self.feed
+                    .publish_whole(ledger.revision(), ledger.document().clone()),
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/src/scalewood/ops/control/server.rs
@@ -0,0 +1,93 @@
+//! What a voter takes from other processes.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use jsonrpsee::core::{async_trait, RpcResult};
+
+use crate::{
+    core::{agree, change, name, unit},
+    ops::control::Handle,
+    util::{
+        clock::{self, Clock as _},
+        lock::lock,
+    },
+    wire::{
+        admin,
+        control::{Beat, ControlServer, Envelope, Passed},
+    },
+};
+
+/// How long a box's report is shown after its last one.
+const FORGET: Duration = Duration::from_secs(24 * 3600);
+
+type Beats = Arc<Mutex<BTreeMap<name::Box, (Duration, Beat)>>>;
+
+/// Takes calls of other processes.
+#[derive(Clone, Debug)]
+pub(super) struct Server {
+    handle: Handle,
+    clock: clock::System,
+    beats: Beats,
+}
+
+impl Server {
+    pub(super) fn new(handle: Handle, clock: clock::System) -> Self {
+        Self {
+            handle,
+            clock,
+            beats: Beats::default(),
+        }
+    }
+
+    /// How the system stands, as seen here.
+    pub(super) fn status(&self) -> admin::Status {
+        let published = self.handle.published();
+        let revision = published.ledger.revision();
+        let now = self.clock.now();
+        let beats = lock(&self.beats);
+        let boxes = beats.values().map(|(at, beat)| admin::BoxStatus {
+            beat: beat.clone(),
+            age_ms: u64::try_from(now.saturating_sub(*at).as_millis()).unwrap_or(u64::MAX),
+            current: beat.revision == revision,
+        });
+        admin::Status {
+            voter: published.status,
+            revision,
+            boxes: boxes.collect(),
+        }
+    }
+}
+
+#[async_trait]
+impl ControlServer for Server {
+    async fn messages(&self, envelopes: Vec<Envelope>) -> RpcResult<()> {
+        envelopes
+            .into_iter()
+            .for_each(|envelope| self.handle.message(envelope));
+        Ok(())
+    }
+
+    async fn beat(&self, beat: Beat) -> RpcResult<unit::Revision> {
+        let now = self.clock.now();
+        let mut beats = lock(&self.beats);
+        beats.retain(|_, (at, _)| now.saturating_sub(*at) < FORGET);
+        beats.insert(beat.name.clone(), (now, beat));
+        Ok(self.handle.published().ledger.revision())
+    }
+
+    async fn change(
+        &self,
+        change: change::Change,
+        operator: name::Operator,
+    ) -> RpcResult<Passed<change::Answer>> {
+        Ok(self.handle.change_here(change, operator).await)
+    }
+
+    async fn members(&self, request: agree::MembersRequest) -> RpcResult<Passed<()>> {
+        Ok(self.handle.members_here(request).await)
+    }
+}
--- /dev/null
+++ b/src/scalewood/ops/entry/caller.rs
@@ -0,0 +1,294 @@
+//! The HTTP server that callers see, by hyper.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt as _};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::{
+    body::Incoming, header, server::conn::http1, service::service_fn, Method, Request, Response,
+    StatusCode,
+};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{
+    board::view::View,
+    core::{config, name, unit},
+    event,
+    ops::entry::{
+        body::Answer,
+        call::{self, Size},
+        model::{self, Prompt},
+        plain::{self, Context, Outgoing},
+        reply::Refusal,
+        upstream::Pool,
+        Error, Settings, Shared,
+    },
+};
+
+/// The most headers of a request.
+const MAX_HEADERS: usize = 64;
+/// The most bytes of a request's head.
+const MAX_HEAD: usize = 64 * 1024;
+/// The path prefix of plain services.
+const SERVICES: &str = "/services/";
+
+/// The server that callers see.
+#[derive(Debug)]
+pub(super) struct Server {
+    listener: TcpListener,
+    context: Arc<Context>,
+    drain: Duration,
+}
+
+impl Server {
+    pub(super) async fn bind(settings: &Settings, board: Shared) -> Result<Self, Report<Error>> {
+        let address = settings.callers;
+        let listener = TcpListener::bind(address)
+            .await
+            .change_context(Error)
+            .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
+        let context = Context {
+            board,
+            pool: Pool::default(),
+            limits: settings.limits.clone(),
+        };
+        Ok(Self {
+            listener,
+            context: Arc::new(context),
+            drain: settings.drain,
+        })
+    }
+
+    /// Serves callers until told to stop, then lets what runs finish.
+    pub(super) async fn run(self, stop: impl Future<Output = ()>) {
+        let graceful = GracefulShutdown::new();
+        let mut stop = std::pin::pin!(stop);
+        loop {
+            tokio::select! {
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) => self.serve(stream, &graceful),
+                    // Out of file descriptors, say: others may go on meanwhile.
+                    Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+                },
+                () = &mut stop => break,
+            }
+        }
+        drop(self.listener);
+        if tokio::time::timeout(self.drain, graceful.shutdown())
+            .await
+            .is_err()
+        {
+            let left = self.context.board.tickets.len();
+            event!(self.context.board.log, DrainCut, "requests" => left);
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
+        // Without it small pieces wait for acknowledgements; a failure only slows.
+        let _ = stream.set_nodelay(true);
+        let context = self.context.clone();
+        let service = service_fn(move |request| {
+            let context = context.clone();
+            async move { Ok::<_, Infallible>(answer(&context, request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.context.limits.arrival)
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(MAX_HEAD)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A caller's broken connection is its own affair.
+            let _ = watched.await;
+        });
+    }
+}
+
+async fn answer(context: &Context, request: Request<Incoming>) -> Response<Answer> {
+    let mut response = match route(context, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(),
+    };
+    if context.board.is_draining() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn route(context: &Context, request: Request<Incoming>) -> Result<Response<Answer>, Refusal> {
+    let view = context.board.view.load_full();
+    if view.revision == unit::Revision(0) {
+        let why = "this box has no configuration yet; ask again in a second";
+        return Err(
+            Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "not-ready", why)
+                .after(Duration::from_secs(1)),
+        );
+    }
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/v1/models") => models(context, &view, &request),
+        (&Method::POST, "/v1/chat/completions") => {
+            ask_model(context, &view, request, "/v1/chat/completions").await
+        }
+        (&Method::POST, "/v1/completions") => {
+            ask_model(context, &view, request, "/v1/completions").await
+        }
+        (_, "/v1/models" | "/v1/chat/completions" | "/v1/completions") => Err(Refusal::not_run(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "bad-method",
+            "the path does not take this method; models are read by GET, answers by POST",
+        )),
+        (_, path) if path.starts_with(SERVICES) => ask_plain(context, &view, request).await,
+        _ => Err(Refusal::not_run(
+            StatusCode::NOT_FOUND,
+            "unknown-path",
+            "there is nothing at this path; use /v1/chat/completions, /v1/completions, /v1/models or /services/SERVICE/...",
+        )),
+    }
+}
+
+/// Lists the models that the team may use.
+fn models(
+    context: &Context,
+    view: &View,
+    request: &Request<Incoming>,
+) -> Result<Response<Answer>, Refusal> {
+    let (_, team) = call::authenticate(&context.board, view, request.headers())?;
+    let usable = |name: &name::Service| team.classes.iter().any(|key| key.service == *name);
+    let services = view
+        .document
+        .services
+        .iter()
+        .filter(|(name, _)| usable(name));
+    let models = services.flat_map(|(name, service)| service.models.iter().map(move |m| (m, name)));
+    let data: Vec<_> = models
+        .map(|(model, owner)| serde_json::json!({ "id": model, "object": "model", "owned_by": owner }))
+        .collect();
+    let body = serde_json::json!({ "object": "list", "data": data }).to_string();
+    let mut response = Response::new(Answer::whole(body));
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    Ok(response)
+}
+
+async fn ask_model(
+    context: &Context,
+    view: &View,
+    request: Request<Incoming>,
+    path: &'static str,
+) -> Result<Response<Answer>, Refusal> {
+    let team = call::authenticate(&context.board, view, request.headers())?;
+    let (parts, body) = request.into_parts();
+    let prompt = Prompt::read(&read(context, body).await?)?;
+    let service = view.service_of(&prompt.model).ok_or_else(|| {
+        let model: String = prompt.model.chars().take(name::MAX_LEN).collect();
+        let why = format!(
+            "no service serves model `{}`; see /v1/models",
+            model.escape_debug()
+        );
+        Refusal::not_run(StatusCode::NOT_FOUND, "unknown-model", why)
+    })?;
+    let prefix = Some(prompt.prefix());
+    let call = call::level(
+        &context.board,
+        view,
+        team,
+        service,
+        &parts.headers,
+        prompt.size(),
+        prefix,
+    )?;
+    if prompt.stream {
+        return model::serve(context, &call, path, prompt).await;
+    }
+    plain::serve(context, &call, &prompt.outgoing(path, &call), None).await
+}
+
+async fn ask_plain(
+    context: &Context,
+    view: &View,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, Refusal> {
+    let team = call::authenticate(&context.board, view, request.headers())?;
+    let (parts, body) = request.into_parts();
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let rest = target.strip_prefix(SERVICES).unwrap_or_default();
+    let (service, target) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = plain_service(view, service)?;
+    let key = plain::key_of(&parts.headers)?.map(str::to_owned);
+    let body = read(context, body).await?;
+    let size = Size {
+        prompt: unit::Tokens(0),
+        max_output: unit::Tokens(0),
+    };
+    let call = call::level(
+        &context.board,
+        view,
+        team,
+        &service,
+        &parts.headers,
+        size,
+        None,
+    )?;
+    let target = format!("/{target}");
+    let outgoing = Outgoing {
+        method: parts.method,
+        target,
+        headers: parts.headers,
+        body,
+    };
+    plain::serve(context, &call, &outgoing, key.as_deref()).await
+}
+
+fn plain_service(view: &View, text: &str) -> Result<name::Service, Refusal> {
+    let text = text.split('?').next().unwrap_or_default();
+    let name: Option<name::Service> = text.parse().ok();
+    let plain = |name: &name::Service| {
+        view.document
+            .services
+            .get(name)
+            .is_some_and(|s| s.kind == config::Kind::Plain)
+    };
+    name.filter(plain).ok_or_else(|| {
+        let text: String = text.chars().take(name::MAX_LEN).collect();
+        let why = format!(
+            "there is no plain service `{}`; see the operators' list",
+            text.escape_debug()
+        );
+        Refusal::not_run(StatusCode::NOT_FOUND, "unknown-service", why)
+    })
+}
+
+/// Reads a request's body, within the limits.
+async fn read(context: &Context, body: Incoming) -> Result<Bytes, Refusal> {
+    let limits = &context.limits;
+    let whole = Limited::new(body, limits.body.0).collect();
+    match tokio::time::timeout(limits.arrival, whole).await {
+        Err(_) => Err(Refusal::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "slow-body",
+            "the body did not arrive in time; send it faster",
+        )),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "large-body",
+            format!("the body is over {}; send less", limits.body),
+        )),
+        Ok(Err(_)) => Err(Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            "broken-body",
+            "the body broke off; send it whole",
+        )),
+    }
+}
--- /dev/null
+++ b/src/scalewood/ops/entry/desk.rs
@@ -0,0 +1,391 @@
+//! The desk: holds dispatchers, and speaks to those that hold this box's requests.
+//!
+//! For each service of the zone the box with the highest rendezvous hash among those
+//! alive dispatches. When that changes, each box tells the new dispatcher all that
+//! it holds or waits for, between `Hello` and `Announced`, and takes no more grants
+//! from the old one. So the new one knows everything once all have announced.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::{atomic::Ordering, Arc},
+    time::Duration,
+};
+
+use crate::{
+    board::{
+        entry::Told,
+        view::{self, View},
+    },
+    core::{attempt, dispatch, name, rendezvous, unit},
+    event,
+    ops::entry::{member, now, Shared},
+    util::{lock::lock, metric::ServiceLabel},
+    wire::peer::Load,
+};
+
+/// How often dispatchers are told that time has passed.
+const TICK: Duration = Duration::from_millis(20);
+/// How often requests are checked to be with the right dispatcher.
+const RECONCILE: Duration = Duration::from_millis(200);
+
+/// Which box dispatches a service in a zone, as far as is known here.
+pub(super) fn dispatcher_of(
+    board: &Shared,
+    service: &name::Service,
+    zone: &name::Zone,
+) -> Option<name::Box> {
+    if *zone != board.own.zone {
+        let loads = lock(&board.loads);
+        let (load, _) = loads.get(&(service.clone(), zone.clone()))?;
+        return Some(load.dispatcher.clone());
+    }
+    let alive = board.alive.load();
+    let winner = rendezvous::winner(&[service.as_str(), zone.as_str()], alive.iter());
+    // The last box of a zone dispatches to its end.
+    Some(winner.unwrap_or(&board.own.name).clone())
+}
+
+/// Tells a request's dispatcher something about it.
+pub(super) fn tell(
+    board: &Shared,
+    to: &name::Box,
+    service: &name::Service,
+    report: dispatch::Report,
+) {
+    if *to == board.own.name {
+        take(board, &board.own.name.clone(), service, vec![report]);
+    } else if let Some(link) = board.link(to) {
+        // A link that is down loses it; when it is up again all is told anew.
+        let _ = link.send((service.clone(), report));
+    }
+}
+
+/// Takes reports for a dispatcher that is held here.
+pub(super) fn take(
+    board: &Shared,
+    from: &name::Box,
+    service: &name::Service,
+    reports: Vec<dispatch::Report>,
+) {
+    let mut outputs = Vec::new();
+    {
+        let mut shard = board.dispatchers.shard(service);
+        let dispatcher = shard.entry(service.clone()).or_insert_with(|| {
+            let (dispatcher, orders) = open(board, service);
+            outputs.extend(orders);
+            dispatcher
+        });
+        for report in reports {
+            let input = dispatch::Input::Report(from.clone(), report);
+            outputs.extend(dispatcher.step(input, now(board)));
+        }
+    }
+    route(board, outputs);
+}
+
+fn open(board: &Shared, service: &name::Service) -> (dispatch::Dispatcher, Vec<dispatch::Output>) {
+    event!(board.log, DispatcherTaken, "service" => %service);
+    let now = now(board);
+    let mut dispatcher = dispatch::Dispatcher::new(dispatch::Settings::default(), now);
+    let view = board.view.load();
+    let mut outputs = dispatcher.step(view.dispatch_input(service, &board.own.zone), now);
+    outputs.extend(dispatcher.step(dispatch::Input::Boxes(alive(board)), now));
+    (dispatcher, outputs)
+}
+
+fn alive(board: &Shared) -> BTreeSet<name::Box> {
+    board.alive.load().iter().cloned().collect()
+}
+
+/// Gives a dispatcher that is held here something that is no report.
+pub(super) fn input(board: &Shared, service: &name::Service, input: dispatch::Input) {
+    let outputs = {
+        let mut shard = board.dispatchers.shard(service);
+        let Some(dispatcher) = shard.get_mut(service) else {
+            return;
+        };
+        dispatcher.step(input, now(board))
+    };
+    route(board, outputs);
+}
+
+/// The services that this box dispatches.
+pub(super) fn held(board: &Shared) -> Vec<name::Service> {
+    let mut held = Vec::new();
+    board
+        .dispatchers
+        .each(|shard| held.extend(shard.keys().cloned()));
+    held
+}
+
+/// Voids the requests of a box that is gone.
+pub(super) fn forget(board: &Shared, gone: &name::Box) {
+    for service in held(board) {
+        input(board, &service, dispatch::Input::Gone(gone.clone()));
+    }
+}
+
+/// Sends orders to the boxes that they are for.
+fn route(board: &Shared, outputs: Vec<dispatch::Output>) {
+    if outputs.is_empty() {
+        return;
+    }
+    let mut own = Vec::new();
+    {
+        let subscribers = lock(&board.subscribers);
+        for (to, order) in outputs {
+            if to == board.own.name {
+                own.push(order);
+            } else if let Some(subscriber) = subscribers.get(&to) {
+                let _ = subscriber.send(order);
+            }
+        }
+    }
+    deliver(board, &board.own.name.clone(), own);
+}
+
+/// Hands orders to the requests that they are about, if they are with the
+/// dispatcher that gives them.
+pub(super) fn deliver(board: &Shared, from: &name::Box, orders: Vec<dispatch::Order>) {
+    for order in orders {
+        let attempt = order.attempt();
+        let shard = board.tickets.shard(&attempt.request);
+        let Some(ticket) = shard.get(&attempt.request) else {
+            continue;
+        };
+        if ticket.ask.attempt == attempt && ticket.dispatcher.as_ref() == Some(from) {
+            let _ = ticket.orders.send(order);
+        }
+    }
+}
+
+/// Runs the desk for ever.
+pub(super) async fn run(board: Shared) {
+    let mut desk = Desk {
+        board,
+        homes: HashMap::new(),
+        alive: Arc::default(),
+        reconciled: Duration::ZERO,
+    };
+    loop {
+        desk.refresh_view();
+        desk.refresh_homes();
+        desk.tick();
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+struct Desk {
+    board: Shared,
+    /// The dispatcher of each service of the zone, as last told everything.
+    homes: HashMap<name::Service, name::Box>,
+    alive: Arc<Vec<name::Box>>,
+    reconciled: Duration,
+}
+
+impl Desk {
+    /// Brings the indexes up to the configuration in force.
+    fn refresh_view(&mut self) {
+        let state = self.board.feed.current();
+        if self.board.view.load().revision == state.revision {
+            return;
+        }
+        let view = Arc::new(View::new(state.revision, state.document.clone()));
+        self.board.view.store(view.clone());
+        self.board
+            .metrics
+            .revision
+            .set(i64::try_from(state.revision.0).unwrap_or(i64::MAX));
+        lock(&self.board.claims).configure(view.box_zones(), now(&self.board));
+        for service in held(&self.board) {
+            let configure = view.dispatch_input(&service, &self.board.own.zone);
+            input(&self.board, &service, configure);
+        }
+    }
+
+    /// Moves to other dispatchers what is theirs now.
+    fn refresh_homes(&mut self) {
+        let alive = self.board.alive.load_full();
+        if !Arc::ptr_eq(&alive, &self.alive) {
+            self.alive = alive;
+            let boxes: BTreeSet<_> = self.alive.iter().cloned().collect();
+            for service in held(&self.board) {
+                input(&self.board, &service, dispatch::Input::Boxes(boxes.clone()));
+            }
+        }
+        if !self.is_joined() {
+            return;
+        }
+        let view = self.board.view.load_full();
+        self.homes
+            .retain(|service, _| view.document.services.contains_key(service));
+        for service in view.document.services.keys() {
+            self.refresh_home(service);
+        }
+        self.drop_foreign(&view);
+        let ready = view.revision.0 > 0 && !self.board.is_draining();
+        self.board.ready.store(ready, Ordering::Relaxed);
+        self.board.metrics.ready.set(i64::from(ready));
+    }
+
+    /// Whether each peer of the zone has answered or is known to be dead, so that
+    /// this box does not take itself for the only one.
+    fn is_joined(&self) -> bool {
+        let members = lock(&self.board.members);
+        let view = self.board.view.load();
+        let peers = view
+            .boxes_of(&self.board.own.zone)
+            .filter(|n| **n != self.board.own.name);
+        view.revision.0 > 0 && members.has_heard_all(peers)
+    }
+
+    fn refresh_home(&mut self, service: &name::Service) {
+        let zone = self.board.own.zone.clone();
+        let Some(home) = dispatcher_of(&self.board, service, &zone) else {
+            return;
+        };
+        if self.homes.get(service) == Some(&home) {
+            return;
+        }
+        self.homes.insert(service.clone(), home.clone());
+        announce(&self.board, service, &home);
+    }
+
+    /// Drops the dispatchers that other boxes hold now.
+    fn drop_foreign(&self, view: &view::View) {
+        self.board.dispatchers.each(|shard| {
+            shard.retain(|service, _| {
+                let known = view.document.services.contains_key(service);
+                let own = self.homes.get(service) == Some(&self.board.own.name);
+                if !known || !own {
+                    event!(self.board.log, DispatcherLeft, "service" => %service);
+                }
+                known && own
+            });
+        });
+    }
+
+    fn tick(&mut self) {
+        let now = now(&self.board);
+        for service in held(&self.board) {
+            input(&self.board, &service, dispatch::Input::Tick);
+        }
+        if now >= self.reconciled + RECONCILE {
+            self.reconciled = now;
+            self.reconcile(now);
+            self.publish_loads(now);
+        }
+    }
+
+    /// Sends requests that are with a wrong dispatcher to the right one.
+    fn reconcile(&self, now: Duration) {
+        let mut moved: Vec<(name::Box, Told)> = Vec::new();
+        self.board.tickets.each(|shard| {
+            for ticket in shard.values_mut() {
+                let home = dispatcher_of(&self.board, &ticket.service, &ticket.zone);
+                if home.is_some() && ticket.dispatcher != home {
+                    ticket.dispatcher.clone_from(&home);
+                    let told = (ticket.service.clone(), ticket.report(now));
+                    moved.extend(home.map(|home| (home, told)));
+                }
+            }
+        });
+        for (home, (service, report)) in moved {
+            tell(&self.board, &home, &service, report);
+        }
+    }
+
+    fn publish_loads(&self, now: Duration) {
+        let mut fresh = Vec::new();
+        self.board.dispatchers.each(|shard| {
+            for (service, dispatcher) in shard.iter() {
+                fresh.push((service.clone(), dispatcher.summary(now)));
+            }
+        });
+        let mut loads = lock(&self.board.loads);
+        for (service, summary) in fresh {
+            let label = ServiceLabel {
+                service: service.to_string(),
+            };
+            let waiting = i64::try_from(summary.waiting).unwrap_or(i64::MAX);
+            self.board
+                .metrics
+                .waiting
+                .get_or_create(&label)
+                .set(waiting);
+            self.board
+                .metrics
+                .running
+                .get_or_create(&label)
+                .set(i64::from(summary.running));
+            let zone = self.board.own.zone.clone();
+            let dispatcher = self.board.own.name.clone();
+            let load = Load {
+                zone: zone.clone(),
+                dispatcher,
+                summary,
+                age_ms: 0,
+            };
+            loads.insert((service, zone), (load, now));
+        }
+    }
+}
+
+/// Tells a dispatcher all that this box holds or waits for.
+pub(super) fn announce(board: &Shared, service: &name::Service, home: &name::Box) {
+    let now = now(board);
+    tell(board, home, service, dispatch::Report::Hello);
+    let mut reports = Vec::new();
+    board.tickets.each(|shard| {
+        let own = shard
+            .values_mut()
+            .filter(|t| t.service == *service && t.zone == board.own.zone);
+        for ticket in own {
+            ticket.dispatcher = Some(home.clone());
+            reports.push(ticket.report(now));
+        }
+    });
+    for report in reports {
+        tell(board, home, service, report);
+    }
+    tell(board, home, service, dispatch::Report::Announced);
+}
+
+/// Which zone's dispatcher a request asks: this box's own, unless the wait there
+/// would miss the target and another zone's would not.
+pub(super) fn zone_for(
+    board: &Shared,
+    service: &name::Service,
+    tier: unit::Tier,
+    target: Duration,
+) -> name::Zone {
+    let own = board.own.zone.clone();
+    let has_endpoints = board
+        .view
+        .load()
+        .endpoints(service, &own)
+        .any(|(_, e)| !e.leaving);
+    let wait = |load: &Load| {
+        load.summary
+            .waits
+            .get(&tier)
+            .copied()
+            .unwrap_or(Duration::ZERO)
+    };
+    let here = member::load_here(board, service).map_or(Duration::ZERO, |load| wait(&load));
+    if has_endpoints && here <= target {
+        return own;
+    }
+    let abroad = member::loads_abroad(board, service);
+    let usable = abroad.into_iter().filter(|load| load.summary.slots > 0);
+    let best = usable.map(|load| (wait(&load), load.zone)).min();
+    match best {
+        Some((wait, zone)) if !has_endpoints || (wait <= target / 2 && wait < here / 2) => zone,
+        _ => own,
+    }
+}
+
+/// A new request identity.
+pub(super) fn new_request() -> attempt::Request {
+    attempt::Request(rand::random())
+}
--- /dev/null
+++ b/src/scalewood/ops/entry/health.rs
@@ -0,0 +1,33 @@
+//! Liveness, readiness and metrics, on a port of their own, by warp.
+
+use std::{net::SocketAddr, sync::atomic::Ordering};
+
+use error_stack::{Report, ResultExt as _};
+use warp::{http::StatusCode, Filter};
+
+use crate::ops::entry::{Error, Shared};
+
+/// Serves `/healthz`, `/readyz` and `/metrics`.
+pub(super) async fn serve(address: SocketAddr, board: Shared) -> Result<(), Report<Error>> {
+    let listener = tokio::net::TcpListener::bind(address)
+        .await
+        .change_context(Error)
+        .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
+    let with = warp::any().map(move || board.clone());
+    let alive = warp::path!("healthz").map(|| "alive\n");
+    let ready = warp::path!("readyz")
+        .and(with.clone())
+        .map(|board: Shared| {
+            if board.ready.load(Ordering::Relaxed) {
+                warp::reply::with_status("ready\n", StatusCode::OK)
+            } else {
+                warp::reply::with_status("not ready\n", StatusCode::SERVICE_UNAVAILABLE)
+            }
+        });
+    let metrics = warp::path!("metrics")
+        .and(with)
+        .map(|board: Shared| board.metrics.render());
+    let routes = warp::get().and(alive.or(ready).or(metrics));
+    tokio::spawn(warp::serve(routes).incoming(listener).run());
+    Ok(())
+}
--- /dev/null
+++ b/src/scalewood/ops/entry/link.rs
@@ -0,0 +1,164 @@
+//! Links to other boxes' dispatchers: reports go out, orders come in, in order.
+//!
+//! When a link comes up, all that the other box's dispatchers should know is told
+//! anew; so what was lost with the link before does not matter.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use tokio::sync::mpsc;
+
+use crate::{
+    board::entry::Told,
+    core::{dispatch, name},
+    event,
+    ops::{
+        entry::{desk, Shared},
+        rpc,
+    },
+    util::lock::lock,
+    wire::peer::{Batch, PeerClient as _},
+};
+
+/// How often the set of links is compared with the set of boxes.
+const REFRESH: Duration = Duration::from_millis(200);
+/// The wait before a lost link is tried again.
+const AGAIN: Duration = Duration::from_millis(100);
+/// The most reports in one call.
+const BATCH: usize = 512;
+
+/// Keeps a link to each other box of the zone, and to each dispatcher elsewhere that
+/// this box may ask.
+pub(super) async fn run(board: Shared) {
+    loop {
+        let wanted = wanted(&board);
+        let missing: Vec<_> = {
+            let mut links = lock(&board.links);
+            links.retain(|name, _| wanted.contains(name));
+            let missing = wanted.iter().filter(|name| !links.contains_key(*name));
+            missing.cloned().collect()
+        };
+        for peer in missing {
+            let (sender, receiver) = mpsc::unbounded_channel();
+            lock(&board.links).insert(peer.clone(), sender);
+            tokio::spawn(keep(board.clone(), peer, receiver));
+        }
+        tokio::time::sleep(REFRESH).await;
+    }
+}
+
+fn wanted(board: &Shared) -> BTreeSet<name::Box> {
+    let view = board.view.load();
+    let zone = view.boxes_of(&board.own.zone).cloned();
+    let loads = lock(&board.loads);
+    let abroad = loads.values().map(|(load, _)| load.dispatcher.clone());
+    let known = abroad.filter(|name| view.document.boxes.contains_key(name));
+    zone.chain(known)
+        .filter(|name| *name != board.own.name)
+        .collect()
+}
+
+/// Keeps a link up for as long as it is wanted.
+async fn keep(board: Shared, peer: name::Box, mut queue: mpsc::UnboundedReceiver<Told>) {
+    while !queue.is_closed() {
+        if let Some(Ended::Unwanted) = carry(&board, &peer, &mut queue).await {
+            return;
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+enum Ended {
+    Lost,
+    Unwanted,
+}
+
+/// Carries reports and orders until the link is lost; nothing if it never came up.
+async fn carry(
+    board: &Shared,
+    peer: &name::Box,
+    queue: &mut mpsc::UnboundedReceiver<Told>,
+) -> Option<Ended> {
+    let address = board.view.load().document.boxes.get(peer)?.address;
+    let client = rpc::connect(address).await.ok()?;
+    let own = board.own.name.clone();
+    let mut orders = client.orders(own.clone()).await.ok()?;
+    event!(board.log, PeerUp, "box" => %peer);
+    // What waits in the queue is told anew as well.
+    while queue.try_recv().is_ok() {}
+    announce_all(board, peer);
+    let mut told = Vec::new();
+    let ended = loop {
+        tokio::select! {
+            count = queue.recv_many(&mut told, BATCH) => {
+                if count == 0 {
+                    break Ended::Unwanted;
+                }
+                if client.report(own.clone(), batches(told.drain(..))).await.is_err() {
+                    break Ended::Lost;
+                }
+            }
+            next = orders.next() => {
+                let Some(Ok(orders)) = next else { break Ended::Lost };
+                desk::deliver(board, peer, orders);
+            }
+        }
+    };
+    event!(board.log, PeerDown, "box" => %peer);
+    Some(ended)
+}
+
+fn announce_all(board: &Shared, peer: &name::Box) {
+    let view = board.view.load_full();
+    for service in view.document.services.keys() {
+        let home = desk::dispatcher_of(board, service, &board.own.zone);
+        if home.as_ref() == Some(peer) {
+            desk::announce(board, service, peer);
+        }
+    }
+    announce_abroad(board, peer);
+}
+
+/// Tells a box of another zone, for each service that it dispatches there, of the
+/// requests that were sent to it.
+fn announce_abroad(board: &Shared, peer: &name::Box) {
+    let now = super::now(board);
+    for (service, zone) in dispatched_abroad(board, peer) {
+        desk::tell(board, peer, &service, dispatch::Report::Hello);
+        let mut reports = Vec::new();
+        board.tickets.each(|shard| {
+            let own = shard
+                .values()
+                .filter(|t| t.service == service && t.zone == zone);
+            let own = own.filter(|t| t.dispatcher.as_ref() == Some(peer));
+            reports.extend(own.map(|ticket| ticket.report(now)));
+        });
+        for report in reports {
+            desk::tell(board, peer, &service, report);
+        }
+        desk::tell(board, peer, &service, dispatch::Report::Announced);
+    }
+}
+
+fn dispatched_abroad(board: &Shared, peer: &name::Box) -> Vec<(name::Service, name::Zone)> {
+    let loads = lock(&board.loads);
+    let abroad = loads
+        .iter()
+        .filter(|((_, zone), _)| *zone != board.own.zone);
+    let own = abroad.filter(|(_, (load, _))| load.dispatcher == *peer);
+    own.map(|(key, _)| key.clone()).collect()
+}
+
+/// Groups reports by service; the order within a service stays.
+fn batches(told: impl Iterator<Item = Told>) -> Vec<Batch> {
+    let mut batches: Vec<Batch> = Vec::new();
+    for (service, report) in told {
+        match batches.iter_mut().find(|batch| batch.service == service) {
+            Some(batch) => batch.reports.push(report),
+            None => batches.push(Batch {
+                service,
+                reports: vec![report],
+            }),
+        }
+    }
+    batches
+}
--- /dev/null
+++ b/src/scalewood/ops/entry/member.rs
@@ -0,0 +1,190 @@
+//! Membership: probes the peers of the zone, and a few boxes of other zones.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use jsonrpsee::ws_client::WsClient;
+use rand::seq::IteratorRandom as _;
+
+use crate::{
+    core::name,
+    event,
+    ops::{
+        entry::{now, Shared},
+        rpc,
+    },
+    util::lock::lock,
+    wire::peer::{Load, PeerClient as _, Probe},
+};
+
+/// How often the membership is moved on.
+const TICK: Duration = Duration::from_millis(50);
+/// How long a probe may take.
+const PROBE: Duration = Duration::from_millis(400);
+/// How often a box of another zone is probed.
+const ABROAD: Duration = Duration::from_millis(500);
+/// Loads in one probe; bounds the cost however many services and zones there are.
+const LOADS: usize = 12;
+/// How long a load is worth telling.
+const LOAD_LIFE: Duration = Duration::from_secs(3);
+
+type Clients = BTreeMap<name::Box, Arc<WsClient>>;
+
+/// Probes for ever.
+pub(super) async fn run(board: Shared) {
+    let clients = Arc::new(tokio::sync::Mutex::new(Clients::new()));
+    let mut abroad = Duration::ZERO;
+    loop {
+        board.beat();
+        let due = {
+            let mut members = lock(&board.members);
+            let view = board.view.load();
+            members.configure(view.boxes_of(&board.own.zone).cloned(), now(&board));
+            members.tick(now(&board))
+        };
+        publish(&board);
+        for peer in due {
+            tokio::spawn(probe(board.clone(), clients.clone(), peer, true));
+        }
+        if now(&board) >= abroad + ABROAD {
+            abroad = now(&board);
+            if let Some(peer) = pick_abroad(&board) {
+                tokio::spawn(probe(board.clone(), clients.clone(), peer, false));
+            }
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// Writes who is alive to the board.
+fn publish(board: &Shared) {
+    let alive = lock(&board.members).alive();
+    let before = board.alive.load();
+    if **before == alive {
+        return;
+    }
+    for name in alive.iter().filter(|name| !before.contains(name)) {
+        event!(board.log, MemberAlive, "box" => %name);
+    }
+    for name in before.iter().filter(|name| !alive.contains(name)) {
+        event!(board.log, MemberDead, "box" => %name);
+    }
+    board.alive.store(Arc::new(alive));
+}
+
+fn pick_abroad(board: &Shared) -> Option<name::Box> {
+    let view = board.view.load();
+    let others = view
+        .document
+        .boxes
+        .iter()
+        .filter(|(_, item)| item.zone != board.own.zone);
+    others
+        .map(|(name, _)| name)
+        .choose(&mut rand::rng())
+        .cloned()
+}
+
+async fn probe(
+    board: Shared,
+    clients: Arc<tokio::sync::Mutex<Clients>>,
+    peer: name::Box,
+    own_zone: bool,
+) {
+    let exchange = exchange(&board, &clients, &peer);
+    match tokio::time::timeout(PROBE, exchange).await {
+        Ok(Some(answer)) => hear(&board, answer),
+        Ok(None) | Err(_) => {
+            clients.lock().await.remove(&peer);
+            if own_zone {
+                lock(&board.members).miss(&peer, now(&board));
+            }
+        }
+    }
+}
+
+async fn exchange(
+    board: &Shared,
+    clients: &tokio::sync::Mutex<Clients>,
+    peer: &name::Box,
+) -> Option<Probe> {
+    let known = clients
+        .lock()
+        .await
+        .get(peer)
+        .filter(|c| c.is_connected())
+        .cloned();
+    let client = match known {
+        Some(client) => client,
+        None => {
+            let address = board.view.load().document.boxes.get(peer)?.address;
+            let client = rpc::connect(address).await.ok()?;
+            clients.lock().await.insert(peer.clone(), client.clone());
+            client
+        }
+    };
+    client.probe(message(board)).await.ok()
+}
+
+/// What this box has to say.
+pub(super) fn message(board: &Shared) -> Probe {
+    let now = now(board);
+    let loads = lock(&board.loads);
+    let fresh = loads
+        .iter()
+        .filter(|(_, (_, at))| now.saturating_sub(*at) < LOAD_LIFE);
+    let chosen = fresh.choose_multiple(&mut rand::rng(), LOADS);
+    let aged = chosen.into_iter().map(|((service, _), (load, at))| {
+        let age = now.saturating_sub(*at).as_millis();
+        let age_ms = u64::try_from(age).unwrap_or(u64::MAX);
+        (
+            service.clone(),
+            Load {
+                age_ms,
+                ..load.clone()
+            },
+        )
+    });
+    Probe {
+        zone: board.own.zone.clone(),
+        members: lock(&board.members).message(),
+        loads: aged.collect(),
+        leaving: BTreeMap::new(),
+    }
+}
+
+/// Takes what another box has to say.
+pub(super) fn hear(board: &Shared, probe: Probe) {
+    let now = now(board);
+    if probe.zone == board.own.zone {
+        lock(&board.members).hear(probe.members, now);
+    }
+    let mut loads = lock(&board.loads);
+    for (service, load) in probe.loads {
+        if load.dispatcher == board.own.name {
+            continue;
+        }
+        let at = now.saturating_sub(Duration::from_millis(load.age_ms));
+        let key = (service, load.zone.clone());
+        if loads.get(&key).is_none_or(|(_, known)| *known < at) {
+            loads.insert(key, (load, at));
+        }
+    }
+}
+
+/// The loads of a service's dispatchers in other zones, while they are fresh.
+pub(super) fn loads_abroad(board: &Shared, service: &name::Service) -> Vec<Load> {
+    let now = now(board);
+    let loads = lock(&board.loads);
+    let abroad = loads.iter().filter(|((of, zone), (_, at))| {
+        of == service && *zone != board.own.zone && now.saturating_sub(*at) < LOAD_LIFE
+    });
+    abroad.map(|(_, (load, _))| load.clone()).collect()
+}
+
+/// The load of a service's dispatcher in this zone, while it is fresh.
+pub(super) fn load_here(board: &Shared, service: &name::Service) -> Option<Load> {
+    let now = now(board);
+    let loads = lock(&board.loads);
+    let (load, at) = loads.get(&(service.clone(), board.own.zone.clone()))?;
+    (now.saturating_sub(*at) < LOAD_LIFE).then(|| load.clone())
+}
--- /dev/null
+++ b/src/scalewood/ops/entry/mod.rs
@@ -0,0 +1,281 @@
+//! An entry box's process: takes callers' requests and has them served.
+//!
+//! The controllers, each with the facts that it reads and writes on the board:
+//!
+//! - [`follow`](crate::ops::source): the configuration in force.
+//! - `member`: probes peers; writes who is alive, and loads.
+//! - `desk`: holds dispatchers, tells them of this box's requests, delivers orders.
+//! - `link`: carries reports and orders between boxes.
+//! - `claim`: claims keys, and reads claims back after a start.
+//! - `poll`: asks endpoints how they are.
+//! - `caller`: the HTTP server that callers see.
+
+use std::{
+    net::SocketAddr,
+    sync::{atomic::Ordering, Arc},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use error_stack::{Report, ResultExt as _};
+
+use crate::{
+    board::entry::{Board, Own},
+    core::{name, unit},
+    event,
+    ops::{rpc, source},
+    util::{
+        clock::{self, Clock as _},
+        settings, signal,
+    },
+    wire::{peer::PeerServer as _, source::SourceServer as _},
+};
+
+mod beat;
+mod body;
+mod call;
+mod caller;
+mod claim;
+mod desk;
+mod health;
+mod link;
+mod member;
+mod model;
+mod plain;
+mod poll;
+mod reply;
+mod server;
+mod turn;
+mod upstream;
+
+/// Settings of an entry box's process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The box that it runs on.
+    pub name: name::Box,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the other processes of the system reach it.
+    pub listen: SocketAddr,
+    /// Where the platform asks for its health and metrics.
+    pub health: SocketAddr,
+    /// The voters.
+    pub voters: Vec<SocketAddr>,
+    /// How callers are treated.
+    pub limits: Limits,
+    /// How long a claimed key is remembered.
+    pub retention: Duration,
+    /// How long callers are still taken after readiness went down.
+    pub grace: Duration,
+    /// How long running requests may take after that.
+    pub drain: Duration,
+}
+
+/// How callers are treated.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// The largest body of a request.
+    pub body: unit::Size,
+    /// How long a request's headers or body may take to arrive.
+    pub arrival: Duration,
+    /// How long an endpoint may be silent.
+    pub silence: Duration,
+    /// How long a connection to an endpoint may take.
+    pub connect: Duration,
+    /// The largest answer of a plain service, and of a model without a stream.
+    pub answer: unit::Size,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body: unit::Size(1 << 20),
+            arrival: Duration::from_secs(10),
+            silence: Duration::from_secs(15),
+            connect: Duration::from_secs(1),
+            answer: unit::Size(8 << 20),
+        }
+    }
+}
+
+impl settings::Settings for Limits {
+    fn read(reader: &mut settings::Reader<'_>) -> Self {
+        let default = Self::default();
+        Self {
+            body: reader.size("body", default.body),
+            arrival: reader.duration("arrival", default.arrival),
+            silence: reader.duration("silence", default.silence),
+            connect: reader.duration("connect", default.connect),
+            answer: reader.size("answer", default.answer),
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            name: "entry".parse().expect("the default name is valid"),
+            zone: "zone".parse().expect("the default zone is valid"),
+            callers: ([127, 0, 0, 1], 7200).into(),
+            listen: ([127, 0, 0, 1], 7201).into(),
+            health: ([127, 0, 0, 1], 7202).into(),
+            voters: Vec::new(),
+            limits: Limits::default(),
+            retention: Duration::from_secs(300),
+            grace: Duration::from_secs(2),
+            drain: Duration::from_secs(600),
+        }
+    }
+}
+
+impl settings::Settings for Settings {
+    fn read(reader: &mut settings::Reader<'_>) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            name: reader.required("box", "e1").unwrap_or(default.name),
+            zone: reader.required("zone", "cluj").unwrap_or(default.zone),
+            callers: reader
+                .required("callers", "127.0.0.1:7200")
+                .unwrap_or(default.callers),
+            listen: reader
+                .required("listen", "127.0.0.1:7201")
+                .unwrap_or(default.listen),
+            health: reader
+                .required("health", "127.0.0.1:7202")
+                .unwrap_or(default.health),
+            voters: reader
+                .list::<Voter>("voters")
+                .into_iter()
+                .filter_map(|v| v.0)
+                .collect(),
+            limits: reader.object("limits"),
+            retention: reader.duration("claim_retention", default.retention),
+            grace: reader.duration("stop_grace", default.grace),
+            drain: reader.duration("stop_drain", default.drain),
+        };
+        settings.check(reader);
+        settings
+    }
+}
+
+impl Settings {
+    fn check(&self, reader: &mut settings::Reader<'_>) {
+        if self.voters.is_empty() {
+            let instead = "\"voters\": [{ \"address\": \"127.0.0.1:7100\" }]";
+            reader.problem("voters", "no voter to follow is named", instead);
+        }
+        if self.listen == self.callers {
+            reader.problem(
+                "listen",
+                "it is the same address as `callers`",
+                "another port",
+            );
+        }
+        if self.health == self.callers || self.health == self.listen {
+            reader.problem(
+                "health",
+                "it clashes with another address here",
+                "another port",
+            );
+        }
+    }
+}
+
+/// A voter as settings name one.
+struct Voter(Option<SocketAddr>);
+
+impl settings::Settings for Voter {
+    fn read(reader: &mut settings::Reader<'_>) -> Self {
+        Self(reader.required("address", "127.0.0.1:7100"))
+    }
+}
+
+/// An entry box's process that can't start or go on.
+#[derive(Debug)]
+pub struct Error;
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the entry process can't run")
+    }
+}
+
+impl std::error::Error for Error {}
+
+type Shared = Arc<Board<clock::System>>;
+
+/// Runs an entry box until it is asked to stop and has drained.
+///
+/// # Errors
+///
+/// Fails if an address can't be listened on.
+pub async fn run(settings: Settings, log: slog::Logger) -> Result<(), Report<Error>> {
+    let own = Own {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        // A restart is later than the start before it.
+        incarnation: unit::Incarnation(unix_seconds()),
+    };
+    let clock = clock::System::default();
+    let board = Arc::new(Board::new(own, clock, log.clone(), settings.retention));
+    let mut methods = server::Server::new(board.clone()).into_rpc();
+    methods
+        .merge(source::Server::new(board.feed.clone()).into_rpc())
+        .change_context(Error)?;
+    let rpc = rpc::serve(settings.listen, methods)
+        .await
+        .change_context(Error)?;
+    event!(log, Listening, "what" => "processes", "address" => %settings.listen);
+    health::serve(settings.health, board.clone()).await?;
+    event!(log, Listening, "what" => "health", "address" => %settings.health);
+    spawn_controllers(&settings, &board);
+    let caller = caller::Server::bind(&settings, board.clone()).await?;
+    event!(log, Listening, "what" => "callers", "address" => %settings.callers);
+    event!(log, Started, "box" => %settings.name, "zone" => %settings.zone);
+    let stop = caller.run(stopped(&settings, &board));
+    stop.await;
+    let _ = rpc.stop();
+    event!(log, Stopped, "box" => %settings.name);
+    Ok(())
+}
+
+fn spawn_controllers(settings: &Settings, board: &Shared) {
+    let follower = source::Follower {
+        own: board.own.name.clone(),
+        voters: settings.voters.clone(),
+        feed: board.feed.clone(),
+        log: board.log.clone(),
+    };
+    tokio::spawn(follower.run());
+    tokio::spawn(member::run(board.clone()));
+    tokio::spawn(desk::run(board.clone()));
+    tokio::spawn(link::run(board.clone()));
+    tokio::spawn(claim::run(board.clone()));
+    tokio::spawn(poll::run(board.clone()));
+    tokio::spawn(beat::run(board.clone(), settings.voters.clone()));
+}
+
+/// Waits for the signal to stop, takes readiness down, and lets the balancer see it.
+async fn stopped(settings: &Settings, board: &Shared) {
+    if let Err(error) = signal::stop().await {
+        event!(board.log, DrainCut, "why" => %error);
+    }
+    event!(board.log, Stopping, "box" => %settings.name);
+    board.draining.store(true, Ordering::Relaxed);
+    board.ready.store(false, Ordering::Relaxed);
+    crate::util::lock::lock(&board.members).leave();
+    tokio::time::sleep(settings.grace).await;
+}
+
+fn unix_seconds() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs()
+}
+
+/// The time on a board's clock.
+fn now(board: &Shared) -> Duration {
+    board.clock.now()
+}
--- /dev/null
+++ b/src/scalewood/ops/entry/poll.rs
@@ -0,0 +1,104 @@
+//! Asks endpoints how they are: their load, and whether they leave.
+//!
+//! Only the box that dispatches a service asks its endpoints, so the cost does not
+//! grow with the number of boxes. The protocol is that of the usual model servers:
+//! `GET /health` answers 200 while new work is taken, and 503 before the endpoint
+//! goes; `GET /load` tells the requests inside of it. Both lag.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Empty};
+use hyper::StatusCode;
+use serde::Deserialize;
+
+use crate::{
+    core::{dispatch, name},
+    event,
+    ops::entry::{desk, upstream, Shared},
+};
+
+/// How often an endpoint is asked.
+const PERIOD: Duration = Duration::from_millis(500);
+/// How long it may take to answer.
+const ANSWER: Duration = Duration::from_millis(400);
+
+/// The answer to `GET /load`.
+#[derive(Debug, Deserialize)]
+struct Load {
+    server_load: u32,
+}
+
+/// What an endpoint said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct State {
+    leaving: bool,
+    load: u32,
+}
+
+/// Asks for ever.
+pub(super) async fn run(board: Shared) {
+    let mut leaving = HashMap::new();
+    loop {
+        for service in desk::held(&board) {
+            poll(&board, &service, &mut leaving).await;
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+async fn poll(
+    board: &Shared,
+    service: &name::Service,
+    leaving: &mut HashMap<name::Endpoint, bool>,
+) {
+    let view = board.view.load_full();
+    let asked = view
+        .endpoints(service, &board.own.zone)
+        .map(|(name, endpoint)| async move {
+            let state = tokio::time::timeout(ANSWER, ask(endpoint.address)).await;
+            (name, endpoint, state.ok().flatten())
+        });
+    for (name, endpoint, state) in futures_util::future::join_all(asked).await {
+        let Some(state) = state else { continue };
+        let inside = state.load.saturating_sub(endpoint.slots.0);
+        desk::input(
+            board,
+            service,
+            dispatch::Input::Backlog(name.clone(), inside),
+        );
+        let known = leaving.insert(name.clone(), state.leaving).unwrap_or(false);
+        if state.leaving && !known {
+            event!(board.log, EndpointLeaving, "endpoint" => %name);
+        }
+        // Told each time, since the dispatcher may be a new one.
+        let leaves = state.leaving || endpoint.leaving;
+        desk::input(
+            board,
+            service,
+            dispatch::Input::Leaving(name.clone(), leaves),
+        );
+    }
+}
+
+async fn ask(address: SocketAddr) -> Option<State> {
+    let (status, _) = get(address, "/health").await?;
+    let (_, body) = get(address, "/load").await?;
+    let load: Option<Load> = serde_json::from_slice(&body).ok();
+    Some(State {
+        leaving: status == StatusCode::SERVICE_UNAVAILABLE,
+        load: load.map_or(0, |load| load.server_load),
+    })
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<(StatusCode, Bytes)> {
+    let mut sender = upstream::dial::<Empty<Bytes>>(address, ANSWER).await.ok()?;
+    let request = hyper::Request::get(path).header("host", address.to_string());
+    let response = sender
+        .send_request(request.body(Empty::new()).ok()?)
+        .await
+        .ok()?;
+    let status = response.status();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    Some((status, body))
+}
--- /dev/null
+++ b/src/scalewood/ops/entry/turn.rs
@@ -0,0 +1,251 @@
+//! A request's turn: from asking for a slot to giving it back.
+//!
+//! A turn that is dropped, because its caller went away, withdraws or gives its slot
+//! back by itself; so no path through the code can lose a slot.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use crate::{
+    board::entry::Ticket,
+    core::{attempt, dispatch, name, unit},
+    ops::entry::{desk, now, Shared},
+};
+
+/// What a request got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Got {
+    /// It may run at the endpoint.
+    Granted(name::Endpoint),
+    /// It is shed, and may come back after the time given.
+    Shed(dispatch::Reason, Duration),
+}
+
+/// How long after its deadline a request waits for a dispatcher to say so.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// A request's turn at one attempt.
+#[derive(Debug)]
+pub(super) struct Turn {
+    board: Shared,
+    attempt: attempt::Attempt,
+    orders: mpsc::UnboundedReceiver<dispatch::Order>,
+    /// When it is given up on here, if no dispatcher answers.
+    until: Duration,
+    state: State,
+    tokens: unit::Tokens,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Waiting,
+    Running,
+    Over,
+}
+
+impl Turn {
+    /// Asks for a slot.
+    pub(super) fn ask(
+        board: &Shared,
+        service: &name::Service,
+        zone: &name::Zone,
+        ask: dispatch::Ask,
+    ) -> Self {
+        let now = now(board);
+        let attempt = ask.attempt;
+        let (sender, orders) = mpsc::unbounded_channel();
+        let until = (now + ask.deadline + PATIENCE).saturating_sub(ask.age);
+        let dispatcher = desk::dispatcher_of(board, service, zone);
+        let ticket = Ticket {
+            service: service.clone(),
+            zone: zone.clone(),
+            dispatcher: dispatcher.clone(),
+            asked_at: now,
+            held: None,
+            tokens: unit::Tokens(0),
+            orders: sender,
+            ask: ask.clone(),
+        };
+        board
+            .tickets
+            .shard(&attempt.request)
+            .insert(attempt.request, ticket);
+        if let Some(to) = dispatcher {
+            desk::tell(board, &to, service, dispatch::Report::Ask(ask));
+        }
+        let board = board.clone();
+        Self {
+            board,
+            attempt,
+            orders,
+            until,
+            state: State::Waiting,
+            tokens: unit::Tokens(0),
+        }
+    }
+
+    /// Waits for a slot, or for being shed.
+    pub(super) async fn wait(&mut self) -> Got {
+        loop {
+            let left = self.until.saturating_sub(now(&self.board));
+            let order = tokio::time::timeout(left, self.orders.recv()).await;
+            let Ok(Some(order)) = order else {
+                // No dispatcher was reached in time.
+                self.leave(|attempt, _| dispatch::Report::Withdraw(attempt));
+                return Got::Shed(dispatch::Reason::Deadline, PATIENCE);
+            };
+            match order {
+                dispatch::Order::Grant(..) if self.board.may_be_stale() => self.decline(),
+                dispatch::Order::Grant(_, endpoint) => {
+                    self.start(&endpoint);
+                    return Got::Granted(endpoint);
+                }
+                dispatch::Order::Shed(_, reason, retry) => {
+                    self.forget();
+                    return Got::Shed(reason, retry);
+                }
+                dispatch::Order::Expired(_) => self.ask_again(),
+                dispatch::Order::Preempt(_) => {}
+            }
+        }
+    }
+
+    /// Gives back a grant that may have expired while this process was frozen.
+    fn decline(&mut self) {
+        self.tell(dispatch::Report::End(
+            self.attempt,
+            dispatch::End::Unused,
+            self.tokens,
+        ));
+        self.ask_again();
+    }
+
+    /// Asks once more, under the next number.
+    fn ask_again(&mut self) {
+        self.attempt = self.attempt.next();
+        let now = now(&self.board);
+        let report = {
+            let mut shard = self.board.tickets.shard(&self.attempt.request);
+            let Some(ticket) = shard.get_mut(&self.attempt.request) else {
+                return;
+            };
+            ticket.ask.attempt = self.attempt;
+            ticket.report(now)
+        };
+        self.tell(report);
+    }
+
+    fn start(&mut self, endpoint: &name::Endpoint) {
+        self.state = State::Running;
+        let now = now(&self.board);
+        if let Some(ticket) = self
+            .board
+            .tickets
+            .shard(&self.attempt.request)
+            .get_mut(&self.attempt.request)
+        {
+            ticket.held = Some((endpoint.clone(), now));
+        }
+        self.tell(dispatch::Report::Started(self.attempt));
+    }
+
+    /// The attempt that runs.
+    pub(super) fn attempt(&self) -> attempt::Attempt {
+        self.attempt
+    }
+
+    /// Notes the first token.
+    pub(super) fn first(&self) {
+        self.tell(dispatch::Report::First(self.attempt));
+    }
+
+    /// Notes tokens that this attempt has delivered.
+    pub(super) fn progress(&mut self, tokens: unit::Tokens) {
+        /// Tokens between two reports: they only steer what is preempted.
+        const STEP: u64 = 32;
+        let told = tokens.0 / STEP > self.tokens.0 / STEP;
+        self.tokens = tokens;
+        if !told {
+            return;
+        }
+        if let Some(ticket) = self
+            .board
+            .tickets
+            .shard(&self.attempt.request)
+            .get_mut(&self.attempt.request)
+        {
+            ticket.tokens = tokens;
+        }
+        self.tell(dispatch::Report::Progress(self.attempt, tokens));
+    }
+
+    /// Waits for the order to stop.
+    pub(super) async fn preempted(&mut self) {
+        while let Some(order) = self.orders.recv().await {
+            if matches!(order, dispatch::Order::Preempt(_)) {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Gives the slot back.
+    pub(super) fn end(mut self, end: dispatch::End) {
+        self.leave(|attempt, tokens| dispatch::Report::End(attempt, end, tokens));
+    }
+
+    fn tell(&self, report: dispatch::Report) {
+        let known = self
+            .board
+            .tickets
+            .shard(&self.attempt.request)
+            .get(&self.attempt.request)
+            .map(|ticket| (ticket.dispatcher.clone(), ticket.service.clone()));
+        if let Some((Some(to), service)) = known {
+            desk::tell(&self.board, &to, &service, report);
+        }
+    }
+
+    /// Says a last word about the attempt.
+    fn leave(&mut self, word: impl FnOnce(attempt::Attempt, unit::Tokens) -> dispatch::Report) {
+        if self.state == State::Over {
+            return;
+        }
+        self.state = State::Over;
+        let ticket = self
+            .board
+            .tickets
+            .shard(&self.attempt.request)
+            .remove(&self.attempt.request);
+        let Some(ticket) = ticket else { return };
+        if let Some(to) = ticket.dispatcher {
+            let word = word(self.attempt, self.tokens);
+            desk::tell(&self.board, &to, &ticket.service, word);
+        }
+    }
+
+    fn forget(&mut self) {
+        self.state = State::Over;
+        self.board
+            .tickets
+            .shard(&self.attempt.request)
+            .remove(&self.attempt.request);
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        match self.state {
+            State::Waiting => {
+                self.leave(|attempt, _| dispatch::Report::Withdraw(attempt));
+            }
+            State::Running => {
+                self.leave(|attempt, tokens| {
+                    dispatch::Report::End(attempt, dispatch::End::Cancelled, tokens)
+                });
+            }
+            State::Over => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/scalewood/ops/mod.rs
@@ -0,0 +1,8 @@
+//! Controllers: what is done with the facts on the board.
+
+pub mod control;
+pub mod entry;
+
+pub mod operate;
+pub mod rpc;
+pub mod source;
