--- /dev/null
+++ b/src/scalewood/ops/rpc.rs
@@ -0,0 +1,76 @@
+//! JSON-RPC servers and clients as the system's processes use them.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use error_stack::{Report, ResultExt as _};
+use jsonrpsee::{
+    server::{ServerBuilder, ServerConfig, ServerHandle},
+    ws_client::{WsClient, WsClientBuilder},
+    Methods,
+};
+
+/// The largest message, in bytes: a claim read-back at a busy box.
+const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
+/// The most connections of a server.
+const MAX_CONNECTIONS: u32 = 2048;
+/// The most subscriptions of one connection.
+const MAX_SUBSCRIPTIONS: u32 = 16;
+/// How long a connection may take.
+const CONNECT: Duration = Duration::from_secs(1);
+/// How long a call may take.
+const CALL: Duration = Duration::from_secs(5);
+
+/// A server or client that can't be set up.
+#[derive(Debug)]
+pub struct Error;
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a connection between processes can't be set up")
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Serves methods at an address.
+///
+/// # Errors
+///
+/// Fails if the address can't be listened on.
+pub async fn serve(
+    address: SocketAddr,
+    methods: impl Into<Methods>,
+) -> Result<ServerHandle, Report<Error>> {
+    let config = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE)
+        .max_response_body_size(MAX_MESSAGE)
+        .max_connections(MAX_CONNECTIONS)
+        .max_subscriptions_per_connection(MAX_SUBSCRIPTIONS)
+        .set_tcp_no_delay(true)
+        .ws_only()
+        .build();
+    let server = ServerBuilder::with_config(config)
+        .build(address)
+        .await
+        .change_context(Error)
+        .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
+    Ok(server.start(methods))
+}
+
+/// Connects to a process.
+///
+/// # Errors
+///
+/// Fails if nobody answers there.
+pub async fn connect(address: SocketAddr) -> Result<Arc<WsClient>, Report<Error>> {
+    let client = WsClientBuilder::default()
+        .connection_timeout(CONNECT)
+        .request_timeout(CALL)
+        .max_request_size(MAX_MESSAGE)
+        .max_response_size(MAX_MESSAGE)
+        .build(format!("ws://{address}"))
+        .await
+        .change_context(Error)
+        .attach_with(|| format!("{address} does not answer"))?;
+    Ok(Arc::new(client))
+}
--- /dev/null
+++ b/src/scalewood/ops/source.rs
@@ -0,0 +1,212 @@
+//! Giving out the configuration, and following it.
+//!
+//! Voters give out what was agreed; entry boxes give on what they follow. A box
+//! follows one source and goes to the next when it falls silent. It takes only what
+//! is newer than what it has, so its revision only rises, whichever source it
+//! follows; in a zone that is cut off, the boxes take the highest revision that one
+//! of them has.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use jsonrpsee::{
+    core::{async_trait, client::Subscription, SubscriptionResult},
+    PendingSubscriptionSink, SubscriptionMessage, SubscriptionSink,
+};
+
+use crate::{
+    board::feed,
+    core::{config, name, unit},
+    event,
+    ops::rpc,
+    wire::source::{Piece, SourceClient as _, SourceServer, Update, PIECE},
+};
+
+/// How often a source says that it is alive.
+const ALIVE: Duration = Duration::from_secs(1);
+/// How long a source may be silent.
+const SILENCE: Duration = Duration::from_secs(3);
+/// The wait before the next source is tried.
+const NEXT: Duration = Duration::from_millis(200);
+
+/// Gives out a feed.
+#[derive(Clone, Debug)]
+pub struct Server {
+    feed: Arc<feed::Feed>,
+}
+
+impl Server {
+    /// Gives out a feed.
+    pub fn new(feed: Arc<feed::Feed>) -> Self {
+        Self { feed }
+    }
+}
+
+#[async_trait]
+impl SourceServer for Server {
+    async fn follow(
+        &self,
+        pending: PendingSubscriptionSink,
+        _who: name::Box,
+        from: unit::Revision,
+    ) -> SubscriptionResult {
+        let sink = pending.accept().await?;
+        give(&sink, self.feed.clone(), from).await;
+        Ok(())
+    }
+}
+
+/// Sends a subscriber all that is newer than what it has, until it goes.
+async fn give(sink: &SubscriptionSink, feed: Arc<feed::Feed>, from: unit::Revision) {
+    let mut watch = feed.watch();
+    let mut sent = from;
+    loop {
+        let state = watch.borrow_and_update().clone();
+        for update in updates(&state, sent) {
+            if send(sink, &update).await.is_none() {
+                return;
+            }
+        }
+        sent = sent.max(state.revision);
+        tokio::select! {
+            changed = watch.changed() => if changed.is_err() { return },
+            () = tokio::time::sleep(ALIVE) => {}
+            () = sink.closed() => return,
+        }
+    }
+}
+
+async fn send(sink: &SubscriptionSink, update: &Update) -> Option<()> {
+    let raw = serde_json::value::to_raw_value(update).ok()?;
+    sink.send(SubscriptionMessage::from(raw)).await.ok()
+}
+
+/// What a subscriber at a revision has to be told.
+fn updates(state: &feed::State, from: unit::Revision) -> Vec<Update> {
+    if state.revision <= from {
+        return vec![Update::Alive(state.revision)];
+    }
+    if let Some(recent) = state.since(from) {
+        let edits = |(revision, edits): (_, Arc<Vec<_>>)| Update::Edits(revision, edits.to_vec());
+        return recent.into_iter().map(edits).collect();
+    }
+    pieces(state)
+}
+
+/// A whole document, cut into pieces.
+fn pieces(state: &feed::State) -> Vec<Update> {
+    // A document of plain data always has a text.
+    let Ok(mut rest) = serde_json::to_string(&state.document) else {
+        return Vec::new();
+    };
+    let mut pieces = Vec::new();
+    while !rest.is_empty() {
+        let cut = (PIECE.min(rest.len())..=rest.len()).find(|i| rest.is_char_boundary(*i));
+        let tail = rest.split_off(cut.unwrap_or(rest.len()));
+        let last = tail.is_empty();
+        pieces.push(Update::Piece(Piece {
+            revision: state.revision,
+            last,
+            text: rest,
+        }));
+        rest = tail;
+    }
+    pieces
+}
+
+/// Follows the configuration into a feed, from the first source that has it.
+#[derive(Debug)]
+pub struct Follower {
+    /// The box that follows.
+    pub own: name::Box,
+    /// Where the voters are reached, the preferred one first.
+    pub voters: Vec<SocketAddr>,
+    /// Where the configuration goes.
+    pub feed: Arc<feed::Feed>,
+    /// The log.
+    pub log: slog::Logger,
+}
+
+impl Follower {
+    /// Follows for ever.
+    pub async fn run(self) {
+        let mut turn = 0;
+        loop {
+            let sources = self.sources();
+            let source = sources[turn % sources.len()];
+            if let Some(reached) = self.follow(source).await {
+                event!(self.log, SourceLost, "source" => %source, "revision" => %reached);
+            }
+            turn += 1;
+            tokio::time::sleep(NEXT).await;
+        }
+    }
+
+    /// The voters, then the peers of this box's zone, then all others.
+    fn sources(&self) -> Vec<SocketAddr> {
+        let state = self.feed.current();
+        let own_zone = state
+            .document
+            .boxes
+            .get(&self.own)
+            .map(|own| own.zone.clone());
+        let peers = state
+            .document
+            .boxes
+            .iter()
+            .filter(|(name, _)| **name != self.own);
+        let mut peers: Vec<_> = peers.map(|(_, peer)| peer).collect();
+        peers.sort_by_key(|peer| Some(&peer.zone) != own_zone.as_ref());
+        let peers = peers.into_iter().map(|peer| peer.address);
+        self.voters.iter().copied().chain(peers).collect()
+    }
+
+    /// Follows one source until it falls silent; nothing if it was never reached.
+    async fn follow(&self, source: SocketAddr) -> Option<unit::Revision> {
+        let client = rpc::connect(source).await.ok()?;
+        let from = self.feed.current().revision;
+        let mut updates = client.follow(self.own.clone(), from).await.ok()?;
+        event!(self.log, SourceFound, "source" => %source, "revision" => %from);
+        self.take_all(&mut updates).await;
+        Some(self.feed.current().revision)
+    }
+
+    async fn take_all(&self, updates: &mut Subscription<Update>) {
+        let mut text = String::new();
+        loop {
+            let next = tokio::time::timeout(SILENCE, updates.next()).await;
+            let Ok(Some(Ok(update))) = next else { return };
+            if !self.take(update, &mut text) {
+                return;
+            }
+        }
+    }
+
+    /// Takes one update; false if the source is not worth following on.
+    fn take(&self, update: Update, text: &mut String) -> bool {
+        let before = self.feed.current().revision;
+        match update {
+            Update::Alive(revision) => return revision >= before,
+            Update::Edits(revision, edits) => {
+                if !self.feed.publish_edits(revision, edits) {
+                    return revision <= before;
+                }
+            }
+            Update::Piece(piece) => {
+                text.push_str(&piece.text);
+                if !piece.last {
+                    return true;
+                }
+                let whole = std::mem::take(text);
+                let Ok(document) = serde_json::from_str::<config::Document>(&whole) else {
+                    return false;
+                };
+                self.feed.publish_whole(piece.revision, Arc::new(document));
+            }
+        }
+        let revision = self.feed.current().revision;
+        if revision > before {
+            event!(self.log, RevisionInForce, "revision" => %revision);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/scalewood/store/identity.rs
@@ -0,0 +1,111 @@
+//! The identity of a data folder.
+//!
+//! A voter is its box and this identity. It is made once, by `scalewood-control
+//! init` or `join`; a voter never makes one by itself, so that an empty or foreign
+//! folder can't vote in place of the one that was lost.
+
+use std::{fmt, io};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    core::{agree, name},
+    store::media,
+};
+
+/// The file that holds it.
+const FILE: &str = "identity.json";
+
+/// What the file holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Record {
+    node: agree::Node,
+}
+
+/// Why a folder can't be used as a voter's.
+#[derive(Debug)]
+pub enum Error {
+    /// It could not be read or written.
+    Io(io::Error),
+    /// It holds no identity.
+    Empty,
+    /// It was initialised before.
+    Used(agree::Node),
+    /// It belongs to another box.
+    Foreign(agree::Node, name::Box),
+    /// Its identity can't be read.
+    Damaged(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Io(error) => write!(f, "the data folder can't be used: {error}; mend the disk"),
+            Error::Empty => write!(
+                f,
+                "the data folder has no identity; for a new system run `scalewood-control init`, \
+                 for a box that joins or lost its disk `scalewood-control join`"
+            ),
+            Error::Used(node) => write!(
+                f,
+                "the data folder belongs to {node} already; start it, or name an empty folder"
+            ),
+            Error::Foreign(node, own) => write!(
+                f,
+                "the data folder belongs to {node}, not to box {own}; name the box's own folder"
+            ),
+            Error::Damaged(why) => write!(
+                f,
+                "the data folder's identity is damaged: {why}; move the folder away and run \
+                 `scalewood-control join`"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Error::Io(error)
+    }
+}
+
+/// Reads a folder's identity, which must be that of a box.
+///
+/// # Errors
+///
+/// Fails if there is none, or it is another box's.
+pub fn read<M: media::Media>(media: &M, own: &name::Box) -> Result<agree::Node, Error> {
+    let bytes = media.read(FILE)?.ok_or(Error::Empty)?;
+    let record: Record =
+        serde_json::from_slice(&bytes).map_err(|error| Error::Damaged(error.to_string()))?;
+    if record.node.name != *own {
+        return Err(Error::Foreign(record.node, own.clone()));
+    }
+    Ok(record.node)
+}
+
+/// Gives an empty folder a new identity.
+///
+/// # Errors
+///
+/// Fails if the folder was initialised before.
+pub fn make<M: media::Media>(media: &mut M, own: &name::Box) -> Result<agree::Node, Error> {
+    if let Some(bytes) = media.read(FILE)? {
+        let record: Result<Record, _> = serde_json::from_slice(&bytes);
+        return Err(match record {
+            Ok(record) => Error::Used(record.node),
+            Err(error) => Error::Damaged(error.to_string()),
+        });
+    }
+    let node = agree::Node {
+        name: own.clone(),
+        identity: agree::Identity(rand::random()),
+    };
+    let record = Record { node: node.clone() };
+    let bytes = serde_json::to_vec(&record).map_err(|error| Error::Damaged(error.to_string()))?;
+    media.replace(FILE, &bytes)?;
+    Ok(node)
+}
--- /dev/null
+++ b/src/scalewood/store/mod.rs
@@ -0,0 +1,6 @@
+//! What is kept on disk: the data folder of a voter.
+
+pub mod folder;
+pub mod identity;
+pub mod journal;
+pub mod media;
--- /dev/null
+++ b/src/scalewood/util/event.rs
@@ -0,0 +1,95 @@
+//! The catalogue of log events.
+//!
+//! Every line that a process logs is one of these. The number never changes its
+//! meaning; `docs/EVENTS.md` says what each one tells an operator, and a test holds
+//! that page against this catalogue.
+
+use std::fmt;
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// Something worth a line in the log.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        #[repr(u16)]
+        pub enum Event {
+            $(#[doc = $text] $name = $number,)*
+        }
+
+        impl Event {
+            /// All events, in the order of their numbers.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+
+            /// The level at which the event is logged.
+            pub const fn level(self) -> slog::Level {
+                match self {
+                    $(Event::$name => slog::Level::$level,)*
+                }
+            }
+
+            /// What happened, in a few words.
+            pub const fn text(self) -> &'static str {
+                match self {
+                    $(Event::$name => $text,)*
+                }
+            }
+
+            /// The event's number.
+            pub const fn number(self) -> u16 {
+                self as u16
+            }
+        }
+    };
+}
+
+events! {
+    Started = 1001, Info, "the process has started";
+    Stopping = 1002, Info, "the process was asked to stop and drains";
+    Stopped = 1003, Info, "the process has stopped";
+    Invariant = 1004, Critical, "an invariant was broken";
+    Listening = 1005, Info, "a port is open";
+    DrainCut = 1006, Warning, "the time to drain is over and work is left";
+    RevisionInForce = 2001, Info, "a configuration revision is in force here";
+    SourceLost = 2002, Warning, "the source of configuration can't be reached";
+    SourceFound = 2003, Info, "the configuration is followed from a source";
+    ChangeAccepted = 2101, Info, "a change was accepted";
+    ChangeRefused = 2102, Info, "a change was not applied";
+    TokenRefused = 2103, Warning, "a request with a wrong or missing token was refused";
+    StoreOpened = 2201, Info, "the data folder was opened";
+    StoreRepaired = 2202, Warning, "an unfinished record at the log's end was dropped";
+    StoreCompacted = 2203, Info, "the log was compacted";
+    StoreFailed = 2204, Critical, "the data folder can't be written";
+    BecameLeader = 2301, Info, "this voter leads";
+    LostLead = 2302, Warning, "this voter leads no more";
+    VoterUnreachable = 2303, Warning, "a voter can't be reached";
+    VoterChanged = 2304, Info, "the set of voters changed";
+    OrderSent = 2401, Info, "an order was given to an endpoint";
+    OrderFailed = 2402, Warning, "an order to an endpoint failed";
+    OrderHeldBack = 2403, Warning, "an order was held back since the lease has run out";
+    PeerUp = 3001, Info, "a link to a peer is up";
+    PeerDown = 3002, Warning, "a link to a peer is down";
+    MemberAlive = 3003, Info, "a box counts as alive";
+    MemberDead = 3004, Warning, "a box counts as dead";
+    DispatcherTaken = 3101, Info, "this box dispatches a service";
+    DispatcherLeft = 3102, Info, "this box dispatches a service no more";
+    EndpointFailed = 3201, Warning, "an attempt at an endpoint failed";
+    EndpointLeaving = 3202, Info, "an endpoint leaves and gets no new work";
+    RequestFailed = 3301, Warning, "a request ended in an error";
+    PolicyFailed = 3302, Warning, "a policy program failed and the class's own level was used";
+    ClaimsSettled = 3401, Info, "this box has read its claims back and votes again";
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.text())
+    }
+}
+
+/// Logs an event of the catalogue with its facts.
+#[macro_export]
+macro_rules! event {
+    ($log:expr, $event:ident $(, $key:literal => $($value:tt)+)?) => {{
+        const EVENT: $crate::util::event::Event = $crate::util::event::Event::$event;
+        slog::log!($log, EVENT.level(), "", "{}", EVENT.text();
+            "event" => EVENT.number() $(, $key => $($value)+)?);
+    }};
+}
--- /dev/null
+++ b/src/scalewood/util/metric.rs
@@ -0,0 +1,221 @@
+//! Metrics, in the text format of Prometheus.
+//!
+//! The three measures of the users stand first: attainment by class, goodput and
+//! wasted work.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::{
+    encoding::{text, EncodeLabelSet},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+use crate::core::{config, invariant, verdict};
+
+/// A class of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ClassLabel {
+    /// The service.
+    pub service: String,
+    /// The class.
+    pub class: String,
+}
+
+impl From<&config::ClassKey> for ClassLabel {
+    fn from(key: &config::ClassKey) -> Self {
+        Self {
+            service: key.service.to_string(),
+            class: key.class.to_string(),
+        }
+    }
+}
+
+/// A class and how its request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabel {
+    /// The service.
+    pub service: String,
+    /// The class.
+    pub class: String,
+    /// How the request ended.
+    pub end: &'static str,
+    /// Whether it may have run.
+    pub verdict: &'static str,
+}
+
+impl EndLabel {
+    /// The label of a request's end.
+    pub fn new(key: &config::ClassKey, end: &'static str, verdict: verdict::Verdict) -> Self {
+        let ClassLabel { service, class } = key.into();
+        Self {
+            service,
+            class,
+            end,
+            verdict: verdict.as_str(),
+        }
+    }
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    /// The service.
+    pub service: String,
+}
+
+/// A rule that must always hold.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RuleLabel {
+    /// The rule.
+    pub rule: &'static str,
+}
+
+/// Bounds of the histograms of seconds.
+const SECONDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.95, 2.0, 5.0, 15.0, 60.0,
+];
+
+type ClassHistogram = Family<ClassLabel, Histogram, fn() -> Histogram>;
+
+fn seconds() -> Histogram {
+    Histogram::new(SECONDS)
+}
+
+/// The metrics of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that arrived, by class.
+    pub offered: Family<ClassLabel, Counter>,
+    /// Requests whose first token came within their class's target.
+    pub attained: Family<ClassLabel, Counter>,
+    /// Tokens of whole answers whose first token came in time.
+    pub goodput: Family<ClassLabel, Counter>,
+    /// Tokens that were processed and not delivered, or had to be processed again.
+    pub wasted: Family<ClassLabel, Counter>,
+    /// Requests by how they ended.
+    pub ended: Family<EndLabel, Counter>,
+    /// Seconds from arrival to the first token.
+    pub first: ClassHistogram,
+    /// Seconds between two tokens.
+    pub between: ClassHistogram,
+    /// Requests that wait at this box's dispatchers.
+    pub waiting: Family<ServiceLabel, Gauge>,
+    /// Slots that this box's dispatchers have granted.
+    pub running: Family<ServiceLabel, Gauge>,
+    /// Policy programs that failed.
+    pub policy_failures: Counter,
+    /// The configuration revision in force here.
+    pub revision: Gauge,
+    /// Whether this process takes new work.
+    pub ready: Gauge,
+    breaches: Family<RuleLabel, Gauge<f64, AtomicU64>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("scalewood"),
+            offered: Family::default(),
+            attained: Family::default(),
+            goodput: Family::default(),
+            wasted: Family::default(),
+            ended: Family::default(),
+            first: Family::new_with_constructor(seconds),
+            between: Family::new_with_constructor(seconds),
+            waiting: Family::default(),
+            running: Family::default(),
+            policy_failures: Counter::default(),
+            revision: Gauge::default(),
+            ready: Gauge::default(),
+            breaches: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "requests_offered",
+            "Requests that arrived",
+            self.offered.clone(),
+        );
+        r.register(
+            "requests_attained",
+            "First token within target",
+            self.attained.clone(),
+        );
+        r.register(
+            "goodput_tokens",
+            "Tokens of whole answers in time",
+            self.goodput.clone(),
+        );
+        r.register(
+            "wasted_tokens",
+            "Tokens lost or processed again",
+            self.wasted.clone(),
+        );
+        r.register(
+            "requests_ended",
+            "Requests by how they ended",
+            self.ended.clone(),
+        );
+        r.register(
+            "first_token_seconds",
+            "Arrival to first token",
+            self.first.clone(),
+        );
+        r.register(
+            "between_tokens_seconds",
+            "Between two tokens",
+            self.between.clone(),
+        );
+        r.register(
+            "requests_waiting",
+            "Waiting at dispatchers here",
+            self.waiting.clone(),
+        );
+        r.register(
+            "slots_granted",
+            "Slots granted by dispatchers here",
+            self.running.clone(),
+        );
+        r.register(
+            "policy_failures",
+            "Policy programs that failed",
+            self.policy_failures.clone(),
+        );
+        r.register(
+            "config_revision",
+            "Revision in force here",
+            self.revision.clone(),
+        );
+        r.register("ready", "Whether new work is taken", self.ready.clone());
+        r.register(
+            "invariant_breaches",
+            "Invariants that were broken",
+            self.breaches.clone(),
+        );
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        for rule in invariant::Rule::ALL {
+            // Breaches are few, so the cast is exact.
+            let count = invariant::breaches(*rule) as f64;
+            self.breaches
+                .get_or_create(&RuleLabel {
+                    rule: rule.as_str(),
+                })
+                .set(count);
+        }
+        let mut out = String::new();
+        // Writing to a string can't fail.
+        let _ = text::encode(&mut out, &self.registry);
+        out
+    }
+}
--- /dev/null
+++ b/src/scalewood/util/settings.rs
@@ -0,0 +1,394 @@
+//! Reading settings: JSON with comments, one file for each process.
+//!
+//! A [`Reader`] takes the known keys out of an object one by one and notes every
+//! problem with its line; what is left over at the end is unknown. So an operator
+//! gets all that is wrong with a file at once, and what to write instead.
+
+use std::{fmt, path::Path, str::FromStr, time::Duration};
+
+use jsonc_parser::{ast, common::Ranged as _};
+
+use crate::core::unit;
+
+/// Something wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The line, from 1.
+    pub line: usize,
+    /// The key's path, like `listen.callers`.
+    pub path: String,
+    /// What is wrong.
+    pub why: String,
+    /// What to write instead.
+    pub instead: String,
+}
+
+/// All that is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    file: String,
+    problems: Vec<Problem>,
+}
+
+impl Error {
+    /// The problems, in the order of their lines.
+    pub fn problems(&self) -> &[Problem] {
+        &self.problems
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the settings can't be used")?;
+        for Problem {
+            line,
+            path,
+            why,
+            instead,
+        } in &self.problems
+        {
+            write!(
+                f,
+                "\n  {}:{line}: `{path}`: {why}\n      write {instead}",
+                self.file
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Settings that can be read from an object.
+pub trait Settings: Sized {
+    /// Takes the settings' keys out of the reader.
+    fn read(reader: &mut Reader<'_>) -> Self;
+}
+
+/// Reads settings from a file.
+///
+/// # Errors
+///
+/// Fails with all problems of the file.
+pub fn load<S: Settings>(path: &Path) -> Result<S, Error> {
+    let file = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => parse(&file, &text),
+        Err(error) => Err(Error {
+            file,
+            problems: vec![Problem {
+                line: 1,
+                path: "(file)".into(),
+                why: format!("it can't be read: {error}"),
+                instead: "a readable file, and name it with --settings".into(),
+            }],
+        }),
+    }
+}
+
+/// Reads settings from a text; `file` is its name in problems.
+///
+/// # Errors
+///
+/// Fails with all problems of the text.
+pub fn parse<S: Settings>(file: &str, text: &str) -> Result<S, Error> {
+    let fail = |problems| Error {
+        file: file.to_owned(),
+        problems,
+    };
+    let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &Default::default());
+    let parsed = parsed.map_err(|error| {
+        let line = line_of(text, error.range().start);
+        fail(vec![Problem {
+            line,
+            path: "(file)".into(),
+            why: format!("it is not JSON with comments: {}", error.kind()),
+            instead: "an object like { \"key\": value }".into(),
+        }])
+    })?;
+    let Some(ast::Value::Object(object)) = parsed.value else {
+        return Err(fail(vec![Problem {
+            line: 1,
+            path: "(file)".into(),
+            why: "it holds no object".into(),
+            instead: "an object like { \"key\": value }".into(),
+        }]));
+    };
+    let mut problems = Vec::new();
+    let mut reader = Reader::new(text, String::new(), object, &mut problems);
+    let settings = S::read(&mut reader);
+    reader.finish();
+    if problems.is_empty() {
+        return Ok(settings);
+    }
+    problems.sort_by_key(|problem| problem.line);
+    Err(fail(problems))
+}
+
+fn line_of(text: &str, offset: usize) -> usize {
+    1 + text
+        .bytes()
+        .take(offset)
+        .filter(|byte| *byte == b'\n')
+        .count()
+}
+
+/// Takes known keys out of an object and notes problems.
+pub struct Reader<'a> {
+    text: &'a str,
+    path: String,
+    line: usize,
+    properties: Vec<ast::ObjectProp<'a>>,
+    known: Vec<&'static str>,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl fmt::Debug for Reader<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Reader({})", self.path)
+    }
+}
+
+impl<'a> Reader<'a> {
+    fn new(
+        text: &'a str,
+        path: String,
+        object: ast::Object<'a>,
+        problems: &'a mut Vec<Problem>,
+    ) -> Self {
+        let line = line_of(text, object.range.start);
+        Self {
+            text,
+            path,
+            line,
+            properties: object.properties,
+            known: Vec::new(),
+            problems,
+        }
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+
+    fn take(&mut self, key: &'static str) -> Option<(usize, ast::Value<'a>)> {
+        self.known.push(key);
+        let index = self
+            .properties
+            .iter()
+            .position(|p| p.name.as_str() == key)?;
+        let property = self.properties.remove(index);
+        Some((line_of(self.text, property.range.start), property.value))
+    }
+
+    /// Notes a problem with a key, at the line of the object.
+    pub fn problem(&mut self, key: &str, why: impl Into<String>, instead: impl Into<String>) {
+        let path = self.path_of(key);
+        let line = self.line;
+        self.problems.push(Problem {
+            line,
+            path,
+            why: why.into(),
+            instead: instead.into(),
+        });
+    }
+
+    fn problem_at(&mut self, line: usize, key: &str, why: String, instead: &str) {
+        let path = self.path_of(key);
+        self.problems.push(Problem {
+            line,
+            path,
+            why,
+            instead: instead.into(),
+        });
+    }
+
+    /// Takes a text that parses as `T`; `example` shows one.
+    pub fn parsed<T>(&mut self, key: &'static str, example: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let (line, value) = self.take(key)?;
+        let why = match value {
+            ast::Value::StringLit(text) => match text.value.parse() {
+                Ok(value) => return Some(value),
+                Err(error) => format!("{error}"),
+            },
+            _ => "it is not a text".into(),
+        };
+        self.problem_at(line, key, why, &format!("a text like \"{example}\""));
+        None
+    }
+
+    /// Takes a text that must be there and parse as `T`.
+    pub fn required<T>(&mut self, key: &'static str, example: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        if !self.properties.iter().any(|p| p.name.as_str() == key) {
+            self.known.push(key);
+            self.problem(key, "it is missing", format!("\"{key}\": \"{example}\""));
+            return None;
+        }
+        self.parsed(key, example)
+    }
+
+    /// Takes a duration with its unit, like `2s` or `500ms`.
+    pub fn duration(&mut self, key: &'static str, default: Duration) -> Duration {
+        let parsed: Option<Span> = self.parsed(key, "2s");
+        parsed.map_or(default, |span| span.0)
+    }
+
+    /// Takes a size with its unit, like `1MiB`.
+    pub fn size(&mut self, key: &'static str, default: unit::Size) -> unit::Size {
+        self.parsed(key, "1MiB").unwrap_or(default)
+    }
+
+    /// Takes a whole number.
+    pub fn number<T: FromStr>(&mut self, key: &'static str, default: T) -> T {
+        let Some((line, value)) = self.take(key) else {
+            return default;
+        };
+        if let ast::Value::NumberLit(number) = &value {
+            if let Ok(number) = number.value.parse() {
+                return number;
+            }
+        }
+        self.problem_at(
+            line,
+            key,
+            "it is not a whole number in range".into(),
+            "a number like 8",
+        );
+        default
+    }
+
+    /// Takes a list of objects, or nothing if there is none.
+    pub fn list<S: Settings>(&mut self, key: &'static str) -> Vec<S> {
+        let Some((line, value)) = self.take(key) else {
+            return Vec::new();
+        };
+        let ast::Value::Array(array) = value else {
+            self.problem_at(
+                line,
+                key,
+                "it is not a list".into(),
+                "a list like [{ ... }]",
+            );
+            return Vec::new();
+        };
+        let mut items = Vec::new();
+        for (i, element) in array.elements.into_iter().enumerate() {
+            let path = format!("{}[{i}]", self.path_of(key));
+            let line = line_of(self.text, element.range().start);
+            let ast::Value::Object(object) = element else {
+                self.problems.push(Problem {
+                    line,
+                    path,
+                    why: "it is not an object".into(),
+                    instead: "an object like { \"key\": value }".into(),
+                });
+                continue;
+            };
+            let mut reader = Reader::new(self.text, path, object, self.problems);
+            items.push(S::read(&mut reader));
+            reader.finish();
+        }
+        items
+    }
+
+    /// Takes an object, or the settings' defaults if there is none.
+    pub fn object<S: Settings + Default>(&mut self, key: &'static str) -> S {
+        let Some((line, value)) = self.take(key) else {
+            return S::default();
+        };
+        let ast::Value::Object(object) = value else {
+            self.problem_at(
+                line,
+                key,
+                "it is not an object".into(),
+                "{ \"key\": value }",
+            );
+            return S::default();
+        };
+        let path = self.path_of(key);
+        let mut reader = Reader::new(self.text, path, object, self.problems);
+        let settings = S::read(&mut reader);
+        reader.finish();
+        settings
+    }
+
+    /// Notes the keys that nobody took.
+    fn finish(mut self) {
+        for property in std::mem::take(&mut self.properties) {
+            let key = property.name.as_str().to_owned();
+            let line = line_of(self.text, property.range.start);
+            let taken = self.known.contains(&key.as_str());
+            let why = if taken {
+                "it stands here twice"
+            } else {
+                "it is not a known key"
+            };
+            let instead = match nearest(&key, &self.known) {
+                Some(known) if !taken => format!("`{known}`, or leave it out"),
+                _ if taken => "it once".to_owned(),
+                _ => format!("one of {}", self.known.join(", ")),
+            };
+            self.problem_at(line, &key, why.into(), &instead);
+        }
+    }
+}
+
+/// A duration as settings write it.
+struct Span(Duration);
+
+/// The units of a duration, in the order in which a suffix is looked for.
+const UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1000), ("m", 60_000), ("h", 3_600_000)];
+
+impl FromStr for Span {
+    type Err = unit::Error;
+
+    fn from_str(text: &str) -> Result<Self, unit::Error> {
+        let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+        let suffix = &text[digits.len()..];
+        let unit = UNITS.iter().find(|(name, _)| *name == suffix);
+        let count: Option<u64> = digits.trim_end().parse().ok();
+        let millis = unit
+            .zip(count)
+            .and_then(|((_, factor), count)| count.checked_mul(*factor));
+        let millis = millis.ok_or_else(unit::Error::duration)?;
+        Ok(Self(Duration::from_millis(millis)))
+    }
+}
+
+/// The known key that differs least, if it differs little.
+fn nearest(key: &str, known: &[&'static str]) -> Option<&'static str> {
+    /// The most edits between a misspelt key and the known one.
+    const MOST: usize = 3;
+    let scored = known.iter().map(|k| (distance(key, k), *k));
+    scored
+        .filter(|(d, k)| *d <= MOST && *d < k.len())
+        .min()
+        .map(|(_, k)| k)
+}
+
+/// The number of single-letter edits between two texts (Levenshtein).
+fn distance(a: &str, b: &str) -> usize {
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, x) in a.bytes().enumerate() {
+        let mut corner = row[0];
+        row[0] = i + 1;
+        for (j, y) in b.bytes().enumerate() {
+            let replaced = corner + usize::from(x != y);
+            corner = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(corner + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/src/scalewood/util/signal.rs
@@ -0,0 +1,18 @@
+//! The signals that ask a process to stop.
+
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Waits until the process is asked to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails if the signals can't be listened for.
+pub async fn stop() -> std::io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/scalewood/wire/admin.rs
@@ -0,0 +1,58 @@
+//! The administration API's bodies: JSON over HTTP under `/admin/v1`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{agree, audit, change, config, unit, verdict};
+
+/// The prefix of all paths.
+pub const PREFIX: &str = "/admin/v1";
+
+/// The configuration in force.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Config {
+    /// Its revision.
+    pub revision: unit::Revision,
+    /// The document.
+    pub document: config::Document,
+}
+
+/// The audit trail, the oldest record first.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct History {
+    /// The records.
+    pub records: Vec<audit::Record>,
+}
+
+/// How an entry box stands.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BoxStatus {
+    /// What it last said.
+    pub beat: crate::wire::control::Beat,
+    /// How long ago it said so, in milliseconds.
+    pub age_ms: u64,
+    /// Whether it is at the revision in force.
+    pub current: bool,
+}
+
+/// How the system stands, as one voter sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// The voter.
+    pub voter: agree::Status,
+    /// The revision in force.
+    pub revision: unit::Revision,
+    /// The entry boxes that have reported here.
+    pub boxes: Vec<BoxStatus>,
+}
+
+/// What an operator sends to change the configuration.
+pub type Change = change::Change;
+
+/// An error's body.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Failure {
+    /// What failed, why, and what to do.
+    pub error: String,
+    /// Whether the request may have run.
+    pub verdict: verdict::Verdict,
+}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! The tests: a module for each feature, and a small support module.
+
+mod path;
+mod support;
--- /dev/null
+++ b/tests/testsuite/support/client.rs
@@ -0,0 +1,200 @@
+//! A caller: plain and streamed requests over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource as _;
+use futures_util::StreamExt as _;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{body::Incoming, client::conn::http1, HeaderMap, Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{json, Value};
+use tokio::net::TcpStream;
+
+/// How long any answer may take.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A connection that requests are sent over, one after another.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+}
+
+/// An answer, read to its end.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    pub(crate) fn verdict(&self) -> Option<&str> {
+        self.header("scalewood-verdict")
+    }
+}
+
+/// A streamed answer, read to its end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Streamed {
+    pub(crate) status: u16,
+    pub(crate) verdict: Option<String>,
+    pub(crate) text: String,
+    /// Whether the end mark came.
+    pub(crate) whole: bool,
+    /// The error event, if one came.
+    pub(crate) error: Option<Value>,
+    /// From sending to the first token.
+    pub(crate) first: Option<Duration>,
+    /// Times between two tokens.
+    pub(crate) between: Vec<Duration>,
+    /// All ids that the pieces had.
+    pub(crate) ids: Vec<String>,
+}
+
+impl Connection {
+    pub(crate) async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Self { sender, address })
+    }
+
+    pub(crate) async fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> std::io::Result<Response<Incoming>> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Full::new(body.into()))
+            .map_err(std::io::Error::other)?;
+        self.sender.ready().await.map_err(std::io::Error::other)?;
+        self.sender
+            .send_request(request)
+            .await
+            .map_err(std::io::Error::other)
+    }
+}
+
+/// Sends a request over a connection of its own and reads the answer.
+pub(crate) async fn ask(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> std::io::Result<Answer> {
+    let ask = async {
+        let mut connection = Connection::open(address).await?;
+        let response = connection.send(method, path, headers, body).await?;
+        let (parts, body) = response.into_parts();
+        let body = body
+            .collect()
+            .await
+            .map_err(std::io::Error::other)?
+            .to_bytes();
+        Ok(Answer {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body,
+        })
+    };
+    tokio::time::timeout(PATIENCE, ask)
+        .await
+        .map_err(std::io::Error::other)?
+}
+
+/// The body of a chat request.
+pub(crate) fn chat(model: &str, prompt: &str, stream: bool) -> String {
+    let messages = json!([{ "role": "user", "content": prompt }]);
+    json!({ "model": model, "messages": messages, "stream": stream }).to_string()
+}
+
+/// The bearer header's value.
+pub(crate) fn bearer(token: &str) -> String {
+    format!("Bearer {token}")
+}
+
+/// Streams a chat over a connection and reads it to its end or break.
+pub(crate) async fn stream(
+    connection: &mut Connection,
+    token: &str,
+    class: &str,
+    body: String,
+) -> std::io::Result<Streamed> {
+    let bearer = bearer(token);
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("scalewood-class", class),
+    ];
+    let sent = std::time::Instant::now();
+    let response = connection
+        .send("POST", "/v1/chat/completions", &headers, body)
+        .await?;
+    let mut streamed = Streamed {
+        status: response.status().as_u16(),
+        ..Streamed::default()
+    };
+    let verdict = response.headers().get("scalewood-verdict");
+    streamed.verdict = verdict.and_then(|v| v.to_str().ok()).map(str::to_owned);
+    if streamed.status != 200 {
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(std::io::Error::other)?;
+        streamed.error = serde_json::from_slice(&body.to_bytes()).ok();
+        return Ok(streamed);
+    }
+    let mut events = std::pin::pin!(response.into_body().into_data_stream().eventsource());
+    let mut last = sent;
+    while let Some(Ok(event)) = events.next().await {
+        if event.data == "[DONE]" {
+            streamed.whole = true;
+            continue;
+        }
+        let value: Value = serde_json::from_str(&event.data).unwrap_or(Value::Null);
+        if value.get("error").is_some() {
+            streamed.error = Some(value);
+            continue;
+        }
+        let text = value["choices"][0]["delta"]["content"]
+            .as_str()
+            .unwrap_or_default();
+        if text.is_empty() {
+            continue;
+        }
+        let now = std::time::Instant::now();
+        match streamed.first {
+            None => streamed.first = Some(now - sent),
+            Some(_) => streamed.between.push(now - last),
+        }
+        last = now;
+        streamed.text.push_str(text);
+        streamed.ids.extend(value["id"].as_str().map(str::to_owned));
+    }
+    Ok(streamed)
+}
--- /dev/null
+++ b/tests/testsuite/support/deploy.rs
@@ -0,0 +1,638 @@
+//! A deployment of real processes on loopback.
+//!
+//! Each deployment has an address of its own in 127.0.0.0/8, so that ports never
+//! clash. Only the test or the demonstration starts processes; they start none.
+
+use std::{
+    fs,
+    io::Write as _,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use scalewood::{
+    core::{
+        change::{Answer, Edit, Item},
+        config, secret, unit,
+    },
+    ops::operate,
+};
+
+use super::client;
+
+/// The operator's token.
+pub(crate) const OPERATOR: &str = "operator-token";
+/// The token of the team `shop`.
+pub(crate) const TEAM: &str = "team-token";
+/// The model that is served.
+pub(crate) const MODEL: &str = "catalogue";
+
+/// How long anything that is waited for may take.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The folder of the built programs.
+pub(crate) fn programs() -> PathBuf {
+    let mut path = std::env::current_exe().expect("the program has a path");
+    path.pop();
+    if !path.join("scalewood-entry").exists() {
+        path.pop();
+    }
+    path
+}
+
+/// A process; it is killed when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program with its log in a file.
+    pub(crate) fn start(name: &str, program: &str, args: &[String], dir: &Path) -> Self {
+        let log = fs::File::options()
+            .append(true)
+            .create(true)
+            .open(dir.join(format!("{name}.log")));
+        let child = Command::new(programs().join(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.expect("a log file can be made"))
+            .spawn()
+            .unwrap_or_else(|e| {
+                panic!("{program} can't be started: {e}; build it with `cargo build --bins`")
+            });
+        Self {
+            name: name.to_owned(),
+            child,
+        }
+    }
+
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by name, like `STOP`.
+    pub(crate) fn signal(&self, signal: &str) {
+        let sent = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(self.id().to_string())
+            .status();
+        assert!(
+            sent.is_ok_and(|status| status.success()),
+            "{} is gone",
+            self.name
+        );
+    }
+
+    /// Kills the process and waits until it is gone.
+    pub(crate) fn kill(mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop; returns whether it ended well in time.
+    pub(crate) fn stop(mut self, within: Duration) -> bool {
+        self.signal("TERM");
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
+    /// Whether the process still runs.
+    pub(crate) fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What is to be deployed.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) voters: usize,
+    /// Entry boxes in each zone; the number of entries is the number of zones.
+    pub(crate) boxes: Vec<usize>,
+    /// Model engines in each zone.
+    pub(crate) engines: usize,
+    /// Replicas of the plain service in each zone.
+    pub(crate) replicas: usize,
+    pub(crate) slots: u32,
+    pub(crate) first_us: u64,
+    pub(crate) token_us: u64,
+    /// How long claimed keys are remembered.
+    pub(crate) retention: &'static str,
+    /// How long callers are taken after a signal to stop.
+    pub(crate) grace: &'static str,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            voters: 1,
+            boxes: vec![1, 1],
+            engines: 1,
+            replicas: 1,
+            slots: 4,
+            first_us: 5000,
+            token_us: 2000,
+            retention: "2s",
+            grace: "200ms",
+        }
+    }
+}
+
+/// An entry box.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) name: String,
+    pub(crate) zone: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) listen: SocketAddr,
+    pub(crate) health: SocketAddr,
+    pub(crate) process: Option<Process>,
+}
+
+/// A stand-in endpoint.
+#[derive(Debug)]
+pub(crate) struct Standin {
+    pub(crate) name: String,
+    pub(crate) zone: String,
+    pub(crate) model: bool,
+    pub(crate) address: SocketAddr,
+    pub(crate) record: PathBuf,
+    pub(crate) process: Option<Process>,
+}
+
+/// A voter.
+#[derive(Debug)]
+pub(crate) struct Voter {
+    pub(crate) name: String,
+    pub(crate) listen: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) data: PathBuf,
+    pub(crate) process: Option<Process>,
+}
+
+/// Processes that run.
+#[derive(Debug)]
+pub(crate) struct Deployment {
+    pub(crate) plan: Plan,
+    pub(crate) dir: PathBuf,
+    pub(crate) voters: Vec<Voter>,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) standins: Vec<Standin>,
+    host: IpAddr,
+}
+
+static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
+
+/// An address of 127.0.0.0/8 that no other deployment of this machine uses.
+fn own_host() -> IpAddr {
+    let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+    let mixed = std::process::id()
+        .wrapping_mul(2_654_435_761)
+        .wrapping_add(number.wrapping_mul(97));
+    let [_, a, b, c] = mixed.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, a.max(1), b, c.clamp(1, 254)))
+}
+
+impl Deployment {
+    /// Starts everything and waits until it is ready.
+    pub(crate) async fn start(plan: Plan, dir: &Path) -> Self {
+        let mut deployment = Self::prepare(plan, dir);
+        for i in 0..deployment.standins.len() {
+            deployment.start_standin(i);
+        }
+        deployment.init_voters().await;
+        let answer = deployment
+            .apply(deployment.first_edits(), "first configuration")
+            .await;
+        assert!(matches!(answer, Answer::Accepted { .. }), "{answer:?}");
+        for i in 0..deployment.entries.len() {
+            deployment.start_entry(i);
+        }
+        deployment.wait_ready().await;
+        deployment
+    }
+
+    fn prepare(plan: Plan, dir: &Path) -> Self {
+        let host = own_host();
+        let address = |port: usize| SocketAddr::new(host, u16::try_from(port).expect("a port"));
+        let voters = (0..plan.voters).map(|i| Voter {
+            name: format!("c{i}"),
+            listen: address(7000 + 2 * i),
+            admin: address(7001 + 2 * i),
+            data: dir.join(format!("c{i}.data")),
+            process: None,
+        });
+        let mut entries = Vec::new();
+        let mut standins = Vec::new();
+        for (z, boxes) in plan.boxes.iter().enumerate() {
+            let zone = format!("zone{z}");
+            for b in 0..*boxes {
+                let port = 8000 + 100 * z + 3 * b;
+                entries.push(Entry {
+                    name: format!("e{z}{b}"),
+                    zone: zone.clone(),
+                    callers: address(port),
+                    listen: address(port + 1),
+                    health: address(port + 2),
+                    process: None,
+                });
+            }
+            for i in 0..plan.engines + plan.replicas {
+                let model = i < plan.engines;
+                let name = format!("{}{z}{i}", if model { "m" } else { "p" });
+                standins.push(Standin {
+                    record: dir.join(format!("{name}.runs")),
+                    name,
+                    zone: zone.clone(),
+                    model,
+                    address: address(9000 + 100 * z + i),
+                    process: None,
+                });
+            }
+        }
+        let voters = voters.collect();
+        Self {
+            plan,
+            dir: dir.to_owned(),
+            voters,
+            entries,
+            standins,
+            host,
+        }
+    }
+
+    /// An address of this deployment with a port.
+    pub(crate) fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.host, port)
+    }
+
+    /// The settings of a voter.
+    pub(crate) fn voter_settings(&self, i: usize) -> PathBuf {
+        let Voter {
+            name,
+            listen,
+            admin,
+            data,
+            ..
+        } = &self.voters[i];
+        let hash = secret::Hash::of(OPERATOR);
+        let text = format!(
+            "// Made by the test support.\n{{\n  \"box\": \"{name}\",\n  \"listen\": \"{listen}\",\n  \
+             \"admin\": \"{admin}\",\n  \"data\": \"{}\",\n  \"operators\": [\n    \
+             {{ \"name\": \"nara\", \"token_hash\": \"{hash}\" }},\n  ],\n}}\n",
+            data.display()
+        );
+        self.write(&format!("{name}.json"), &text)
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.dir.join(name);
+        let mut file = fs::File::create(&path).expect("a settings file can be made");
+        file.write_all(text.as_bytes())
+            .expect("a settings file can be written");
+        path
+    }
+
+    /// Runs a one-off command of the control program; returns what it prints.
+    pub(crate) fn control(&self, command: &str, i: usize) -> Result<String, String> {
+        let output = Command::new(programs().join("scalewood-control"))
+            .args([command, "--settings"])
+            .arg(self.voter_settings(i))
+            .output()
+            .expect("scalewood-control can be run");
+        if output.status.success() {
+            return Ok(String::from_utf8_lossy(&output.stdout).trim().to_owned());
+        }
+        Err(String::from_utf8_lossy(&output.stderr).into_owned())
+    }
+
+    async fn init_voters(&mut self) {
+        self.control("init", 0)
+            .expect("the first voter can be initialised");
+        self.start_voter(0);
+        self.wait_admin(0).await;
+        for i in 1..self.voters.len() {
+            self.add_voter(i).await;
+        }
+    }
+
+    /// Initialises a voter's empty folder, starts it and has it join.
+    pub(crate) async fn add_voter(&mut self, i: usize) -> String {
+        let node = self.control("join", i).expect("a voter can be initialised");
+        self.start_voter(i);
+        let (name, identity) = node
+            .split_once('/')
+            .expect("a node is a box and an identity");
+        let node = scalewood::core::agree::Node {
+            name: name.parse().expect("a valid name"),
+            identity: identity.parse().expect("a valid identity"),
+        };
+        let request =
+            scalewood::core::agree::MembersRequest::Add(node.clone(), self.voters[i].listen);
+        let until = Instant::now() + PATIENCE;
+        let mut asked = false;
+        loop {
+            asked = asked || self.operator().members(&request).await.is_ok();
+            let status = self.operator().status().await;
+            if status.is_ok_and(|status| status.voter.members.is_voter(&node)) {
+                return format!("{node}");
+            }
+            assert!(Instant::now() < until, "{node} does not become a voter");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub(crate) fn start_voter(&mut self, i: usize) {
+        let settings = self.voter_settings(i).display().to_string();
+        let args = ["run".to_owned(), "--settings".to_owned(), settings];
+        let name = self.voters[i].name.clone();
+        self.voters[i].process = Some(Process::start(&name, "scalewood-control", &args, &self.dir));
+    }
+
+    pub(crate) fn start_entry(&mut self, i: usize) {
+        let settings = self.entry_settings(i).display().to_string();
+        let args = ["--settings".to_owned(), settings];
+        let name = self.entries[i].name.clone();
+        self.entries[i].process = Some(Process::start(&name, "scalewood-entry", &args, &self.dir));
+    }
+
+    fn entry_settings(&self, i: usize) -> PathBuf {
+        let Entry {
+            name,
+            zone,
+            callers,
+            listen,
+            health,
+            ..
+        } = &self.entries[i];
+        let voters = self
+            .voters
+            .iter()
+            .map(|v| format!("{{ \"address\": \"{}\" }}", v.listen));
+        let voters = voters.collect::<Vec<_>>().join(", ");
+        let Plan {
+            retention, grace, ..
+        } = &self.plan;
+        let text = format!(
+            "{{\n  \"box\": \"{name}\",\n  \"zone\": \"{zone}\",\n  \"callers\": \"{callers}\",\n  \
+             \"listen\": \"{listen}\",\n  \"health\": \"{health}\",\n  \"voters\": [{voters}],\n  \
+             \"claim_retention\": \"{retention}\",\n  \"stop_grace\": \"{grace}\",\n  \
+             \"limits\": {{ \"silence\": \"3s\", \"arrival\": \"1s\", \"body\": \"64KiB\" }},\n}}\n"
+        );
+        self.write(&format!("{name}.json"), &text)
+    }
+
+    pub(crate) fn start_standin(&mut self, i: usize) {
+        let Standin {
+            name,
+            model,
+            address,
+            record,
+            ..
+        } = &self.standins[i];
+        let Plan {
+            slots,
+            first_us,
+            token_us,
+            ..
+        } = &self.plan;
+        let args = [
+            format!("--kind={}", if *model { "model" } else { "plain" }),
+            format!("--listen={address}"),
+            format!("--slots={slots}"),
+            format!("--first-us={first_us}"),
+            format!("--token-us={token_us}"),
+            format!("--record={}", record.display()),
+        ];
+        let name = name.clone();
+        self.standins[i].process =
+            Some(Process::start(&name, "scalewood-standin", &args, &self.dir));
+    }
+
+    /// The edits of the first configuration: one model service with three tiers, one
+    /// plain service with repeatable and other calls, one team that may use all.
+    pub(crate) fn first_edits(&self) -> Vec<Edit> {
+        let mut edits = Vec::new();
+        for entry in &self.entries {
+            let item = config::Box {
+                zone: entry.zone.parse().expect("a zone"),
+                address: entry.listen,
+            };
+            edits.push(Edit::Set(Item::Box(
+                entry.name.parse().expect("a box"),
+                item,
+            )));
+        }
+        edits.extend(service_edits());
+        for standin in &self.standins {
+            let item = config::Endpoint {
+                service: if standin.model { "lm" } else { "stock" }
+                    .parse()
+                    .expect("a service"),
+                zone: standin.zone.parse().expect("a zone"),
+                address: standin.address,
+                slots: unit::Slots(self.plan.slots),
+                leaving: false,
+            };
+            edits.push(Edit::Set(Item::Endpoint(
+                standin.name.parse().expect("a name"),
+                item,
+            )));
+        }
+        edits
+    }
+
+    /// A client of the administration API.
+    pub(crate) fn operator(&self) -> operate::Client {
+        let running = self.voters.iter().filter(|voter| voter.process.is_some());
+        operate::Client::new(running.map(|voter| voter.admin).collect(), OPERATOR.into())
+    }
+
+    /// Makes a change against the revision in force.
+    pub(crate) async fn apply(&self, edits: Vec<Edit>, why: &str) -> Answer {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let client = self.operator();
+            if let Ok(config) = client.config().await {
+                let change = operate::new_change(config.revision, why.into(), edits.clone());
+                if let Ok(answer) = client.change(&change).await {
+                    return answer;
+                }
+            }
+            assert!(Instant::now() < until, "no change can be made: {why}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub(crate) async fn wait_admin(&self, i: usize) {
+        let admin = self.voters[i].admin;
+        wait("a voter answers", || async move {
+            client::ask(admin, "GET", "/healthz", &[], "").await.is_ok()
+        })
+        .await;
+    }
+
+    /// Waits until each entry box that runs is ready and its claims are settled.
+    pub(crate) async fn wait_ready(&self) {
+        for entry in self.entries.iter().filter(|entry| entry.process.is_some()) {
+            let health = entry.health;
+            wait(&format!("{} is ready", entry.name), || async move {
+                client::ask(health, "GET", "/readyz", &[], "")
+                    .await
+                    .is_ok_and(|a| a.status == 200)
+            })
+            .await;
+        }
+        for entry in self.entries.iter().filter(|entry| entry.process.is_some()) {
+            let callers = entry.callers;
+            wait(&format!("{} serves", entry.name), || async move {
+                let bearer = client::bearer(TEAM);
+                let headers = [("authorization", bearer.as_str())];
+                let body = client::chat(MODEL, "warm up len=1", false);
+                let answer = client::ask(callers, "POST", "/v1/chat/completions", &headers, body);
+                answer.await.is_ok_and(|answer| answer.status == 200)
+            })
+            .await;
+        }
+    }
+
+    /// Sets a stand-in's faults.
+    pub(crate) async fn faults(&self, i: usize, faults: serde_json::Value) {
+        let address = self.standins[i].address;
+        let answer = client::ask(address, "POST", "/standin/faults", &[], faults.to_string()).await;
+        assert_eq!(answer.expect("the stand-in answers").status, 200);
+    }
+
+    /// What ran at a stand-in, also before it was killed.
+    pub(crate) fn runs(&self, i: usize) -> Vec<serde_json::Value> {
+        let text = fs::read_to_string(&self.standins[i].record).unwrap_or_default();
+        text.lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    /// The indexes of the stand-ins of a kind.
+    pub(crate) fn standins_of(&self, model: bool) -> Vec<usize> {
+        (0..self.standins.len())
+            .filter(|i| self.standins[*i].model == model)
+            .collect()
+    }
+
+    /// A metric of an entry box: the sum over the lines that begin so.
+    pub(crate) async fn metric(&self, entry: usize, begin: &str) -> f64 {
+        let answer = client::ask(self.entries[entry].health, "GET", "/metrics", &[], "").await;
+        let text = answer.map(|answer| answer.body).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let lines = text.lines().filter(|line| line.starts_with(begin));
+        lines
+            .filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok())
+            .sum()
+    }
+
+    /// Asks all processes to stop; returns the names of those that did not end well.
+    pub(crate) fn stop(&mut self, within: Duration) -> Vec<String> {
+        let entries = self
+            .entries
+            .iter_mut()
+            .filter_map(|entry| entry.process.take());
+        let voters = self
+            .voters
+            .iter_mut()
+            .filter_map(|voter| voter.process.take());
+        let processes: Vec<_> = entries.chain(voters).collect();
+        processes
+            .into_iter()
+            .filter_map(|process| {
+                let name = process.name.clone();
+                (!process.stop(within)).then_some(name)
+            })
+            .collect()
+    }
+}
+
+fn service_edits() -> Vec<Edit> {
+    let service = |name: &str, kind, models: &[&str]| {
+        let models = models.iter().map(|m| m.parse().expect("a model")).collect();
+        let item = config::Service { kind, models };
+        Edit::Set(Item::Service(name.parse().expect("a service"), item))
+    };
+    let class = |key: &str, item| Edit::Set(Item::Class(key.parse().expect("a class"), item));
+    let share = |value: f64| unit::Share::try_from(value).expect("a share");
+    let counter = config::Class {
+        tier: unit::Tier(0),
+        target: Duration::from_millis(950),
+        deadline: Duration::from_secs(10),
+        ..config::Class::default()
+    };
+    let report = config::Class {
+        tier: unit::Tier(1),
+        preemptible: true,
+        ..counter.clone()
+    };
+    let bulk = config::Class {
+        tier: unit::Tier(4),
+        target: Duration::from_secs(30),
+        deadline: Duration::from_secs(60),
+        share: share(0.05),
+        preemptible: true,
+        repeatable: true,
+    };
+    let record = config::Class {
+        repeatable: false,
+        ..counter.clone()
+    };
+    let classes = [
+        "lm/counter",
+        "lm/report",
+        "lm/bulk",
+        "stock/lookup",
+        "stock/record",
+    ];
+    let team = config::Team {
+        token_hash: secret::Hash::of(TEAM),
+        classes: classes.map(|key| key.parse().expect("a class")).to_vec(),
+        requests: None,
+        tokens: None,
+    };
+    vec![
+        service("lm", config::Kind::Model, &[MODEL]),
+        service("stock", config::Kind::Plain, &[]),
+        class("lm/counter", counter.clone()),
+        class("lm/report", report),
+        class("lm/bulk", bulk),
+        class("stock/lookup", counter),
+        class("stock/record", record),
+        Edit::Set(Item::Team("shop".parse().expect("a team"), team)),
+    ]
+}
+
+/// Waits until something holds.
+pub(crate) async fn wait<F, R>(what: &str, holds: F)
+where
+    F: Fn() -> R,
+    R: std::future::Future<Output = bool>,
+{
+    let until = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < until, "waited in vain until {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tests/testsuite/support/mod.rs
@@ -0,0 +1,6 @@
+//! Starting a deployment of real processes on loopback, and asking it.
+//!
+//! The demonstration and the benchmarks use these modules too.
+
+pub(crate) mod client;
+pub(crate) mod deploy;
