The frame of a product: command line, settings, events, bad input, planned stop

One fault found: an unknown administration path answered 405 in place of 404, since the method was matched before the path; bad_bodies_get_clear_errors failed first, and passes with the order turned round.

--- a/src/scalewood/ops/control/admin.rs
+++ b/src/scalewood/ops/control/admin.rs
@@ -67,18 +67,10 @@
     let with = warp::any().map(move || admin.clone());
     let known = authorised(operators, log);
     let path = warp::path("admin").and(warp::path("v1"));
-    let get = |name: &'static str| {
-        warp::get()
-            .and(path)
-            .and(warp::path(name))
-            .and(warp::path::end())
-    };
-    let post = |name: &'static str| {
-        warp::post()
-            .and(path)
-            .and(warp::path(name))
-            .and(warp::path::end())
-    };
+    let at = |name: &'static str| path.and(warp::path(name)).and(warp::path::end());
+    // The path goes before the method, so that an unknown path is told as such.
+    let get = |name: &'static str| at(name).and(warp::get());
+    let post = |name: &'static str| at(name).and(warp::post());
     let body = warp::body::content_length_limit(MAX_BODY).and(warp::body::bytes());
     let health = warp::get()
         .and(warp::path("healthz"))
--- /dev/null
+++ b/tests/testsuite/admin.rs
@@ -0,0 +1,222 @@
+//! The administration API: tokens, races, resends, the audit trail.
+
+use scalewood::{
+    core::{
+        change::{Answer, Change, Edit, Item, Key},
+        config, unit,
+    },
+    ops::operate,
+};
+
+use crate::support::{client, deploy};
+
+fn only_control() -> deploy::Plan {
+    deploy::Plan {
+        boxes: vec![],
+        ..deploy::Plan::default()
+    }
+}
+
+fn set_service(name: &str) -> Edit {
+    let item = config::Service {
+        kind: config::Kind::Plain,
+        ..config::Service::default()
+    };
+    Edit::Set(Item::Service(name.parse().unwrap(), item))
+}
+
+fn change(id: &str, base: u64, edit: Edit) -> Change {
+    Change {
+        id: id.parse().unwrap(),
+        base: unit::Revision(base),
+        why: "a test".into(),
+        edits: vec![edit],
+    }
+}
+
+fn accepted(revision: u64) -> Answer {
+    Answer::Accepted {
+        revision: unit::Revision(revision),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wrong_or_missing_token_changes_nothing_and_is_logged() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut deployment = deploy::Deployment::start(only_control(), dir.path()).await;
+    let admin = deployment.voters[0].admin;
+    let body = serde_json::to_string(&change("evil", 1, set_service("evil"))).unwrap();
+    for headers in [
+        &[][..],
+        &[("authorization", "Bearer guess")],
+        &[("authorization", "operator-token")],
+    ] {
+        let answer = client::ask(admin, "POST", "/admin/v1/changes", headers, body.clone())
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 401);
+        assert_eq!(answer.json()["verdict"], "not-run");
+        let answer = client::ask(admin, "GET", "/admin/v1/config", headers, "")
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 401);
+    }
+    let config = deployment.operator().config().await.unwrap();
+    assert_eq!(config.revision, unit::Revision(1));
+    assert!(deployment
+        .stop(std::time::Duration::from_secs(10))
+        .is_empty());
+    let log = std::fs::read_to_string(dir.path().join("c0.log")).unwrap();
+    assert!(log.contains("\"event\":2103"), "{log}");
+    for secret in [deploy::OPERATOR, deploy::TEAM, "guess"] {
+        assert!(!log.contains(secret), "the log holds the secret {secret}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_under_one_number_one_is_accepted() {
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = deploy::Deployment::start(only_control(), dir.path()).await;
+    let client = deployment.operator();
+    for round in 1..=10 {
+        let one = change(
+            &format!("one-{round}"),
+            round,
+            set_service(&format!("one-{round}")),
+        );
+        let two = change(
+            &format!("two-{round}"),
+            round,
+            set_service(&format!("two-{round}")),
+        );
+        let (one, two) = tokio::join!(client.change(&one), client.change(&two));
+        let answers = [one.unwrap(), two.unwrap()];
+        let wins = answers
+            .iter()
+            .filter(|answer| **answer == accepted(round + 1))
+            .count();
+        assert_eq!(wins, 1, "{answers:?}");
+    }
+    let history = client.history().await.unwrap().records;
+    let revisions: Vec<_> = history.iter().map(|record| record.revision.0).collect();
+    assert_eq!(revisions, (1..=11).collect::<Vec<_>>());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_gets_the_first_answer_also_after_a_restart() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut deployment = deploy::Deployment::start(only_control(), dir.path()).await;
+    let first = change("first", 1, set_service("a"));
+    let ahead = change("ahead", 3, set_service("b"));
+    let client = deployment.operator();
+    assert_eq!(client.change(&first).await.unwrap(), accepted(2));
+    let refused = client.change(&ahead).await.unwrap();
+    assert!(matches!(refused, Answer::NotApplied { .. }), "{refused:?}");
+    deployment.voters[0].process.take().unwrap().kill();
+    deployment.start_voter(0);
+    deployment.wait_admin(0).await;
+    deploy::wait("the voter leads", || async {
+        client
+            .status()
+            .await
+            .is_ok_and(|status| status.voter.leader.is_some())
+    })
+    .await;
+    assert_eq!(client.change(&first).await.unwrap(), accepted(2));
+    // Told `not applied`, it stays so, also once its base has come.
+    assert_eq!(
+        client
+            .change(&change("second", 2, set_service("c")))
+            .await
+            .unwrap(),
+        accepted(3)
+    );
+    assert_eq!(client.change(&ahead).await.unwrap(), refused);
+    // The same id for something else is refused.
+    let other = client
+        .change(&change("first", 3, set_service("z")))
+        .await
+        .unwrap();
+    assert!(matches!(other, Answer::NotApplied { .. }), "{other:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_can_not_stand_is_refused_whole_with_all_reasons() {
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = deploy::Deployment::start(only_control(), dir.path()).await;
+    let client = deployment.operator();
+    let class = config::Class {
+        tier: unit::Tier(99),
+        ..config::Class::default()
+    };
+    let policy = config::Policy {
+        service: "lm".parse().unwrap(),
+        program: "#{ class: \"nobody\" }".into(),
+    };
+    let edits = vec![
+        Edit::Set(Item::Class("nothing/x".parse().unwrap(), class)),
+        Edit::Remove(Key::Endpoint("ghost".parse().unwrap())),
+        Edit::Set(Item::Policy("p".parse().unwrap(), policy)),
+        set_service("fine"),
+    ];
+    let change = operate::new_change(unit::Revision(1), "a test".into(), edits);
+    let Answer::NotApplied { why, .. } = client.change(&change).await.unwrap() else {
+        panic!("it was accepted");
+    };
+    insta::assert_snapshot!("refused_change", why.join("\n"));
+    assert_eq!(client.config().await.unwrap().revision, unit::Revision(1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_audit_trail_tells_who_when_what_and_why_without_secrets() {
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = deploy::Deployment::start(only_control(), dir.path()).await;
+    let answer = deployment
+        .apply(vec![set_service("parts")], "parts come in")
+        .await;
+    assert_eq!(answer, accepted(2));
+    let history = deployment.operator().history().await.unwrap().records;
+    let record = history.last().unwrap();
+    assert_eq!(record.operator.as_str(), "nara");
+    assert_eq!(record.why, "parts come in");
+    assert_eq!(record.base, unit::Revision(1));
+    assert!(record.at_unix_ms > 0);
+    assert_eq!(record.differences.len(), 1);
+    assert_eq!(record.differences[0].item, "service parts");
+    assert!(record.differences[0].before.is_none());
+    let whole = serde_json::to_string(&history).unwrap();
+    let hash = scalewood::core::secret::Hash::of(deploy::TEAM).to_string();
+    assert!(!whole.contains(&hash), "the trail holds a token's hash");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_bodies_get_clear_errors() {
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = deploy::Deployment::start(only_control(), dir.path()).await;
+    let admin = deployment.voters[0].admin;
+    let bearer = client::bearer(deploy::OPERATOR);
+    let headers = [("authorization", bearer.as_str())];
+    for (method, path, body, status) in [
+        ("POST", "/admin/v1/changes", "{", 400),
+        (
+            "POST",
+            "/admin/v1/changes",
+            "{\"id\":\"x\",\"base\":1}",
+            400,
+        ),
+        ("POST", "/admin/v1/voters", "{\"remove\":1}", 400),
+        ("GET", "/admin/v1/nothing", "", 404),
+        ("DELETE", "/admin/v1/config", "", 405),
+    ] {
+        let answer = client::ask(admin, method, path, &headers, body)
+            .await
+            .unwrap();
+        assert_eq!(answer.status, status, "{method} {path}");
+        assert!(
+            answer.json()["error"]
+                .as_str()
+                .is_some_and(|why| why.contains("; ")),
+            "{method} {path}"
+        );
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,10 @@
 //! The tests: a module for each feature, and a small support module.
 
+mod admin;
+mod callers;
+mod events;
+mod help;
 mod path;
+mod settings;
+mod stop;
 mod support;
