--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -37,6 +37,7 @@
 mod run;
 mod share;
 mod shed;
+pub mod spill;
 mod work;
 
 pub use endpoint::{Spec, View};
@@ -264,14 +265,9 @@
         if self.queue.contains(attempt) || self.runs.get(attempt).is_some() {
             return;
         }
-        let first = ask.hold.is_none();
         let class = self.class(&ask.class, ask.tier);
         let hold = ask.hold.unwrap_or_else(|| class.hold.mean()).as_secs_f64();
-        let lead = if first {
-            class.first.quantile(LEAD_QUANTILE)
-        } else {
-            class.first.mean()
-        };
+        let lead = class.first.quantile(LEAD_QUANTILE);
         class.flow.add(hold, now);
         // The arrival may lie before the clock's start, so ages are taken off last.
         let due = (now + ask.target).saturating_sub(ask.age + lead);
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -359,30 +359,18 @@
     tier: unit::Tier,
     target: Duration,
 ) -> name::Zone {
-    let own = board.own.zone.clone();
-    let has_endpoints = board
+    let own = &board.own.zone;
+    let served = board
         .view
         .load()
-        .endpoints(service, &own)
+        .endpoints(service, own)
         .any(|(_, e)| !e.leaving);
-    let wait = |load: &Load| {
-        load.summary
-            .waits
-            .get(&tier)
-            .copied()
-            .unwrap_or(Duration::ZERO)
-    };
-    let here = member::load_here(board, service).map_or(Duration::ZERO, |load| wait(&load));
-    if has_endpoints && here <= target {
-        return own;
-    }
+    let here = member::load_here(board, service);
     let abroad = member::loads_abroad(board, service);
-    let usable = abroad.into_iter().filter(|load| load.summary.slots > 0);
-    let best = usable.map(|load| (wait(&load), load.zone)).min();
-    match best {
-        Some((wait, zone)) if !has_endpoints || (wait <= target / 2 && wait < here / 2) => zone,
-        _ => own,
-    }
+    let abroad = abroad.iter().map(|load| (&load.zone, &load.summary));
+    let here = here.as_ref().map(|load| &load.summary);
+    let chosen = dispatch::spill::choose(here, served, abroad, tier, target);
+    chosen.unwrap_or(own).clone()
 }
 
 /// A new request identity.
