Slots kept free for higher tiers, and take-overs that lose no slot

Ruled out: order within the queue, spill. A reserve learnt from late starts keeps slots free.

Randomised runs of agreement, dispatchers, claims and membership (SCALEWOOD_SEED, SCALEWOOD_RUNS).

--- a/benches/decisions/ours.rs
+++ b/benches/decisions/ours.rs
@@ -49,6 +49,11 @@
     budget: retry::Budget,
 }
 
+/// The attempt of an order; the dispatchers here give no others.
+fn attempt_of(order: &Order) -> attempt::Attempt {
+    order.attempt().expect("the order is about an attempt")
+}
+
 pub(crate) fn zone_name(zone: usize) -> name::Zone {
     format!("z{zone}").parse().expect("a zone")
 }
@@ -144,7 +149,7 @@
         }
         let outputs = self.dispatchers[zone].step(input, world.now);
         for (to, order) in outputs {
-            let request = usize::try_from(order.attempt().request.0).expect("a request");
+            let request = usize::try_from(attempt_of(&order).request.0).expect("a request");
             let from = (world.requests[request].zone, world.requests[request].entry);
             debug_assert_eq!(box_name(from), to);
             let wait = self.distance(world, from, zone);
@@ -318,8 +323,8 @@
 fn home(world: &World, zone: usize) -> usize {
     let alive = (0..world.lost[zone].len()).filter(|entry| !world.lost[zone][*entry]);
     let names: Vec<_> = alive.map(|entry| box_name((zone, entry))).collect();
-    let key = [world.service.name, &zone_name(zone).to_string()].map(str::to_owned);
-    let key: Vec<_> = key.iter().map(String::as_str).collect();
+    let zone = zone_name(zone);
+    let key = [world.service.name, zone.as_str()];
     let winner = rendezvous::winner(&key, names.iter()).expect("a box is left");
     let entry = winner.as_str().rsplit_once('-').expect("a box's name");
     entry.1.parse().expect("a box's number")
@@ -424,12 +429,12 @@
     }
 
     fn order(&mut self, world: &mut World, zone: usize, order: Order) {
-        let request = usize::try_from(order.attempt().request.0).expect("a request");
+        let request = usize::try_from(attempt_of(&order).request.0).expect("a request");
         let Some(place) = self.places.get(&request) else {
             return;
         };
         let own = world.requests[request].zone;
-        if place.zone != zone || place.attempt != order.attempt() || !world.reaches(own, zone) {
+        if place.zone != zone || place.attempt != attempt_of(&order) || !world.reaches(own, zone) {
             return;
         }
         let attempt = place.attempt;
@@ -469,6 +474,7 @@
                 }
             }
             Order::Expired(_) => self.ask(world, request, attempt.next()),
+            Order::Gone(_) => {}
         }
     }
 }
--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -1,7 +1,7 @@
 //! The facts of an entry box.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
@@ -57,7 +57,13 @@
 
 impl Ticket {
     /// What a dispatcher that knows nothing of it has to be told.
-    pub fn report(&self, now: Duration) -> dispatch::Report {
+    ///
+    /// A request that waits is asked for under the next number: a grant for the last one
+    /// may be on its way, and the dispatcher will give another.
+    pub fn tell_anew(&mut self, now: Duration) -> dispatch::Report {
+        if self.held.is_none() {
+            self.ask.attempt = self.ask.attempt.next();
+        }
         let mut ask = self.ask.clone();
         ask.age += now.saturating_sub(self.asked_at);
         match &self.held {
@@ -119,12 +125,15 @@
     pub links: Mutex<HashMap<name::Box, mpsc::UnboundedSender<Told>>>,
     /// Subscribers to the orders of the dispatchers here.
     pub subscribers: Mutex<HashMap<name::Box, mpsc::UnboundedSender<dispatch::Order>>>,
+    /// Dispatchers of other boxes that have gone with what they were told.
+    pub gone: Mutex<BTreeSet<(name::Box, name::Service)>>,
     /// Whether this box is about to stop.
     pub draining: AtomicBool,
     /// Whether this box takes new work.
     pub ready: AtomicBool,
     pulse: AtomicU64,
     stale_until: AtomicU64,
+    freezes: AtomicU64,
 }
 
 /// A gap in the pulse after which the process counts as having been frozen.
@@ -160,10 +169,12 @@
             loads: Mutex::default(),
             links: Mutex::default(),
             subscribers: Mutex::default(),
+            gone: Mutex::default(),
             draining: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             pulse: AtomicU64::new(millis(now)),
             stale_until: AtomicU64::new(0),
+            freezes: AtomicU64::new(0),
         }
     }
 
@@ -172,13 +183,19 @@
         let now = self.clock.now();
         let last = self.pulse.swap(millis(now), Ordering::Relaxed);
         if millis(now).saturating_sub(last) > millis(FREEZE) {
+            self.freezes.fetch_add(1, Ordering::Relaxed);
             self.stale_until
                 .store(millis(now + DISTRUST), Ordering::Relaxed);
         }
     }
 
-    /// Whether a grant that is read now may be one that has long expired, because
-    /// the process was frozen while it waited to be read.
+    /// How often the process was frozen for long.
+    pub fn freezes(&self) -> u64 {
+        self.freezes.load(Ordering::Relaxed)
+    }
+
+    /// Whether a message that is read now may be long out of date, because the process
+    /// was frozen while it waited to be read.
     pub fn may_be_stale(&self) -> bool {
         let now = millis(self.clock.now());
         let gap = now.saturating_sub(self.pulse.load(Ordering::Relaxed));
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -370,7 +370,9 @@
         let configured = self.endpoints.iter().filter(|e| e.configured).count();
         // The product is at most `configured`, so the cast is exact.
         let most = (configured as f64 * settings.max_ejected) as usize;
-        let may_eject = ejected.count() < most;
+        // A lone endpoint is ejected too: its zone then shows that it has none, and
+        // requests go to another zone or wait for the probe.
+        let may_eject = ejected.count() < most.max(1);
         let endpoint = &mut self.endpoints[index.0];
         endpoint.failures = (endpoint.failures + weight).min(EJECT_AT * 2);
         let probing = endpoint.state == State::Probing;
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -137,16 +137,19 @@
     Preempt(attempt::Attempt),
     /// The grant was not used in time and is void.
     Expired(attempt::Attempt),
+    /// The dispatcher of a service has gone from this box, with all that it was told.
+    Gone(name::Service),
 }
 
 impl Order {
-    /// The attempt that the order is about.
-    pub fn attempt(&self) -> attempt::Attempt {
+    /// The attempt that the order is about, if it is about one.
+    pub fn attempt(&self) -> Option<attempt::Attempt> {
         match self {
             Order::Grant(attempt, _)
             | Order::Shed(attempt, _, _)
             | Order::Preempt(attempt)
-            | Order::Expired(attempt) => *attempt,
+            | Order::Expired(attempt) => Some(*attempt),
+            Order::Gone(_) => None,
         }
     }
 }
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -34,6 +34,7 @@
 mod message;
 mod preempt;
 mod queue;
+mod reserve;
 mod run;
 mod share;
 mod shed;
@@ -120,6 +121,59 @@
     first: estimate::Histogram,
     flow: Flow,
     tier: unit::Tier,
+    /// The mean of `hold`, in seconds; kept, since each grant needs it.
+    mean: f64,
+    /// How long before a request's target its first token is expected when it starts
+    /// at once.
+    spare: Duration,
+    target: Duration,
+    /// Slots that lower tiers leave free for it.
+    reserve: f64,
+}
+
+impl Class {
+    fn new(guess: Duration, tier: unit::Tier) -> Self {
+        let mut class = Self {
+            hold: estimate::Histogram::with_guess(guess),
+            first: estimate::Histogram::with_guess(FIRST_TOKEN_GUESS),
+            flow: Flow::default(),
+            tier,
+            mean: 0.0,
+            spare: Duration::ZERO,
+            target: Duration::ZERO,
+            reserve: 0.0,
+        };
+        class.refresh();
+        class
+    }
+
+    /// How long a first token takes, as the due times count on.
+    fn lead(&self) -> Duration {
+        self.target.saturating_sub(self.spare)
+    }
+
+    fn configure(&mut self, class: &config::Class) {
+        self.tier = class.tier;
+        self.target = class.target;
+        self.refresh();
+    }
+
+    fn observe_hold(&mut self, held: Duration) {
+        self.hold.observe(held);
+        self.refresh();
+    }
+
+    fn observe_first(&mut self, waited: Duration) {
+        self.first.observe(waited);
+        self.refresh();
+    }
+
+    fn refresh(&mut self) {
+        self.mean = self.hold.mean().as_secs_f64().max(MIN_HOLD);
+        self.spare = self
+            .target
+            .saturating_sub(self.first.quantile(LEAD_QUANTILE));
+    }
 }
 
 /// How much work arrives, in slot-seconds a second, over about ten seconds.
@@ -157,6 +211,9 @@
     /// The entry boxes that are alive, and those that have announced what they hold.
     alive: BTreeSet<name::Box>,
     announced: BTreeSet<name::Box>,
+    /// The entry boxes that are about to announce anew, and since when. Until they have,
+    /// the slots of their runs look free.
+    announcing: BTreeMap<name::Box, Duration>,
     /// Slots that preemptions freed and that are not handed out yet.
     freed: u32,
     outputs: Vec<Output>,
@@ -189,6 +246,7 @@
             settled_at,
             alive: BTreeSet::new(),
             announced: BTreeSet::new(),
+            announcing: BTreeMap::new(),
             freed: 0,
             outputs: Vec::new(),
         }
@@ -231,25 +289,30 @@
         self.shares.configure(&shares.collect());
         self.classes.retain(|name, _| classes.contains_key(name));
         for (name, class) in classes {
-            self.class(name, class.tier).tier = class.tier;
+            self.class(name, class.tier).configure(class);
         }
         self.shed_hopeless();
     }
 
     fn class(&mut self, name: &name::Class, tier: unit::Tier) -> &mut Class {
         let guess = self.settings.first_guess;
-        self.classes.entry(name.clone()).or_insert_with(|| Class {
-            hold: estimate::Histogram::with_guess(guess),
-            first: estimate::Histogram::with_guess(FIRST_TOKEN_GUESS),
-            flow: Flow::default(),
-            tier,
-        })
+        self.classes
+            .entry(name.clone())
+            .or_insert_with(|| Class::new(guess, tier))
     }
 
     fn report(&mut self, origin: name::Box, report: Report, now: Duration) {
         match report {
-            Report::Hello => self.lose(&origin),
-            Report::Announced => drop(self.announced.insert(origin)),
+            Report::Hello => {
+                self.lose(&origin);
+                self.announcing.insert(origin, now);
+            }
+            Report::Announced => {
+                // Without the beginning, some of what the box holds is missing here.
+                if self.announcing.remove(&origin).is_some() {
+                    self.announced.insert(origin);
+                }
+            }
             Report::Ask(ask) => self.ask(origin, ask, now),
             Report::Withdraw(attempt) => drop(self.queue.remove(attempt)),
             Report::Started(attempt) => self.runs.set_started(attempt),
@@ -266,8 +329,8 @@
             return;
         }
         let class = self.class(&ask.class, ask.tier);
-        let hold = ask.hold.unwrap_or_else(|| class.hold.mean()).as_secs_f64();
-        let lead = class.first.quantile(LEAD_QUANTILE);
+        let hold = ask.hold.map_or(class.mean, |hold| hold.as_secs_f64());
+        let lead = class.lead();
         class.flow.add(hold, now);
         // The arrival may lie before the clock's start, so ages are taken off last.
         let due = (now + ask.target).saturating_sub(ask.age + lead);
@@ -284,15 +347,14 @@
         };
         let (name, tier) = (run.ask.class.clone(), run.ask.tier);
         let waited = now.saturating_sub(run.granted);
-        self.class(&name, tier).first.observe(waited);
+        self.class(&name, tier).observe_first(waited);
     }
 
     fn end(&mut self, attempt: attempt::Attempt, end: End, tokens: unit::Tokens, now: Duration) {
         self.queue.remove(attempt);
-        let Some(run) = self.runs.remove(attempt) else {
+        let Some(run) = self.release(attempt) else {
             return;
         };
-        self.endpoints.free(run.endpoint);
         self.freed += u32::from(run.preempting);
         match end {
             End::Done => self.done(&run, tokens, now),
@@ -315,7 +377,7 @@
             n => streamed / (n - 1) as f64,
         };
         self.endpoints.observe_pace(run.endpoint, pace);
-        self.class(&run.ask.class, run.ask.tier).hold.observe(held);
+        self.class(&run.ask.class, run.ask.tier).observe_hold(held);
     }
 
     fn adopt(&mut self, origin: name::Box, held: Held, now: Duration) {
@@ -336,6 +398,13 @@
         });
     }
 
+    /// Takes a run out and frees its slot.
+    fn release(&mut self, attempt: attempt::Attempt) -> Option<run::Run> {
+        let run = self.runs.remove(attempt)?;
+        self.endpoints.free(run.endpoint);
+        Some(run)
+    }
+
     fn set_boxes(&mut self, alive: BTreeSet<name::Box>) {
         let origins = self.queue.all().map(|w| &w.origin);
         let origins = origins.chain(self.runs.all().map(|r| &r.origin));
@@ -347,6 +416,8 @@
             self.lose(origin);
         }
         self.announced.retain(|name| alive.contains(name));
+        self.announcing
+            .retain(|name, _| alive.contains(name) || !self.alive.contains(name));
         self.alive = alive;
     }
 
@@ -359,9 +430,7 @@
         let running = self.runs.all().filter(|r| r.origin == *origin);
         let running: Vec<_> = running.map(|r| r.ask.attempt).collect();
         for attempt in running {
-            if let Some(run) = self.runs.remove(attempt) {
-                self.endpoints.free(run.endpoint);
-            }
+            self.release(attempt);
         }
     }
 
@@ -376,10 +445,9 @@
     fn expire_grants(&mut self, now: Duration) {
         let before = now.saturating_sub(self.settings.grant_life);
         while let Some(attempt) = self.runs.unused(before) {
-            let Some(run) = self.runs.remove(attempt) else {
+            let Some(run) = self.release(attempt) else {
                 break;
             };
-            self.endpoints.free(run.endpoint);
             self.outputs.push((run.origin, Order::Expired(attempt)));
         }
     }
@@ -390,7 +458,9 @@
             return;
         }
         while self.endpoints.has_free() {
-            let Some(attempt) = self.next(now) else { break };
+            let Some(attempt) = self.next(now) else {
+                break;
+            };
             let Some(waiting) = self.queue.get(attempt) else {
                 break;
             };
@@ -415,10 +485,11 @@
         let waits = |class: &name::Class| self.queue.count(class) > 0;
         let owed = self.shares.owed(waits, |class| self.mean_hold(class));
         let owed = owed.and_then(|class| self.queue.first_of(class));
-        Some(
-            owed.filter(|attempt| self.may_go_first(*attempt, now))
-                .unwrap_or(first),
-        )
+        if let Some(owed) = owed.filter(|attempt| self.may_go_first(*attempt, now)) {
+            return Some(owed);
+        }
+        let waiting = self.queue.get(first)?;
+        (!self.is_held_back(waiting)).then_some(first)
     }
 
     /// Whether a slot can be given to a request without a higher tier being shed
@@ -436,17 +507,14 @@
         self.freed = self.freed.saturating_sub(1);
         let attempt = waiting.ask.attempt;
         let class = waiting.ask.class.clone();
-        let queue = &self.queue;
-        let classes = &self.classes;
-        let guess = self.settings.first_guess;
-        let mean = |name: &name::Class| {
-            classes
-                .get(name)
-                .map_or(guess, |class| class.hold.mean())
-                .as_secs_f64()
-        };
-        self.shares
-            .granted(&class, waiting.hold, |name| queue.count(name) > 0, mean);
+        let (queue, classes) = (&self.queue, &self.classes);
+        let mean = |name: &name::Class| classes.get(name).map_or(0.0, |class| class.mean);
+        let waits = |name: &name::Class| queue.count(name) > 0;
+        self.shares.granted(&class, waiting.hold, waits, mean);
+        let slots = self.endpoints.allowed();
+        let late = waiting.due < now;
+        self.class(&class, waiting.ask.tier)
+            .learn_reserve(late, slots);
         let name = self.endpoints.name(endpoint).clone();
         self.outputs
             .push((waiting.origin.clone(), Order::Grant(attempt, name)));
@@ -463,20 +531,13 @@
     }
 
     fn mean_hold(&self, class: &name::Class) -> f64 {
-        let guess = self.settings.first_guess;
-        self.classes
-            .get(class)
-            .map_or(guess, |class| class.hold.mean())
-            .as_secs_f64()
+        self.classes.get(class).map_or(MIN_HOLD, |class| class.mean)
     }
 
     /// The mean time between two slots that come free, in seconds.
     fn slot_gap(&self) -> f64 {
         let slots = f64::from(self.endpoints.allowed().max(1));
-        let holds = self
-            .classes
-            .values()
-            .map(|class| class.hold.mean().as_secs_f64());
+        let holds = self.classes.values().map(|class| class.mean);
         holds.fold(0.0, f64::max) / slots
     }
 
@@ -510,7 +571,9 @@
     /// Whether it grants already.
     pub fn is_settled(&self, now: Duration) -> bool {
         let all_announced = !self.alive.is_empty() && self.alive.is_subset(&self.announced);
-        now >= self.settled_at || all_announced
+        let settle = self.settings.settle;
+        let announcing = self.announcing.values().any(|since| now < *since + settle);
+        (now >= self.settled_at || all_announced) && !announcing
     }
 }
 
@@ -518,5 +581,7 @@
 const FIRST_TOKEN_GUESS: Duration = Duration::from_millis(100);
 /// The quantile of first-token times that is kept free before the target.
 const LEAD_QUANTILE: f64 = 0.9;
+/// The shortest time that a run is taken to hold a slot, in seconds.
+const MIN_HOLD: f64 = 0.000_1;
 /// How far ahead the due time of a summary's imagined request lies.
 const SUMMARY_DUE: Duration = Duration::from_secs(1);
--- a/src/scalewood/core/dispatch/run.rs
+++ b/src/scalewood/core/dispatch/run.rs
@@ -126,6 +126,18 @@
         self.runs.get(attempt)
     }
 
+    /// How many runs of lower tiers may be preempted for a tier, as far as it matters.
+    pub(super) fn victims_below(&self, tier: unit::Tier) -> u32 {
+        /// More than this are not counted.
+        const ENOUGH: usize = 32;
+        let below = self
+            .victims
+            .iter()
+            .take_while(|(Reverse(t), _, _)| tier.outranks(*t));
+        // The count is at most `ENOUGH`, so the cast is exact.
+        below.take(ENOUGH).count() as u32
+    }
+
     pub(super) fn set_preempting(&mut self, attempt: attempt::Attempt) {
         let Some(run) = self.runs.get_mut(&attempt) else {
             return;
--- a/src/scalewood/core/unit.rs
+++ b/src/scalewood/core/unit.rs
@@ -164,7 +164,8 @@
 
 impl fmt::Display for Size {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let fits = |(_, factor): &&(&str, usize)| self.0 >= *factor && self.0 % factor == 0;
+        let fits =
+            |(_, factor): &&(&str, usize)| self.0 >= *factor && self.0.is_multiple_of(*factor);
         let (suffix, factor) = SIZE_UNITS.iter().find(fits).unwrap_or(&("B", 1));
         write!(f, "{}{suffix}", self.0 / factor)
     }
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -148,7 +148,13 @@
 /// dispatcher that gives them.
 pub(super) fn deliver(board: &Shared, from: &name::Box, orders: Vec<dispatch::Order>) {
     for order in orders {
-        let attempt = order.attempt();
+        if let dispatch::Order::Gone(service) = order {
+            lock(&board.gone).insert((from.clone(), service));
+            continue;
+        }
+        let Some(attempt) = order.attempt() else {
+            continue;
+        };
         let shard = board.tickets.shard(&attempt.request);
         let Some(ticket) = shard.get(&attempt.request) else {
             continue;
@@ -159,6 +165,13 @@
     }
 }
 
+/// Tells a box that what a dispatcher here knew of its requests is gone.
+fn say_gone(board: &Shared, to: &name::Box, service: &name::Service) {
+    if let Some(subscriber) = lock(&board.subscribers).get(to) {
+        let _ = subscriber.send(dispatch::Order::Gone(service.clone()));
+    }
+}
+
 /// Runs the desk for ever.
 pub(super) async fn run(board: Shared) {
     let mut desk = Desk {
@@ -166,8 +179,10 @@
         homes: HashMap::new(),
         alive: Arc::default(),
         reconciled: Duration::ZERO,
+        freezes: 0,
     };
     loop {
+        desk.restart_after_freeze();
         desk.refresh_view();
         desk.refresh_homes();
         desk.tick();
@@ -181,9 +196,27 @@
     homes: HashMap<name::Service, name::Box>,
     alive: Arc<Vec<name::Box>>,
     reconciled: Duration,
+    /// How often the process had been frozen when the dispatchers were opened.
+    freezes: u64,
 }
 
 impl Desk {
+    /// After a long freeze other boxes may have taken the dispatchers over: what these
+    /// were told here is void, and everything is told anew.
+    fn restart_after_freeze(&mut self) {
+        let freezes = self.board.freezes();
+        if freezes == self.freezes {
+            return;
+        }
+        self.freezes = freezes;
+        self.homes.clear();
+        self.board
+            .dispatchers
+            .each(std::collections::HashMap::clear);
+        // The subscriptions end by this, and the links are made anew.
+        lock(&self.board.subscribers).clear();
+    }
+
     /// Brings the indexes up to the configuration in force.
     fn refresh_view(&mut self) {
         let state = self.board.feed.current();
@@ -207,11 +240,15 @@
     fn refresh_homes(&mut self) {
         let alive = self.board.alive.load_full();
         if !Arc::ptr_eq(&alive, &self.alive) {
-            self.alive = alive;
-            let boxes: BTreeSet<_> = self.alive.iter().cloned().collect();
+            let boxes: BTreeSet<_> = alive.iter().cloned().collect();
+            let dead = self.alive.iter().filter(|name| !boxes.contains(*name));
             for service in held(&self.board) {
                 input(&self.board, &service, dispatch::Input::Boxes(boxes.clone()));
+                // One that is taken for dead by mistake tells everything anew.
+                dead.clone()
+                    .for_each(|name| say_gone(&self.board, name, &service));
             }
+            self.alive = alive;
         }
         if !self.is_joined() {
             return;
@@ -251,18 +288,27 @@
         announce(&self.board, service, &home);
     }
 
-    /// Drops the dispatchers that other boxes hold now.
+    /// Drops the dispatchers that other boxes hold now, and says so: a box that does
+    /// not see that yet would wait here in vain.
     fn drop_foreign(&self, view: &view::View) {
+        let mut dropped = Vec::new();
         self.board.dispatchers.each(|shard| {
             shard.retain(|service, _| {
                 let known = view.document.services.contains_key(service);
                 let own = self.homes.get(service) == Some(&self.board.own.name);
                 if !known || !own {
-                    event!(self.board.log, DispatcherLeft, "service" => %service);
+                    dropped.push(service.clone());
                 }
                 known && own
             });
         });
+        for service in dropped {
+            event!(self.board.log, DispatcherLeft, "service" => %service);
+            let others: Vec<_> = lock(&self.board.subscribers).keys().cloned().collect();
+            others
+                .iter()
+                .for_each(|name| say_gone(&self.board, name, &service));
+        }
     }
 
     fn tick(&mut self) {
@@ -272,11 +318,24 @@
         }
         if now >= self.reconciled + RECONCILE {
             self.reconciled = now;
+            self.announce_gone();
             self.reconcile(now);
             self.publish_loads(now);
         }
     }
 
+    /// Tells everything anew to the dispatchers that said that they have gone, where
+    /// this box still takes them for the right ones: the two do not see the same boxes
+    /// alive yet.
+    fn announce_gone(&self) {
+        let gone = std::mem::take(&mut *lock(&self.board.gone));
+        for (home, service) in gone {
+            if self.homes.get(&service) == Some(&home) {
+                announce(&self.board, &service, &home);
+            }
+        }
+    }
+
     /// Sends requests that are with a wrong dispatcher to the right one.
     fn reconcile(&self, now: Duration) {
         let mut moved: Vec<(name::Box, Told)> = Vec::new();
@@ -285,7 +344,7 @@
                 let home = dispatcher_of(&self.board, &ticket.service, &ticket.zone);
                 if home.is_some() && ticket.dispatcher != home {
                     ticket.dispatcher.clone_from(&home);
-                    let told = (ticket.service.clone(), ticket.report(now));
+                    let told = (ticket.service.clone(), ticket.tell_anew(now));
                     moved.extend(home.map(|home| (home, told)));
                 }
             }
@@ -342,7 +401,7 @@
             .filter(|t| t.service == *service && t.zone == board.own.zone);
         for ticket in own {
             ticket.dispatcher = Some(home.clone());
-            reports.push(ticket.report(now));
+            reports.push(ticket.tell_anew(now));
         }
     });
     for report in reports {
--- a/src/scalewood/ops/entry/link.rs
+++ b/src/scalewood/ops/entry/link.rs
@@ -127,10 +127,10 @@
         let mut reports = Vec::new();
         board.tickets.each(|shard| {
             let own = shard
-                .values()
+                .values_mut()
                 .filter(|t| t.service == service && t.zone == zone);
             let own = own.filter(|t| t.dispatcher.as_ref() == Some(peer));
-            reports.extend(own.map(|ticket| ticket.report(now)));
+            reports.extend(own.map(|ticket| ticket.tell_anew(now)));
         });
         for report in reports {
             desk::tell(board, peer, &service, report);
--- a/src/scalewood/ops/entry/server.rs
+++ b/src/scalewood/ops/entry/server.rs
@@ -4,6 +4,7 @@
 
 use jsonrpsee::{
     core::{async_trait, RpcResult, SubscriptionResult},
+    types::ErrorObjectOwned,
     PendingSubscriptionSink, SubscriptionMessage,
 };
 use tokio::sync::mpsc;
@@ -41,6 +42,10 @@
     }
 
     async fn report(&self, from: name::Box, batches: Vec<Batch>) -> RpcResult<()> {
+        if self.board.may_be_stale() {
+            // The link is lost by this, and all is told anew over the next.
+            return Err(stale());
+        }
         for batch in batches {
             desk::take(&self.board, &from, &batch.service, batch.reports);
         }
@@ -111,3 +116,10 @@
         subscribers.remove(from);
     }
 }
+
+/// The error for reports that may have waited since before a freeze.
+fn stale() -> ErrorObjectOwned {
+    /// The code of the error; only people read it.
+    const CODE: i32 = 1;
+    ErrorObjectOwned::owned(CODE, "this box was frozen; make the link anew", None::<()>)
+}
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -97,16 +97,17 @@
             };
             match order {
                 dispatch::Order::Grant(..) if self.board.may_be_stale() => self.decline(),
-                dispatch::Order::Grant(_, endpoint) => {
-                    self.start(&endpoint);
-                    return Got::Granted(endpoint);
+                dispatch::Order::Grant(attempt, endpoint) => {
+                    if self.start(attempt, &endpoint) {
+                        return Got::Granted(endpoint);
+                    }
                 }
                 dispatch::Order::Shed(_, reason, retry) => {
                     self.forget();
                     return Got::Shed(reason, retry);
                 }
                 dispatch::Order::Expired(_) => self.ask_again(),
-                dispatch::Order::Preempt(_) => {}
+                dispatch::Order::Preempt(_) | dispatch::Order::Gone(_) => {}
             }
         }
     }
@@ -123,31 +124,39 @@
 
     /// Asks once more, under the next number.
     fn ask_again(&mut self) {
-        self.attempt = self.attempt.next();
         let now = now(&self.board);
-        let report = {
-            let mut shard = self.board.tickets.shard(&self.attempt.request);
-            let Some(ticket) = shard.get_mut(&self.attempt.request) else {
-                return;
-            };
-            ticket.ask.attempt = self.attempt;
-            ticket.report(now)
-        };
-        self.tell(report);
+        let report = self.with_ticket(|ticket| ticket.tell_anew(now));
+        if let Some(report) = report {
+            self.tell(report);
+        }
     }
 
-    fn start(&mut self, endpoint: &name::Endpoint) {
-        self.state = State::Running;
+    /// Uses a grant; false if the request has been asked for anew since it was given.
+    fn start(&mut self, attempt: attempt::Attempt, endpoint: &name::Endpoint) -> bool {
         let now = now(&self.board);
-        if let Some(ticket) = self
-            .board
-            .tickets
-            .shard(&self.attempt.request)
-            .get_mut(&self.attempt.request)
-        {
-            ticket.held = Some((endpoint.clone(), now));
+        let started = self.with_ticket(|ticket| {
+            let current = ticket.ask.attempt == attempt;
+            if current {
+                ticket.held = Some((endpoint.clone(), now));
+            }
+            current
+        });
+        if started != Some(true) {
+            return false;
         }
-        self.tell(dispatch::Report::Started(self.attempt));
+        self.attempt = attempt;
+        self.state = State::Running;
+        self.tell(dispatch::Report::Started(attempt));
+        true
+    }
+
+    fn with_ticket<T>(&self, act: impl FnOnce(&mut Ticket) -> T) -> Option<T> {
+        let request = self.attempt.request;
+        self.board
+            .tickets
+            .shard(&request)
+            .get_mut(&request)
+            .map(act)
     }
 
     /// The attempt that runs.
@@ -169,14 +178,7 @@
         if !told {
             return;
         }
-        if let Some(ticket) = self
-            .board
-            .tickets
-            .shard(&self.attempt.request)
-            .get_mut(&self.attempt.request)
-        {
-            ticket.tokens = tokens;
-        }
+        self.with_ticket(|ticket| ticket.tokens = tokens);
         self.tell(dispatch::Report::Progress(self.attempt, tokens));
     }
 
@@ -196,12 +198,7 @@
     }
 
     fn tell(&self, report: dispatch::Report) {
-        let known = self
-            .board
-            .tickets
-            .shard(&self.attempt.request)
-            .get(&self.attempt.request)
-            .map(|ticket| (ticket.dispatcher.clone(), ticket.service.clone()));
+        let known = self.with_ticket(|t| (t.dispatcher.clone(), t.service.clone()));
         if let Some((Some(to), service)) = known {
             desk::tell(&self.board, &to, &service, report);
         }
@@ -220,7 +217,7 @@
             .remove(&self.attempt.request);
         let Some(ticket) = ticket else { return };
         if let Some(to) = ticket.dispatcher {
-            let word = word(self.attempt, self.tokens);
+            let word = word(ticket.ask.attempt, self.tokens);
             desk::tell(&self.board, &to, &ticket.service, word);
         }
     }
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -40,6 +40,17 @@
     );
 }
 
+/// What it is, method, path, headers, body, and the status and code that are due.
+type Case<'a> = (
+    &'a str,
+    &'a str,
+    &'a str,
+    Vec<(&'a str, &'a str)>,
+    &'a str,
+    u16,
+    &'a str,
+);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_requests_are_refused_as_not_run() {
     let dir = tempfile::tempdir().unwrap();
@@ -50,7 +61,7 @@
     let big = "x".repeat(65 * 1024);
     let unknown = chat("no-such-model", "hello", false);
     let hello = chat(deploy::MODEL, "hello", false);
-    let cases: Vec<(&str, &str, &str, Vec<(&str, &str)>, &str, u16, &str)> = vec![
+    let cases: Vec<Case<'_>> = vec![
         (
             "no token",
             "POST",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod events;
 mod help;
 mod path;
+mod random;
 mod settings;
 mod stop;
 mod support;
--- /dev/null
+++ b/tests/testsuite/random/agree.rs
@@ -0,0 +1,481 @@
+//! Agreement under loss, delay, reordering, duplication, cuts, crashes that lose what
+//! was not synced, freezes, and voters that come back with an empty folder.
+//!
+//! Checked after each step: one leader a term; a committed entry stays the same at
+//! every node; no two hold the lease at once; what was answered as applied is in every
+//! later state. At the end, once all faults are over, everyone agrees.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use rand::Rng as _;
+use scalewood::core::agree::{
+    Entry, Identity, Index, Input, Kept, Members, MembersRequest, Message, Node, Outcome, Output,
+    Settings, State, Term, Ticket, Voter, Write,
+};
+use serde::{Deserialize, Serialize};
+
+use super::{random, runs};
+
+/// A state that remembers what was applied.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Trail {
+    pub(crate) applied: Vec<u64>,
+}
+
+impl State for Trail {
+    type Command = u64;
+    type Answer = usize;
+
+    fn apply(&mut self, command: &u64) -> usize {
+        self.applied.push(*command);
+        self.applied.len()
+    }
+}
+
+/// A step of a schedule.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Time passes, in milliseconds, and messages that are due arrive.
+    Pass(u64),
+    Propose(usize),
+    /// A node loses power: what it has not synced is gone.
+    Crash(usize),
+    Restart(usize),
+    Freeze(usize),
+    Thaw(usize),
+    Cut(usize, usize),
+    Heal,
+    /// A node's folder is lost; it joins anew and its old identity is removed.
+    Replace(usize),
+    /// A leader hands its lead on.
+    Leave(usize),
+}
+
+const NODES: usize = 3;
+
+fn schedule(seed: u64) -> Vec<Step> {
+    let mut random = random(seed);
+    let mut steps = vec![Step::Pass(3000)];
+    for _ in 0..250 {
+        let node = random.random_range(0..NODES);
+        steps.push(match random.random_range(0..100) {
+            0..45 => Step::Pass(random.random_range(1..400)),
+            45..70 => Step::Propose(node),
+            70..75 => Step::Crash(node),
+            75..82 => Step::Restart(node),
+            82..85 => Step::Freeze(node),
+            85..89 => Step::Thaw(node),
+            89..92 => Step::Cut(node, random.random_range(0..NODES)),
+            92..96 => Step::Heal,
+            96..98 => Step::Replace(node),
+            _ => Step::Leave(node),
+        });
+    }
+    steps
+}
+
+#[derive(Debug)]
+struct Member {
+    node: Node,
+    /// What is on its disk.
+    kept: Kept<Trail>,
+    /// Nothing while it is down.
+    voter: Option<Voter<Trail>>,
+    frozen: bool,
+    /// What arrived while it was frozen.
+    inbox: Vec<(Node, Message<Trail>)>,
+    /// Its old identity, to be removed, and whether its new one has to be added.
+    joins: Option<Node>,
+}
+
+struct Cluster {
+    settings: Settings,
+    now: Duration,
+    random: rand::rngs::SmallRng,
+    members: Vec<Member>,
+    flying: BTreeMap<(Duration, u64), (Node, Node, Message<Trail>)>,
+    cut: BTreeSet<(usize, usize)>,
+    serial: u64,
+    /// Each committed entry, once any node says so.
+    committed: BTreeMap<Index, Entry<u64>>,
+    leaders: BTreeMap<Term, Node>,
+    answered: Vec<u64>,
+    proposed: BTreeMap<Ticket, u64>,
+}
+
+fn address() -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+fn node(i: usize, identity: u64) -> Node {
+    Node {
+        name: format!("c{i}").parse().unwrap(),
+        identity: Identity(identity),
+    }
+}
+
+impl Cluster {
+    fn new(seed: u64) -> Self {
+        let mut kept = Kept::<Trail>::default();
+        let text = serde_json::json!({
+            "voters": (0..NODES).map(|i| (node(i, i as u64), address())).collect::<Vec<_>>(),
+            "learners": [],
+        });
+        kept.snapshot.members = serde_json::from_value::<Members>(text).unwrap();
+        let settings = Settings {
+            compact: 12,
+            piece: 64,
+            batch: 4,
+            ..Settings::default()
+        };
+        let mut cluster = Self {
+            settings,
+            now: Duration::from_secs(100),
+            random: random(seed ^ 0x5eed),
+            members: Vec::new(),
+            flying: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            serial: 0,
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            answered: Vec::new(),
+            proposed: BTreeMap::new(),
+        };
+        for i in 0..NODES {
+            let node = node(i, i as u64);
+            cluster.members.push(Member {
+                node,
+                kept: kept.clone(),
+                voter: None,
+                frozen: false,
+                inbox: Vec::new(),
+                joins: None,
+            });
+            cluster.restart(i);
+        }
+        cluster
+    }
+
+    fn restart(&mut self, i: usize) {
+        let member = &mut self.members[i];
+        if member.voter.is_some() {
+            return;
+        }
+        member.frozen = false;
+        member.inbox.clear();
+        self.serial += 1;
+        member.voter = Some(Voter::new(
+            self.settings.clone(),
+            member.node.clone(),
+            member.kept.clone(),
+            self.serial,
+            self.now,
+        ));
+    }
+
+    fn carry_out(&mut self, i: usize, output: Output<Trail>) {
+        let member = &mut self.members[i];
+        for write in output.writes {
+            check_write(&member.kept, &write, &self.committed);
+            member.kept.replay(write);
+        }
+        let from = member.node.clone();
+        for (to, message) in output.sends {
+            self.send(from.clone(), to, message);
+        }
+        for (ticket, outcome) in output.answers {
+            if let (Outcome::Applied(_), Some(value)) = (outcome, self.proposed.remove(&ticket)) {
+                self.answered.push(value);
+            }
+        }
+    }
+
+    fn send(&mut self, from: Node, to: Node, message: Message<Trail>) {
+        let copies = match self.random.random_range(0..100) {
+            0..5 => 0,
+            5..8 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let slow = self.random.random_bool(0.05);
+            let most = if slow { 3000 } else { 40 };
+            let wait = Duration::from_millis(self.random.random_range(1..most));
+            self.serial += 1;
+            let flight = (from.clone(), to.clone(), message.clone());
+            self.flying.insert((self.now + wait, self.serial), flight);
+        }
+    }
+
+    fn step(&mut self, i: usize, input: Input<Trail>) {
+        let now = self.now;
+        let Some(voter) = self.members[i].voter.as_mut() else {
+            return;
+        };
+        let output = voter.step(input, now);
+        self.carry_out(i, output);
+        self.check(i);
+    }
+
+    fn index(&self, node: &Node) -> Option<usize> {
+        self.members.iter().position(|member| member.node == *node)
+    }
+
+    fn pass(&mut self, millis: u64) {
+        let until = self.now + Duration::from_millis(millis);
+        while self.now < until {
+            self.now += Duration::from_millis(10);
+            self.arrive();
+            for i in 0..NODES {
+                if !self.members[i].frozen {
+                    self.step(i, Input::Tick);
+                }
+            }
+            self.help_joiners();
+        }
+    }
+
+    fn arrive(&mut self) {
+        while let Some(entry) = self.flying.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (from, to, message) = entry.remove();
+            let (Some(f), Some(t)) = (self.index(&from), self.index(&to)) else {
+                continue;
+            };
+            if self.cut.contains(&(f, t)) || self.cut.contains(&(t, f)) {
+                continue;
+            }
+            if self.members[t].frozen {
+                self.members[t].inbox.push((from, message));
+            } else {
+                self.step(t, Input::Message(from, message));
+            }
+        }
+    }
+
+    /// What an operator does for a box that lost its folder.
+    fn help_joiners(&mut self) {
+        for i in 0..NODES {
+            let Some(old) = self.members[i].joins.clone() else {
+                continue;
+            };
+            let new = self.members[i].node.clone();
+            let leader = (0..NODES).find(|l| {
+                self.members[*l]
+                    .voter
+                    .as_ref()
+                    .is_some_and(Voter::is_leader)
+                    && !self.members[*l].frozen
+            });
+            let Some(leader) = leader else { continue };
+            let Some(voter) = &self.members[leader].voter else {
+                continue;
+            };
+            let members = voter.status().members;
+            self.serial += 1;
+            let ticket = Ticket(self.serial);
+            if !members.is_learner(&new) && !members.is_voter(&new) {
+                let request = MembersRequest::Add(new, address());
+                self.step(leader, Input::Members(ticket, request));
+            } else if members.is_voter(&old) && members.voters().count() > 1 {
+                self.step(leader, Input::Members(ticket, MembersRequest::Remove(old)));
+            } else if members.is_voter(&new) {
+                self.members[i].joins = None;
+            }
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Pass(millis) => self.pass(millis),
+            Step::Propose(i) => {
+                self.serial += 1;
+                let ticket = Ticket(self.serial);
+                self.proposed.insert(ticket, self.serial);
+                if !self.members[i].frozen {
+                    self.step(i, Input::Propose(ticket, self.serial));
+                }
+            }
+            Step::Crash(i) => self.members[i].voter = None,
+            Step::Restart(i) => self.restart(i),
+            Step::Freeze(i) => self.members[i].frozen = true,
+            Step::Thaw(i) => self.thaw(i),
+            Step::Cut(a, b) if a != b => drop(self.cut.insert((a, b))),
+            Step::Cut(..) => {}
+            Step::Heal => self.cut.clear(),
+            Step::Replace(i) => self.replace(i),
+            Step::Leave(i) => {
+                if !self.members[i].frozen {
+                    self.step(i, Input::Leave);
+                }
+            }
+        }
+    }
+
+    fn thaw(&mut self, i: usize) {
+        self.members[i].frozen = false;
+        for (from, message) in std::mem::take(&mut self.members[i].inbox) {
+            self.step(i, Input::Message(from, message));
+        }
+    }
+
+    /// A folder is lost. One at a time: a second loss before the first is settled
+    /// loses a majority, which stops changes for good; that is tested on its own.
+    fn replace(&mut self, i: usize) {
+        if self.members.iter().any(|member| member.joins.is_some()) {
+            return;
+        }
+        self.serial += 1;
+        let member = &mut self.members[i];
+        member.joins = Some(member.node.clone());
+        member.node = node(i, 1000 + self.serial);
+        member.kept = Kept::default();
+        member.voter = None;
+        self.restart(i);
+    }
+
+    fn check(&mut self, i: usize) {
+        let Some(voter) = &self.members[i].voter else {
+            return;
+        };
+        if voter.is_leader() {
+            let leader = self
+                .leaders
+                .entry(voter.term())
+                .or_insert_with(|| voter.node().clone());
+            assert_eq!(leader, voter.node(), "two leaders in term {}", voter.term());
+        }
+        let mut index = voter.committed();
+        while let Some(entry) = voter.entry(index) {
+            let known = self.committed.entry(index).or_insert_with(|| entry.clone());
+            assert_eq!(
+                known,
+                entry,
+                "committed entry {index} differs at {}",
+                voter.node()
+            );
+            index = Index(index.0 - 1);
+        }
+        self.check_lease();
+    }
+
+    /// Who holds the lease is the only one who may act.
+    fn check_lease(&self) {
+        let holds = |member: &&Member| {
+            let lease = member.voter.as_ref().and_then(Voter::lease);
+            lease.is_some_and(|until| until > self.now)
+        };
+        let holders = self.members.iter().filter(holds).map(|member| &member.node);
+        let holders: Vec<_> = holders.collect();
+        assert!(holders.len() <= 1, "{holders:?} hold the lease at once");
+    }
+
+    /// Ends all faults and waits until all agree.
+    fn settle(&mut self) {
+        self.cut.clear();
+        for i in 0..NODES {
+            self.restart(i);
+            self.thaw(i);
+        }
+        self.pass(30_000);
+        self.serial += 1;
+        let last = self.serial;
+        for attempt in 0..NODES {
+            self.proposed.insert(Ticket(last + attempt as u64), last);
+            self.step(attempt, Input::Propose(Ticket(last + attempt as u64), last));
+        }
+        self.pass(10_000);
+        let states: Vec<_> = self
+            .members
+            .iter()
+            .map(|member| member.voter.as_ref().unwrap().state().applied.clone())
+            .collect();
+        assert!(
+            states.iter().all(|state| *state == states[0]),
+            "states differ: {states:?}"
+        );
+        for value in &self.answered {
+            let count = states[0].iter().filter(|applied| *applied == value).count();
+            assert_eq!(count, 1, "{value} was answered and stands {count} times");
+        }
+        assert!(states[0].contains(&last), "nothing is accepted any more");
+    }
+}
+
+/// What is written must leave what is committed as it is.
+fn check_write(kept: &Kept<Trail>, write: &Write<Trail>, committed: &BTreeMap<Index, Entry<u64>>) {
+    let Write::Truncate(from) = write else { return };
+    for entry in kept.entries.iter().filter(|entry| entry.index >= *from) {
+        let known = committed.get(&entry.index);
+        assert!(
+            known != Some(entry),
+            "committed entry {} is dropped",
+            entry.index
+        );
+    }
+}
+
+#[test]
+fn voters_agree_under_faults() {
+    runs(40, schedule, |seed, steps| {
+        let mut cluster = Cluster::new(seed);
+        for step in steps {
+            cluster.take(*step);
+        }
+        cluster.settle();
+    });
+}
+
+#[test]
+fn a_second_loss_during_a_repair_stops_changes_but_loses_none() {
+    let mut cluster = Cluster::new(1);
+    cluster.pass(3000);
+    for i in 0..NODES {
+        cluster.take(Step::Propose(i));
+    }
+    cluster.pass(500);
+    let answered = cluster.answered.len();
+    assert!(answered > 0);
+    // A box loses its folder; before its new identity votes, another one dies.
+    cluster.take(Step::Replace(0));
+    cluster.take(Step::Crash(1));
+    cluster.pass(5000);
+    for i in 0..NODES {
+        cluster.take(Step::Propose(i));
+    }
+    cluster.pass(5000);
+    assert_eq!(
+        cluster.answered.len(),
+        answered,
+        "a change was accepted without a majority"
+    );
+    // The second box comes back with its disk: changes go on, nothing is lost.
+    cluster.take(Step::Restart(1));
+    cluster.settle();
+}
+
+#[test]
+fn an_empty_folder_never_votes() {
+    let mut cluster = Cluster::new(2);
+    cluster.pass(3000);
+    // Two of three lose their folders at once, which no majority survives: the new
+    // identities must not elect anyone.
+    for i in [0, 1] {
+        cluster.members[i].node = node(i, 500 + i as u64);
+        cluster.members[i].kept = Kept::default();
+        cluster.members[i].voter = None;
+        cluster.restart(i);
+    }
+    cluster.members[2].voter = None;
+    cluster.restart(2);
+    cluster.pass(20_000);
+    let leads = |member: &Member| member.voter.as_ref().is_some_and(Voter::is_leader);
+    assert!(
+        !cluster.members.iter().any(leads),
+        "someone leads without a majority"
+    );
+}
