--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod callers;
 mod events;
+mod failure;
 mod help;
 mod path;
 mod random;
