Voters under failure with real processes; reads only from a leader under its lease

What is committed is not on disk. A voter gives the configuration out only once it has caught up, and answers reads only while it leads under its lease; others say so (503), and the client asks the next voter. Tried first: reads also from followers that hear a leader; a change made right after another was then refused for its base, since a follower learns of a commit only with the next message.

--- a/src/scalewood/core/agree/mod.rs
+++ b/src/scalewood/core/agree/mod.rs
@@ -304,6 +304,9 @@
     heard: Duration,
     /// When this node stands for election.
     election_at: Duration,
+    /// Whether its state holds all that was committed when it started. What is
+    /// committed is not on disk, so a node that starts does not know.
+    caught_up: bool,
     /// A snapshot that is being received.
     incoming: Option<snapshot::Incoming>,
     /// The text of the snapshot that is being sent.
@@ -329,6 +332,7 @@
             state,
             heard: now,
             election_at: now,
+            caught_up: false,
             incoming: None,
             outgoing: None,
             output: Output::default(),
@@ -398,6 +402,15 @@
             self.answer(index, answer);
         }
         self.step_down_if_removed();
+        if let Role::Leader { term_start, .. } = &self.role {
+            let term_start = *term_start;
+            self.note_caught_up(term_start);
+        }
+    }
+
+    /// Notes whether the state holds all that a leader has committed.
+    fn note_caught_up(&mut self, committed: Index) {
+        self.caught_up |= self.applied >= committed;
     }
 
     fn answer(&mut self, index: Index, answer: Option<S::Answer>) {
@@ -468,6 +481,18 @@
         }
     }
 
+    /// Whether the state holds all that was committed when this node started: before
+    /// that it may lie behind what was shown to others.
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
+    /// Whether the state is what is in force now: this node leads under a lease. A
+    /// follower learns of a commit only with the leader's next message.
+    pub fn is_current(&self, now: Duration) -> bool {
+        self.lease().is_some_and(|until| until > now)
+    }
+
     /// Until when this node may act as the only leader, if it leads and knows of all
     /// that was committed before its term.
     pub fn lease(&self) -> Option<Duration> {
--- a/src/scalewood/core/agree/replicate.rs
+++ b/src/scalewood/core/agree/replicate.rs
@@ -188,6 +188,8 @@
             let last = rest.last().map_or(covered, |entry| entry.index);
             self.take_entries(rest);
             self.commit_to(committed.min(last));
+            self.apply_committed();
+            self.note_caught_up(committed);
             self.reply(from, true, last, None, sent);
             return;
         }
@@ -201,6 +203,8 @@
         let last = entries.last().map_or(before, |entry| entry.index);
         self.take_entries(entries);
         self.commit_to(committed.min(last));
+        self.apply_committed();
+        self.note_caught_up(committed);
         self.reply(from, true, last, None, sent);
     }
 
--- a/src/scalewood/ops/control/admin.rs
+++ b/src/scalewood/ops/control/admin.rs
@@ -163,7 +163,11 @@
 
 impl Admin {
     fn config(&self) -> warp::reply::Response {
-        let ledger = self.handle.published().ledger;
+        let published = self.handle.published();
+        if !published.current {
+            return behind();
+        }
+        let ledger = published.ledger;
         let document = config::Document::clone(ledger.document());
         warp::reply::json(&Config {
             revision: ledger.revision(),
@@ -173,7 +177,11 @@
     }
 
     fn history(&self) -> warp::reply::Response {
-        let ledger = self.handle.published().ledger;
+        let published = self.handle.published();
+        if !published.current {
+            return behind();
+        }
+        let ledger = published.ledger;
         let records = ledger.records().cloned().collect();
         warp::reply::json(&History { records }).into_response()
     }
@@ -220,6 +228,18 @@
     }
 }
 
+/// The answer of a voter that may lie behind what is in force.
+fn behind() -> warp::reply::Response {
+    let why =
+        "this voter does not lead, so it may lie behind what is in force; ask the leader, or \
+               again in a second if there is none";
+    failure(
+        StatusCode::SERVICE_UNAVAILABLE,
+        why,
+        verdict::Verdict::NotRun,
+    )
+}
+
 fn malformed(error: &serde_json::Error) -> warp::reply::Response {
     let why = format!("the body is not what this path takes: {error}; see docs/OPERATING.md");
     failure(StatusCode::BAD_REQUEST, why, verdict::Verdict::NotRun)
--- a/src/scalewood/ops/control/replica.rs
+++ b/src/scalewood/ops/control/replica.rs
@@ -51,6 +51,8 @@
     pub ledger: Arc<Ledger>,
     /// Until when it holds the control lease, by its clock.
     pub lease: Option<Duration>,
+    /// Whether the ledger is what is in force, as far as one voter can know.
+    pub current: bool,
 }
 
 type Waiters = Arc<Mutex<HashMap<agree::Ticket, oneshot::Sender<Outcome>>>>;
@@ -216,6 +218,7 @@
         status: voter.status(),
         ledger: Arc::new(voter.state().clone()),
         lease: None,
+        current: false,
     };
     let (publish, published) = watch::channel(first);
     let waiters = Waiters::default();
@@ -319,6 +322,7 @@
         self.publish_feed();
         let status = self.voter.status();
         let lease = self.voter.lease();
+        let current = self.voter.is_current(self.clock.now());
         if self.led != self.voter.is_leader() {
             self.led = self.voter.is_leader();
             if self.led {
@@ -331,7 +335,9 @@
         let log = &self.log;
         self.publish.send_if_modified(|published| {
             let moved = published.status.committed != status.committed;
-            let changed = published.status != status || published.lease != lease;
+            let changed = published.status != status
+                || published.lease != lease
+                || published.current != current;
             if published.status.members != status.members {
                 event!(log, VoterChanged, "voters" => status.members.voters().count(),
                     "learners" => status.members.learners().count());
@@ -341,6 +347,7 @@
             }
             published.status = status;
             published.lease = lease;
+            published.current = current;
             changed
         });
     }
@@ -349,7 +356,7 @@
     fn publish_feed(&self) {
         let ledger = self.voter.state();
         let have = self.feed.current().revision;
-        if ledger.revision() <= have {
+        if !self.voter.is_caught_up() || ledger.revision() <= have {
             return;
         }
         match ledger.since(have) {
--- a/src/scalewood/ops/operate.rs
+++ b/src/scalewood/ops/operate.rs
@@ -126,12 +126,24 @@
         Err(failed(&answer))
     }
 
+    /// Reads something from the first voter that has it as it is in force.
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Report<Error>> {
-        let answer = self.call::<()>(Method::GET, path, None).await?;
-        if answer.status == StatusCode::OK {
-            return parse(&answer);
+        let mut behind = None;
+        for voter in &self.voters {
+            let one = Self {
+                voters: vec![*voter],
+                token: self.token.clone(),
+            };
+            match one.call::<()>(Method::GET, path, None).await {
+                Ok(answer) if answer.status == StatusCode::OK => return parse(&answer),
+                Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
+                    behind = Some(failed(&answer));
+                }
+                Ok(answer) => return Err(failed(&answer)),
+                Err(report) => drop(behind.get_or_insert(report)),
+            }
         }
-        Err(failed(&answer))
+        Err(behind.unwrap_or_else(|| Report::new(Error::Unreachable)))
     }
 
     /// Calls the first voter that can be reached. Once a voter was reached, no other
--- /dev/null
+++ b/tests/testsuite/control.rs
@@ -0,0 +1,338 @@
+//! The configuration through failures of voters, with real processes: an accepted
+//! change is never lost or reverted, and changes go on while a majority is there.
+
+use std::{
+    fs,
+    time::{Duration, Instant},
+};
+
+use scalewood::{
+    core::{
+        agree::{MembersRequest, Node},
+        change::{Answer, Change, Edit, Item},
+        config, unit,
+    },
+    wire::admin,
+};
+
+use crate::support::{
+    client,
+    deploy::{self, Deployment, Plan},
+    forwarder::Forwarder,
+};
+
+fn voters(count: usize) -> Plan {
+    Plan {
+        voters: count,
+        boxes: vec![],
+        ..Plan::default()
+    }
+}
+
+fn set_service(name: &str) -> Edit {
+    let item = config::Service {
+        kind: config::Kind::Plain,
+        ..config::Service::default()
+    };
+    Edit::Set(Item::Service(name.parse().unwrap(), item))
+}
+
+/// Makes a change and returns its revision.
+async fn accept(deployment: &Deployment, name: &str) -> unit::Revision {
+    match deployment.apply(vec![set_service(name)], "a test").await {
+        Answer::Accepted { revision } => revision,
+        answer => panic!("{name}: {answer:?}"),
+    }
+}
+
+async fn holds(deployment: &Deployment, names: &[String]) {
+    let config = in_force(deployment).await;
+    for name in names {
+        let known = config
+            .document
+            .services
+            .keys()
+            .any(|service| service.as_str() == name);
+        assert!(known, "the accepted change {name} is lost");
+    }
+}
+
+/// The configuration in force, once a voter that runs has it.
+async fn in_force(deployment: &Deployment) -> admin::Config {
+    let until = Instant::now() + Duration::from_secs(20);
+    loop {
+        match deployment.operator().config().await {
+            Ok(config) => return config,
+            Err(error) => assert!(Instant::now() < until, "{error:?}"),
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// The index of the voter that leads.
+async fn leader(deployment: &Deployment) -> usize {
+    let until = Instant::now() + Duration::from_secs(20);
+    loop {
+        for (i, voter) in deployment.voters.iter().enumerate() {
+            if voter.process.is_none() {
+                continue;
+            }
+            let token = client::bearer(deploy::OPERATOR);
+            let headers = [("authorization", token.as_str())];
+            let asked = client::ask(voter.admin, "GET", "/admin/v1/status", &headers, "");
+            let Ok(Ok(answer)) = tokio::time::timeout(Duration::from_secs(1), asked).await else {
+                continue;
+            };
+            if answer.json()["voter"]["leader"]["name"] == voter.name.as_str() {
+                return i;
+            }
+        }
+        assert!(Instant::now() < until, "nobody leads");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_go_on_through_kills_of_the_leader() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut deployment = Deployment::start(voters(3), dir.path()).await;
+    let mut names = Vec::new();
+    for round in 0..3 {
+        let i = leader(&deployment).await;
+        deployment.voters[i].process.take().unwrap().kill();
+        for change in 0..3 {
+            let name = format!("kill-{round}-{change}");
+            accept(&deployment, &name).await;
+            names.push(name);
+        }
+        deployment.start_voter(i);
+        deployment.wait_admin(i).await;
+        holds(&deployment, &names).await;
+    }
+    in_force(&deployment).await;
+    let history = deployment.operator().history().await.unwrap().records;
+    let revisions: Vec<_> = history.iter().map(|record| record.revision.0).collect();
+    assert_eq!(revisions, (1..=revisions.len() as u64).collect::<Vec<_>>());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_frozen_for_long_finds_itself_out() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut deployment = Deployment::start(voters(3), dir.path()).await;
+    let frozen = leader(&deployment).await;
+    let process = deployment.voters[frozen].process.take().unwrap();
+    process.signal("STOP");
+    let mut names = Vec::new();
+    for change in 0..3 {
+        let name = format!("meanwhile-{change}");
+        accept(&deployment, &name).await;
+        names.push(name);
+    }
+    process.signal("CONT");
+    deployment.voters[frozen].process = Some(process);
+    // A change against the old revision, given to the one that woke, is not applied.
+    let stale = Change {
+        id: "stale".parse().unwrap(),
+        base: unit::Revision(1),
+        why: "a test".into(),
+        edits: vec![set_service("stale")],
+    };
+    let old = scalewood::ops::operate::Client::new(
+        vec![deployment.voters[frozen].admin],
+        deploy::OPERATOR.into(),
+    );
+    let until = Instant::now() + Duration::from_secs(20);
+    let answer = loop {
+        match old.change(&stale).await {
+            Ok(answer) => break answer,
+            Err(error) => assert!(Instant::now() < until, "{error:?}"),
+        }
+    };
+    assert!(matches!(answer, Answer::NotApplied { .. }), "{answer:?}");
+    holds(&deployment, &names).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_voter_that_lost_its_disk_joins_anew_and_counts_again() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut deployment = Deployment::start(voters(3), dir.path()).await;
+    let before = accept(&deployment, "before").await;
+    let old = deployment.operator().status().await.unwrap().voter.members;
+    let old: Node = old
+        .voters()
+        .find(|node| node.name.as_str() == "c2")
+        .unwrap()
+        .clone();
+    deployment.voters[2].process.take().unwrap().kill();
+    fs::remove_dir_all(&deployment.voters[2].data).unwrap();
+    // With an empty folder it does not start, and says what to do.
+    let refused = deployment.control("run", 2).unwrap_err();
+    assert!(refused.contains("scalewood-control join"), "{refused}");
+    // The repair: the old identity goes, the new one joins.
+    deployment
+        .operator()
+        .members(&MembersRequest::Remove(old))
+        .await
+        .unwrap();
+    deployment.add_voter(2).await;
+    // The new identity counts: the majority survives the loss of another voter.
+    deployment.voters[0].process.take().unwrap().kill();
+    let after = accept(&deployment, "after").await;
+    assert!(after > before);
+    holds(&deployment, &["before".into(), "after".into()]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn foreign_and_damaged_folders_are_refused_and_a_torn_end_is_mended() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut deployment = Deployment::start(voters(1), dir.path()).await;
+    let names: Vec<_> = (0..5).map(|i| format!("kept-{i}")).collect();
+    for name in &names {
+        accept(&deployment, name).await;
+    }
+    deployment.voters[0].process.take().unwrap().kill();
+    let initialised = deployment.control("init", 0).unwrap_err();
+    assert!(initialised.contains("belongs to c0/"), "{initialised}");
+    let journal = deployment.voters[0].data.join("journal");
+    let whole = fs::read(&journal).unwrap();
+    // A torn record at the end was never acknowledged.
+    let mut torn = whole.clone();
+    torn.extend([200, 0, 0, 0, 1, 2, 3, 4, b'{']);
+    fs::write(&journal, &torn).unwrap();
+    deployment.start_voter(0);
+    deployment.wait_admin(0).await;
+    holds(&deployment, &names).await;
+    deployment.voters[0].process.take().unwrap().kill();
+    let log = fs::read_to_string(dir.path().join("c0.log")).unwrap();
+    assert!(log.contains("\"event\":2202"), "the repair is not logged");
+    // A damaged record that others follow is an error.
+    let mut damaged = whole.clone();
+    damaged[40] ^= 1;
+    fs::write(&journal, &damaged).unwrap();
+    let refused = deployment.control("run", 0).unwrap_err();
+    assert!(
+        refused.contains("the journal is damaged at byte 0"),
+        "{refused}"
+    );
+    fs::remove_file(&journal).unwrap();
+    let refused = deployment.control("run", 0).unwrap_err();
+    assert!(refused.contains("the journal is gone"), "{refused}");
+    // Another box's folder is refused.
+    fs::write(&journal, &whole).unwrap();
+    let identity = deployment.voters[0].data.join("identity.json");
+    let text = fs::read_to_string(&identity)
+        .unwrap()
+        .replace("\"c0\"", "\"c9\"");
+    fs::write(&identity, text).unwrap();
+    let refused = deployment.control("run", 0).unwrap_err();
+    assert!(refused.contains("belongs to c9/"), "{refused}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn after_hundreds_of_changes_a_restart_comes_back_to_the_accepted_state() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut deployment = Deployment::start(voters(1), dir.path()).await;
+    let client = deployment.operator();
+    let first = Change {
+        id: "first-of-many".parse().unwrap(),
+        base: unit::Revision(1),
+        why: "a test".into(),
+        edits: vec![set_service("s0")],
+    };
+    let answer = client.change(&first).await.unwrap();
+    for i in 1..500u64 {
+        let change = Change {
+            id: format!("many-{i}").parse().unwrap(),
+            base: unit::Revision(1 + i),
+            edits: vec![set_service(&format!("s{}", i % 50))],
+            ..first.clone()
+        };
+        let answer = client.change(&change).await.unwrap();
+        assert_eq!(
+            answer,
+            Answer::Accepted {
+                revision: unit::Revision(2 + i)
+            }
+        );
+    }
+    let document = client.config().await.unwrap().document;
+    let bytes = fs::metadata(deployment.voters[0].data.join("journal"))
+        .unwrap()
+        .len();
+    deployment.voters[0].process.take().unwrap().kill();
+    deployment.start_voter(0);
+    deployment.wait_admin(0).await;
+    let again = in_force(&deployment).await;
+    assert_eq!(
+        (again.revision, again.document),
+        (unit::Revision(501), document)
+    );
+    // The resend of a change from before the compaction gets its first answer.
+    deploy::wait("it leads", || async {
+        client
+            .status()
+            .await
+            .is_ok_and(|status| status.voter.leader.is_some())
+    })
+    .await;
+    assert_eq!(client.change(&first).await.unwrap(), answer);
+    assert!(bytes < 2 * 1024 * 1024, "the journal has {bytes} bytes");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_box_behind_a_cut_serves_on_and_catches_up_when_it_heals() {
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        boxes: vec![1, 1],
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan, dir.path()).await;
+    // Box 1 reaches the voter and its peer only over links that can be cut.
+    let to_voter = deployment.address(6000);
+    let link = Forwarder::start(to_voter, deployment.voters[0].listen).await;
+    deployment.entries[1].process.take().unwrap().kill();
+    let settings = dir.path().join("e10.json");
+    let text = fs::read_to_string(&settings).unwrap();
+    let voter = deployment.voters[0].listen.to_string();
+    fs::write(&settings, text.replace(&voter, &to_voter.to_string())).unwrap();
+    let args = ["--settings".to_owned(), settings.display().to_string()];
+    let process = deploy::Process::start("e10", "scalewood-entry", &args, dir.path());
+    deployment.entries[1].process = Some(process);
+    deployment.wait_ready().await;
+    // Its peer would pass the configuration on; it is cut off as well.
+    link.set_whole(false);
+    deployment.entries[0]
+        .process
+        .as_ref()
+        .unwrap()
+        .signal("STOP");
+    let mut last = unit::Revision(0);
+    for i in 0..20 {
+        last = accept(&deployment, &format!("cut-{i}")).await;
+    }
+    let prompt = "from the cut zone";
+    let mut connection = client::Connection::open(deployment.entries[1].callers)
+        .await
+        .unwrap();
+    let body = client::chat(deploy::MODEL, prompt, true);
+    let answer = client::stream(&mut connection, deploy::TEAM, "counter", body)
+        .await
+        .unwrap();
+    assert_eq!(answer.text, crate::path::expected(prompt));
+    assert_eq!(deployment.metric(1, "scalewood_config_revision").await, 1.0);
+    link.set_whole(true);
+    deployment.entries[0]
+        .process
+        .as_ref()
+        .unwrap()
+        .signal("CONT");
+    let mut seen = 0.0;
+    let until = Instant::now() + Duration::from_secs(20);
+    // Revisions are far below 2^52, so the cast is exact.
+    while seen < last.0 as f64 {
+        let now = deployment.metric(1, "scalewood_config_revision").await;
+        assert!(now >= seen, "the revision went back from {seen} to {now}");
+        assert!(Instant::now() < until, "it does not catch up from {now}");
+        seen = now;
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod callers;
+mod control;
 mod events;
 mod failure;
 mod help;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,3 +4,4 @@
 
 pub(crate) mod client;
 pub(crate) mod deploy;
+pub(crate) mod forwarder;
