Orders to endpoints under the control lease; shorter gossip; slots by first tokens

The leader orders endpoints to load what the configuration names, with term and number, only under a lease that lasts for the order's time, checked again right before sending.

Now three loads, in short form, and one probe. A new endpoint got more slots only as answers ended, so that long streams kept it at 8: each first token counts now. The ledger's answers and records are shared between its copies.

--- a/src/scalewood/core/config.rs
+++ b/src/scalewood/core/config.rs
@@ -144,6 +144,9 @@
     /// Whether it gets no new work because it is about to go.
     #[serde(default)]
     pub leaving: bool,
+    /// The model or adapter that it is ordered to have loaded; absent for no order.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<name::Model>,
 }
 
 /// A policy program for a service.
@@ -360,6 +363,17 @@
             if endpoint.slots.0 == 0 || endpoint.slots.0 > MAX_SLOTS {
                 problem(format!("`slots` is a number from 1 to {MAX_SLOTS}"));
             }
+            let models = self
+                .services
+                .get(&endpoint.service)
+                .map(|service| &service.models);
+            if let (Some(load), Some(models)) = (&endpoint.load, models) {
+                if !models.contains(load) {
+                    problem(format!(
+                        "its service does not serve model {load}; name one that it does"
+                    ));
+                }
+            }
             if let Some(other) = owner.insert(endpoint.address, name) {
                 problem(format!("endpoint {other} has the same address"));
             }
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -361,6 +361,15 @@
         self.rescore(index);
     }
 
+    /// Notes that an attempt got its first token: the endpoint takes more.
+    pub(super) fn answered(&mut self, index: Index) {
+        let endpoint = &mut self.endpoints[index.0];
+        if endpoint.state == State::Active && endpoint.ramp < endpoint.slots {
+            endpoint.ramp = endpoint.ramp.saturating_add(1);
+            self.rescore(index);
+        }
+    }
+
     /// Notes that an attempt failed; `weight` says how sure a sign of a fault it is.
     pub(super) fn failed(&mut self, index: Index, weight: u32, now: Duration, settings: &Settings) {
         let ejected = self
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -347,7 +347,9 @@
         };
         let (name, tier) = (run.ask.class.clone(), run.ask.tier);
         let waited = now.saturating_sub(run.granted);
+        let endpoint = run.endpoint;
         self.class(&name, tier).observe_first(waited);
+        self.endpoints.answered(endpoint);
     }
 
     fn end(&mut self, attempt: attempt::Attempt, end: End, tokens: unit::Tokens, now: Duration) {
--- a/src/scalewood/core/ledger.rs
+++ b/src/scalewood/core/ledger.rs
@@ -47,8 +47,9 @@
 pub struct Ledger {
     revision: unit::Revision,
     document: Arc<config::Document>,
-    answers: VecDeque<Given>,
-    records: VecDeque<audit::Record>,
+    // Shared, since the state is copied for each snapshot and for each reader.
+    answers: VecDeque<Arc<Given>>,
+    records: VecDeque<Arc<audit::Record>>,
 }
 
 impl Ledger {
@@ -64,7 +65,7 @@
 
     /// The audit trail, the oldest record first.
     pub fn records(&self) -> impl DoubleEndedIterator<Item = &audit::Record> {
-        self.records.iter()
+        self.records.iter().map(Arc::as_ref)
     }
 
     /// The edits of each revision after `from`, if they are all remembered.
@@ -161,11 +162,11 @@
     }
 
     fn remember(&mut self, command: &Command, answer: change::Answer) {
-        self.answers.push_back(Given {
+        self.answers.push_back(Arc::new(Given {
             change: command.change.clone(),
             operator: command.operator.clone(),
             answer,
-        });
+        }));
         if self.answers.len() > MAX_ANSWERS {
             self.answers.pop_front();
         }
@@ -174,7 +175,7 @@
     fn accept(&mut self, command: &Command, document: config::Document) -> change::Answer {
         let change = &command.change;
         self.revision = self.revision.next();
-        self.records.push_back(audit::Record {
+        self.records.push_back(Arc::new(audit::Record {
             revision: self.revision,
             base: change.base,
             id: change.id.clone(),
@@ -182,7 +183,7 @@
             at_unix_ms: command.at_unix_ms,
             why: change.why.clone(),
             differences: audit::differences(&self.document, &document, &change.edits),
-        });
+        }));
         if self.records.len() > MAX_RECORDS {
             self.records.pop_front();
         }
--- a/src/scalewood/core/member.rs
+++ b/src/scalewood/core/member.rs
@@ -36,7 +36,7 @@
     fn default() -> Self {
         Self {
             period: Duration::from_millis(300),
-            probes: 2,
+            probes: 1,
             suspicion: Duration::from_millis(1200),
             news: 8,
             repeats: 6,
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     board::feed,
-    core::{agree, ledger, name, secret},
+    core::{agree, ledger, name, secret, unit},
     event,
     ops::{rpc, source},
     store::{folder, identity, journal},
@@ -22,6 +22,7 @@
 
 mod admin;
 mod link;
+mod order;
 mod replica;
 mod server;
 
@@ -40,6 +41,8 @@
     pub data: PathBuf,
     /// The operators and the hashes of their tokens.
     pub operators: BTreeMap<name::Operator, secret::Hash>,
+    /// Orders to endpoints a second, as the weight store bears them.
+    pub orders: unit::Rate,
     /// Settings of the agreement.
     pub agree: agree::Settings,
 }
@@ -52,6 +55,7 @@
             admin: ([127, 0, 0, 1], 7101).into(),
             data: "data".into(),
             operators: BTreeMap::new(),
+            orders: unit::Rate::try_from(DEFAULT_ORDERS).expect("the default rate is valid"),
             agree: agree::Settings::default(),
         }
     }
@@ -97,6 +101,9 @@
                 "a shorter one",
             );
         }
+        let orders = reader
+            .parsed("orders_per_second", "2")
+            .unwrap_or(default.orders);
         let count = operators.len();
         let operators: BTreeMap<_, _> = operators.into_iter().flat_map(|o| o.0).collect();
         if operators.is_empty() {
@@ -115,6 +122,7 @@
             admin,
             data: data.unwrap_or_default().into(),
             operators,
+            orders,
             agree,
         }
     }
@@ -210,6 +218,13 @@
         .await
         .change_context(Error)?;
     event!(log, Listening, "what" => "processes", "address" => %settings.listen);
+    let giver = order::Giver {
+        handle: handle.clone(),
+        clock,
+        log: log.clone(),
+        rate: settings.orders,
+    };
+    tokio::spawn(giver.run());
     let admin = admin::Admin {
         handle: handle.clone(),
         server,
@@ -244,3 +259,6 @@
 
 /// How long a proposal may take before its outcome is called unknown.
 const PROPOSAL: Duration = Duration::from_secs(5);
+
+/// Orders to endpoints a second where the settings name no rate.
+const DEFAULT_ORDERS: f64 = 2.0;
--- /dev/null
+++ b/src/scalewood/ops/control/order.rs
@@ -0,0 +1,186 @@
+//! Orders to endpoints: which model each is to have loaded.
+//!
+//! Only the leader gives orders, and only under its lease. Each order carries the term and
+//! a number that rises within it, so that an endpoint that checks can refuse an older one.
+//! For endpoints that check nobody the lease has to do: the connection is opened first, then
+//! the lease is checked once more, right before the order is written, and it must last for
+//! the whole time that the order may take. A new leader can't be elected before the old
+//! one's lease is over, so it need not wait. A process that was frozen finds its lease run
+//! out at that check.
+//!
+//! A new leader gives all orders anew: it does not know which arrived, and to load what is
+//! loaded costs nothing. The weight store bounds how many orders go out a second.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{client::conn::http1, header, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpStream;
+
+use crate::{
+    core::{invariant, limit, name, unit},
+    event,
+    ops::control::{Handle, Published},
+    util::clock::Clock,
+};
+
+/// How often it is looked for orders that are due.
+const PERIOD: Duration = Duration::from_millis(100);
+/// How long an order may take once the lease was checked.
+const ORDER: Duration = Duration::from_millis(200);
+/// How long a connection to an endpoint may take.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// An order as it is sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+struct Order {
+    term: u64,
+    number: u64,
+    load: name::Model,
+}
+
+/// Gives the orders of one voter.
+#[derive(Debug)]
+pub(super) struct Giver<C> {
+    pub(super) handle: Handle,
+    pub(super) clock: C,
+    pub(super) log: slog::Logger,
+    /// Orders a second that the weight store bears.
+    pub(super) rate: unit::Rate,
+}
+
+/// What a leader has done in its term.
+#[derive(Debug, Default)]
+struct Done {
+    term: u64,
+    number: u64,
+    taken: HashMap<name::Endpoint, name::Model>,
+}
+
+/// What is due: the endpoint, where it is, and what it is to load.
+type Due = (name::Endpoint, SocketAddr, name::Model);
+
+impl<C: Clock> Giver<C> {
+    /// Gives orders for ever.
+    pub(super) async fn run(self) {
+        let mut done = Done::default();
+        let mut bucket = limit::Bucket::full(self.rate, self.clock.now());
+        loop {
+            tokio::time::sleep(PERIOD).await;
+            let published = self.handle.published();
+            if !self.holds_lease(&published) {
+                continue;
+            }
+            if done.term != published.status.term.0 {
+                done = Done {
+                    term: published.status.term.0,
+                    ..Done::default()
+                };
+            }
+            for (endpoint, address, load) in due(&published, &done) {
+                if bucket.take(1.0, self.rate, self.clock.now()).is_err() {
+                    break;
+                }
+                done.number += 1;
+                let order = Order {
+                    term: done.term,
+                    number: done.number,
+                    load: load.clone(),
+                };
+                if self.give(&endpoint, address, &order).await {
+                    done.taken.insert(endpoint, load);
+                }
+            }
+        }
+    }
+
+    /// Whether the lease lasts for as long as an order may take.
+    fn holds_lease(&self, published: &Published) -> bool {
+        published
+            .lease
+            .is_some_and(|until| until > self.clock.now() + ORDER)
+    }
+
+    async fn give(&self, endpoint: &name::Endpoint, address: SocketAddr, order: &Order) -> bool {
+        let opened = tokio::time::timeout(CONNECT, open(address)).await;
+        let Ok(Some(sender)) = opened else {
+            event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => "unreachable");
+            return false;
+        };
+        // What was read before may be long out of date by now.
+        let published = self.handle.published();
+        let current = published.status.term.0 == order.term;
+        if !current || !self.holds_lease(&published) {
+            event!(self.log, OrderHeldBack, "endpoint" => %endpoint, "term" => order.term);
+            return false;
+        }
+        self.check_lease(&published, order);
+        match tokio::time::timeout(ORDER, send(sender, address, order)).await {
+            Ok(Some(StatusCode::OK)) => {
+                event!(self.log, OrderSent, "endpoint" => %endpoint, "load" => %order.load,
+                    "term" => order.term, "number" => order.number);
+                true
+            }
+            Ok(Some(status)) => {
+                event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => %status);
+                false
+            }
+            Ok(None) | Err(_) => {
+                event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => "no answer");
+                false
+            }
+        }
+    }
+
+    fn check_lease(&self, published: &Published, order: &Order) {
+        let held = published
+            .lease
+            .is_some_and(|until| until > self.clock.now());
+        invariant::check(held, invariant::Rule::LeaseHeld, || {
+            format!(
+                "order {}.{} under a lease that has run out",
+                order.term, order.number
+            )
+        });
+    }
+}
+
+/// The orders that the configuration asks for and that were not taken in this term.
+fn due(published: &Published, done: &Done) -> Vec<Due> {
+    let endpoints = published.ledger.document().endpoints.iter();
+    let wanted = endpoints.filter_map(|(name, endpoint)| {
+        let load = endpoint.load.clone()?;
+        (done.taken.get(name) != Some(&load)).then(|| (name.clone(), endpoint.address, load))
+    });
+    wanted.collect()
+}
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+async fn open(address: SocketAddr) -> Option<Sender> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // The connection's end shows at the order.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
+
+async fn send(mut sender: Sender, address: SocketAddr, order: &Order) -> Option<StatusCode> {
+    let body = serde_json::to_vec(order).ok()?;
+    let request = Request::post("/orders")
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .ok()?;
+    sender
+        .send_request(request)
+        .await
+        .ok()
+        .map(|response| response.status())
+}
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -166,11 +166,8 @@
 
 /// Waiting requests for each slot of a service here.
 fn load(board: &Shared, service: &name::Service) -> f64 {
-    let load = member::load_here(board, service);
-    // Queues are far shorter than 2^52, so the cast is exact.
-    load.map_or(0.0, |load| {
-        load.summary.waiting as f64 / f64::from(load.summary.slots.max(1))
-    })
+    let (slots, _, waiting) = member::load_here(board, service).map_or((1, 0, 0), |l| l.counts);
+    f64::from(waiting) / f64::from(slots.max(1))
 }
 
 /// Applies the team's limits.
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -378,13 +378,7 @@
                 .get_or_create(&label)
                 .set(i64::from(summary.running));
             let zone = self.board.own.zone.clone();
-            let dispatcher = self.board.own.name.clone();
-            let load = Load {
-                zone: zone.clone(),
-                dispatcher,
-                summary,
-                age_ms: 0,
-            };
+            let load = Load::new(zone.clone(), self.board.own.name.clone(), &summary);
             loads.insert((service, zone), (load, now));
         }
     }
@@ -424,11 +418,14 @@
         .load()
         .endpoints(service, own)
         .any(|(_, e)| !e.leaving);
-    let here = member::load_here(board, service);
+    let here = member::load_here(board, service).map(|load| load.summary());
     let abroad = member::loads_abroad(board, service);
-    let abroad = abroad.iter().map(|load| (&load.zone, &load.summary));
-    let here = here.as_ref().map(|load| &load.summary);
-    let chosen = dispatch::spill::choose(here, served, abroad, tier, target);
+    let abroad: Vec<_> = abroad
+        .into_iter()
+        .map(|load| (load.summary(), load.zone))
+        .collect();
+    let abroad = abroad.iter().map(|(summary, zone)| (zone, summary));
+    let chosen = dispatch::spill::choose(here.as_ref(), served, abroad, tier, target);
     chosen.unwrap_or(own).clone()
 }
 
--- a/src/scalewood/ops/entry/member.rs
+++ b/src/scalewood/ops/entry/member.rs
@@ -23,7 +23,7 @@
 /// How often a box of another zone is probed.
 const ABROAD: Duration = Duration::from_millis(500);
 /// Loads in one probe; bounds the cost however many services and zones there are.
-const LOADS: usize = 12;
+const LOADS: usize = 3;
 /// How long a load is worth telling.
 const LOAD_LIFE: Duration = Duration::from_secs(3);
 
@@ -135,7 +135,7 @@
     let chosen = fresh.choose_multiple(&mut rand::rng(), LOADS);
     let aged = chosen.into_iter().map(|((service, _), (load, at))| {
         let age = now.saturating_sub(*at).as_millis();
-        let age_ms = u64::try_from(age).unwrap_or(u64::MAX);
+        let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
         (
             service.clone(),
             Load {
@@ -148,7 +148,6 @@
         zone: board.own.zone.clone(),
         members: lock(&board.members).message(),
         loads: aged.collect(),
-        leaving: BTreeMap::new(),
     }
 }
 
@@ -163,7 +162,7 @@
         if load.dispatcher == board.own.name {
             continue;
         }
-        let at = now.saturating_sub(Duration::from_millis(load.age_ms));
+        let at = now.saturating_sub(Duration::from_millis(load.age_ms.into()));
         let key = (service, load.zone.clone());
         if loads.get(&key).is_none_or(|(_, known)| *known < at) {
             loads.insert(key, (load, at));
--- a/src/scalewood/wire/peer.rs
+++ b/src/scalewood/wire/peer.rs
@@ -1,6 +1,6 @@
 //! What entry boxes take from each other.
 
-use std::collections::BTreeMap;
+use std::time::Duration;
 
 use jsonrpsee::{
     core::{RpcResult, SubscriptionResult},
@@ -8,19 +8,56 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::core::{attempt, claim, dispatch, member, name, verdict};
+use crate::core::{attempt, claim, dispatch, member, name, unit, verdict};
 
-/// A dispatcher's load, as its box tells it.
+/// A dispatcher's load, as its box tells it. Waits are whole milliseconds, to keep the
+/// messages short.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// The zone that it dispatches in.
     pub zone: name::Zone,
     /// The box that dispatches.
     pub dispatcher: name::Box,
-    /// How busy it is.
-    pub summary: dispatch::Summary,
-    /// How old the summary is, in milliseconds.
-    pub age_ms: u64,
+    /// Slots that may be used, slots that are held, requests that wait.
+    pub counts: (u32, u32, u32),
+    /// The predicted wait of a new request, by tier, in milliseconds.
+    pub waits: Vec<(unit::Tier, u32)>,
+    /// How old the load is, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl Load {
+    /// The load of a dispatcher that is busy as its summary says.
+    pub fn new(zone: name::Zone, dispatcher: name::Box, summary: &dispatch::Summary) -> Self {
+        let millis = |wait: &Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        let waiting = u32::try_from(summary.waiting).unwrap_or(u32::MAX);
+        Self {
+            zone,
+            dispatcher,
+            counts: (summary.slots, summary.running, waiting),
+            waits: summary
+                .waits
+                .iter()
+                .map(|(tier, wait)| (*tier, millis(wait)))
+                .collect(),
+            age_ms: 0,
+        }
+    }
+
+    /// How busy the dispatcher is.
+    pub fn summary(&self) -> dispatch::Summary {
+        let (slots, running, waiting) = self.counts;
+        let waits = self
+            .waits
+            .iter()
+            .map(|(tier, ms)| (*tier, Duration::from_millis((*ms).into())));
+        dispatch::Summary {
+            slots,
+            running,
+            waiting: waiting as usize,
+            waits: waits.collect(),
+        }
+    }
 }
 
 /// A probe, and the answer to one.
@@ -32,9 +69,6 @@
     pub members: member::Message,
     /// Loads of dispatchers, by service; a bounded number of them.
     pub loads: Vec<(name::Service, Load)>,
-    /// Endpoints that are known to leave.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub leaving: BTreeMap<name::Endpoint, bool>,
 }
 
 /// Reports about requests of one service in one zone.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod events;
 mod failure;
 mod help;
+mod orders;
 mod path;
 mod random;
 mod settings;
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -107,11 +107,6 @@
         }
         false
     }
-
-    /// Whether the process still runs.
-    pub(crate) fn runs(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for Process {
@@ -451,6 +446,7 @@
                 address: standin.address,
                 slots: unit::Slots(self.plan.slots),
                 leaving: false,
+                load: None,
             };
             edits.push(Edit::Set(Item::Endpoint(
                 standin.name.parse().expect("a name"),
