An account of every request under random faults; keyed calls only under a fresh claim

Found on paper while writing it: a call that waits in the queue, or whose process is frozen, for longer than its claim is remembered could be sent beside another. It is refused once half the retention has passed.

--- a/src/scalewood/core/claim.rs
+++ b/src/scalewood/core/claim.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// How long a claim is remembered.
+    pub fn retention(&self) -> Duration {
+        self.retention
+    }
+
     /// Sets the configured boxes.
     pub fn configure(&mut self, boxes: BTreeMap<name::Box, name::Zone>, now: Duration) {
         if self.boxes == boxes {
--- a/src/scalewood/ops/entry/claim.rs
+++ b/src/scalewood/ops/entry/claim.rs
@@ -60,6 +60,7 @@
     key: claim::Key,
     owner: attempt::Request,
     holders: Vec<name::Box>,
+    since: Duration,
     ended: bool,
 }
 
@@ -70,6 +71,7 @@
     owner: attempt::Request,
 ) -> Result<Claim, claim::Outcome> {
     let holders = board.view.load().holders(key);
+    let since = now(board);
     let replies = holders.iter().map(|holder| ask(board, holder, key, owner));
     let replies = future::join_all(replies).await;
     let outcome = claim::tally(&replies);
@@ -78,6 +80,7 @@
         key,
         owner,
         holders,
+        since,
         ended: false,
     };
     match outcome {
@@ -107,6 +110,13 @@
 }
 
 impl Claim {
+    /// Whether the claim is remembered for long enough that the call can be sent under it.
+    /// A process that waited or was frozen for too long must not send it any more.
+    pub(super) fn is_fresh(&self) -> bool {
+        let retention = lock(&self.board.claims).retention();
+        now(&self.board).saturating_sub(self.since) < retention / 2
+    }
+
     /// Tells the holders what became of the call.
     pub(super) fn end(&mut self, verdict: verdict::Verdict) {
         if verdict == verdict::Verdict::NotRun {
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -96,7 +96,7 @@
         Some(key) if !call.class.repeatable => Some(take_claim(context, call, key).await?),
         _ => None,
     };
-    let served = attempts(context, call, outgoing).await;
+    let served = attempts(context, call, outgoing, claimed.as_ref()).await;
     if let Some(claimed) = &mut claimed {
         claimed.end(match &served {
             Ok(_) => verdict::Verdict::Ran,
@@ -167,10 +167,18 @@
     }
 }
 
+/// The refusal of a call that waited for so long that its claim may be forgotten.
+fn stale_claim() -> Refusal {
+    let why = "it waited for too long to be sent under its key; send it again";
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "key-stale", why)
+        .after(Duration::from_secs(1))
+}
+
 async fn attempts(
     context: &Context,
     call: &Call,
     outgoing: &Outgoing,
+    claimed: Option<&claim::Claim>,
 ) -> Result<Response<Answer>, Refusal> {
     let board = &context.board;
     let mut ask = call.ask(board, false);
@@ -190,6 +198,15 @@
             }
         };
         let attempt = turn.attempt();
+        if claimed.is_some_and(|claim| !claim.is_fresh()) {
+            turn.end(dispatch::End::Unused);
+            let refusal = Refusal {
+                verdict: sofar,
+                ..stale_claim()
+            };
+            observer.refused(&refusal);
+            return Err(refusal);
+        }
         match exchange(context, call, outgoing, &endpoint).await {
             Ok(answer) => {
                 turn.first();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod callers;
+mod chaos;
 mod control;
 mod events;
 mod failure;
