--- a/benches/capacity/gossip.rs
+++ b/benches/capacity/gossip.rs
@@ -84,7 +84,7 @@
         }
     }
     let per = (boxes * span) as f64;
-    (bytes as f64 / per, messages as f64 / per)
+    (bytes as f64 / per, f64::from(messages) / per)
 }
 
 /// Prints the slopes.
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -11,7 +11,7 @@
 use hyper::{body::Incoming, header, HeaderMap, Method, Request, Response, StatusCode};
 
 use crate::{
-    core::{self, config, dispatch, name, retry, unit, verdict},
+    core::{self, config, dispatch, invariant, name, retry, unit, verdict},
     event,
     ops::entry::{
         body::Answer,
@@ -207,6 +207,11 @@
             observer.refused(&refusal);
             return Err(refusal);
         }
+        invariant::check(
+            claimed.is_none() || sofar == verdict::Verdict::NotRun,
+            invariant::Rule::KeyOnce,
+            || format!("{attempt} sends a keyed call that may have run"),
+        );
         match exchange(context, call, outgoing, &endpoint).await {
             Ok(answer) => {
                 turn.first();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod events;
 mod failure;
+mod feed;
 mod help;
 mod orders;
 mod path;
--- a/tests/testsuite/random/claim.rs
+++ b/tests/testsuite/random/claim.rs
@@ -120,7 +120,7 @@
             .map(|name| {
                 let i: usize = name.as_str()[1..].parse().unwrap();
                 // A message may be lost on its way there, or the answer on its way back.
-                if cut & (1 << i) != 0 && i % 2 == 0 {
+                if cut & (1 << i) != 0 && i.is_multiple_of(2) {
                     return None;
                 }
                 let reply = self.holders[i].claim(key, owner, self.now);
@@ -148,7 +148,7 @@
                 "key {number} is won by {owner} after {first}"
             );
         }
-        if owner.0 % 2 == 0 {
+        if owner.0.is_multiple_of(2) {
             release(self, Some(Verdict::Ran));
         }
     }
--- a/tests/testsuite/random/dispatch.rs
+++ b/tests/testsuite/random/dispatch.rs
@@ -43,6 +43,8 @@
 const BOXES: usize = 3;
 const ENDPOINTS: usize = 3;
 const SLOTS: u32 = 2;
+/// Few enough that the queue is full now and then.
+const MAX_WAITING: usize = 12;
 /// How long a grant lives unused; a box that was frozen longer distrusts its grants.
 const GRANT_LIFE: Duration = Duration::from_secs(2);
 
@@ -185,6 +187,7 @@
     fn open_dispatcher(&mut self, at: usize) {
         let settings = Settings {
             grant_life: GRANT_LIFE,
+            max_waiting: MAX_WAITING,
             ..Settings::default()
         };
         self.entries[at].dispatcher = Some(Dispatcher::new(settings, self.now));
@@ -483,7 +486,9 @@
             deadline: Duration::from_secs(8),
             prompt: unit::Tokens(10),
             delivered: unit::Tokens(0),
-            prefix: (takes % 2 == 0).then_some(dispatch::Prefix(takes % 5)),
+            prefix: takes
+                .is_multiple_of(2)
+                .then_some(dispatch::Prefix(takes % 5)),
             preemptible: tier > 1,
             preempted: 0,
             avoid: None,
