--- a/src/scalewood/core/agree/mod.rs
+++ b/src/scalewood/core/agree/mod.rs
@@ -39,7 +39,7 @@
 mod replicate;
 mod snapshot;
 
-pub use log::{Entry, Index, Payload, Snapshot, Term, Write};
+pub use log::{Entry, Index, Kept, Payload, Snapshot, Term, Write};
 pub use members::{Members, Request as MembersRequest};
 pub use message::{Message, Piece};
 
@@ -232,61 +232,6 @@
     pub members: Members,
 }
 
-/// What a voter finds on its disk.
-#[derive(Clone, Debug)]
-pub struct Kept<S: State> {
-    /// The last term.
-    pub term: Term,
-    /// Whom it voted for in that term.
-    pub voted: Option<Node>,
-    /// The last snapshot.
-    pub snapshot: Snapshot<S>,
-    /// The entries after it.
-    pub entries: Vec<Entry<S::Command>>,
-}
-
-impl<S: State> Default for Kept<S> {
-    fn default() -> Self {
-        Self {
-            term: Term(0),
-            voted: None,
-            snapshot: Snapshot {
-                index: Index(0),
-                term: Term(0),
-                members: Members::default(),
-                state: S::default(),
-            },
-            entries: Vec::new(),
-        }
-    }
-}
-
-impl<S: State> Kept<S> {
-    /// What the first voter of a new system starts from.
-    pub fn first(node: Node, address: std::net::SocketAddr) -> Self {
-        let mut kept = Self::default();
-        kept.snapshot.members = Members::of_one(node, address);
-        kept
-    }
-
-    /// Replays a write.
-    pub fn replay(&mut self, write: Write<S>) {
-        match write {
-            Write::Vote(term, voted) => (self.term, self.voted) = (term, voted),
-            Write::Append(entries) => self.entries.extend(entries),
-            Write::Truncate(from) => self.entries.retain(|entry| entry.index < from),
-            Write::Snapshot(snapshot) => {
-                self.entries.retain(|entry| entry.index > snapshot.index);
-                self.snapshot = snapshot;
-            }
-            Write::Restart(snapshot) => {
-                self.entries.clear();
-                self.snapshot = snapshot;
-            }
-        }
-    }
-}
-
 /// A voter or learner.
 #[derive(Debug)]
 pub struct Voter<S: State> {
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -28,8 +28,9 @@
     time::Duration,
 };
 
-use crate::core::{attempt, config, estimate, name, unit};
+use crate::core::{attempt, config, name, unit};
 
+mod class;
 mod endpoint;
 mod message;
 mod preempt;
@@ -114,90 +115,6 @@
 /// An order and the box that it is for.
 pub type Output = (name::Box, Order);
 
-/// What is known of a class.
-#[derive(Debug)]
-struct Class {
-    hold: estimate::Histogram,
-    first: estimate::Histogram,
-    flow: Flow,
-    tier: unit::Tier,
-    /// The mean of `hold`, in seconds; kept, since each grant needs it.
-    mean: f64,
-    /// How long before a request's target its first token is expected when it starts
-    /// at once.
-    spare: Duration,
-    target: Duration,
-    /// Slots that lower tiers leave free for it.
-    reserve: f64,
-}
-
-impl Class {
-    fn new(guess: Duration, tier: unit::Tier) -> Self {
-        let mut class = Self {
-            hold: estimate::Histogram::with_guess(guess),
-            first: estimate::Histogram::with_guess(FIRST_TOKEN_GUESS),
-            flow: Flow::default(),
-            tier,
-            mean: 0.0,
-            spare: Duration::ZERO,
-            target: Duration::ZERO,
-            reserve: 0.0,
-        };
-        class.refresh();
-        class
-    }
-
-    /// How long a first token takes, as the due times count on.
-    fn lead(&self) -> Duration {
-        self.target.saturating_sub(self.spare)
-    }
-
-    fn configure(&mut self, class: &config::Class) {
-        self.tier = class.tier;
-        self.target = class.target;
-        self.refresh();
-    }
-
-    fn observe_hold(&mut self, held: Duration) {
-        self.hold.observe(held);
-        self.refresh();
-    }
-
-    fn observe_first(&mut self, waited: Duration) {
-        self.first.observe(waited);
-        self.refresh();
-    }
-
-    fn refresh(&mut self) {
-        self.mean = self.hold.mean().as_secs_f64().max(MIN_HOLD);
-        self.spare = self
-            .target
-            .saturating_sub(self.first.quantile(LEAD_QUANTILE));
-    }
-}
-
-/// How much work arrives, in slot-seconds a second, over about ten seconds.
-#[derive(Clone, Copy, Debug, Default)]
-struct Flow {
-    rate: f64,
-    at: Duration,
-}
-
-impl Flow {
-    /// The time over which the rate is averaged, in seconds.
-    const SPAN: f64 = 10.0;
-
-    fn rate(&self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.rate * (-passed / Self::SPAN).exp()
-    }
-
-    fn add(&mut self, work: f64, now: Duration) {
-        self.rate = self.rate(now) + work / Self::SPAN;
-        self.at = now;
-    }
-}
-
 /// The queue and the slots of a service in an availability zone.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -205,7 +122,7 @@
     endpoints: endpoint::Set,
     queue: queue::Queue,
     runs: run::Runs,
-    classes: HashMap<name::Class, Class>,
+    classes: HashMap<name::Class, class::Class>,
     shares: share::Shares,
     settled_at: Duration,
     /// The entry boxes that are alive, and those that have announced what they hold.
@@ -294,11 +211,11 @@
         self.shed_hopeless();
     }
 
-    fn class(&mut self, name: &name::Class, tier: unit::Tier) -> &mut Class {
+    fn class(&mut self, name: &name::Class, tier: unit::Tier) -> &mut class::Class {
         let guess = self.settings.first_guess;
         self.classes
             .entry(name.clone())
-            .or_insert_with(|| Class::new(guess, tier))
+            .or_insert_with(|| class::Class::new(guess, tier))
     }
 
     fn report(&mut self, origin: name::Box, report: Report, now: Duration) {
@@ -330,7 +247,7 @@
         }
         let class = self.class(&ask.class, ask.tier);
         let hold = ask.hold.map_or(class.mean, |hold| hold.as_secs_f64());
-        let lead = class.lead();
+        let lead = class.lead;
         class.flow.add(hold, now);
         // The arrival may lie before the clock's start, so ages are taken off last.
         let due = (now + ask.target).saturating_sub(ask.age + lead);
@@ -533,7 +450,9 @@
     }
 
     fn mean_hold(&self, class: &name::Class) -> f64 {
-        self.classes.get(class).map_or(MIN_HOLD, |class| class.mean)
+        self.classes
+            .get(class)
+            .map_or(class::MIN_HOLD, |class| class.mean)
     }
 
     /// The mean time between two slots that come free, in seconds.
@@ -579,11 +498,5 @@
     }
 }
 
-/// How long a first token takes before any was seen.
-const FIRST_TOKEN_GUESS: Duration = Duration::from_millis(100);
-/// The quantile of first-token times that is kept free before the target.
-const LEAD_QUANTILE: f64 = 0.9;
-/// The shortest time that a run is taken to hold a slot, in seconds.
-const MIN_HOLD: f64 = 0.000_1;
 /// How far ahead the due time of a summary's imagined request lies.
 const SUMMARY_DUE: Duration = Duration::from_secs(1);
--- a/src/scalewood/core/dispatch/reserve.rs
+++ b/src/scalewood/core/dispatch/reserve.rs
@@ -12,7 +12,7 @@
 //! thousand are late. A forecast from the flows was tried first; it kept slots free
 //! that spill and preemption made unnecessary.
 
-use crate::core::dispatch::{queue, Class, Dispatcher};
+use crate::core::dispatch::{class::Class, queue, Dispatcher};
 
 /// What a late start adds to a class's reserve, in slots.
 const STEP: f64 = 1.0;
--- a/src/scalewood/ops/entry/caller.rs
+++ b/src/scalewood/ops/entry/caller.rs
@@ -22,8 +22,9 @@
     ops::entry::{
         body::Answer,
         call::{self, Size},
-        model::{self, Prompt},
+        model,
         plain::{self, Context, Outgoing},
+        prompt::Prompt,
         reply::Refusal,
         upstream::Pool,
         Error, Settings, Shared,
--- a/src/scalewood/ops/entry/member.rs
+++ b/src/scalewood/ops/entry/member.rs
@@ -21,7 +21,7 @@
 /// How long a probe may take.
 const PROBE: Duration = Duration::from_millis(400);
 /// How often a box of another zone is probed.
-const ABROAD: Duration = Duration::from_millis(500);
+const ABROAD: Duration = Duration::from_millis(1000);
 /// Loads in one probe; bounds the cost however many services and zones there are.
 const LOADS: usize = 3;
 /// How long a load is worth telling.
--- /dev/null
+++ b/src/scalewood/ops/entry/observer.rs
@@ -0,0 +1,129 @@
+//! What becomes of each request, as the metrics count it: the users' measures.
+
+use std::time::Duration;
+
+use crate::{
+    core::{invariant, unit, verdict},
+    event,
+    ops::entry::{call::Call, now, reply::Refusal, Shared},
+    util::metric,
+};
+
+/// Counts what becomes of a request.
+#[derive(Debug)]
+pub(super) struct Observer {
+    board: Shared,
+    call: Call,
+    first: Option<Duration>,
+    last: Duration,
+    tokens: u64,
+    ended: bool,
+}
+
+impl Observer {
+    pub(super) fn new(board: &Shared, call: &Call) -> Self {
+        Self {
+            board: board.clone(),
+            call: call.clone(),
+            first: None,
+            last: Duration::ZERO,
+            tokens: 0,
+            ended: false,
+        }
+    }
+
+    fn label(&self) -> metric::ClassLabel {
+        (&self.call.key).into()
+    }
+
+    /// Notes the first token, or a plain service's answer.
+    pub(super) fn first(&mut self) {
+        if self.first.is_some() {
+            return;
+        }
+        let now = now(&self.board);
+        let took = now.saturating_sub(self.call.arrived);
+        self.first = Some(took);
+        self.last = now;
+        self.board
+            .metrics
+            .first
+            .get_or_create(&self.label())
+            .observe(took.as_secs_f64());
+        if took <= self.call.class.target {
+            self.board
+                .metrics
+                .attained
+                .get_or_create(&self.label())
+                .inc();
+        }
+    }
+
+    /// Notes a token of a stream.
+    pub(super) fn token(&mut self) {
+        let now = now(&self.board);
+        if self.first.is_none() {
+            self.first();
+        } else {
+            let between = now.saturating_sub(self.last).as_secs_f64();
+            self.board
+                .metrics
+                .between
+                .get_or_create(&self.label())
+                .observe(between);
+        }
+        self.last = now;
+        self.tokens += 1;
+    }
+
+    /// Notes tokens that have to be processed again.
+    pub(super) fn wasted(&self, tokens: unit::Tokens) {
+        self.board
+            .metrics
+            .wasted
+            .get_or_create(&self.label())
+            .inc_by(tokens.0);
+    }
+
+    /// Notes a whole answer.
+    pub(super) fn done(&mut self, tokens: unit::Tokens) {
+        if self
+            .first
+            .is_some_and(|first| first <= self.call.class.target)
+        {
+            self.board
+                .metrics
+                .goodput
+                .get_or_create(&self.label())
+                .inc_by(tokens.0.max(1));
+        }
+        self.end("done", verdict::Verdict::Ran);
+    }
+
+    /// Notes a refusal or failure.
+    pub(super) fn refused(&mut self, refusal: &Refusal) {
+        if refusal.verdict != verdict::Verdict::NotRun {
+            event!(self.board.log, RequestFailed, "request" => %self.call.request,
+                "code" => refusal.code, "verdict" => %refusal.verdict);
+        }
+        self.end(refusal.code, refusal.verdict);
+    }
+
+    fn end(&mut self, end: &'static str, verdict: verdict::Verdict) {
+        invariant::check(!self.ended, invariant::Rule::OneAnswer, || {
+            format!("{} ends as {end} after it has ended", self.call.request)
+        });
+        self.ended = true;
+        let label = metric::EndLabel::new(&self.call.key, end, verdict);
+        self.board.metrics.ended.get_or_create(&label).inc();
+    }
+}
+
+impl Drop for Observer {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.wasted(unit::Tokens(self.tokens));
+            self.end("caller-left", verdict::Verdict::MayHaveRun);
+        }
+    }
+}
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -16,9 +16,9 @@
     ops::entry::{
         body::Answer,
         call::{self, Call},
-        claim,
-        model::{self, Observer},
-        now,
+        claim, now,
+        observer::Observer,
+        prompt,
         reply::{Refusal, REQUEST, VERDICT},
         turn::{Got, Turn},
         upstream::{Failure, Pool},
@@ -368,7 +368,7 @@
         .get(&call.key.service)
         .map(|s| s.kind);
     let tokens = match kind {
-        Some(config::Kind::Model) => model::tokens_of(&body),
+        Some(config::Kind::Model) => prompt::tokens_of(&body),
         _ => unit::Tokens(0),
     };
     Ok(Whole {
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -35,6 +35,8 @@
     until: Duration,
     state: State,
     tokens: unit::Tokens,
+    /// Whether the run may be preempted, so that its progress matters.
+    preemptible: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +58,7 @@
         let attempt = ask.attempt;
         let (sender, orders) = mpsc::unbounded_channel();
         let until = (now + ask.deadline + PATIENCE).saturating_sub(ask.age);
+        let preemptible = ask.preemptible;
         let dispatcher = desk::dispatcher_of(board, service, zone);
         let ticket = Ticket {
             service: service.clone(),
@@ -82,6 +85,7 @@
             until,
             state: State::Waiting,
             tokens: unit::Tokens(0),
+            preemptible,
         }
     }
 
@@ -175,7 +179,7 @@
         const STEP: u64 = 32;
         let told = tokens.0 / STEP > self.tokens.0 / STEP;
         self.tokens = tokens;
-        if !told {
+        if !told || !self.preemptible {
             return;
         }
         self.with_ticket(|ticket| ticket.tokens = tokens);
