--- a/tests/testsuite/random/agree.rs
+++ b/tests/testsuite/random/agree.rs
@@ -423,7 +423,7 @@
 
 #[test]
 fn voters_agree_under_faults() {
-    runs(40, schedule, |seed, steps| {
+    runs(400, schedule, |seed, steps| {
         let mut cluster = Cluster::new(seed);
         for step in steps {
             cluster.take(*step);
--- a/tests/testsuite/random/dispatch.rs
+++ b/tests/testsuite/random/dispatch.rs
@@ -586,6 +586,8 @@
         if std::mem::take(&mut self.entries[i].relinked) {
             self.announce(i);
         }
+        // What it missed of who is alive, it hears now.
+        self.see(i);
         self.spread(true);
     }
 
@@ -680,7 +682,7 @@
 
 #[test]
 fn dispatchers_keep_order_and_slots_under_faults() {
-    runs(60, schedule, |seed, steps| {
+    runs(300, schedule, |seed, steps| {
         let mut zone = Zone::new(seed);
         for step in steps {
             zone.take(*step);
--- a/tests/testsuite/random/member.rs
+++ b/tests/testsuite/random/member.rs
@@ -145,7 +145,7 @@
 
 #[test]
 fn all_see_the_same_once_faults_are_over() {
-    runs(60, schedule, |seed, steps| {
+    runs(200, schedule, |seed, steps| {
         let mut zone = Zone::new(seed, BOXES);
         for step in steps {
             match step {
