--- a/src/scalewood/store/journal.rs
+++ b/src/scalewood/store/journal.rs
@@ -1,10 +1,11 @@
 //! The journal: a voter's writes as checksummed records in one file.
 //!
-//! A record is its length, the CRC-32 of its text and the text, as JSON. All writes
-//! of a step are one record with one sync, so after a loss of power only the last
-//! record can be torn: it was never acknowledged, and is dropped. A bad record that
-//! others follow is damage, and an error: the voter must not go on without what it
-//! promised.
+//! A record is its length, the CRC-32 of its text, the CRC-32 of these two, and the text,
+//! as JSON. All writes of a step are one record with one sync, so after a loss of power
+//! only the last record can be torn: it was never acknowledged, and is dropped. A bad
+//! record that others follow is damage, and an error: the voter must not go on without
+//! what it promised. The head has a sum of its own, or a damaged length would make the
+//! records that follow look like the torn end.
 //!
 //! A log of records was weighed against an embedded store. Both survive torn
 //! writes; the log takes one sync for each step where the stores need two or more,
@@ -21,8 +22,10 @@
 
 /// The file that holds the records.
 const FILE: &str = "journal";
-/// Bytes before a record's text: its length and its CRC-32.
-const HEADER: usize = 8;
+/// Bytes before a record's text: its length, its CRC-32 and the CRC-32 of both.
+const HEADER: usize = 12;
+/// Bytes of the header that its sum covers.
+const SUMMED: usize = 8;
 
 /// Why a journal can't be used.
 #[derive(Debug)]
@@ -197,6 +200,7 @@
     let mut bytes = Vec::with_capacity(HEADER + text.len());
     bytes.extend(length.to_le_bytes());
     bytes.extend(crc32fast::hash(&text).to_le_bytes());
+    bytes.extend(crc32fast::hash(&bytes).to_le_bytes());
     bytes.extend(text);
     Ok(bytes)
 }
@@ -207,19 +211,25 @@
     let Some((header, body)) = rest.split_at_checked(HEADER) else {
         return Ok(None);
     };
-    let length = read_u32(&header[..4]) as usize;
-    let sum = read_u32(&header[4..]);
-    if length >= body.len() && (length > body.len() || crc32fast::hash(body) != sum) {
-        return Ok(None);
-    }
     if rest.iter().all(|byte| *byte == 0) {
         // The file grew, but its new part never reached the disk.
         return Ok(None);
     }
-    let text = &body[..length];
-    if crc32fast::hash(text) != sum {
+    if crc32fast::hash(&header[..SUMMED]) != read_u32(&header[SUMMED..]) {
         return Err(Error::Damaged(offset));
     }
+    let length = read_u32(&header[..4]) as usize;
+    let Some(text) = body.get(..length) else {
+        return Ok(None);
+    };
+    if crc32fast::hash(text) != read_u32(&header[4..SUMMED]) {
+        let last = length == body.len();
+        return if last {
+            Ok(None)
+        } else {
+            Err(Error::Damaged(offset))
+        };
+    }
     let record = serde_json::from_slice(text).map_err(|_| Error::Damaged(offset))?;
     Ok(Some((record, offset + HEADER + length)))
 }
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -195,9 +195,9 @@
     assert!(initialised.contains("belongs to c0/"), "{initialised}");
     let journal = deployment.voters[0].data.join("journal");
     let whole = fs::read(&journal).unwrap();
-    // A torn record at the end was never acknowledged.
+    // A torn record at the end, here the beginning of the first, was never acknowledged.
     let mut torn = whole.clone();
-    torn.extend([200, 0, 0, 0, 1, 2, 3, 4, b'{']);
+    torn.extend(&whole[..20]);
     fs::write(&journal, &torn).unwrap();
     deployment.start_voter(0);
     deployment.wait_admin(0).await;
--- /dev/null
+++ b/tests/testsuite/journal.rs
@@ -0,0 +1,270 @@
+//! The journal through losses of power: what was acknowledged is there, and of what was
+//! not synced any beginning may be there, torn or full of zeros.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    sync::{Arc, Mutex},
+};
+
+use rand::Rng as _;
+use scalewood::{
+    core::agree::{Entry, Identity, Index, Kept, Node, Payload, Snapshot, Term, Write},
+    store::{
+        identity,
+        journal::{Error, Journal, Keeper},
+        media::Media,
+    },
+};
+
+use crate::random::{agree::Trail, random, runs};
+
+/// Bytes before a record's text.
+const HEADER: usize = 12;
+
+/// A file: what is synced, and what is not.
+#[derive(Clone, Debug, Default)]
+struct File {
+    synced: Vec<u8>,
+    pending: Vec<u8>,
+}
+
+/// Files in memory that lose what was not synced.
+#[derive(Clone, Debug, Default)]
+struct Memory {
+    files: Arc<Mutex<BTreeMap<String, File>>>,
+}
+
+impl Media for Memory {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        let files = self.files.lock().unwrap();
+        Ok(files
+            .get(name)
+            .map(|file| [file.synced.clone(), file.pending.clone()].concat()))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut files = self.files.lock().unwrap();
+        files
+            .entry(name.to_owned())
+            .or_default()
+            .pending
+            .extend(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        let mut files = self.files.lock().unwrap();
+        let file = files.entry(name.to_owned()).or_default();
+        file.synced.append(&mut file.pending);
+        Ok(())
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let file = File {
+            synced: bytes.to_vec(),
+            pending: Vec::new(),
+        };
+        self.files.lock().unwrap().insert(name.to_owned(), file);
+        Ok(())
+    }
+}
+
+impl Memory {
+    /// Loses power: of what was not synced, some beginning is there, maybe as zeros.
+    fn lose_power(&self, keep: usize, zeros: bool) {
+        for file in self.files.lock().unwrap().values_mut() {
+            let kept = keep.min(file.pending.len());
+            let rest = std::mem::take(&mut file.pending);
+            file.synced.extend(
+                rest[..kept]
+                    .iter()
+                    .map(|byte| if zeros { 0 } else { *byte }),
+            );
+        }
+    }
+}
+
+fn entry(index: u64, term: u64) -> Entry<u64> {
+    Entry {
+        index: Index(index),
+        term: Term(term),
+        payload: Payload::Command(index * 10),
+    }
+}
+
+fn same(left: &Kept<Trail>, right: &Kept<Trail>) -> bool {
+    left.entries == right.entries
+        && (left.term, &left.voted) == (right.term, &right.voted)
+        && left.snapshot.index == right.snapshot.index
+        && left.snapshot.state == right.snapshot.state
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Append(u64),
+    Truncate,
+    Vote,
+    Compact,
+    /// Power is lost after some bytes of the next record.
+    Power(usize, bool),
+    Restart,
+}
+
+fn schedule(seed: u64) -> Vec<Step> {
+    let mut random = random(seed);
+    let step = |_| match random.random_range(0..100) {
+        0..55 => Step::Append(random.random_range(1..4)),
+        55..65 => Step::Truncate,
+        65..75 => Step::Vote,
+        75..82 => Step::Compact,
+        82..94 => Step::Power(random.random_range(0..120), random.random_bool(0.3)),
+        _ => Step::Restart,
+    };
+    (0..60).map(step).collect()
+}
+
+/// The writes of a step, as a voter would make them.
+fn writes(step: Step, kept: &Kept<Trail>) -> Vec<Write<Trail>> {
+    let first = kept.snapshot.index.0 + 1;
+    let last = kept.entries.last().map_or(first - 1, |entry| entry.index.0);
+    match step {
+        Step::Append(count) => {
+            let entries = (1..=count).map(|i| entry(last + i, kept.term.0));
+            vec![Write::Append(entries.collect())]
+        }
+        Step::Truncate if last >= first => {
+            vec![
+                Write::Truncate(Index(last)),
+                Write::Append(vec![entry(last, kept.term.0 + 7)]),
+            ]
+        }
+        Step::Vote => vec![Write::Vote(kept.term.next(), None)],
+        Step::Compact if last >= first => {
+            let state = Trail {
+                applied: (1..=last).collect(),
+            };
+            let members = kept.snapshot.members.clone();
+            let snapshot = Snapshot {
+                index: Index(last),
+                term: kept.term,
+                members,
+                state,
+            };
+            vec![Write::Snapshot(snapshot)]
+        }
+        _ => Vec::new(),
+    }
+}
+
+fn reopen(media: &Memory) -> Keeper<Memory, Trail> {
+    let opened = Journal::open::<Trail>(media.clone()).expect("the journal opens");
+    Keeper::new(opened.journal, opened.kept)
+}
+
+#[test]
+fn what_was_acknowledged_outlives_losses_of_power() {
+    runs(300, schedule, |_, steps| {
+        let media = Memory::default();
+        let kept = Kept::<Trail>::default();
+        Journal::create(media.clone(), kept.clone()).unwrap();
+        let mut keeper = reopen(&media);
+        let mut acknowledged = kept;
+        for step in steps {
+            match *step {
+                Step::Restart => keeper = reopen(&media),
+                Step::Power(keep, zeros) => {
+                    // A record is on its way to the disk when the power goes.
+                    let torn = writes(Step::Append(2), &acknowledged);
+                    let mut half = media.clone();
+                    let before = media.read("journal").unwrap().unwrap().len();
+                    keeper.keep(torn.clone()).unwrap();
+                    let after = media.read("journal").unwrap().unwrap();
+                    half.replace("journal", &after[..before]).unwrap();
+                    half.append("journal", &after[before..]).unwrap();
+                    media.lose_power(keep, zeros);
+                    keeper = reopen(&media);
+                    let whole = !zeros && keep >= after.len() - before;
+                    if whole {
+                        torn.into_iter()
+                            .for_each(|write| acknowledged.replay(write));
+                    }
+                }
+                step => {
+                    let writes = writes(step, &acknowledged);
+                    keeper.keep(writes.clone()).unwrap();
+                    writes
+                        .into_iter()
+                        .for_each(|write| acknowledged.replay(write));
+                }
+            }
+            assert!(same(keeper.kept(), &acknowledged), "after {step:?}");
+        }
+        assert!(same(reopen(&media).kept(), &acknowledged), "at the end");
+    });
+}
+
+#[test]
+fn damage_before_the_end_is_an_error_wherever_it_is() {
+    let media = Memory::default();
+    let kept = Kept::<Trail>::default();
+    Journal::create(media.clone(), kept.clone()).unwrap();
+    let mut keeper = reopen(&media);
+    for i in 0..5 {
+        keeper
+            .keep(vec![Write::Append(vec![entry(i + 1, 1)])])
+            .unwrap();
+    }
+    let whole = media.read("journal").unwrap().unwrap();
+    let last = whole.len() - HEADER - {
+        // The last record's text, as long as those before it.
+        serde_json::to_vec(&[Write::<Trail>::Append(vec![entry(5, 1)])])
+            .unwrap()
+            .len()
+    };
+    for at in 0..last {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 0x20;
+        media.clone().replace("journal", &damaged).unwrap();
+        let opened = Journal::open::<Trail>(media.clone());
+        let lost = |kept: &Kept<Trail>| kept.entries.len() < 5;
+        match opened {
+            Err(Error::Damaged(_)) => {}
+            Ok(opened) => assert!(
+                !lost(&opened.kept),
+                "damage at {at} loses records in silence"
+            ),
+            Err(error) => panic!("damage at {at}: {error}"),
+        }
+    }
+}
+
+#[test]
+fn a_folder_without_identity_or_journal_is_told_apart() {
+    let own = "c1".parse().unwrap();
+    let mut media = Memory::default();
+    assert!(matches!(
+        identity::read(&media, &own),
+        Err(identity::Error::Empty)
+    ));
+    let node = identity::make(&mut media, &own).unwrap();
+    assert!(matches!(
+        identity::make(&mut media, &own),
+        Err(identity::Error::Used(_))
+    ));
+    assert_eq!(identity::read(&media, &own).unwrap(), node);
+    assert!(matches!(
+        Journal::open::<Trail>(media.clone()),
+        Err(Error::Missing)
+    ));
+    let other = "c2".parse().unwrap();
+    assert!(matches!(
+        identity::read(&media, &other),
+        Err(identity::Error::Foreign(..))
+    ));
+    let again = Node {
+        name: own,
+        identity: Identity(node.identity.0),
+    };
+    assert_eq!(again, node);
+}
