Broken invariants are logged, as the events page says

The event was in the catalogue and on the page, but nothing logged it; the new test of the count, the metric and the event failed for the last.

--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -14,7 +14,7 @@
     board::feed,
     core::{agree, ledger, name, secret, unit},
     event,
-    ops::{rpc, source},
+    ops::{breach, rpc, source},
     store::{folder, identity, journal},
     util::{clock, settings, signal},
     wire::{control::ControlServer as _, source::SourceServer as _},
@@ -225,6 +225,7 @@
         rate: settings.orders,
     };
     tokio::spawn(giver.run());
+    tokio::spawn(breach::watch(log.clone()));
     let admin = admin::Admin {
         handle: handle.clone(),
         server,
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -22,7 +22,7 @@
     board::entry::{Board, Own},
     core::{name, unit},
     event,
-    ops::{rpc, source},
+    ops::{breach, rpc, source},
     util::{
         clock::{self, Clock as _},
         settings, signal,
@@ -249,6 +249,7 @@
         feed: board.feed.clone(),
         log: board.log.clone(),
     };
+    tokio::spawn(breach::watch(board.log.clone()));
     tokio::spawn(follower.run());
     tokio::spawn(member::run(board.clone()));
     tokio::spawn(desk::run(board.clone()));
--- a/src/scalewood/ops/mod.rs
+++ b/src/scalewood/ops/mod.rs
@@ -1,5 +1,6 @@
 //! Controllers: what is done with the facts on the board.
 
+pub mod breach;
 pub mod control;
 pub mod entry;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod failure;
 mod feed;
 mod help;
+mod invariant;
 mod journal;
 mod orders;
 mod path;
