--- a/src/scalewood/core/agree/mod.rs
+++ b/src/scalewood/core/agree/mod.rs
@@ -7,16 +7,16 @@
 //! - A voter is its box *and* the identity in its data folder ([`Node`]). A folder
 //!   that is empty or another's has another identity, so it is no voter: it joins as
 //!   a learner, and votes once it has caught up and its membership is committed.
-//! - A candidate first asks whether it could win ([`elect`]), so that a voter that
+//! - A candidate first asks whether it could win (`elect`), so that a voter that
 //!   comes back from a cut does not unseat a leader that works.
 //! - A voter that hears from a leader votes for nobody else for the shortest
 //!   election time. So a leader that a majority has answered knows that nobody else
 //!   leads before that time is over: this is its lease ([`Voter::lease`]).
 //!   A voter that has just started waits as long, since it has forgotten whom it
 //!   heard.
-//! - Membership changes by one voter at a time ([`members`]).
+//! - Membership changes by one voter at a time (`members`).
 //! - The log before a snapshot is dropped; who lags behind it gets the snapshot in
-//!   pieces ([`snapshot`]).
+//!   pieces (`snapshot`).
 //!
 //! [`Voter::step`] takes one input and the time and returns an [`Output`]. The driver
 //! must make the writes durable *before* it sends the messages and gives the answers.
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -10,12 +10,12 @@
 //! algorithm after each input:
 //!
 //! 1. While a slot is free: the next request gets it. That is the class that is
-//!    owed a whole run by its share ([`share`]), else the first by tier and slack
-//!    ([`queue`]). The endpoint with the lowest use goes first, or the one that
-//!    likely caches the prompt's prefix ([`endpoint`]).
+//!    owed a whole run by its share (`share`), else the first by tier and slack
+//!    (`queue`). The endpoint with the lowest use goes first, or the one that
+//!    likely caches the prompt's prefix (`endpoint`).
 //! 2. If requests are left that have to start now: for each of them a run of a
-//!    lower tier is preempted, the one that loses the least work ([`preempt`]).
-//! 3. Requests that would wait past their deadline are shed at once ([`shed`]).
+//!    lower tier is preempted, the one that loses the least work (`preempt`).
+//! 3. Requests that would wait past their deadline are shed at once (`shed`).
 //!
 //! A new dispatcher settles first: it adopts the runs that the entry boxes
 //! announce, and grants nothing until all boxes that are alive have announced theirs.
