--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -20,8 +20,7 @@
 //! A new dispatcher settles first: it adopts the runs that the entry boxes
 //! announce, and grants nothing until all boxes that are alive have announced theirs.
 //! They take no more grants from the dispatcher before, so nothing is missing then.
-//! A box that does not announce is waited for until the last dispatcher's unused
-//! grants are void.
+//! A box that does not announce is waited for until it no longer counts as alive.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -50,7 +49,8 @@
 pub struct Settings {
     /// How long a grant lives unused.
     pub grant_life: Duration,
-    /// How long a new dispatcher grants nothing.
+    /// How long a new dispatcher waits at most for a box that is alive to announce what
+    /// it holds. A box that is dead or frozen stops counting as alive long before.
     pub settle: Duration,
     /// The most requests that wait.
     pub max_waiting: usize,
@@ -76,7 +76,7 @@
     fn default() -> Self {
         Self {
             grant_life: Duration::from_secs(2),
-            settle: Duration::from_millis(2500),
+            settle: Duration::from_secs(10),
             max_waiting: 20_000,
             preempt_lead: Duration::from_millis(60),
             first_guess: Duration::from_secs(1),
