--- a/tests/testsuite/failure.rs
+++ b/tests/testsuite/failure.rs
@@ -461,3 +461,33 @@
     deployment.wait_ready().await;
     all_whole(streams(&deployment, "counter", 3, 5, "restarted")).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_call_that_waited_too_long_for_its_claim_is_not_sent() {
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        boxes: vec![1],
+        slots: 1,
+        retention: "2s",
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(plan, dir.path()).await;
+    let callers = deployment.entries[0].callers;
+    assert_eq!(decided(callers, "warm").await.status, 200);
+    let plain = deployment.standins_of(false)[0];
+    // A slow call holds the only slot for longer than half the retention.
+    deployment.faults(plain, json!({ "slower": 50_000 })).await;
+    let slow = tokio::spawn(async move { record(callers, "", "{}").await });
+    deploy::wait("the slow call runs", || async {
+        deployment.runs(plain).len() == 2
+    })
+    .await;
+    let answer = record(callers, "late", "{}").await.unwrap();
+    assert_eq!(answer.json()["error"]["code"], "key-stale");
+    assert_eq!(answer.verdict(), Some("not-run"));
+    assert!(
+        !runs_by_key(&deployment).contains_key("late"),
+        "it was sent"
+    );
+    let _ = slow.await.unwrap();
+}
