--- a/src/scalewood/store/journal.rs
+++ b/src/scalewood/store/journal.rs
@@ -7,9 +7,9 @@
 //! what it promised. The head has a sum of its own, or a damaged length would make the
 //! records that follow look like the torn end.
 //!
-//! A log of records was weighed against an embedded store. Both survive torn
-//! writes; the log takes one sync for each step where the stores need two or more,
-//! and no memory beside the state itself.
+//! A log of records was weighed against an embedded store, without a measurement: the log
+//! takes one sync for each step and no memory beside the state itself, and all that is
+//! needed of a store here is to append and to start anew from a snapshot.
 
 use std::{fmt, io};
 
