Slow endpoints are measured by all boxes together and kept from tight streams; voters are reached sooner

Found by new fields of event 3311 (first_ms, pause_ms, prompt). Ruled out: first tokens (p50 48 ms), full endpoints, long prompts in the wrong group (no late stream on a fast endpoint of the short group beside any prompt). After a loss of power boxes had their routes 1.0 s after the voters were up: a packet that opens a connection to a dead machine is sent again only after a second.

Change: core/pace measures the time between events (a low quantile over streams), voters give out the median of all boxes, and endpoints that count as slow stand last in the order by which they are parted. Connections to voters are given up on after 250 ms at first.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     board::{feed, view},
-    core::{attempt, claim, dispatch, limit, member, name, registry, retry, unit},
+    core::{attempt, claim, dispatch, limit, member, name, pace, registry, retry, unit},
     util::{
         clock::Clock,
         lock::{lock, Sharded},
@@ -129,6 +129,8 @@
     pub gone: Mutex<BTreeSet<(name::Box, name::Service)>>,
     /// Endpoints that announced themselves.
     pub registry: Mutex<registry::Registry>,
+    /// How fast endpoints go, as this box measures it.
+    pub paces: Mutex<HashMap<name::Endpoint, pace::Meter>>,
     /// How many voters' registries are followed.
     pub links_up: Mutex<i32>,
     /// Since when at least one voter's registry is followed, if any is.
@@ -181,6 +183,7 @@
             subscribers: Mutex::default(),
             gone: Mutex::default(),
             registry: Mutex::default(),
+            paces: Mutex::default(),
             links_up: Mutex::new(0),
             linked_since: Mutex::new(None),
             sharers: AtomicU32::new(0),
--- a/src/scalewood/board/view.rs
+++ b/src/scalewood/board/view.rs
@@ -86,12 +86,10 @@
         zone: &name::Zone,
         registry: &registry::Registry,
     ) -> dispatch::Input {
-        let mut registered: Vec<_> = registry
-            .records()
-            .filter(|record| record.service == *service)
-            .collect();
-        order_by_turns(&mut registered);
-        let registered = registered.into_iter().enumerate();
+        let registered = registry
+            .graded()
+            .filter(|(record, _)| record.service == *service);
+        let registered = in_turns(registered.collect()).into_iter().enumerate();
         let registered = registered.map(|(place, record)| dispatch::Spec {
             name: record.name.clone(),
             slots: record.slots.0,
@@ -140,18 +138,19 @@
     }
 }
 
-/// Orders endpoints so that zones take turns: the first of each zone, then the second.
-fn order_by_turns(records: &mut Vec<&registry::Record>) {
-    records.sort_by(|a, b| (&a.zone, &a.name).cmp(&(&b.zone, &b.name)));
-    let mut in_zone: BTreeMap<&name::Zone, usize> = BTreeMap::new();
-    let mut placed: Vec<_> = records
-        .iter()
-        .map(|record| {
-            let turn = in_zone.entry(&record.zone).or_default();
+/// Endpoints in an order that is the same for all boxes: the fast ones before the slow
+/// ones, and of each kind the first of each zone, then the second, and so on.
+fn in_turns(mut graded: Vec<(&registry::Record, bool)>) -> Vec<&registry::Record> {
+    graded.sort_by_key(|(record, slow)| (&record.zone, *slow, &record.name));
+    let mut turns: BTreeMap<(&name::Zone, bool), usize> = BTreeMap::new();
+    let mut placed: Vec<_> = graded
+        .into_iter()
+        .map(|(record, slow)| {
+            let turn = turns.entry((&record.zone, slow)).or_default();
             *turn += 1;
-            (*turn, *record)
+            (slow, *turn, record)
         })
         .collect();
-    placed.sort_by(|a, b| (a.0, &a.1.zone).cmp(&(b.0, &b.1.zone)));
-    *records = placed.into_iter().map(|(_, record)| record).collect();
+    placed.sort_by_key(|(slow, turn, record)| (*slow, *turn, &record.zone));
+    placed.into_iter().map(|(_, _, record)| record).collect()
 }
--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod limit;
 pub mod member;
 pub mod name;
+pub mod pace;
 pub mod policy;
 pub mod registry;
 pub mod rendezvous;
--- /dev/null
+++ b/src/scalewood/core/pace.rs
@@ -0,0 +1,153 @@
+//! How fast endpoints go, compared with each other.
+//!
+//! Endpoints of one service differ in speed, and only some bear a prompt that is read
+//! beside a stream without a pause that is too long. An endpoint's pace is the time
+//! between two events of a stream while it is little used: a low quantile of many
+//! measurements, and the best of the last half minute. So it tells how fast the endpoint
+//! is, and not how busy. Boxes measure by themselves and tell the voters, which give out
+//! the median; all boxes thus grade the endpoints alike.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::name;
+
+/// Events of one measurement: over several, what arrives together counts once.
+const SPAN: u32 = 4;
+/// Measurements from which one estimate is made.
+const SAMPLES: usize = 8;
+/// The place of the estimate among its sorted measurements.
+const LOW: usize = 1;
+/// How long an estimate counts.
+const MEMORY: Duration = Duration::from_secs(30);
+/// The part, in hundredths, by which a pace has to change to be worth telling.
+const WORTH_TELLING: u32 = 3;
+/// How much slower than the fast endpoints one has to be to count as slow, in hundredths.
+const SLOW: u32 = 116;
+/// How much slower it may be to count as fast again.
+const FAST: u32 = 109;
+/// Endpoints that have to be measured before any is compared.
+const COMPARED: usize = 3;
+
+/// The time between two events of a stream, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Pace(pub u32);
+
+impl Pace {
+    /// Whether it differs so much from what was told before that it is worth telling.
+    pub fn is_news(self, told: Option<Self>) -> bool {
+        told.is_none_or(|told| self.0.abs_diff(told.0) * 100 > told.0 * WORTH_TELLING)
+    }
+}
+
+impl From<Duration> for Pace {
+    fn from(time: Duration) -> Self {
+        Self(u32::try_from(time.as_micros()).unwrap_or(u32::MAX))
+    }
+}
+
+/// An endpoint with its pace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Paced {
+    /// The endpoint.
+    pub endpoint: name::Endpoint,
+    /// Its pace.
+    pub pace: Pace,
+}
+
+/// Measures the pace of one stream.
+#[derive(Clone, Debug, Default)]
+pub struct Stream {
+    /// Events since the measurement began, and when that was.
+    events: u32,
+    since: Duration,
+}
+
+impl Stream {
+    /// Notes an event; tells the pace after every few.
+    pub fn event(&mut self, now: Duration) -> Option<Pace> {
+        if self.events == 0 {
+            self.since = now;
+        }
+        self.events += 1;
+        if self.events <= SPAN {
+            return None;
+        }
+        let pace = now.saturating_sub(self.since) / SPAN;
+        self.events = 1;
+        self.since = now;
+        Some(pace.into())
+    }
+}
+
+/// What one box measures of one endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    samples: Vec<Pace>,
+    estimates: VecDeque<(Duration, Pace)>,
+}
+
+impl Meter {
+    /// Takes a measurement.
+    pub fn observe(&mut self, pace: Pace, now: Duration) {
+        self.samples.push(pace);
+        if self.samples.len() < SAMPLES {
+            return;
+        }
+        self.samples.sort_unstable();
+        let estimate = self.samples[LOW];
+        self.samples.clear();
+        while self
+            .estimates
+            .front()
+            .is_some_and(|(at, _)| *at + MEMORY < now)
+        {
+            self.estimates.pop_front();
+        }
+        // Only what is better than all that came before it matters.
+        while self.estimates.back().is_some_and(|(_, p)| *p >= estimate) {
+            self.estimates.pop_back();
+        }
+        self.estimates.push_back((now, estimate));
+    }
+
+    /// The endpoint's pace, if it is known.
+    pub fn pace(&self) -> Option<Pace> {
+        self.estimates.front().map(|(_, pace)| *pace)
+    }
+}
+
+/// What several boxes measured of one endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Reports(BTreeMap<name::Box, Pace>);
+
+impl Reports {
+    /// Takes what a box measured; returns the median of all boxes.
+    pub fn take(&mut self, from: name::Box, pace: Pace) -> Pace {
+        self.0.insert(from, pace);
+        let mut paces: Vec<_> = self.0.values().copied().collect();
+        paces.sort_unstable();
+        paces[(paces.len() - 1) / 2]
+    }
+}
+
+/// Which of a service's endpoints are slow: `graded` holds the pace of each, where it is
+/// known, and whether it counted as slow before.
+pub fn grade(graded: &mut [(Option<Pace>, bool)]) {
+    let mut known: Vec<_> = graded.iter().filter_map(|(pace, _)| *pace).collect();
+    if known.len() < COMPARED {
+        return;
+    }
+    known.sort_unstable();
+    let fast = known[(known.len() - 1) / 3];
+    for (pace, slow) in graded {
+        let Some(pace) = pace else { continue };
+        let limit = if *slow { FAST } else { SLOW };
+        *slow = u64::from(pace.0) * 100 > u64::from(fast.0) * u64::from(limit);
+    }
+}
--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{name, unit};
+use crate::core::{name, pace, unit};
 
 /// Whether an endpoint takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -63,6 +63,11 @@
     heard: Duration,
     /// The registry's stamp when the record last changed.
     stamp: u64,
+    /// How fast it goes, and the registry's stamp when that last changed.
+    pace: Option<pace::Pace>,
+    pace_stamp: u64,
+    /// Whether it is slow beside the others of its service.
+    slow: bool,
 }
 
 /// The most endpoints that have gone which are remembered.
@@ -92,6 +97,9 @@
             let entry = Entry {
                 heard: now,
                 stamp: self.stamp,
+                pace: None,
+                pace_stamp: 0,
+                slow: false,
                 record,
             };
             self.entries.insert(entry.record.name.clone(), entry);
@@ -150,6 +158,55 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
+    /// Notes how fast an endpoint goes; tells whether another one counts as slow by this.
+    pub fn set_pace(&mut self, name: &name::Endpoint, pace: pace::Pace) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return false;
+        };
+        if !pace.is_news(entry.pace) {
+            return false;
+        }
+        self.stamp += 1;
+        entry.pace = Some(pace);
+        entry.pace_stamp = self.stamp;
+        let service = entry.record.service.clone();
+        self.grade(&service)
+    }
+
+    /// Compares the endpoints of a service with each other.
+    fn grade(&mut self, service: &name::Service) -> bool {
+        let of_service = |entry: &&mut Entry| entry.record.service == *service;
+        let mut entries: Vec<_> = self.entries.values_mut().filter(of_service).collect();
+        let mut graded: Vec<_> = entries.iter().map(|e| (e.pace, e.slow)).collect();
+        pace::grade(&mut graded);
+        let mut changed = false;
+        for (entry, (_, slow)) in entries.iter_mut().zip(graded) {
+            changed |= entry.slow != slow;
+            entry.slow = slow;
+        }
+        changed
+    }
+
+    /// The paces that changed after a stamp.
+    pub fn paces_since(&self, stamp: u64) -> Vec<pace::Paced> {
+        let changed = self.entries.values().filter(|e| e.pace_stamp > stamp);
+        let paced = |entry: &Entry| {
+            Some(pace::Paced {
+                endpoint: entry.record.name.clone(),
+                pace: entry.pace?,
+            })
+        };
+        changed.filter_map(paced).collect()
+    }
+
+    /// All endpoints that have not gone, and whether each is slow beside the others of
+    /// its service.
+    pub fn graded(&self) -> impl Iterator<Item = (&Record, bool)> {
+        self.entries
+            .values()
+            .map(|entry| (&entry.record, entry.slow))
+    }
+
     /// Rises with each change that others have to know.
     pub fn stamp(&self) -> u64 {
         self.stamp
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -1,6 +1,7 @@
 //! What a voter knows of endpoints that announced themselves, and its followers.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{
         atomic::{AtomicU32, Ordering},
@@ -17,7 +18,7 @@
 
 use crate::{
     board::feed,
-    core::{name, registry, unit},
+    core::{name, pace, registry, unit},
     event,
     ops::control::Handle,
     util::{
@@ -39,6 +40,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Endpoints {
     registry: Arc<Mutex<registry::Registry>>,
+    /// What boxes measured of each endpoint that is known.
+    measured: Arc<Mutex<BTreeMap<name::Endpoint, pace::Reports>>>,
     changed: watch::Sender<u64>,
     followers: Arc<AtomicU32>,
     clock: clock::System,
@@ -49,6 +52,7 @@
     pub(super) fn new(clock: clock::System, log: slog::Logger) -> Self {
         Self {
             registry: Arc::default(),
+            measured: Arc::default(),
             changed: watch::Sender::new(0),
             followers: Arc::default(),
             clock,
@@ -76,6 +80,18 @@
         }
     }
 
+    /// Takes what a box measured. Followers hear of it with the next news.
+    fn take_paces(&self, from: &name::Box, paces: Vec<pace::Paced>) {
+        let mut registry = lock(&self.registry);
+        let mut measured = lock(&self.measured);
+        measured.retain(|name, _| registry.get(name).is_some());
+        for paced in paces {
+            let reports = measured.entry(paced.endpoint.clone()).or_default();
+            let median = reports.take(from.clone(), paced.pace);
+            registry.set_pace(&paced.endpoint, median);
+        }
+    }
+
     /// How many endpoints are known, and how many boxes follow.
     pub(super) fn counts(&self) -> (usize, u32) {
         let known = lock(&self.registry).records().count();
@@ -111,6 +127,11 @@
         Ok(())
     }
 
+    async fn measured(&self, who: name::Box, paces: Vec<pace::Paced>) -> RpcResult<()> {
+        self.endpoints.take_paces(&who, paces);
+        Ok(())
+    }
+
     async fn document(&self, newer_than: unit::Revision) -> RpcResult<Option<Whole>> {
         let state = self.feed.current();
         let newer = state.revision > newer_than;
@@ -158,6 +179,7 @@
         registry.expire(before);
         news.changed = registry.changed_since(stamp);
         news.gone = registry.gone_since(stamp);
+        news.paces = registry.paces_since(stamp);
         news.revision = self.feed.current().revision;
         news.followers = self.endpoints.followers.load(Ordering::Relaxed);
         let next = registry.stamp();
--- a/src/scalewood/ops/entry/directory.rs
+++ b/src/scalewood/ops/entry/directory.rs
@@ -4,7 +4,7 @@
 //! of it at once, and no single voter that is cut off or behind can keep news from it.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{atomic::Ordering, Arc, Mutex},
     time::Duration,
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    core::{dispatch, registry},
+    core::{dispatch, name, pace, registry},
     event,
     ops::{
         entry::{desk, now, Shared},
@@ -26,8 +26,11 @@
 
 /// How long a voter may be silent.
 const SILENCE: Duration = Duration::from_millis(2500);
-/// The wait before a voter that was lost is tried again.
+/// The wait before a voter that was lost is tried again: short at first.
 const AGAIN: Duration = Duration::from_millis(250);
+const SOON: Duration = Duration::from_millis(50);
+/// Failures after which it is tried less often.
+const SOON_TRIES: u32 = 8;
 /// How long a voter that is no member any more is still followed.
 const ATTEMPTS: u32 = 40;
 /// How long a document may take.
@@ -52,6 +55,10 @@
 
 /// Forgets endpoints that nobody has heard of for long, while voters are followed.
 fn forget(board: &Shared) {
+    {
+        let registry = lock(&board.registry);
+        lock(&board.paces).retain(|name, _| registry.get(name).is_some());
+    }
     let linked_since = *lock(&board.linked_since);
     let Some(since) = linked_since else { return };
     let now = now(board);
@@ -77,8 +84,9 @@
 async fn keep(board: Shared, followed: Followed, voter: SocketAddr) {
     let mut failures = 0;
     while failures < ATTEMPTS {
+        let within = rpc::patience(failures / 2);
         failures += 1;
-        if let Ok(client) = rpc::connect(voter).await {
+        if let Ok(client) = rpc::connect_within(voter, within).await {
             failures = 0;
             event!(board.log, RegistryFound, "voter" => %voter);
             note_link(&board, 1);
@@ -86,7 +94,8 @@
             note_link(&board, -1);
             event!(board.log, RegistryLost, "voter" => %voter);
         }
-        tokio::time::sleep(AGAIN).await;
+        let wait = if failures < SOON_TRIES { SOON } else { AGAIN };
+        tokio::time::sleep(wait).await;
     }
     lock(&followed).remove(&voter);
 }
@@ -107,6 +116,7 @@
     let Ok(mut news) = client.follow(board.own.name.clone()).await else {
         return;
     };
+    let mut told = BTreeMap::new();
     while let Some(next) = next(&mut news).await {
         add(board, followed, &next.voters);
         let newer = next.revision > board.feed.current().revision;
@@ -114,7 +124,35 @@
         if newer {
             tokio::spawn(fetch(board.clone(), client.clone()));
         }
+        let paces = measured(board, &mut told);
+        if !paces.is_empty()
+            && client
+                .measured(board.own.name.clone(), paces)
+                .await
+                .is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// The paces measured here that differ from what was told before.
+fn measured(board: &Shared, told: &mut BTreeMap<name::Endpoint, pace::Pace>) -> Vec<pace::Paced> {
+    let meters = lock(&board.paces);
+    let paces = meters
+        .iter()
+        .filter_map(|(name, meter)| Some((name, meter.pace()?)));
+    let mut news = Vec::new();
+    for (name, pace) in paces {
+        if pace.is_news(told.get(name).copied()) {
+            told.insert(name.clone(), pace);
+            news.push(pace::Paced {
+                endpoint: name.clone(),
+                pace,
+            });
+        }
     }
+    news
 }
 
 async fn next(news: &mut Subscription<News>) -> Option<News> {
@@ -142,6 +180,15 @@
     for name in news.heard {
         registry.hear(&name, now);
     }
+    let mut regraded = false;
+    for paced in news.paces {
+        regraded |= registry.set_pace(&paced.endpoint, paced.pace);
+    }
+    if regraded {
+        let slow = registry.graded().filter(|(_, slow)| *slow);
+        let slow: Vec<_> = slow.map(|(record, _)| record.name.as_str()).collect();
+        event!(board.log, EndpointsGraded, "slow" => slow.join(" "));
+    }
 }
 
 /// Notes how many boxes use the same endpoints, for the dispatchers here.
--- a/src/scalewood/ops/entry/observer.rs
+++ b/src/scalewood/ops/entry/observer.rs
@@ -16,6 +16,7 @@
     call: Call,
     first: Option<Duration>,
     last: Duration,
+    longest_pause: Duration,
     tokens: u64,
     ended: bool,
 }
@@ -27,6 +28,7 @@
             call: call.clone(),
             first: None,
             last: Duration::ZERO,
+            longest_pause: Duration::ZERO,
             tokens: 0,
             ended: false,
         }
@@ -65,17 +67,28 @@
         if self.first.is_none() {
             self.first();
         } else {
-            let between = now.saturating_sub(self.last).as_secs_f64();
+            let pause = now.saturating_sub(self.last);
+            self.longest_pause = self.longest_pause.max(pause);
             self.board
                 .metrics
                 .between
                 .get_or_create(&self.label())
-                .observe(between);
+                .observe(pause.as_secs_f64());
         }
         self.last = now;
         self.tokens += 1;
     }
 
+    /// How long the first token, or a plain service's answer, took.
+    pub(super) fn first_after(&self) -> Option<Duration> {
+        self.first
+    }
+
+    /// The longest pause between two tokens so far.
+    pub(super) fn longest_pause(&self) -> Duration {
+        self.longest_pause
+    }
+
     /// Notes tokens that have to be processed again.
     pub(super) fn wasted(&self, tokens: unit::Tokens) {
         self.board
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -398,8 +398,10 @@
         event!(self.context.board.log, RequestEnded, "id" => routed.head.id.as_deref(),
             "route" => %routed.call.key, "team" => %routed.call.team, "rank" => %routed.rank,
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
-            "tries" => self.tries, "took_ms" => took.as_millis(),
-            "status" => status.as_u16(), "code" => code, "verdict" => %verdict,
+ "prompt" => routed.call.prompt.0, "tries" => self.tries,
+            "first_ms" => self.observer.first_after().map(|first| first.as_millis()),
+            "pause_ms" => self.observer.longest_pause().as_millis(),
+            "took_ms" => took.as_millis(), "status" => status.as_u16(), "code" => code, "verdict" => %verdict,
             "revision" => %routed.revision);
     }
 }
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -36,7 +36,7 @@
 
 /// How long after its start a box has its routes and endpoints, where the voters have
 /// started with it.
-const STARTING: Duration = Duration::from_millis(2000);
+const STARTING: Duration = Duration::from_millis(1200);
 /// The soonest that a caller is told to come back to a box without routes.
 const AGAIN: Duration = Duration::from_millis(500);
 
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -12,16 +12,19 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    core::{dispatch, unit, verdict},
+    core::{dispatch, name, pace, unit, verdict},
     ops::entry::{
         body::{self, Answer, Cut, Piece},
         dialect::Dialect,
+        now,
         routed::{
             attempt::{Opened, Request},
             pool, reply,
         },
+        turn::Turn,
         upstream::Failure,
     },
+    util::lock::lock,
 };
 
 /// The longest that a resumable stream may pause before another endpoint is tried.
@@ -81,7 +84,7 @@
                 body,
             } = opened;
             let passed = if parts.status.is_success() {
-                self.pass_on(&turn, body).await
+                self.pass_on(&turn, &endpoint, body).await
             } else {
                 Err(Failure::BROKEN)
             };
@@ -111,13 +114,8 @@
         }
     }
 
-    fn keep(
-        &self,
-        endpoint: &crate::core::name::Endpoint,
-        sender: pool::Sender,
-        headers: &hyper::HeaderMap,
-    ) {
-        let now = super::now(&self.request.context.board);
+    fn keep(&self, endpoint: &name::Endpoint, sender: pool::Sender, headers: &hyper::HeaderMap) {
+        let now = now(&self.request.context.board);
         let keep = pool::keep_time(headers);
         self.request
             .context
@@ -132,10 +130,12 @@
     /// Passes whole events on until the stream ends.
     async fn pass_on(
         &mut self,
-        turn: &crate::ops::entry::turn::Turn,
+        turn: &Turn,
+        endpoint: &name::Endpoint,
         mut body: Incoming,
     ) -> Result<(), Failure> {
         let mut buffer = BytesMut::new();
+        let mut stream = pace::Stream::default();
         loop {
             let left = self.request.left();
             let pause = if self.request.routed.route.kind.is_repeatable() {
@@ -159,6 +159,7 @@
                 }
                 self.events += 1;
                 self.request.observer.token();
+                self.measure(&mut stream, endpoint);
                 if self.pieces.send(Ok(events)).await.is_err() {
                     // The caller is gone; the other branch of the select ends this.
                     std::future::pending::<()>().await;
@@ -167,6 +168,19 @@
         }
     }
 
+    /// Notes an event for the endpoint's pace.
+    fn measure(&self, stream: &mut pace::Stream, endpoint: &name::Endpoint) {
+        let board = &self.request.context.board;
+        let now = now(board);
+        if let Some(pace) = stream.event(now) {
+            let mut paces = lock(&board.paces);
+            paces
+                .entry(endpoint.clone())
+                .or_default()
+                .observe(pace, now);
+        }
+    }
+
     /// Takes the whole events out of a buffer, and notes the last one's id.
     fn take_events(&mut self, buffer: &mut BytesMut) -> Option<Bytes> {
         let end = end_of_events(buffer)?;
--- a/src/scalewood/ops/rpc.rs
+++ b/src/scalewood/ops/rpc.rs
@@ -17,6 +17,9 @@
 const MAX_SUBSCRIPTIONS: u32 = 16;
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_secs(1);
+/// How long one may take at first: a box without power says nothing, and the packet that
+/// opens a connection is sent again only after a second.
+const FIRST_CONNECT: Duration = Duration::from_millis(250);
 /// How long a call may take.
 const CALL: Duration = Duration::from_secs(5);
 
@@ -63,8 +66,28 @@
 ///
 /// Fails if nobody answers there.
 pub async fn connect(address: SocketAddr) -> Result<Arc<WsClient>, Report<Error>> {
+    connect_within(address, CONNECT).await
+}
+
+/// How long to wait for a connection after some that failed: longer each time, so that a
+/// box that is far or slow is reached too.
+pub fn patience(failures: u32) -> Duration {
+    FIRST_CONNECT
+        .saturating_mul(1 << failures.min(8))
+        .min(CONNECT)
+}
+
+/// Connects to a process that may be down.
+///
+/// # Errors
+///
+/// Fails if nobody answers there in time.
+pub async fn connect_within(
+    address: SocketAddr,
+    within: Duration,
+) -> Result<Arc<WsClient>, Report<Error>> {
     let client = WsClientBuilder::default()
-        .connection_timeout(CONNECT)
+        .connection_timeout(within)
         .request_timeout(CALL)
         .max_request_size(MAX_MESSAGE)
         .max_response_size(MAX_MESSAGE)
--- a/src/scalewood/ops/source.rs
+++ b/src/scalewood/ops/source.rs
@@ -25,8 +25,11 @@
 const ALIVE: Duration = Duration::from_secs(1);
 /// How long a source may be silent.
 const SILENCE: Duration = Duration::from_secs(3);
-/// The wait before the next source is tried.
+/// The wait before the next source is tried: short at first.
 const NEXT: Duration = Duration::from_millis(200);
+const SOON: Duration = Duration::from_millis(50);
+/// Sources that fail one after another before they are tried less often.
+const SOON_TRIES: u32 = 12;
 
 /// Gives out a feed.
 #[derive(Clone, Debug)]
@@ -130,14 +133,19 @@
     /// Follows for ever.
     pub async fn run(self) {
         let mut turn = 0;
+        let mut failures = 0;
         loop {
             let sources = self.sources();
             let source = sources[turn % sources.len()];
-            if let Some(reached) = self.follow(source).await {
+            let within = rpc::patience(failures / 6);
+            failures += 1;
+            if let Some(reached) = self.follow(source, within).await {
+                failures = 0;
                 event!(self.log, SourceLost, "source" => %source, "revision" => %reached);
             }
             turn += 1;
-            tokio::time::sleep(NEXT).await;
+            let wait = if failures < SOON_TRIES { SOON } else { NEXT };
+            tokio::time::sleep(wait).await;
         }
     }
 
@@ -161,8 +169,8 @@
     }
 
     /// Follows one source until it falls silent; nothing if it was never reached.
-    async fn follow(&self, source: SocketAddr) -> Option<unit::Revision> {
-        let client = rpc::connect(source).await.ok()?;
+    async fn follow(&self, source: SocketAddr, within: Duration) -> Option<unit::Revision> {
+        let client = rpc::connect_within(source, within).await.ok()?;
         let from = self.feed.current().revision;
         let mut updates = client.follow(self.own.clone(), from).await.ok()?;
         event!(self.log, SourceFound, "source" => %source, "revision" => %from);
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -86,6 +86,7 @@
     EndpointLeaving = 3202, Info, "an endpoint leaves and gets no new work";
     EndpointForgotten = 3203, Warning, "an endpoint was not heard of for long and is forgotten";
     EndpointMistaken = 3204, Warning, "an address answers for another endpoint than the one meant";
+    EndpointsGraded = 3205, Info, "other endpoints than before count as slow";
     RegistryFound = 3211, Info, "a voter's registry is followed";
     RegistryLost = 3212, Warning, "a voter's registry is lost";
     RequestFailed = 3301, Warning, "a request ended in an error";
--- a/src/scalewood/wire/registry.rs
+++ b/src/scalewood/wire/registry.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::core::{config, name, registry, unit};
+use crate::core::{config, name, pace, registry, unit};
 
 /// News of the registry; the first of a subscription holds everything.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -22,6 +22,9 @@
     /// Endpoints that were heard of since the last news.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub heard: Vec<name::Endpoint>,
+    /// Endpoints whose pace has changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<pace::Paced>,
     /// The revision that the voter knows.
     pub revision: unit::Revision,
     /// How many boxes follow the voter.
@@ -47,6 +50,10 @@
     #[subscription(name = "follow" => "news", unsubscribe = "leave", item = News)]
     async fn follow(&self, who: name::Box) -> SubscriptionResult;
 
+    /// Takes the paces of endpoints that a box has measured.
+    #[method(name = "measured")]
+    async fn measured(&self, who: name::Box, paces: Vec<pace::Paced>) -> RpcResult<()>;
+
     /// The configuration, if the voter has one that is newer.
     #[method(name = "document")]
     async fn document(&self, newer_than: unit::Revision) -> RpcResult<Option<Whole>>;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod invariant;
 mod journal;
 mod orders;
+mod pace;
 mod path;
 mod placement;
 mod random;
--- /dev/null
+++ b/tests/testsuite/pace.rs
@@ -0,0 +1,131 @@
+//! How fast endpoints go: measured in spite of load, agreed among boxes, and what follows.
+
+use std::{sync::Arc, time::Duration};
+
+use scalewood::{
+    board::view::View,
+    core::{
+        dispatch::Input,
+        name,
+        pace::{grade, Meter, Pace, Reports, Stream},
+        registry::{Record, Registry, State},
+        unit,
+    },
+};
+
+const START: Duration = Duration::from_secs(100);
+
+/// Feeds a meter with a stream whose events come `steady` apart, and every fifth group of
+/// them `stalled` apart, as beside a prompt that is being read.
+fn measure(meter: &mut Meter, steady: Duration, stalled: Duration, events: u32) {
+    let mut stream = Stream::default();
+    let mut now = START;
+    for number in 0..events {
+        let busy = number / 8 % 5 == 0;
+        now += if busy { stalled } else { steady };
+        if let Some(pace) = stream.event(now) {
+            meter.observe(pace, now);
+        }
+    }
+}
+
+#[test]
+fn prompts_that_are_read_beside_do_not_make_an_endpoint_slow() {
+    let mut meter = Meter::default();
+    let (steady, stalled) = (Duration::from_millis(20), Duration::from_millis(105));
+    measure(&mut meter, steady, stalled, 200);
+    assert_eq!(meter.pace(), Some(steady.into()));
+}
+
+#[test]
+fn events_that_arrive_together_do_not_make_an_endpoint_fast() {
+    let mut meter = Meter::default();
+    let mut stream = Stream::default();
+    let mut now = START;
+    for number in 0..400 {
+        // Events leave 20 ms apart and arrive in pairs.
+        now += Duration::from_millis(if number % 2 == 0 { 40 } else { 0 });
+        if let Some(pace) = stream.event(now) {
+            meter.observe(pace, now);
+        }
+    }
+    assert_eq!(meter.pace(), Some(Duration::from_millis(20).into()));
+}
+
+#[test]
+fn one_box_that_measures_wrongly_changes_nothing() {
+    let mut reports = Reports::default();
+    let box_name = |n: u32| -> name::Box { format!("e{n}").parse().unwrap() };
+    for n in 0..4 {
+        reports.take(box_name(n), Pace(20_000 + n));
+    }
+    assert_eq!(reports.take(box_name(9), Pace(3)), Pace(20_001));
+}
+
+#[test]
+fn slow_endpoints_are_told_from_busy_ones_and_the_verdict_does_not_flap() {
+    let paces = [19_400, 19_900, 20_800, 25_300];
+    let mut graded: Vec<_> = paces.iter().map(|p| (Some(Pace(*p)), false)).collect();
+    grade(&mut graded);
+    let slow: Vec<_> = graded.iter().map(|(_, slow)| *slow).collect();
+    assert_eq!(slow, [false, false, false, true]);
+    graded[3].0 = Some(Pace(22_300));
+    grade(&mut graded);
+    assert!(graded[3].1, "a little better is not enough");
+    graded[3].0 = Some(Pace(20_000));
+    grade(&mut graded);
+    assert!(!graded[3].1);
+    let mut few = [(Some(Pace(10)), false), (Some(Pace(90)), false)];
+    grade(&mut few);
+    assert!(!few[1].1, "two are too few to compare");
+}
+
+fn record(name: &str, zone: &str) -> Record {
+    Record {
+        name: name.parse().unwrap(),
+        service: "lm".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        slots: unit::Slots(4),
+        state: State::Ready,
+        sequence: 1,
+    }
+}
+
+/// The endpoints in the order that all boxes know.
+fn order(registry: &Registry) -> Vec<String> {
+    let view = View::new(unit::Revision(1), Arc::default());
+    let (service, zone) = ("lm".parse().unwrap(), "a".parse().unwrap());
+    let Input::Configure(specs, _) = view.dispatch_input(&service, &zone, registry) else {
+        panic!("a configuration is expected");
+    };
+    let mut specs = specs;
+    specs.sort_by_key(|spec| spec.place);
+    specs.iter().map(|spec| spec.name.to_string()).collect()
+}
+
+#[test]
+fn slow_endpoints_stand_last_in_the_order_that_all_boxes_know() {
+    let mut registry = Registry::default();
+    for (name, zone) in [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")] {
+        registry.merge(record(name, zone), START);
+    }
+    assert_eq!(order(&registry), ["a1", "b1", "a2", "b2"]);
+    let stamp = registry.stamp();
+    let paces = [
+        ("a1", 26_000),
+        ("a2", 20_000),
+        ("b1", 20_100),
+        ("b2", 19_900),
+    ];
+    let changed: Vec<_> = paces
+        .iter()
+        .map(|(name, pace)| registry.set_pace(&name.parse().unwrap(), Pace(*pace)))
+        .collect();
+    assert_eq!(changed, [false, false, true, false], "three are compared");
+    assert_eq!(order(&registry), ["a2", "b1", "b2", "a1"]);
+    assert_eq!(registry.paces_since(stamp).len(), paces.len());
+    let stamp = registry.stamp();
+    registry.set_pace(&"b1".parse().unwrap(), Pace(20_200));
+    assert!(registry.paces_since(stamp).is_empty(), "too little to tell");
+}
