Boxes share where prompts' beginnings are kept; a home is left when the target would pass there

Cause: what a box remembered of placements was its own ninth; each topic comes to a box every 37 seconds. Change: the exchange carries placements both ways, each once; the least loaded endpoint that keeps the beginning is taken; a further one only when the target would pass at all of those.

--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -22,10 +22,10 @@
 /// work that others wait for too, and memory that others lose.
 const AGAIN: Cost = 3;
 /// What a place further from home costs for each millisecond of the target: endpoints read
-/// twice as many tokens meanwhile, so a home is left when half of the target would pass.
-const STEP_PER_MS: Cost = 30;
-/// How long an endpoint likely keeps a shared part that this box has placed there.
-const KEPT: Duration = Duration::from_secs(20);
+/// about as many tokens meanwhile, so a home is left when the target would pass there.
+const STEP_PER_MS: Cost = 60;
+/// How long an endpoint likely keeps a shared part that was placed there.
+const KEPT: Duration = Duration::from_secs(30);
 /// Shared parts whose places are remembered at most.
 const MAX_KEPT: usize = 4096;
 /// What an endpoint costs that has left runs without a first token for long, or has
@@ -92,24 +92,27 @@
     }
 }
 
-/// Where this box has placed shared parts of late, and until when they likely are there.
+/// Where shared parts were placed of late, by all boxes, and until when they likely are
+/// there.
 #[derive(Debug, Default)]
 pub(super) struct Kept {
     places: HashMap<message::Prefix, Vec<(Index, Duration)>>,
     swept: Duration,
+    /// What this box has placed and other boxes do not know yet.
+    news: Vec<(message::Prefix, Index)>,
 }
 
 impl Kept {
-    fn has(&self, prefix: message::Prefix, index: Index, now: Duration) -> bool {
-        let places = self.places.get(&prefix);
-        places.is_some_and(|places| {
-            places
-                .iter()
-                .any(|(at, until)| *at == index && *until > now)
-        })
+    /// The endpoints that likely keep a shared part.
+    fn places(&self, prefix: message::Prefix, now: Duration) -> Vec<Index> {
+        let places = self.places.get(&prefix).into_iter().flatten();
+        let kept = places.filter(|(_, until)| *until > now);
+        kept.map(|(index, _)| *index).collect()
     }
 
-    fn note(&mut self, prefix: message::Prefix, index: Index, now: Duration) {
+    /// Notes a placement; tells whether others should hear of it: it is new, or was last
+    /// told so long ago that they are about to forget it.
+    fn note(&mut self, prefix: message::Prefix, index: Index, now: Duration) -> bool {
         if self.places.len() >= MAX_KEPT || now > self.swept + KEPT {
             self.swept = now;
             self.places.retain(|_, places| {
@@ -118,13 +121,24 @@
             });
         }
         let places = self.places.entry(prefix).or_default();
-        places.retain(|(at, _)| *at != index);
-        places.push((index, now + KEPT));
+        let known = places.iter_mut().find(|(at, _)| *at == index);
+        match known {
+            Some((_, until)) if *until > now + KEPT / 2 => false,
+            Some((_, until)) => {
+                *until = now + KEPT;
+                true
+            }
+            None => {
+                places.push((index, now + KEPT));
+                true
+            }
+        }
     }
 
     /// Forgets everything, since the indexes change.
     pub(super) fn clear(&mut self) {
         self.places.clear();
+        self.news.clear();
     }
 }
 
@@ -143,27 +157,65 @@
             .map(|(_, index)| (self.weight(*index, prompt), *index))
             .collect();
         candidates.sort_unstable_by_key(|candidate| Reverse(*candidate));
-        // Places are counted in each of the two groups by itself.
-        let mut places = [0; 2];
+        let prefix = prompt.placed.prefix;
+        let mut kept = self.kept.places(prefix, now);
+        // At an endpoint of the other group it would be in the way of others.
+        kept.retain(|index| !self.is_foreign(*index, prompt));
+        // Where it is kept nowhere, its home is as good as a place that keeps it. Steps are
+        // counted in each of the two groups by itself.
+        let mut steps = [Cost::from(!kept.is_empty()); 2];
         let ranked = candidates.into_iter().map(|(_, index)| {
             let endpoint = &self.endpoints[index.0];
-            let foreign = (endpoint.place >= prompt.short) != prompt.long;
-            let place = places[usize::from(foreign)];
-            places[usize::from(foreign)] += 1;
+            let foreign = self.is_foreign(index, prompt);
+            let kept_here = kept.contains(&index);
+            let mut away = 0;
+            if !kept_here {
+                let step = &mut steps[usize::from(foreign)];
+                away = prompt.step() * *step;
+                *step += 1;
+            }
             let avoided = avoid == Some(&endpoint.name);
             let cut = endpoint.away && self.zones.is_suspect(&endpoint.zone, now);
-            let kept = place == 0 || self.kept.has(prompt.placed.prefix, index, now);
-            let away = if kept { 0 } else { prompt.step() * place };
             let cost = away + self.cost(endpoint, prompt, foreign, now);
-            ((avoided, cut, cost, place), index, prompt.unread(kept))
+            ((avoided, cut, cost), index, prompt.unread(kept_here))
         });
         let (_, index, unread) = ranked.min_by_key(|(rank, ..)| *rank)?;
-        self.kept.note(prompt.placed.prefix, index, now);
+        if self.kept.note(prefix, index, now) {
+            self.kept.news.push((prefix, index));
+        }
         self.check_grant(index, now);
         self.take(index, unread, now);
         Some((index, unread))
     }
 
+    /// Whether an endpoint is for prompts of the other kind.
+    fn is_foreign(&self, index: Index, prompt: &Prompt) -> bool {
+        (self.endpoints[index.0].place >= prompt.short) != prompt.long
+    }
+
+    /// Notes what other boxes have placed.
+    pub(in crate::core::dispatch) fn note_placed(
+        &mut self,
+        placements: &[load::Placement],
+        now: Duration,
+    ) {
+        for placement in placements {
+            if let Some(index) = self.names.get(&placement.endpoint) {
+                self.kept.note(placement.prefix, *index, now);
+            }
+        }
+    }
+
+    /// What this box has placed since it was last taken.
+    pub(in crate::core::dispatch) fn take_placements(&mut self) -> Vec<load::Placement> {
+        let news = std::mem::take(&mut self.kept.news);
+        let placement = |(prefix, index): (_, Index)| load::Placement {
+            prefix,
+            endpoint: self.endpoints[index.0].name.clone(),
+        };
+        news.into_iter().map(placement).collect()
+    }
+
     fn weight(&self, index: Index, prompt: &Prompt) -> u64 {
         rendezvous::mix(prompt.placed.prefix.0 ^ self.endpoints[index.0].hash)
     }
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -115,6 +115,8 @@
     Sharers(u32),
     /// What the other boxes have at the endpoints, if that is known.
     Others(Option<load::Loads>),
+    /// What other boxes have placed of late; endpoints of other services are passed over.
+    Placed(Vec<load::Placement>),
     /// Time has passed.
     Tick,
 }
@@ -194,6 +196,7 @@
             Input::Boxes(alive) => self.set_boxes(alive),
             Input::Sharers(count) => self.endpoints.set_sharers(count),
             Input::Others(loads) => self.endpoints.set_others(loads.as_ref()),
+            Input::Placed(placements) => self.endpoints.note_placed(&placements, now),
             Input::Tick => self.tick(now),
         }
         self.grant(now);
@@ -556,6 +559,11 @@
         self.endpoints.loads()
     }
 
+    /// What was placed here since it was last taken.
+    pub fn take_placements(&mut self) -> Vec<load::Placement> {
+        self.endpoints.take_placements()
+    }
+
     /// How many requests wait.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/src/scalewood/core/load.rs
+++ b/src/scalewood/core/load.rs
@@ -2,14 +2,18 @@
 //!
 //! A box knows exactly what it has granted, and nothing of what the others have. So the
 //! boxes tell a hub, several times a second, what each of them has at each endpoint, and
-//! hear what the others have there. Both ways only what has changed is told. The hub
-//! forgets a box that has been silent for long.
+//! hear what the others have there, and where they have placed prompts that share their
+//! beginning. Both ways only what has changed is told. The hub forgets a box that has been
+//! silent for long.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::name;
+use crate::core::{dispatch::Prefix, name};
 
 /// How long a box may be silent before what it told counts no more.
 const SILENCE: Duration = Duration::from_millis(1500);
@@ -59,6 +63,28 @@
     pub load: Load,
 }
 
+/// A shared beginning of prompts that an endpoint has read of late.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The beginning.
+    #[serde(rename = "p")]
+    pub prefix: Prefix,
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: name::Endpoint,
+}
+
+/// What is told in an exchange, either way.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Loads that have changed.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<Loaded>,
+    /// Shared beginnings that were placed.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub placements: Vec<Placement>,
+}
+
 /// Loads by endpoint; those without any are left out.
 pub type Loads = BTreeMap<name::Endpoint, Load>;
 
@@ -97,33 +123,69 @@
     own: Loads,
     /// What it was told that the others have.
     told: Loads,
+    /// The serial number of the next placement that it has to hear of.
+    next: u64,
 }
 
+/// The placements that are remembered for boxes that have not heard of them yet.
+const MAX_PLACEMENTS: usize = 4096;
+
 /// Brings together what boxes have at endpoints.
 #[derive(Debug, Default)]
 pub struct Hub {
     members: BTreeMap<name::Box, Member>,
     total: Loads,
+    /// The last placements with the boxes that told them, and the number of those before.
+    placements: VecDeque<(name::Box, Placement)>,
+    dropped: u64,
 }
 
 impl Hub {
     /// Takes what has changed at a box since it last told, or all of it if it starts
     /// `anew`; returns what has changed for it at the others.
-    pub fn exchange(
+    pub fn exchange(&mut self, from: &name::Box, anew: bool, told: News, now: Duration) -> News {
+        self.forget_silent(now);
+        if anew {
+            self.forget(from);
+        }
+        let loads = self.exchange_loads(from, told.loads, now);
+        let placements = self.exchange_placements(from, told.placements);
+        News { loads, placements }
+    }
+
+    fn exchange_placements(
+        &mut self,
+        from: &name::Box,
+        placements: Vec<Placement>,
+    ) -> Vec<Placement> {
+        let own = placements.into_iter().map(|p| (from.clone(), p));
+        self.placements.extend(own);
+        while self.placements.len() > MAX_PLACEMENTS {
+            self.placements.pop_front();
+            self.dropped += 1;
+        }
+        let Some(member) = self.members.get_mut(from) else {
+            return Vec::new();
+        };
+        let heard = member.next.saturating_sub(self.dropped);
+        member.next = self.dropped + self.placements.len() as u64;
+        let heard = usize::try_from(heard).unwrap_or(usize::MAX);
+        let unheard = self.placements.iter().skip(heard);
+        let others = unheard.filter(|(teller, _)| teller != from);
+        others.map(|(_, placement)| placement.clone()).collect()
+    }
+
+    fn exchange_loads(
         &mut self,
         from: &name::Box,
-        anew: bool,
         changed: Vec<Loaded>,
         now: Duration,
     ) -> Vec<Loaded> {
-        self.forget_silent(now);
-        if anew {
-            self.forget(from);
-        }
         let member = self.members.entry(from.clone()).or_insert_with(|| Member {
             heard: now,
             own: Loads::new(),
             told: Loads::new(),
+            next: 0,
         });
         member.heard = now;
         for loaded in &changed {
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -139,12 +139,12 @@
         &self,
         who: name::Box,
         anew: bool,
-        changed: Vec<load::Loaded>,
-    ) -> RpcResult<Option<Vec<load::Loaded>>> {
+        told: load::News,
+    ) -> RpcResult<Option<load::News>> {
         let now = self.endpoints.clock.now();
         let mut hub = lock(&self.endpoints.hub);
         let known = anew || hub.knows(&who);
-        Ok(known.then(|| hub.exchange(&who, anew, changed, now)))
+        Ok(known.then(|| hub.exchange(&who, anew, told, now)))
     }
 
     async fn document(&self, newer_than: unit::Revision) -> RpcResult<Option<Whole>> {
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -85,8 +85,11 @@
         }
         let anew = self.voter.is_none();
         let own = own_loads(&self.board);
-        let changed = load::difference(&self.told, &own);
-        let call = client.exchange(self.board.own.name.clone(), anew, changed);
+        let told = load::News {
+            loads: load::difference(&self.told, &own),
+            placements: own_placements(&self.board),
+        };
+        let call = client.exchange(self.board.own.name.clone(), anew, told);
         match tokio::time::timeout(ANSWER, call).await {
             Ok(Ok(Some(news))) => {
                 if anew {
@@ -104,28 +107,30 @@
         }
     }
 
-    fn take(&mut self, news: Vec<load::Loaded>, anew: bool) {
-        if news.is_empty() && !anew {
+    fn take(&mut self, news: load::News, anew: bool) {
+        if !news.placements.is_empty() {
+            self.tell(&dispatch::Input::Placed(news.placements));
+        }
+        if news.loads.is_empty() && !anew {
             return;
         }
-        load::merge(&mut self.others, news);
-        self.tell(Some(&self.others));
+        load::merge(&mut self.others, news.loads);
+        self.tell(&dispatch::Input::Others(Some(self.others.clone())));
     }
 
     /// What was heard counts no more.
     fn lose(&mut self) {
         if let Some(voter) = self.voter.take() {
             event!(self.board.log, LoadsGuessed, "voter" => %voter);
-            self.tell(None);
+            self.tell(&dispatch::Input::Others(None));
         }
         self.told.clear();
         self.others.clear();
     }
 
-    fn tell(&self, others: Option<&load::Loads>) {
+    fn tell(&self, input: &dispatch::Input) {
         for service in desk::held(&self.board) {
-            let input = dispatch::Input::Others(others.cloned());
-            desk::input(&self.board, &service, input);
+            desk::input(&self.board, &service, input.clone());
         }
     }
 }
@@ -139,3 +144,14 @@
     });
     loads
 }
+
+/// What was placed here since it was last asked for.
+fn own_placements(board: &Shared) -> Vec<load::Placement> {
+    let mut placements = Vec::new();
+    board.dispatchers.each(|shard| {
+        for dispatcher in shard.values_mut() {
+            placements.extend(dispatcher.take_placements());
+        }
+    });
+    placements
+}
--- a/src/scalewood/wire/registry.rs
+++ b/src/scalewood/wire/registry.rs
@@ -55,15 +55,15 @@
     async fn measured(&self, who: name::Box, paces: Vec<pace::Paced>) -> RpcResult<()>;
 
     /// Takes what a box has at endpoints, as far as it has changed or all of it if the box
-    /// starts `anew`; returns what has changed at the other boxes. Nothing if the voter
+    /// starts `anew`, and what it has placed; returns the same of the other boxes. Nothing if the voter
     /// does not know the box: it has to start anew.
     #[method(name = "exchange")]
     async fn exchange(
         &self,
         who: name::Box,
         anew: bool,
-        changed: Vec<load::Loaded>,
-    ) -> RpcResult<Option<Vec<load::Loaded>>>;
+        told: load::News,
+    ) -> RpcResult<Option<load::News>>;
 
     /// The configuration, if the voter has one that is newer.
     #[method(name = "document")]
