The border between short and long prompts moves as little as may be; smaller exchanges

An exchange of loads was 5 KB for 112 endpoints. Change: endpoints for short prompts are the fast ones among the first 0.6 of the order, and further ones only to make up 0.45; slow ones never. Rows in place of objects, and only changes that matter.

--- a/src/scalewood/board/view.rs
+++ b/src/scalewood/board/view.rs
@@ -145,20 +145,20 @@
     }
 }
 
-/// Endpoints in an order that is the same for all boxes: the fast ones before the slow
-/// ones, and of each kind the first of each zone, then the second, and so on.
+/// Endpoints in an order that is the same for all boxes: the first of each zone, then the
+/// second, and so on. Beside each stands whether it is slow.
 fn in_turns(mut graded: Vec<(&registry::Record, bool)>) -> Vec<(&registry::Record, bool)> {
-    graded.sort_by_key(|(record, slow)| (&record.zone, *slow, &record.name));
-    let mut turns: BTreeMap<(&name::Zone, bool), usize> = BTreeMap::new();
+    graded.sort_by_key(|(record, _)| (&record.zone, &record.name));
+    let mut turns: BTreeMap<&name::Zone, usize> = BTreeMap::new();
     let mut placed: Vec<_> = graded
         .into_iter()
         .map(|(record, slow)| {
-            let turn = turns.entry((&record.zone, slow)).or_default();
+            let turn = turns.entry(&record.zone).or_default();
             *turn += 1;
-            (slow, *turn, record)
+            (*turn, record, slow)
         })
         .collect();
-    placed.sort_by_key(|(slow, turn, record)| (*slow, *turn, &record.zone));
+    placed.sort_by_key(|(turn, record, _)| (*turn, &record.zone));
     let placed = placed.into_iter();
-    placed.map(|(slow, _, record)| (record, slow)).collect()
+    placed.map(|(_, record, slow)| (record, slow)).collect()
 }
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::core::{
-    dispatch::{message, zone, Settings},
+    dispatch::{message, placement, zone, Settings},
     estimate, invariant,
     load::Load,
     name, rendezvous, unit,
@@ -79,6 +79,8 @@
     zone: name::Zone,
     /// Whether it is slow beside the others.
     slow: bool,
+    /// Whether it is for short prompts, where endpoints are parted.
+    for_short: bool,
     /// Tokens that its memory holds, if that is known.
     memory: Option<unit::Tokens>,
     /// Tokens of this box's prompts that have no first token yet.
@@ -222,9 +224,21 @@
                 _ => {}
             }
         }
+        self.part();
         self.rescore_all();
     }
 
+    /// Parts the endpoints between short and long prompts.
+    fn part(&mut self) {
+        let configured = self.endpoints.iter_mut().filter(|e| e.configured);
+        let mut in_order: Vec<_> = configured.collect();
+        in_order.sort_by_key(|endpoint| endpoint.place);
+        let slow: Vec<_> = in_order.iter().map(|endpoint| endpoint.slow).collect();
+        for (endpoint, short) in in_order.into_iter().zip(placement::part(&slow)) {
+            endpoint.for_short = short;
+        }
+    }
+
     fn index_or_add(&mut self, name: &name::Endpoint, settings: &Settings) -> Index {
         if let Some(index) = self.names.get(name) {
             return *index;
@@ -249,6 +263,7 @@
             hash: rendezvous::hash(&[name.as_str()]),
             zone: own_zone(),
             slow: false,
+            for_short: true,
             memory: None,
             unread: 0,
             held: 0,
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -73,8 +73,8 @@
     pub(in crate::core::dispatch) target: Duration,
     /// Whether it belongs to the endpoints for long prompts.
     pub(in crate::core::dispatch) long: bool,
-    /// How many endpoints are for short prompts.
-    pub(in crate::core::dispatch) short: usize,
+    /// Whether endpoints are parted between short and long prompts.
+    pub(in crate::core::dispatch) parted: bool,
 }
 
 impl Prompt {
@@ -190,7 +190,7 @@
 
     /// Whether an endpoint is for prompts of the other kind.
     fn is_foreign(&self, index: Index, prompt: &Prompt) -> bool {
-        (self.endpoints[index.0].place >= prompt.short) != prompt.long
+        prompt.parted && self.endpoints[index.0].for_short == prompt.long
     }
 
     /// Notes what other boxes have placed.
@@ -253,10 +253,10 @@
         endpoint.running * (self.sharers + 1) * 100 / endpoint.slots.max(1) > FULL_GUESSED
     }
 
-    /// The part of the slots of the first `short` endpoints that is used.
-    pub(in crate::core::dispatch) fn crowding(&self, short: usize) -> f64 {
+    /// The part of the slots of the endpoints for short prompts that is used.
+    pub(in crate::core::dispatch) fn crowding(&self) -> f64 {
         let parted = self.endpoints.iter();
-        let parted = parted.filter(|e| e.configured && e.place < short);
+        let parted = parted.filter(|e| e.configured && e.for_short);
         let (own, others, slots) = parted.fold((0, 0, 0), |(own, others, slots), e| {
             (own + e.running, others + e.others.running, slots + e.slots)
         });
@@ -268,11 +268,6 @@
         f64::from(running) / f64::from(slots.max(1))
     }
 
-    /// How many endpoints are parted between short and long prompts.
-    pub(in crate::core::dispatch) fn parted(&self) -> usize {
-        self.endpoints.iter().filter(|e| e.configured).count()
-    }
-
     /// Sets what other boxes have at the endpoints, if that is known.
     pub(in crate::core::dispatch) fn set_others(&mut self, others: Option<&load::Loads>) {
         self.others_known = others.is_some();
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -422,9 +422,8 @@
             let (prefix, avoid) = (ask.prefix, ask.avoid.as_ref());
             let chosen = match ask.placed {
                 Some(placed) => {
-                    let parted = self.endpoints.parted();
-                    let short = self.placement.short_of(parted);
-                    let crowding = self.endpoints.crowding(short);
+                    let parted = self.placement.is_parted();
+                    let crowding = self.endpoints.crowding();
                     let crowded = self.placement.note_crowding(crowding);
                     let long = self.placement.is_long(&ask.class)
                         || (crowded && !self.is_first_of_short(&ask.class));
@@ -433,7 +432,7 @@
                         tokens: ask.prompt.0,
                         target: ask.target,
                         long,
-                        short,
+                        parted,
                     };
                     self.endpoints.choose_home(&prompt, avoid, now)
                 }
--- a/src/scalewood/core/dispatch/placement.rs
+++ b/src/scalewood/core/dispatch/placement.rs
@@ -5,11 +5,12 @@
 //! endpoint by rendezvous hashing, without asking each other. A prompt leaves its home
 //! only while the home is slow to answer or in trouble.
 //!
-//! Long prompts hold up every token of the requests beside them. So the endpoints are
-//! parted: one group for the classes with long prompts, one for the others. All boxes
-//! have to see the same border, or one box's long prompts hold up the other's short
-//! ones: it is a fixed part. A border that follows the work, as each box sees it, was
-//! tried; half of what was read again came of it.
+//! Long prompts hold up every token of the requests beside them, on slow endpoints for
+//! longer than streams bear. So the endpoints are parted: one group for the classes with
+//! long prompts, with all slow endpoints, one for the others. All boxes have to see the
+//! same border, or one box's long prompts hold up the other's short ones: it follows from
+//! the order of the endpoints and from which are slow. A border that follows the work, as
+//! each box sees it, was tried; half of what was read again came of it.
 
 use std::collections::HashMap;
 
@@ -20,8 +21,11 @@
 pub const LONG_PROMPT: unit::Tokens = unit::Tokens(4096);
 /// The weight of a new observation of a class's prompts.
 const WEIGHT: f64 = 0.05;
-/// The part of the endpoints that short prompts get, where there are long ones too.
-const SHORT: f64 = 0.45;
+/// The part of the endpoints from which those for short prompts are taken, the first in an
+/// order that all boxes know; slow ones among them are for long prompts all the same.
+const SHORT: f64 = 0.6;
+/// The part that short prompts get at least; further fast endpoints make it up.
+const LEAST_SHORT: f64 = 0.45;
 /// The part of the slots for short prompts from which on they count as about to be full,
 /// and under which they no longer do.
 const CROWDED: f64 = 0.85;
@@ -52,21 +56,12 @@
         size.is_some_and(|tokens| tokens >= LONG_PROMPT.0 as f64)
     }
 
-    /// How many of `count` endpoints short prompts get.
-    pub(super) fn short_of(&self, count: usize) -> usize {
-        let long = self
-            .sizes
-            .keys()
-            .filter(|class| self.is_long(class))
-            .count();
-        if long == 0 {
-            return count;
-        }
-        if long == self.sizes.len() {
-            return 0;
-        }
-        // The product is at most `count`, so the cast is exact.
-        ((count as f64 * SHORT).round() as usize).clamp(1, count.max(1))
+    /// Whether there are classes with short prompts and others with long ones, so that the
+    /// endpoints are parted.
+    pub(super) fn is_parted(&self) -> bool {
+        let long = self.sizes.keys().filter(|class| self.is_long(class));
+        let long = long.count();
+        long > 0 && long < self.sizes.len()
     }
 
     /// Notes which part of the slots for short prompts is used; tells whether they are
@@ -78,3 +73,23 @@
         self.crowded
     }
 }
+
+/// Which endpoints are for short prompts where they are parted, of endpoints in the order
+/// that all boxes know, by whether each is slow.
+///
+/// The border moves as little as may be: what an endpoint for long prompts has read is lost
+/// when it becomes one for short ones.
+pub(super) fn part(slow: &[bool]) -> Vec<bool> {
+    let part_of = |part: f64| {
+        // The product is at most the count, so the cast is exact.
+        ((slow.len() as f64 * part).round() as usize).max(1)
+    };
+    let (first, least) = (part_of(SHORT), part_of(LEAST_SHORT));
+    let mut short = 0;
+    let parted = slow.iter().enumerate().map(|(place, slow)| {
+        let taken = !slow && (place < first || short < least);
+        short += usize::from(taken);
+        taken
+    });
+    parted.collect()
+}
--- a/src/scalewood/core/load.rs
+++ b/src/scalewood/core/load.rs
@@ -18,21 +18,33 @@
 /// How long a box may be silent before what it told counts no more.
 const SILENCE: Duration = Duration::from_millis(1500);
 
+/// By how much a load has to change to be worth telling: about what the smallest prompts
+/// make.
+const UNREAD_NEWS: u64 = 400;
+const HELD_NEWS: u64 = 4000;
+const RUNNING_NEWS: u32 = 2;
+
 /// What some boxes have at an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Tokens of prompts that wait to be read or are being read.
-    #[serde(rename = "t", default)]
     pub unread: u64,
     /// Tokens of all prompts that are held in its memory, shared parts counted once.
-    #[serde(rename = "h", default)]
     pub held: u64,
     /// Requests that hold a slot.
-    #[serde(rename = "r", default)]
     pub running: u32,
 }
 
 impl Load {
+    /// Whether it differs so much from what was told that it is worth telling: all of it
+    /// is told in the end, since a load that ends is.
+    fn is_news(self, told: Self) -> bool {
+        self == Self::default()
+            || self.unread.abs_diff(told.unread) >= UNREAD_NEWS
+            || self.held.abs_diff(told.held) >= HELD_NEWS
+            || self.running.abs_diff(told.running) >= RUNNING_NEWS
+    }
+
     /// Both together.
     pub fn plus(self, other: Self) -> Self {
         Self {
@@ -52,28 +64,61 @@
     }
 }
 
-/// An endpoint with its load.
+/// An endpoint with its load; written as a row, since there are many of them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "LoadedRow", into = "LoadedRow")]
 pub struct Loaded {
     /// The endpoint.
-    #[serde(rename = "e")]
     pub endpoint: name::Endpoint,
     /// Its load.
-    #[serde(rename = "l")]
     pub load: Load,
 }
 
-/// A shared beginning of prompts that an endpoint has read of late.
+/// Endpoint, unread, held, running.
+type LoadedRow = (name::Endpoint, u64, u64, u32);
+
+impl From<LoadedRow> for Loaded {
+    fn from((endpoint, unread, held, running): LoadedRow) -> Self {
+        let load = Load {
+            unread,
+            held,
+            running,
+        };
+        Self { endpoint, load }
+    }
+}
+
+impl From<Loaded> for LoadedRow {
+    fn from(Loaded { endpoint, load }: Loaded) -> Self {
+        (endpoint, load.unread, load.held, load.running)
+    }
+}
+
+/// A shared beginning of prompts that an endpoint has read of late; written as a row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "PlacementRow", into = "PlacementRow")]
 pub struct Placement {
     /// The beginning.
-    #[serde(rename = "p")]
     pub prefix: Prefix,
     /// The endpoint.
-    #[serde(rename = "e")]
     pub endpoint: name::Endpoint,
 }
 
+/// Beginning, endpoint.
+type PlacementRow = (Prefix, name::Endpoint);
+
+impl From<PlacementRow> for Placement {
+    fn from((prefix, endpoint): PlacementRow) -> Self {
+        Self { prefix, endpoint }
+    }
+}
+
+impl From<Placement> for PlacementRow {
+    fn from(Placement { prefix, endpoint }: Placement) -> Self {
+        (prefix, endpoint)
+    }
+}
+
 /// What is told in an exchange, either way.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -204,8 +249,12 @@
             let own = member.own.get(name).copied().unwrap_or_default();
             set(&mut others, name, total.minus(own));
         }
-        let news = difference(&member.told, &others);
-        member.told = others;
+        let mut news = difference(&member.told, &others);
+        news.retain(|loaded| {
+            let told = member.told.get(&loaded.endpoint).copied();
+            loaded.load.is_news(told.unwrap_or_default())
+        });
+        merge(&mut member.told, news.clone());
         news
     }
 
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -23,7 +23,7 @@
 /// How often loads are exchanged at most.
 const PERIOD: Duration = Duration::from_millis(100);
 /// What each box that takes part adds to that, so that a voter bears any number of them.
-const PERIOD_PER_BOX: Duration = Duration::from_millis(6);
+const PERIOD_PER_BOX: Duration = Duration::from_millis(4);
 /// How long an exchange may take.
 const ANSWER: Duration = Duration::from_millis(400);
 /// How long a voter that did not answer is left alone.
