A soak of routes with real processes, and scalewood explain

The soak (tests/testsuite/soak.rs) runs three voters and two entry boxes as processes, endpoints and the links to them in the test, and three drivers that disturb them at the same time from a seed: kills, pauses, planned stops, reloads, wiped disks; links that are cut, silent, one-way or late; endpoints that fail in all their ways, leave and are replaced. It checks whole or visibly cut answers, true refusals, at most once, planned stops, versions that never go back, leaving endpoints and that all is served again.

--- a/src/bin/scalewood/commands/mod.rs
+++ b/src/bin/scalewood/commands/mod.rs
@@ -12,6 +12,7 @@
 
 mod check;
 mod config;
+mod explain;
 mod item;
 mod policy;
 mod status;
@@ -23,6 +24,7 @@
     let mut all = vec![
         check::cli(),
         config::cli(),
+        explain::cli(),
         status::cli(),
         token::cli(),
         voter::cli(),
@@ -39,6 +41,7 @@
     match name {
         "check" => check::exec(matches),
         "config" => config::exec(matches).await,
+        "explain" => explain::exec(matches),
         "status" => status::exec(matches).await,
         "token" => token::exec(matches),
         "voter" => voter::exec(matches).await,
--- /dev/null
+++ b/src/scalewood/ops/explain.rs
@@ -0,0 +1,104 @@
+//! What logs tell of one request, in plain words.
+//!
+//! Each process logs a line for each decision that touches a request. [`explain`] takes
+//! the lines of several processes as they stand in their logs, keeps those about one
+//! request and says what each of them decided.
+
+use serde_json::{Map, Value};
+
+use crate::util::event::Event;
+
+/// A line about the request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// When it was logged, by the process's wall clock.
+    pub time: String,
+    /// The program that logged it.
+    pub program: String,
+    /// What it says.
+    pub text: String,
+}
+
+/// Fields that every line has, or that stand elsewhere in its explanation.
+const COMMON: [&str; 6] = ["msg", "level", "ts", "program", "event", "id"];
+
+/// The lines about a request, the earliest first.
+///
+/// `id` is the caller's own id or the one that the system gave. Text before a line's
+/// object is passed over, and so are lines that are none of this system's.
+pub fn explain<'a>(id: &str, logs: impl Iterator<Item = &'a str>) -> Vec<Line> {
+    let mut lines: Vec<_> = logs.filter_map(|line| read(id, line)).collect();
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    lines
+}
+
+fn read(id: &str, line: &str) -> Option<Line> {
+    let object = &line[line.find('{')?..];
+    let fields: Map<String, Value> = serde_json::from_str(object).ok()?;
+    let is_id = |name: &str| fields.get(name).and_then(Value::as_str) == Some(id);
+    if !is_id("id") && !is_id("request") {
+        return None;
+    }
+    let field = |name: &str| word(&fields, name);
+    Some(Line {
+        time: field("ts"),
+        program: field("program"),
+        text: say(&fields),
+    })
+}
+
+/// A field as one word; a dash if there is none.
+fn word(fields: &Map<String, Value>, name: &str) -> String {
+    match fields.get(name) {
+        None | Some(Value::Null) => "-".into(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+/// What a line says in plain words.
+fn say(fields: &Map<String, Value>) -> String {
+    let field = |name: &str| word(fields, name);
+    let number = fields.get("event").and_then(Value::as_u64);
+    let is = |event: Event| number == Some(event.number().into());
+    if is(Event::RequestRetried) {
+        let follows = match fields.get("again").and_then(Value::as_bool) {
+            Some(true) => "another attempt follows",
+            _ => "no attempt follows",
+        };
+        return format!(
+            "attempt {} at {} came to nothing ({}); {follows}, {} ms are left",
+            field("tries"),
+            field("endpoint"),
+            field("how"),
+            field("left_ms")
+        );
+    }
+    if is(Event::RequestEnded) {
+        return format!(
+            "answered {} ({}) after {} ms, verdict {}: route {}, rank {}, team {}, prompt of {} \
+             tokens, {} attempts, the last at {}; first event after {} ms, longest pause {} ms; \
+             configuration revision {}",
+            field("status"),
+            field("code"),
+            field("took_ms"),
+            field("verdict"),
+            field("route"),
+            field("rank"),
+            field("team"),
+            field("prompt"),
+            field("tries"),
+            field("endpoint"),
+            field("first_ms"),
+            field("pause_ms"),
+            field("revision")
+        );
+    }
+    let other = fields
+        .keys()
+        .filter(|name| !COMMON.contains(&name.as_str()));
+    let other: Vec<_> = other
+        .map(|name| format!("{name} {}", field(name)))
+        .collect();
+    format!("{} ({})", field("msg"), other.join(", "))
+}
--- a/src/scalewood/ops/mod.rs
+++ b/src/scalewood/ops/mod.rs
@@ -3,6 +3,7 @@
 pub mod breach;
 pub mod control;
 pub mod entry;
+pub mod explain;
 
 pub mod operate;
 pub mod reload;
--- /dev/null
+++ b/tests/testsuite/soak.rs
@@ -0,0 +1,622 @@
+//! A soak of routes: voters, entry boxes and endpoints as on a bad day, from a seed.
+//!
+//! Real voters and entry boxes run as processes; endpoints and the links to them are in
+//! this process. Three drivers disturb them at the same time: voters are killed, paused,
+//! wiped, told to reload; entry boxes are killed, paused, stopped as planned, told to
+//! reload; endpoints fail in all their ways, leave, and sit behind links that are cut,
+//! silent, one-way or late. Meanwhile callers ask over kept and new connections, and
+//! an operator publishes one routing after the other. Checked, from what callers, the
+//! operator and endpoints see:
+//!
+//! - an answer is whole and the right one, or visibly cut after a right beginning;
+//! - what is said not to have run never runs;
+//! - what may not be repeated runs at most once, all else no oftener than its route says;
+//! - a planned stop or a reload drops no request that has been passed on;
+//! - a version that was acknowledged is never read back older;
+//! - requests that all configurations allow are never called unknown;
+//! - an endpoint that has left gets no more, and after all is mended all is served again.
+//!
+//! `SCALEWOOD_SEED` is the first seed, `SCALEWOOD_RUNS` how many follow each other, and
+//! `SCALEWOOD_SOAK_S` how many seconds each takes. Seeds that ever failed are in `FAILED`.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
+    },
+    time::{Duration, Instant},
+};
+
+use http_body_util::BodyExt as _;
+use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use scalewood::core::registry::State;
+
+use crate::support::{
+    client, deploy,
+    forwarder::{Forwarder, Mode},
+    routed::{routing, text, Act, Endpoint, System, EVENTS, HOST, KEY},
+};
+
+/// Seeds that failed once, with what they found.
+const FAILED: &[u64] = &[];
+/// The seeds of a run without any settings.
+const SEEDS: &[u64] = &[1];
+
+const VOTERS: usize = 3;
+const ENTRIES: usize = 2;
+const ENDPOINTS: usize = 4;
+const CALLERS: u64 = 6;
+/// The first port of endpoints; links to them stand at ports from `LINKS` on.
+const PORTS: usize = 9000;
+const LINKS: usize = 9500;
+/// The most endpoints that one request of a route may be sent to.
+const ATTEMPTS: usize = 2;
+/// How long a process that is asked to stop may take.
+const STOP: Duration = Duration::from_secs(6);
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// What became of a request, as its caller saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Seen {
+    Whole,
+    /// A stream that broke off visibly.
+    Cut,
+    /// An endpoint's own failure, passed on.
+    OwnFailure,
+    NotRun,
+    MayHaveRun,
+    /// The connection ended without an answer.
+    Lost,
+}
+
+/// A request with its outcome.
+#[derive(Clone, Debug)]
+struct Request {
+    id: String,
+    /// Its route's path.
+    path: &'static str,
+    entry: usize,
+    asked: Instant,
+    ended: Instant,
+    seen: Seen,
+}
+
+/// What everybody saw.
+#[derive(Debug, Default)]
+struct Account {
+    requests: Mutex<Vec<Request>>,
+    /// The highest version that was acknowledged.
+    acknowledged: AtomicU64,
+    /// Spans in which an entry box was killed or paused.
+    rough: Mutex<Vec<(usize, Instant, Instant)>>,
+    broken: Mutex<Vec<String>>,
+    stop: AtomicBool,
+}
+
+impl Account {
+    fn breaks(&self, what: String) {
+        self.broken.lock().unwrap().push(what);
+    }
+
+    fn is_over(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    fn was_rough(&self, request: &Request) -> bool {
+        let rough = self.rough.lock().unwrap();
+        rough.iter().any(|(entry, from, to)| {
+            *entry == request.entry && *from <= request.ended && *to >= request.asked
+        })
+    }
+}
+
+/// The body of a whole answer.
+fn whole_body(path: &str) -> String {
+    if path == "/unsafe/" {
+        return "well".into();
+    }
+    let event = |number| format!("id: {number}\ndata: piece {number}\n\n");
+    (0..EVENTS).map(event).collect()
+}
+
+/// Asks once and judges the answer.
+async fn ask(
+    connection: &mut client::Connection,
+    path: &'static str,
+    id: &str,
+    account: &Account,
+) -> Seen {
+    let bearer = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("scalewood-id", id),
+        ("scalewood-deadline-ms", "4000"),
+    ];
+    let sent = connection.send_to(HOST, "POST", path, &headers, "a body");
+    let Ok(response) = sent.await else {
+        return Seen::Lost;
+    };
+    let (parts, mut body) = response.into_parts();
+    let header = |name| {
+        let value: Option<&hyper::header::HeaderValue> = parts.headers.get(name);
+        value.and_then(|value| value.to_str().ok())
+    };
+    if header("scalewood-id") != Some(id) {
+        account.breaks(format!(
+            "{id}: the answer is one to {:?}",
+            header("scalewood-id")
+        ));
+    }
+    let mut read = Vec::new();
+    let cut = loop {
+        match body.frame().await {
+            None => break false,
+            Some(Err(_)) => break true,
+            Some(Ok(frame)) => read.extend(frame.into_data().unwrap_or_default()),
+        }
+    };
+    let read = String::from_utf8(read).unwrap();
+    match (parts.status.as_u16(), header("scalewood-verdict")) {
+        (200, _) => judge_body(path, id, &read, cut, account),
+        (500, None) if read == "failed" => Seen::OwnFailure,
+        (503 | 429 | 408, Some("not-run")) => Seen::NotRun,
+        (502 | 504 | 503, Some("may-have-run")) => Seen::MayHaveRun,
+        (status, verdict) => {
+            account.breaks(format!("{id} to {path}: {status}, {verdict:?}: {read}"));
+            Seen::MayHaveRun
+        }
+    }
+}
+
+fn judge_body(path: &str, id: &str, read: &str, cut: bool, account: &Account) -> Seen {
+    let whole = whole_body(path);
+    if !cut && read == whole {
+        return Seen::Whole;
+    }
+    if !cut || !whole.starts_with(read) {
+        account.breaks(format!(
+            "{id} to {path}: cut {cut}, another answer: {read:?}"
+        ));
+    }
+    Seen::Cut
+}
+
+/// A caller that asks until it is over, over kept and new connections.
+async fn caller(seed: u64, number: u64, entries: Vec<SocketAddr>, account: Arc<Account>) {
+    const PATHS: [&str; 4] = ["/safe/", "/unsafe/", "/stream/", "/sresume/"];
+    let mut random = SmallRng::seed_from_u64(seed * 1000 + number);
+    let mut kept: Option<(usize, client::Connection)> = None;
+    let mut count = 0;
+    while !account.is_over() {
+        tokio::time::sleep(Duration::from_millis(random.random_range(1..25))).await;
+        count += 1;
+        let id = format!("c{number}-{count}");
+        let path = PATHS[random.random_range(0..PATHS.len())];
+        let keeps = random.random_bool(0.8);
+        let asked = Instant::now();
+        let (entry, mut connection) = match kept.take() {
+            Some(kept) if keeps => kept,
+            _ => {
+                let entry = random.random_range(0..entries.len());
+                match client::Connection::open(entries[entry]).await {
+                    Ok(connection) => (entry, connection),
+                    Err(_) => continue,
+                }
+            }
+        };
+        let seen = ask(&mut connection, path, &id, &account).await;
+        account.requests.lock().unwrap().push(Request {
+            id,
+            path,
+            entry,
+            asked,
+            ended: Instant::now(),
+            seen,
+        });
+        if !matches!(seen, Seen::Lost | Seen::Cut) {
+            kept = Some((entry, connection));
+        }
+    }
+}
+
+/// An operator that publishes one routing after the other, and reads them back.
+async fn operator(seed: u64, voters: Vec<SocketAddr>, account: Arc<Account>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x0b5e_55ed);
+    let mut version = 1;
+    while !account.is_over() {
+        tokio::time::sleep(Duration::from_millis(random.random_range(50..400))).await;
+        let voter = voters[random.random_range(0..voters.len())];
+        if random.random_bool(0.5) {
+            read_back(voter, &account).await;
+            continue;
+        }
+        version += random.random_range(1..4);
+        let body = text(&routing(version));
+        for _ in 0..4 {
+            let voter = voters[random.random_range(0..voters.len())];
+            let put = client::ask(voter, "PUT", "/v1/routing", &[], body.clone());
+            match put.await.map(|answer| answer.status) {
+                Ok(200) => {
+                    account.acknowledged.fetch_max(version, Ordering::SeqCst);
+                    break;
+                }
+                Ok(503) | Err(_) => {}
+                Ok(status) => account.breaks(format!("version {version} is answered {status}")),
+            }
+        }
+    }
+}
+
+async fn read_back(voter: SocketAddr, account: &Account) {
+    let acknowledged = account.acknowledged.load(Ordering::SeqCst);
+    let get = client::ask(voter, "GET", "/v1/routing", &[], "");
+    let Ok(answer) = get.await else { return };
+    if answer.status != 200 {
+        return;
+    }
+    let version = answer.json()["version"].as_u64().unwrap();
+    if version < acknowledged {
+        account.breaks(format!(
+            "{version} is read after {acknowledged} was acknowledged"
+        ));
+    }
+}
+
+/// The endpoints, and the links in front of them.
+struct Back {
+    host: std::net::IpAddr,
+    voters: Vec<SocketAddr>,
+    endpoints: Vec<(Endpoint, Forwarder, State)>,
+    sequence: u64,
+}
+
+impl Back {
+    async fn add(&mut self) {
+        let number = self.endpoints.len();
+        let address = |port: usize| (self.host, u16::try_from(port).unwrap()).into();
+        let endpoint = Endpoint::start(&format!("i-{number}"), address(PORTS + number)).await;
+        let link = Forwarder::start(address(LINKS + number), endpoint.address).await;
+        self.endpoints.push((endpoint, link, State::Ready));
+        self.beat().await;
+    }
+
+    /// Sends a heartbeat of each endpoint to the first voter that takes it.
+    async fn beat(&mut self) {
+        self.sequence += 1;
+        for (number, (endpoint, _, state)) in self.endpoints.iter().enumerate() {
+            let mut record = endpoint.record(self.sequence, *state);
+            record
+                .address
+                .set_port(u16::try_from(LINKS + number).unwrap());
+            let path = format!("/v1/endpoints/{}", endpoint.name);
+            let (method, body) = match state {
+                State::Gone => ("DELETE", String::new()),
+                _ => ("PUT", serde_json::to_string(&record).unwrap()),
+            };
+            for voter in &self.voters {
+                let sent = client::ask(*voter, method, &path, &[], body.clone());
+                let sent = tokio::time::timeout(Duration::from_millis(500), sent).await;
+                if matches!(sent, Ok(Ok(answer)) if answer.status == 200) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn left(&self) -> impl Iterator<Item = &Endpoint> {
+        let left = self.endpoints.iter().filter(|(.., s)| *s == State::Gone);
+        left.map(|(endpoint, ..)| endpoint)
+    }
+
+    /// Lets endpoints and links misbehave until it is over, then mends them.
+    async fn disturb(&mut self, seed: u64, account: &Account) {
+        let mut random = SmallRng::seed_from_u64(seed ^ 0x00ba_cced);
+        while !account.is_over() {
+            let pause = Duration::from_millis(random.random_range(50..700));
+            let ready: Vec<_> = (0..self.endpoints.len())
+                .filter(|i| self.endpoints[*i].2 == State::Ready)
+                .collect();
+            let chosen = ready[random.random_range(0..ready.len())];
+            match random.random_range(0..10) {
+                0 => self.replace(chosen).await,
+                1..=5 => self.link(chosen, &mut random, pause).await,
+                _ => {
+                    let act = match random.random_range(0..4) {
+                        0 => Act::Foreign,
+                        1 => Act::Refuse,
+                        2 => Act::Fail,
+                        _ => Act::BreakAfter(random.random_range(0..EVENTS)),
+                    };
+                    for _ in 0..random.random_range(1..4) {
+                        self.endpoints[chosen].0.next(act);
+                    }
+                }
+            }
+            self.beat().await;
+            tokio::time::sleep(pause / 2).await;
+        }
+        for (endpoint, link, _) in &self.endpoints {
+            link.set_whole(true);
+            endpoint.calm();
+        }
+        self.beat().await;
+    }
+
+    async fn link(&self, chosen: usize, random: &mut SmallRng, pause: Duration) {
+        let link = &self.endpoints[chosen].1;
+        link.set(match random.random_range(0..4) {
+            0 => Mode::Cut,
+            1 => Mode::Silent,
+            2 => Mode::OneWay,
+            _ => Mode::Delayed(Duration::from_millis(random.random_range(5..120))),
+        });
+        tokio::time::sleep(pause).await;
+        link.set_whole(true);
+    }
+
+    /// One leaves, and another takes its place.
+    async fn replace(&mut self, chosen: usize) {
+        self.add().await;
+        self.endpoints[chosen].2 = State::Leaving;
+        self.beat().await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        self.endpoints[chosen].2 = State::Gone;
+        self.beat().await;
+    }
+}
+
+/// Disturbs the voters until it is over, then has all of them up.
+async fn disturb_voters(system: &mut System, seed: u64, account: &Account) {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x0007_e125);
+    let mut wiped = Instant::now();
+    while !account.is_over() {
+        let pause = Duration::from_millis(random.random_range(50..900));
+        let chosen = random.random_range(0..VOTERS);
+        match random.random_range(0..8) {
+            0 => {
+                (0..VOTERS).for_each(|i| system.voters[i].take().unwrap().kill());
+                (0..VOTERS).for_each(|i| system.start_voter(i, false));
+            }
+            1 if wiped.elapsed() > Duration::from_secs(8) => {
+                // Another may be lost only when the first has settled.
+                wiped = Instant::now();
+                system.voters[chosen].take().unwrap().kill();
+                std::fs::remove_dir_all(system.data(chosen)).unwrap();
+                system.start_voter(chosen, false);
+                tokio::time::sleep(Duration::from_secs(4)).await;
+            }
+            2 | 3 => {
+                system.voters[chosen].take().unwrap().kill();
+                tokio::time::sleep(pause).await;
+                system.start_voter(chosen, false);
+            }
+            4 => {
+                let voter = system.voters[chosen].take().unwrap();
+                assert!(stop(voter).await, "a voter does not stop");
+                system.start_voter(chosen, false);
+            }
+            5 => system.voters[chosen].as_ref().unwrap().signal("HUP"),
+            _ => {
+                system.voters[chosen].as_ref().unwrap().signal("STOP");
+                tokio::time::sleep(pause).await;
+                system.voters[chosen].as_ref().unwrap().signal("CONT");
+            }
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn stop(process: deploy::Process) -> bool {
+    tokio::task::spawn_blocking(move || process.stop(STOP))
+        .await
+        .unwrap()
+}
+
+/// Disturbs the entry boxes until it is over, then has all of them up.
+async fn disturb_entries(
+    system: &Starter,
+    entries: &mut [Option<deploy::Process>],
+    seed: u64,
+    account: &Account,
+) {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x00e2_721e);
+    while !account.is_over() {
+        let pause = Duration::from_millis(random.random_range(50..900));
+        let chosen = random.random_range(0..ENTRIES);
+        let began = Instant::now();
+        let mut rough = true;
+        match random.random_range(0..6) {
+            0 | 1 => {
+                entries[chosen].take().unwrap().kill();
+                entries[chosen] = Some(system.start_entry_at(chosen));
+            }
+            2 | 3 => {
+                rough = false;
+                let entry = entries[chosen].take().unwrap();
+                if !stop(entry).await {
+                    account.breaks(format!("entry box {chosen} does not stop"));
+                }
+                entries[chosen] = Some(system.start_entry_at(chosen));
+            }
+            4 => {
+                rough = false;
+                entries[chosen].as_ref().unwrap().signal("HUP");
+            }
+            _ => {
+                entries[chosen].as_ref().unwrap().signal("STOP");
+                tokio::time::sleep(pause).await;
+                entries[chosen].as_ref().unwrap().signal("CONT");
+            }
+        }
+        if rough {
+            let mut spans = account.rough.lock().unwrap();
+            spans.push((chosen, began, Instant::now()));
+        }
+        tokio::time::sleep(pause * 2).await;
+    }
+}
+
+/// Starts entry boxes; the voters are disturbed meanwhile.
+struct Starter(System);
+
+impl std::ops::Deref for Starter {
+    type Target = System;
+
+    fn deref(&self) -> &System {
+        &self.0
+    }
+}
+
+/// How often each request ran, by its id.
+fn runs(back: &Back) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for (endpoint, ..) in &back.endpoints {
+        for seen in endpoint.seen().iter().filter(|seen| seen.ran) {
+            let id = seen.header("scalewood-id").unwrap_or_default();
+            *runs.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+    runs
+}
+
+/// Compares what callers were told with what ran.
+fn check(account: &Account, runs: &BTreeMap<String, usize>) {
+    for request in account.requests.lock().unwrap().iter() {
+        let Request { id, path, seen, .. } = request;
+        let ran = runs.get(id).copied().unwrap_or(0);
+        let repeatable = matches!(*path, "/safe/" | "/sresume/");
+        let most = if repeatable { ATTEMPTS } else { 1 };
+        if ran > most {
+            account.breaks(format!("{id} to {path} ran {ran} times"));
+        }
+        if *seen == Seen::NotRun && ran > 0 {
+            account.breaks(format!("{id} to {path} is said not to have run, and ran"));
+        }
+        if *seen == Seen::Lost && ran > 0 && !account.was_rough(request) {
+            account.breaks(format!("{id} to {path} was passed on and dropped"));
+        }
+    }
+}
+
+/// Runs one seed; returns what was broken.
+async fn soak(seed: u64, length: Duration) -> Vec<String> {
+    let dir = tempfile::tempdir().unwrap();
+    let mut system = System::start(VOTERS, dir.path());
+    let mut entries = vec![system.entry.take()];
+    entries.extend((1..ENTRIES).map(|i| Some(system.start_entry_at(i))));
+    assert_eq!(system.publish(&text(&routing(1))).await, 200);
+    let voters: Vec<_> = (0..VOTERS).map(|i| system.publish_address(i)).collect();
+    let addresses: Vec<_> = (0..ENTRIES).map(|i| system.callers_at(i)).collect();
+    let mut back = Back {
+        host: system.host,
+        voters: voters.clone(),
+        endpoints: Vec::new(),
+        sequence: 0,
+    };
+    for _ in 0..ENDPOINTS {
+        back.add().await;
+    }
+    system.wait_served().await;
+    let account = Arc::new(Account::default());
+    let mut asking = Vec::new();
+    for number in 0..CALLERS {
+        let caller = caller(seed, number, addresses.clone(), account.clone());
+        asking.push(tokio::spawn(caller));
+    }
+    asking.push(tokio::spawn(operator(seed, voters, account.clone())));
+    let starter = Starter(System {
+        dir: system.dir.clone(),
+        host: system.host,
+        voters: (0..VOTERS).map(|_| None).collect(),
+        entry: None,
+    });
+    let clock = async {
+        tokio::time::sleep(length).await;
+        account.stop.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(
+        clock,
+        back.disturb(seed, &account),
+        disturb_voters(&mut system, seed, &account),
+        disturb_entries(&starter, &mut entries, seed, &account),
+    );
+    for asked in asking {
+        asked.await.unwrap();
+    }
+    check_mended(&system, &mut back, &account).await;
+    check(&account, &runs(&back));
+    print_account(seed, &account);
+    let broken = account.broken.lock().unwrap().clone();
+    broken
+}
+
+/// After all is mended, all is served, by endpoints that have not left, under the version
+/// that was acknowledged last or a later one.
+async fn check_mended(system: &System, back: &mut Back, account: &Account) {
+    back.beat().await;
+    system.wait_served().await;
+    let body = system.read().await;
+    let read = serde_json::from_str::<serde_json::Value>(&body).unwrap();
+    let acknowledged = account.acknowledged.load(Ordering::SeqCst);
+    if read["version"].as_u64().unwrap() < acknowledged {
+        account.breaks(format!("{acknowledged} was acknowledged and is gone"));
+    }
+    // Boxes that have just started hear of all within a few seconds.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let left: BTreeSet<_> = back
+        .left()
+        .map(|e| (e.name.clone(), e.seen().len()))
+        .collect();
+    for count in 0..30 {
+        let id = format!("mended-{count}");
+        let answer = system.call("POST", "/unsafe/", &id).await;
+        let status = answer.map(|answer| answer.status);
+        if !matches!(status, Ok(200 | 500)) {
+            account.breaks(format!("{id}: {status:?} though all is mended"));
+        }
+    }
+    let now: BTreeSet<_> = back
+        .left()
+        .map(|e| (e.name.clone(), e.seen().len()))
+        .collect();
+    if left != now {
+        account.breaks(format!(
+            "endpoints that have left get work: {left:?}, {now:?}"
+        ));
+    }
+}
+
+fn print_account(seed: u64, account: &Account) {
+    let mut counts: BTreeMap<Seen, usize> = BTreeMap::new();
+    for request in account.requests.lock().unwrap().iter() {
+        *counts.entry(request.seen).or_default() += 1;
+    }
+    let version = account.acknowledged.load(Ordering::SeqCst);
+    println!("seed {seed}: {counts:?}, version {version}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_everything_is_disturbed() {
+    let length = Duration::from_secs(number("SCALEWOOD_SOAK_S").unwrap_or(6));
+    let seeds: Vec<u64> = match (number("SCALEWOOD_SEED"), number("SCALEWOOD_RUNS")) {
+        (None, None) => SEEDS.iter().chain(FAILED).copied().collect(),
+        (first, runs) => {
+            let first = first.unwrap_or(1);
+            (first..first + runs.unwrap_or(1)).collect()
+        }
+    };
+    let mut broken = Vec::new();
+    for seed in seeds {
+        let found = soak(seed, length).await;
+        found
+            .iter()
+            .for_each(|what| println!("seed {seed}: {what}"));
+        broken.extend(found);
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/tests/testsuite/support/forwarder.rs
+++ b/tests/testsuite/support/forwarder.rs
@@ -1,46 +1,99 @@
-//! A link that can be cut: forwards TCP connections on loopback while it is whole.
+//! A link that can be disturbed: forwards TCP connections on loopback as it is told.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
-    net::{TcpListener, TcpStream},
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        TcpListener, TcpStream,
+    },
     sync::watch,
 };
 
+/// What a link does with what it carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// It carries everything.
+    Whole,
+    /// It closes what runs over it, and all that is opened.
+    Cut,
+    /// It keeps connections open and carries nothing.
+    Silent,
+    /// It carries only what goes towards the target.
+    OneWay,
+    /// It carries everything later.
+    Delayed(Duration),
+}
+
 /// A link between two addresses.
 #[derive(Debug)]
 pub(crate) struct Forwarder {
-    whole: Arc<watch::Sender<bool>>,
+    mode: Arc<watch::Sender<Mode>>,
 }
 
 impl Forwarder {
     /// Forwards what comes to one address to another.
     pub(crate) async fn start(from: SocketAddr, to: SocketAddr) -> Self {
         let listener = TcpListener::bind(from).await.unwrap();
-        let whole = Arc::new(watch::Sender::new(true));
-        let state = whole.clone();
+        let mode = Arc::new(watch::Sender::new(Mode::Whole));
+        let state = mode.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if *state.borrow() {
+                if *state.borrow() != Mode::Cut {
                     tokio::spawn(carry(stream, to, state.subscribe()));
                 }
             }
         });
-        Self { whole }
+        Self { mode }
     }
 
     /// Cuts the link with all that runs over it, or makes it whole again.
     pub(crate) fn set_whole(&self, whole: bool) {
-        self.whole.send_replace(whole);
+        self.set(if whole { Mode::Whole } else { Mode::Cut });
+    }
+
+    /// Sets what the link does.
+    pub(crate) fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
     }
 }
 
-async fn carry(mut stream: TcpStream, to: SocketAddr, mut whole: watch::Receiver<bool>) {
-    let Ok(mut target) = TcpStream::connect(to).await else {
+async fn carry(stream: TcpStream, to: SocketAddr, mut mode: watch::Receiver<Mode>) {
+    let Ok(target) = TcpStream::connect(to).await else {
         return;
     };
+    let (near, near_back) = stream.into_split();
+    let (far_back, far) = target.into_split();
+    let there = copy(near, far, mode.clone(), false);
+    let back = copy(far_back, near_back, mode.clone(), true);
     tokio::select! {
-        _ = tokio::io::copy_bidirectional(&mut stream, &mut target) => {}
-        _ = whole.wait_for(|whole| !whole) => {}
+        _ = async { tokio::join!(there, back) } => {}
+        _ = mode.wait_for(|mode| *mode == Mode::Cut) => {}
+    }
+}
+
+/// Carries one direction until its end; `back` is the way from the target.
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut mode: watch::Receiver<Mode>,
+    back: bool,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        let held = |mode: &Mode| *mode == Mode::Silent || (*mode == Mode::OneWay && back);
+        if mode.wait_for(|mode| !held(mode)).await.is_err() {
+            return;
+        }
+        let delay = match *mode.borrow() {
+            Mode::Delayed(delay) => delay,
+            _ => Duration::ZERO,
+        };
+        tokio::time::sleep(delay).await;
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
     }
+    let _ = to.shutdown().await;
 }
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -53,6 +53,8 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Whether it ran the request.
+    pub(crate) ran: bool,
 }
 
 impl Seen {
@@ -103,6 +105,11 @@
         self.acts.lock().unwrap().push_back(act);
     }
 
+    /// It answers well from now on.
+    pub(crate) fn calm(&self) {
+        self.acts.lock().unwrap().clear();
+    }
+
     pub(crate) fn seen(&self) -> Vec<Seen> {
         self.seen.lock().unwrap().clone()
     }
@@ -135,6 +142,7 @@
         path: path.clone(),
         headers: parts.headers,
         body,
+        ran: act != Some(Act::Refuse),
     });
     let mut response = match act {
         Some(Act::Refuse) => {
@@ -239,7 +247,12 @@
     }
 
     pub(crate) fn callers(&self) -> SocketAddr {
-        self.address(8000)
+        self.callers_at(0)
+    }
+
+    /// Where callers reach an entry box.
+    pub(crate) fn callers_at(&self, i: usize) -> SocketAddr {
+        self.address(8000 + 10 * i)
     }
 
     pub(crate) fn health(&self) -> SocketAddr {
@@ -275,16 +288,22 @@
     }
 
     pub(crate) fn start_entry(&mut self) {
+        self.entry = Some(self.start_entry_at(0));
+    }
+
+    /// Starts one of several entry boxes.
+    pub(crate) fn start_entry_at(&self, i: usize) -> deploy::Process {
+        let name = format!("e{}", i + 1);
         let text = format!(
-            "{{ \"box\": \"e1\", \"zone\": \"z0\", \"callers\": \"{}\", \"listen\": \"{}\",\n  \
+            "{{ \"box\": \"{name}\", \"zone\": \"z0\", \"callers\": \"{}\", \"listen\": \"{}\",\n  \
              \"health\": \"{}\", \"voters\": [{}], \"stop_grace\": \"200ms\",\n  \
              \"stop_within\": \"4s\" }}",
-            self.callers(),
-            self.address(8001),
-            self.health(),
+            self.callers_at(i),
+            self.address(8001 + 10 * i),
+            self.address(8002 + 10 * i),
             self.seeds(),
         );
-        self.entry = Some(self.start_process("e1", "scalewood-entry", &[], &text));
+        self.start_process(&name, "scalewood-entry", &[], &text)
     }
 
     fn start_process(
