A box that is asked to stop serves to its end; callers are bounded as the routing says

Cause: a box that stops leaves the membership, and its own dispatchers then took it for gone: what waited was forgotten, and within ten seconds of the start (until the dispatcher counts as settled) nothing more was granted, so a request that needed a second slot hung until the time to drain was over. Ruled out: the listener's end, the endpoint (it answered at once), the retry budget. Change: the box itself always belongs to the boxes whose requests its dispatchers take. The test fails without it.

Also: the size of heads and the time that connections may rest come from the published limits, for connections opened from then on; a test publishes a narrower limit. Missing still: a time for heads apart from that of rest (hyper has one timer for both).

--- a/src/scalewood/ops/entry/caller.rs
+++ b/src/scalewood/ops/entry/caller.rs
@@ -35,8 +35,10 @@
 
 /// The most headers of a request.
 const MAX_HEADERS: usize = 64;
-/// The most bytes of a request's head.
+/// The most bytes of a request's head, where no routing says so.
 const MAX_HEAD: usize = 64 * 1024;
+/// The least that a routing may say: hyper needs as much room.
+const LEAST_HEAD: usize = 8 * 1024;
 /// The paths of the product's own interface.
 const OWN_PATHS: [&str; 3] = ["/v1/models", "/v1/chat/completions", "/v1/completions"];
 /// The path prefix of plain services.
@@ -97,11 +99,27 @@
         }
     }
 
+    /// The most bytes of a head, and how long a connection may be at rest or a head take:
+    /// as the routing in force says for connections that are opened now.
+    fn bounds(&self) -> (usize, Duration) {
+        let view = self.context.board.view.load();
+        match view.document.routing.as_deref() {
+            None => (MAX_HEAD, self.context.limits.arrival),
+            Some(routing) => {
+                let limits = &routing.limits;
+                let rest = limits.idle_ms.max(limits.head_ms);
+                let head = limits.head_bytes.max(LEAST_HEAD);
+                (head, Duration::from_millis(rest))
+            }
+        }
+    }
+
     fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
         // Without it small pieces wait for acknowledgements; a failure only slows.
         let _ = stream.set_nodelay(true);
         let context = self.context.clone();
         let routes = self.routes.clone();
+        let (head, rest) = self.bounds();
         let service = service_fn(move |request| {
             let context = context.clone();
             let routes = routes.clone();
@@ -109,9 +127,9 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.context.limits.arrival)
+            .header_read_timeout(rest)
             .max_headers(MAX_HEADERS)
-            .max_buf_size(MAX_HEAD)
+            .max_buf_size(head)
             .serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -100,8 +100,12 @@
     view.dispatch_input(service, &board.own.zone, &lock(&board.registry))
 }
 
+/// The boxes whose requests the dispatchers here take. This one belongs to them also
+/// while it stops: what it holds it serves to its end.
 fn alive(board: &Shared) -> BTreeSet<name::Box> {
-    board.alive.load().iter().cloned().collect()
+    let mut alive: BTreeSet<_> = board.alive.load().iter().cloned().collect();
+    alive.insert(board.own.name.clone());
+    alive
 }
 
 /// Gives a dispatcher that is held here something that is no report.
@@ -264,7 +268,7 @@
     fn refresh_homes(&mut self) {
         let alive = self.board.alive.load_full();
         if !Arc::ptr_eq(&alive, &self.alive) {
-            let boxes: BTreeSet<_> = alive.iter().cloned().collect();
+            let boxes = self::alive(&self.board);
             let dead = self.alive.iter().filter(|name| !boxes.contains(*name));
             for service in held(&self.board) {
                 input(&self.board, &service, dispatch::Input::Boxes(boxes.clone()));
--- a/tests/testsuite/routed.rs
+++ b/tests/testsuite/routed.rs
@@ -62,6 +62,39 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_bounded_as_the_routing_says_without_a_restart() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, _endpoints) = system(1, dir.path()).await;
+    let large = "x".repeat(10 * 1024);
+    let send = || async {
+        let mut connection = client::Connection::open(system.callers()).await.unwrap();
+        let headers = [("authorization", "Bearer key-1"), ("x-large", &large)];
+        let sent = connection.send_to("routes.example", "GET", "/safe/x", &headers, "");
+        sent.await.unwrap().status().as_u16()
+    };
+    assert_eq!(send().await, 200, "16 KiB are allowed by default");
+    let mut narrow = routing(8);
+    narrow.limits.head_bytes = 8 * 1024;
+    assert_eq!(system.publish(&text(&narrow)).await, 200);
+    deploy::wait("the narrower limit is in force", || async {
+        send().await == 431
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_box_that_is_stopped_right_after_its_start_serves_what_it_has_taken() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints) = system(1, dir.path()).await;
+    system.entry.as_ref().unwrap().signal("TERM");
+    // Its callers still come for a moment; the stop is known everywhere in the box by now.
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    endpoints[0].next(Act::Refuse);
+    let answer = system.call("POST", "/unsafe/late", "l").await.unwrap();
+    assert_eq!(answer.status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unsafe_call_is_sent_once_and_a_safe_one_is_repeated() {
     let dir = tempfile::tempdir().unwrap();
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -17,7 +17,8 @@
 //! - an endpoint that has left gets no more, and after all is mended all is served again.
 //!
 //! `SCALEWOOD_SEED` is the first seed, `SCALEWOOD_RUNS` how many follow each other, and
-//! `SCALEWOOD_SOAK_S` how many seconds each takes. Seeds that ever failed are in `FAILED`.
+//! `SCALEWOOD_SOAK_S` how many seconds each takes; with `SCALEWOOD_SOAK_KEEP` the logs stay.
+//! Seeds that ever failed are in `FAILED`.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -39,10 +40,12 @@
     routed::{routing, text, Act, Endpoint, System, EVENTS, HOST, KEY},
 };
 
-/// Seeds that failed once, with what they found.
-const FAILED: &[u64] = &[];
+/// Seeds that failed once. 45 and 54: a box that was asked to stop within ten seconds of
+/// its start took itself for gone and granted nothing more, so what needed a second slot
+/// hung until the stop ended; also `routed::a_box_that_is_stopped_right_after_its_start...`.
+const FAILED: &[u64] = &[45, 54];
 /// The seeds of a run without any settings.
-const SEEDS: &[u64] = &[1];
+const SEEDS: &[u64] = &[1, 2];
 
 const VOTERS: usize = 3;
 const ENTRIES: usize = 2;
@@ -498,14 +501,19 @@
             account.breaks(format!("{id} to {path} is said not to have run, and ran"));
         }
         if *seen == Seen::Lost && ran > 0 && !account.was_rough(request) {
-            account.breaks(format!("{id} to {path} was passed on and dropped"));
+            let took = request.ended - request.asked;
+            let entry = request.entry;
+            account.breaks(format!(
+                "{id} to {path} was passed on by box {entry} and dropped after {took:?}"
+            ));
         }
     }
 }
 
 /// Runs one seed; returns what was broken.
 async fn soak(seed: u64, length: Duration) -> Vec<String> {
-    let dir = tempfile::tempdir().unwrap();
+    let mut dir = tempfile::tempdir().unwrap();
+    dir.disable_cleanup(std::env::var_os("SCALEWOOD_SOAK_KEEP").is_some());
     let mut system = System::start(VOTERS, dir.path());
     let mut entries = vec![system.entry.take()];
     entries.extend((1..ENTRIES).map(|i| Some(system.start_entry_at(i))));
@@ -551,6 +559,9 @@
     check_mended(&system, &mut back, &account).await;
     check(&account, &runs(&back));
     print_account(seed, &account);
+    if std::env::var_os("SCALEWOOD_SOAK_KEEP").is_some() {
+        println!("seed {seed}: logs in {}", dir.path().display());
+    }
     let broken = account.broken.lock().unwrap().clone();
     broken
 }
