--- a/src/scalewood/core/dispatch/placement.rs
+++ b/src/scalewood/core/dispatch/placement.rs
@@ -21,11 +21,9 @@
 pub const LONG_PROMPT: unit::Tokens = unit::Tokens(4096);
 /// The weight of a new observation of a class's prompts.
 const WEIGHT: f64 = 0.05;
-/// The part of the endpoints from which those for short prompts are taken, the first in an
-/// order that all boxes know; slow ones among them are for long prompts all the same.
-const SHORT: f64 = 0.6;
-/// The part that short prompts get at least; further fast endpoints make it up.
-const LEAST_SHORT: f64 = 0.45;
+/// The part of the endpoints that short prompts get, where there are long ones too: the
+/// first fast ones in an order that all boxes know.
+const SHORT: f64 = 0.45;
 /// The part of the slots for short prompts from which on they count as about to be full,
 /// and under which they no longer do.
 const CROWDED: f64 = 0.85;
@@ -76,18 +74,12 @@
 
 /// Which endpoints are for short prompts where they are parted, of endpoints in the order
 /// that all boxes know, by whether each is slow.
-///
-/// The border moves as little as may be: what an endpoint for long prompts has read is lost
-/// when it becomes one for short ones.
 pub(super) fn part(slow: &[bool]) -> Vec<bool> {
-    let part_of = |part: f64| {
-        // The product is at most the count, so the cast is exact.
-        ((slow.len() as f64 * part).round() as usize).max(1)
-    };
-    let (first, least) = (part_of(SHORT), part_of(LEAST_SHORT));
+    // The product is at most the count, so the cast is exact.
+    let most = ((slow.len() as f64 * SHORT).round() as usize).max(1);
     let mut short = 0;
-    let parted = slow.iter().enumerate().map(|(place, slow)| {
-        let taken = !slow && (place < first || short < least);
+    let parted = slow.iter().map(|slow| {
+        let taken = !slow && short < most;
         short += usize::from(taken);
         taken
     });
