Headers that are the system's to set never come from a caller

Change: a dialect names all headers that are the system's (RESERVED); they are taken out of a caller's head once, when the request for endpoints is made, on every route.

--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -71,10 +71,15 @@
     /// The path at which the platform asks whether this box takes work.
     const READY: &'static str;
 
+    /// The headers, in lower case, through which the system speaks to endpoints, and those
+    /// that are between a caller and the system. None of them reaches an endpoint as a
+    /// caller sent it; everything that [`Dialect::instruct`] writes stands here.
+    const RESERVED: &'static [&'static str];
+
     /// What a caller's head says.
     fn head(headers: &HeaderMap) -> Head;
 
-    /// Takes out what is between the caller and the system, and writes the instruction.
+    /// Writes the instruction into a head that holds none of [`Dialect::RESERVED`].
     fn instruct(headers: &mut HeaderMap, instruction: &Instruction<'_>);
 
     /// What an endpoint's head says, to a request of this id.
@@ -116,6 +121,16 @@
 impl Dialect for Native {
     const READY: &'static str = "/readyz";
 
+    const RESERVED: &'static [&'static str] = &[
+        "authorization",
+        DEADLINE,
+        ENDPOINT,
+        TEAM,
+        RANK,
+        VERDICT,
+        AFTER,
+    ];
+
     fn head(headers: &HeaderMap) -> Head {
         let tokens = text(headers, TOKENS).and_then(|text| text.split_once(','));
         let count = |text: &str| unit::Tokens(text.trim().parse().unwrap_or(0));
@@ -136,7 +151,6 @@
     }
 
     fn instruct(headers: &mut HeaderMap, instruction: &Instruction<'_>) {
-        headers.remove(header::AUTHORIZATION);
         set(headers, ENDPOINT, Some(instruction.endpoint.as_str()));
         let left = instruction.left.as_millis().to_string();
         set(headers, DEADLINE, Some(&left));
@@ -165,6 +179,13 @@
     }
 }
 
+/// Takes out of a caller's head what only the system may tell an endpoint.
+pub fn strip<D: Dialect>(headers: &mut HeaderMap) {
+    for name in D::RESERVED {
+        headers.remove(*name);
+    }
+}
+
 /// A header's text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -156,7 +156,7 @@
             rank,
             call,
             until: arrived + held,
-            outgoing: outgoing::Outgoing::new(parts, body),
+            outgoing: outgoing::Outgoing::new::<D>(parts, body),
             revision: view.revision,
             head,
         })
--- a/src/scalewood/ops/entry/routed/outgoing.rs
+++ b/src/scalewood/ops/entry/routed/outgoing.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::{dispatch, rendezvous, unit},
     ops::entry::{
-        dialect::{Dialect, Head, Instruction},
+        dialect::{self, Dialect, Head, Instruction},
         upstream::Failure,
     },
 };
@@ -38,12 +38,15 @@
 }
 
 impl Outgoing {
-    pub(super) fn new(parts: request::Parts, body: Bytes) -> Self {
+    /// Takes a caller's request without what only the system may tell an endpoint.
+    pub(super) fn new<D: Dialect>(parts: request::Parts, body: Bytes) -> Self {
         let target = parts.uri.path_and_query().cloned();
+        let mut headers = end_to_end(parts.headers);
+        dialect::strip::<D>(&mut headers);
         Self {
             method: parts.method,
             target: target.map_or_else(Uri::default, Uri::from),
-            headers: end_to_end(parts.headers),
+            headers,
             body,
         }
     }
--- a/tests/testsuite/routed.rs
+++ b/tests/testsuite/routed.rs
@@ -3,11 +3,14 @@
 
 use std::time::Duration;
 
-use scalewood::core::registry::State;
+use scalewood::{
+    core::registry::State,
+    ops::entry::dialect::{Dialect as _, Native},
+};
 
 use crate::support::{
     client, deploy,
-    routed::{routing, text, Act, Endpoint, System, EVENTS},
+    routed::{routing, text, Act, Endpoint, System, EVENTS, HOST},
 };
 
 /// A system with one voter and so many endpoints that serve.
@@ -62,6 +65,24 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_reserved_header_reaches_an_endpoint_as_a_caller_sent_it() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints) = system(1, dir.path()).await;
+    let reserved = Native::RESERVED;
+    let reserved = reserved.iter().filter(|name| **name != "authorization");
+    let mut headers: Vec<_> = reserved.map(|name| (*name, "4000")).collect();
+    headers.push(("authorization", "Bearer key-1"));
+    let mut connection = client::Connection::open(system.callers()).await.unwrap();
+    let sent = connection.send_to(HOST, "GET", "/safe/x", &headers, "");
+    assert_eq!(sent.await.unwrap().status().as_u16(), 200);
+    let seen = endpoints[0].seen().pop().unwrap();
+    assert_eq!(seen.header("scalewood-endpoint"), Some("i-0"));
+    assert_eq!(seen.header("scalewood-team"), Some("t1"));
+    assert_eq!(seen.header("scalewood-verdict"), None);
+    assert_eq!(seen.header("authorization"), None);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_bounded_as_the_routing_says_without_a_restart() {
     let dir = tempfile::tempdir().unwrap();
