Placement by time and by observed risk in place of token counts

Hypothesis: thresholds in tokens stand for times at 60 tokens a ms; here 35 to 43 are read. And a failed or late request has the same price everywhere, which only what is observed can tell.

Change: core/dispatch/reading learns the rate from first tokens, pauses counts streams that paused too long by where they ran, endpoint/cost weighs waiting against risks (failure, silence, full, unfinished, pause, harm to streams). A request whose caller would leave before its first token is refused at once (Reason::Overload) with the time that reading takes.

--- a/benches/decisions/cost.rs
+++ b/benches/decisions/cost.rs
@@ -37,6 +37,7 @@
         age: Duration::ZERO,
         target: Duration::from_secs(3600),
         deadline: Duration::from_secs(100_000),
+        patience: None,
         prompt: unit::Tokens(100),
         delivered: unit::Tokens(0),
         prefix: Some(dispatch::Prefix(number % 50)),
--- a/benches/decisions/load.rs
+++ b/benches/decisions/load.rs
@@ -79,6 +79,7 @@
         share: unit::Share::try_from(share).expect("a share"),
         preemptible: tier >= 2,
         repeatable: true,
+        gap: None,
     };
     Class {
         name,
--- a/benches/decisions/ours.rs
+++ b/benches/decisions/ours.rs
@@ -181,6 +181,7 @@
             age,
             target: class.config.target,
             deadline,
+            patience: None,
             prompt: unit::Tokens(offered.prompt),
             delivered: unit::Tokens(fate.delivered),
             prefix: None,
--- a/src/scalewood/core/config.rs
+++ b/src/scalewood/core/config.rs
@@ -55,6 +55,16 @@
     pub preemptible: bool,
     /// Whether a request that may have run can be run again.
     pub repeatable: bool,
+    /// The longest pause between two events of a stream that is in time, in milliseconds.
+    #[serde(rename = "gap_ms", skip_serializing_if = "Option::is_none")]
+    pub gap: Option<u64>,
+}
+
+impl Class {
+    /// The longest pause between two events of a stream that is in time.
+    pub fn gap(&self) -> Option<Duration> {
+        self.gap.map(Duration::from_millis)
+    }
 }
 
 impl Default for Class {
@@ -66,6 +76,7 @@
             share: unit::Share::default(),
             preemptible: false,
             repeatable: true,
+            gap: None,
         }
     }
 }
--- a/src/scalewood/core/dispatch/class.rs
+++ b/src/scalewood/core/dispatch/class.rs
@@ -26,6 +26,8 @@
     target: Duration,
     /// Slots that lower tiers leave free for it.
     pub(super) reserve: f64,
+    /// Tokens, or events, of a whole answer.
+    pub(super) length: estimate::Ewma,
 }
 
 impl Class {
@@ -39,6 +41,7 @@
             lead: Duration::ZERO,
             target: Duration::ZERO,
             reserve: 0.0,
+            length: estimate::Ewma::default(),
         };
         class.refresh();
         class
@@ -55,6 +58,14 @@
         self.refresh();
     }
 
+    /// Notes how long a whole answer was, in tokens or events.
+    pub(super) fn observe_length(&mut self, tokens: unit::Tokens) {
+        /// The weight of a new observation.
+        const WEIGHT: f64 = 0.05;
+        // Answers are far shorter than 2^52 tokens, so the cast is exact.
+        self.length.observe(tokens.0 as f64, WEIGHT);
+    }
+
     pub(super) fn observe_first(&mut self, waited: Duration) {
         self.first.observe(waited);
         self.refresh();
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -15,15 +15,16 @@
 };
 
 use crate::core::{
-    dispatch::{message, placement, zone, Settings},
+    dispatch::{message, pauses, placement, zone, Settings},
     estimate, invariant,
     load::Load,
     name, rendezvous, unit,
 };
 
+mod cost;
 mod home;
 
-pub(super) use home::Prompt;
+pub(super) use cost::{Model, Prompt};
 
 /// Where an endpoint stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +40,27 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Index(usize);
 
+/// An endpoint that was chosen, with a slot of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Choice {
+    pub(super) endpoint: Index,
+    /// Tokens of the prompt that have to be read there.
+    pub(super) unread: u64,
+    /// Tokens that are unread there before it.
+    pub(super) ahead: u64,
+    /// Where it runs, if its prompt was placed.
+    pub(super) place: Option<pauses::Place>,
+}
+
+/// Why no endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unplaced {
+    /// No slot is free.
+    NoSlot,
+    /// The caller would leave before the first token, which takes so long at least.
+    Hopeless(Duration),
+}
+
 /// The zone of an endpoint that is not configured.
 fn own_zone() -> name::Zone {
     "unknown".parse().expect("the name is valid")
@@ -91,9 +113,9 @@
     others: Load,
     /// Runs that have no first token yet.
     pending: u32,
-    /// Failures of late, fading, as of the time beside it.
-    trouble: f64,
-    troubled_at: Duration,
+    /// How likely the next request fails, as of the time beside it.
+    risk: f64,
+    risk_at: Duration,
     /// Since when there is such a run, or when the last first token came.
     quiet_since: Duration,
     /// Its place in the index, if it stands there.
@@ -121,11 +143,28 @@
         (f64::from(self.slots) * self.speed).ceil() as u32
     }
 
-    /// Failures of late: each counts for less as time passes, whatever succeeds
-    /// meanwhile. An endpoint that fails a part of its requests shows by this.
-    fn trouble(&self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.troubled_at).as_secs_f64();
-        self.trouble * (-passed / FADING).exp()
+    /// How likely the next request fails: what was met fades, since faults end.
+    fn risk(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.risk_at).as_secs_f64();
+        let risk = self.risk * (-passed / FADING).exp();
+        if risk < LEAST_RISK {
+            0.0
+        } else {
+            risk
+        }
+    }
+
+    /// Notes that a request failed, with a weight from 0 to 1.
+    fn raise_risk(&mut self, weight: f64, now: Duration) {
+        let risk = self.risk(now);
+        self.risk = risk + (1.0 - risk) * FAILED * weight;
+        self.risk_at = now;
+    }
+
+    /// Notes that a request got its first token.
+    fn lower_risk(&mut self, now: Duration) {
+        self.risk = self.risk(now) * ANSWERED;
+        self.risk_at = now;
     }
 
     fn score(&self) -> Option<Score> {
@@ -194,8 +233,17 @@
 const SLOW: f64 = 0.67;
 /// The least weight of a slow endpoint.
 const MIN_SPEED: f64 = 0.1;
-/// The time, in seconds, in which a failure comes to count for a third.
+/// The time, in seconds, in which the risk of a failure fades to a third: most faults last
+/// for a few seconds.
 const FADING: f64 = 4.0;
+/// The risk below which an endpoint counts as sound, so that the memory of a fault that has
+/// ended does not keep prompts from where they are kept.
+const LEAST_RISK: f64 = 0.25;
+/// The part of what is missing to certainty that a failure adds to the risk of the next.
+const FAILED: f64 = 0.6;
+/// The part of the risk that an answer leaves: it takes several to make up for a failure,
+/// since an endpoint may fail a part of its requests.
+const ANSWERED: f64 = 0.75;
 /// How much fuller, in thousandths, an endpoint of this zone may be than one of
 /// another zone and still go first.
 const AWAY: u64 = 300;
@@ -269,8 +317,8 @@
             held: 0,
             others: Load::default(),
             pending: 0,
-            trouble: 0.0,
-            troubled_at: Duration::ZERO,
+            risk: 0.0,
+            risk_at: Duration::ZERO,
             quiet_since: Duration::ZERO,
             score: None,
             counted: 0,
@@ -382,7 +430,7 @@
         avoid: Option<&name::Endpoint>,
         now: Duration,
         settings: &Settings,
-    ) -> Option<Index> {
+    ) -> Option<Choice> {
         let mut candidates = self.ready.iter().take(2);
         let mut best = *candidates.next()?;
         if avoid.is_some_and(|name| self.endpoints[best.1 .0].name == *name) {
@@ -395,7 +443,12 @@
         if let Some(prefix) = prefix {
             self.hint(prefix, index, now + settings.hint_life);
         }
-        Some(index)
+        Some(Choice {
+            endpoint: index,
+            unread: 0,
+            ahead: 0,
+            place: None,
+        })
     }
 
     /// The endpoint that likely caches a prefix, while it costs little to wait for.
@@ -494,6 +547,7 @@
         endpoint.unread = endpoint.unread.saturating_sub(unread);
         endpoint.pending = endpoint.pending.saturating_sub(1);
         endpoint.quiet_since = now;
+        endpoint.lower_risk(now);
         self.zones.reached(&endpoint.zone);
         if endpoint.state == State::Active && endpoint.ramp < endpoint.slots {
             endpoint.ramp = endpoint.ramp.saturating_add(1);
@@ -518,8 +572,7 @@
         // requests go to another zone or wait for the probe.
         let may_eject = ejected.count() < most.max(1);
         let endpoint = &mut self.endpoints[index.0];
-        endpoint.trouble = endpoint.trouble(now) + 1.0;
-        endpoint.troubled_at = now;
+        endpoint.raise_risk(1.0, now);
         endpoint.failures = (endpoint.failures + weight).min(EJECT_AT * 2);
         let probing = endpoint.state == State::Probing;
         if probing || (endpoint.failures >= EJECT_AT && may_eject) {
@@ -534,10 +587,8 @@
     /// the request, or be busy.
     pub(super) fn suspected(&mut self, index: Index, now: Duration) {
         /// What that counts beside a failure.
-        const PART: f64 = 0.6;
-        let endpoint = &mut self.endpoints[index.0];
-        endpoint.trouble = endpoint.trouble(now) + PART;
-        endpoint.troubled_at = now;
+        const PART: f64 = 0.75;
+        self.endpoints[index.0].raise_risk(PART, now);
     }
 
     /// Moves on what depends on time.
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -1,97 +1,25 @@
 //! Which endpoint a prompt that shares its beginning with others is read at.
 //!
 //! All boxes find the same order of endpoints for a prompt by rendezvous hashing; the
-//! first is its home, which likely keeps the shared part. What counts is the work that
-//! goes before the prompt: the tokens that all boxes have there unread, and those of the
-//! shared part where it likely has to be read once more. So a home is left for the next
-//! endpoint only while its backlog is longer by more than that costs.
+//! first is its home, which likely keeps the shared part. A home is left for the next
+//! endpoint once what the prompt costs there (`cost`) is more by what a step away costs.
 
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
-use super::{Endpoint, Index, Set};
+use super::{
+    cost::{self, Cost, Model, Prompt},
+    Choice, Index, Set, Unplaced,
+};
 use crate::core::{
     dispatch::message,
     load::{self, Load},
     name, rendezvous,
 };
 
-/// A cost, in tokens that are read meanwhile.
-type Cost = u64;
-
-/// What reading a shared part once more costs beside waiting for as many tokens: it is
-/// work that others wait for too, and memory that others lose.
-const AGAIN: Cost = 3;
-/// What a place further from home costs for each millisecond of the target: endpoints read
-/// about as many tokens meanwhile, so a home is left when the target would pass there.
-const STEP_PER_MS: Cost = 60;
 /// How long an endpoint likely keeps a shared part that was placed there.
 const KEPT: Duration = Duration::from_secs(30);
 /// Shared parts whose places are remembered at most.
 const MAX_KEPT: usize = 4096;
-/// What an endpoint costs that has left runs without a first token for long, or has
-/// failed of late.
-const DOUBTFUL: Cost = 48_000;
-/// What one costs that likely fails all it gets.
-const FAILED: Cost = 10_000_000;
-/// What one costs that has no slot left.
-const FULL: Cost = 24_000;
-/// The part of an endpoint's memory, in hundredths, from which on it fills up, and what
-/// each further hundredth costs: with a full one a prompt waits until others have ended.
-const FILLING: u64 = 65;
-const FILLING_STEP: Cost = 1000;
-/// What a short prompt bears before it goes to an endpoint for long ones.
-const FOREIGN: Cost = 16_000;
-/// What a long prompt bears before it goes to an endpoint for short ones, where it holds
-/// up all streams.
-const FOREIGN_LONG: Cost = 40_000;
-/// The same for one that is so long that reading it holds them up beyond what they bear.
-const FOREIGN_GIANT: Cost = 400_000;
-/// From which size on a prompt is that long.
-const GIANT: u64 = 9000;
-/// How much longer a slow endpoint takes, in hundredths.
-const SLOW: Cost = 130;
-/// How long an endpoint may leave runs without a first token before it is doubtful.
-const MAX_QUIET: Duration = Duration::from_millis(1500);
-/// The same for long prompts.
-const MAX_QUIET_LONG: Duration = Duration::from_millis(3000);
-/// Failures of late above which an endpoint is doubtful: one counts for three seconds.
-const TROUBLED: f64 = 0.47;
-/// Failures of late above which it likely fails all it gets.
-const FAILING: f64 = 1.4;
-/// The part of its slots, in hundredths, above which an endpoint counts as full where
-/// only this box's runs are known: above 100, since boxes do not share it evenly.
-const FULL_GUESSED: u32 = 200;
-
-/// A prompt that is to be placed.
-#[derive(Clone, Copy, Debug)]
-pub(in crate::core::dispatch) struct Prompt {
-    /// What it shares with others.
-    pub(in crate::core::dispatch) placed: message::Placed,
-    /// All its tokens.
-    pub(in crate::core::dispatch) tokens: u64,
-    /// The time within which the first token is due.
-    pub(in crate::core::dispatch) target: Duration,
-    /// Whether it belongs to the endpoints for long prompts.
-    pub(in crate::core::dispatch) long: bool,
-    /// Whether endpoints are parted between short and long prompts.
-    pub(in crate::core::dispatch) parted: bool,
-}
-
-impl Prompt {
-    /// What a place further from home costs where the shared part is not kept.
-    fn step(&self) -> Cost {
-        // Targets are far below 2^60 ms, so the cast is exact.
-        let target = self.target.as_millis() as u64;
-        (self.placed.shared.0 * AGAIN).max(target * STEP_PER_MS)
-    }
-
-    /// Tokens that are read where the shared part is kept or not.
-    fn unread(&self, kept: bool) -> u64 {
-        let shared = if kept { self.placed.shared.0 } else { 0 };
-        self.tokens.saturating_sub(shared)
-    }
-}
-
 /// Where shared parts were placed of late, by all boxes, and until when they likely are
 /// there.
 #[derive(Debug, Default)]
@@ -143,14 +71,14 @@
 }
 
 impl Set {
-    /// Chooses the endpoint for a prompt and takes a slot there; tells also how many of
-    /// its tokens count as unread there.
+    /// Chooses the endpoint for a prompt and takes a slot there.
     pub(in crate::core::dispatch) fn choose_home(
         &mut self,
         prompt: &Prompt,
+        model: &Model<'_>,
         avoid: Option<&name::Endpoint>,
         now: Duration,
-    ) -> Option<(Index, u64)> {
+    ) -> Result<Choice, Unplaced> {
         let mut candidates: Vec<_> = self
             .ready
             .iter()
@@ -161,6 +89,7 @@
         let mut kept = self.kept.places(prefix, now);
         // At an endpoint of the other group it would be in the way of others.
         kept.retain(|index| !self.is_foreign(*index, prompt));
+        let step = cost::step(prompt, model);
         // Where it is kept nowhere, its home is as good as a place that keeps it. Steps are
         // counted in each of the two groups by itself.
         let mut steps = [Cost::from(!kept.is_empty()); 2];
@@ -170,27 +99,43 @@
             let kept_here = kept.contains(&index);
             let mut away = 0;
             if !kept_here {
-                let step = &mut steps[usize::from(foreign)];
-                away = prompt.step() * *step;
-                *step += 1;
+                let steps = &mut steps[usize::from(foreign)];
+                away = step * *steps;
+                *steps += 1;
             }
             let avoided = avoid == Some(&endpoint.name);
             let cut = endpoint.away && self.zones.is_suspect(&endpoint.zone, now);
-            let cost = away + self.cost(endpoint, prompt, foreign, now);
-            ((avoided, cut, cost), index, prompt.unread(kept_here))
+            let cost = away + self.cost(endpoint, prompt, model, now);
+            ((avoided, cut, cost), index, kept_here)
         });
-        let (_, index, unread) = ranked.min_by_key(|(rank, ..)| *rank)?;
+        let best = ranked.min_by_key(|(rank, ..)| *rank);
+        let (_, index, kept_here) = best.ok_or(Unplaced::NoSlot)?;
+        let first = cost::first(&self.endpoints[index.0], prompt, kept_here, model);
+        if first > prompt.patience {
+            return Err(Unplaced::Hopeless(first));
+        }
         if self.kept.note(prefix, index, now) {
             self.kept.news.push((prefix, index));
         }
         self.check_grant(index, now);
-        self.take(index, unread, now);
-        Some((index, unread))
+        let choice = self.choice(index, prompt, kept_here);
+        self.take(index, choice.unread, now);
+        Ok(choice)
+    }
+
+    fn choice(&self, index: Index, prompt: &Prompt, kept: bool) -> Choice {
+        let endpoint = &self.endpoints[index.0];
+        Choice {
+            endpoint: index,
+            unread: prompt.unread(kept),
+            ahead: endpoint.unread + endpoint.others.unread,
+            place: Some(prompt.place(endpoint)),
+        }
     }
 
     /// Whether an endpoint is for prompts of the other kind.
     fn is_foreign(&self, index: Index, prompt: &Prompt) -> bool {
-        prompt.parted && self.endpoints[index.0].for_short == prompt.long
+        prompt.is_foreign(&self.endpoints[index.0])
     }
 
     /// Notes what other boxes have placed.
@@ -220,39 +165,6 @@
         rendezvous::mix(prompt.placed.prefix.0 ^ self.endpoints[index.0].hash)
     }
 
-    fn cost(&self, endpoint: &Endpoint, prompt: &Prompt, foreign: bool, now: Duration) -> Cost {
-        let backlog = endpoint.unread + endpoint.others.unread;
-        let speed = if endpoint.slow { SLOW } else { 100 };
-        let foreign_cost = match (foreign, prompt.long) {
-            (false, _) => 0,
-            (true, false) => FOREIGN,
-            (true, true) if prompt.tokens < GIANT => FOREIGN_LONG,
-            (true, true) => FOREIGN_GIANT,
-        };
-        backlog * speed / 100
-            + foreign_cost
-            + self.doubt(endpoint, prompt.long, now)
-            + Cost::from(self.is_full(endpoint)) * FULL
-            + filling(endpoint, prompt.tokens)
-    }
-
-    /// What is to be feared of an endpoint, by what this box met there.
-    fn doubt(&self, endpoint: &Endpoint, long: bool, now: Duration) -> Cost {
-        let quiet = if long { MAX_QUIET_LONG } else { MAX_QUIET };
-        let stalled = endpoint.pending > 0 && now > endpoint.quiet_since + quiet;
-        let trouble = endpoint.trouble(now);
-        Cost::from(stalled) * DOUBTFUL
-            + Cost::from(trouble > TROUBLED) * DOUBTFUL
-            + Cost::from(trouble > FAILING) * FAILED
-    }
-
-    fn is_full(&self, endpoint: &Endpoint) -> bool {
-        if self.others_known {
-            return endpoint.running + endpoint.others.running >= endpoint.slots;
-        }
-        endpoint.running * (self.sharers + 1) * 100 / endpoint.slots.max(1) > FULL_GUESSED
-    }
-
     /// The part of the slots of the endpoints for short prompts that is used.
     pub(in crate::core::dispatch) fn crowding(&self) -> f64 {
         let parted = self.endpoints.iter();
@@ -292,13 +204,3 @@
         })
     }
 }
-
-/// What it costs that a prompt fills an endpoint's memory.
-fn filling(endpoint: &Endpoint, tokens: u64) -> Cost {
-    let Some(memory) = endpoint.memory else {
-        return 0;
-    };
-    let held = endpoint.held + endpoint.others.held + tokens;
-    let part = held * 100 / memory.0.max(1);
-    part.saturating_sub(FILLING) * FILLING_STEP
-}
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -36,6 +36,10 @@
     pub target: Duration,
     /// The time from arrival after which the request is shed.
     pub deadline: Duration,
+    /// The time from arrival after which the caller leaves if there is no first token,
+    /// where that is known to be sooner.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub patience: Option<Duration>,
     /// The size of the prompt, as estimated.
     pub prompt: unit::Tokens,
     /// Tokens that earlier attempts have delivered.
@@ -106,6 +110,8 @@
     Started(attempt::Attempt),
     /// The first token arrived.
     First(attempt::Attempt),
+    /// The stream paused for longer than its class bears.
+    Paused(attempt::Attempt),
     /// Tokens that the attempt has delivered so far.
     Progress(attempt::Attempt, unit::Tokens),
     /// The attempt ended; the slot is free.
@@ -124,6 +130,9 @@
     Full,
     /// The service has no endpoint here.
     NoEndpoint,
+    /// All endpoints have so much to read that its caller would leave before the first
+    /// token.
+    Overload,
 }
 
 impl Reason {
@@ -133,6 +142,7 @@
             Reason::Deadline => "deadline",
             Reason::Full => "full",
             Reason::NoEndpoint => "no-endpoint",
+            Reason::Overload => "overload",
         }
     }
 }
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -32,9 +32,11 @@
 mod class;
 mod endpoint;
 mod message;
+mod pauses;
 mod placement;
 mod preempt;
 mod queue;
+mod reading;
 mod reserve;
 mod run;
 mod share;
@@ -134,6 +136,8 @@
     classes: HashMap<name::Class, class::Class>,
     shares: share::Shares,
     placement: placement::Placement,
+    reading: reading::Reading,
+    pauses: pauses::Pauses,
     settled_at: Duration,
     /// The entry boxes that are alive, and those that have announced what they hold.
     alive: BTreeSet<name::Box>,
@@ -171,6 +175,8 @@
             classes: HashMap::new(),
             shares: share::Shares::default(),
             placement: placement::Placement::default(),
+            reading: reading::Reading::default(),
+            pauses: pauses::Pauses::default(),
             settled_at,
             alive: BTreeSet::new(),
             announced: BTreeSet::new(),
@@ -218,6 +224,7 @@
             .iter()
             .map(|(name, class)| (name.clone(), class.share.get()));
         self.shares.configure(&shares.collect());
+        self.placement.configure(classes);
         self.classes.retain(|name, _| classes.contains_key(name));
         for (name, class) in classes {
             self.class(name, class.tier).configure(class);
@@ -248,6 +255,7 @@
             Report::Withdraw(attempt) => drop(self.queue.remove(attempt)),
             Report::Started(attempt) => self.runs.set_started(attempt),
             Report::First(attempt) => self.first(attempt, now),
+            Report::Paused(attempt) => self.runs.set_paused(attempt),
             Report::Progress(attempt, tokens) => self.runs.set_tokens(attempt, tokens),
             Report::End(attempt, end, tokens) => self.end(attempt, end, tokens, now),
             Report::Held(held) => self.adopt(origin, held, now),
@@ -286,6 +294,9 @@
         let (name, tier) = (run.ask.class.clone(), run.ask.tier);
         let waited = now.saturating_sub(run.granted);
         let (endpoint, unread) = (run.endpoint, run.unread);
+        if !already && run.place.is_some_and(|place| !place.slow) {
+            self.reading.observe(run.ahead + unread, waited);
+        }
         self.class(&name, tier).observe_first(waited);
         if !already {
             self.endpoints.answered(endpoint, unread, now);
@@ -307,12 +318,20 @@
             End::Cancelled if run.is_unanswered(now) => {
                 self.endpoints.suspected(run.endpoint, now);
             }
+            End::Cancelled if run.is_overdue(now) => {
+                if let Some(place) = run.place {
+                    self.pauses.observe(place, true, now);
+                }
+            }
             End::Cancelled | End::Preempted | End::Refused | End::Unused => {}
         }
     }
 
     fn done(&mut self, run: &run::Run, tokens: unit::Tokens, now: Duration) {
         self.endpoints.succeeded(run.endpoint);
+        if let Some(place) = run.place {
+            self.pauses.observe(place, run.paused, now);
+        }
         let held = now.saturating_sub(run.granted);
         let first = run.first.unwrap_or(run.granted);
         let streamed = now.saturating_sub(first).as_secs_f64();
@@ -322,7 +341,9 @@
             n => streamed / (n - 1) as f64,
         };
         self.endpoints.observe_pace(run.endpoint, pace);
-        self.class(&run.ask.class, run.ask.tier).observe_hold(held);
+        let class = self.class(&run.ask.class, run.ask.tier);
+        class.observe_hold(held);
+        class.observe_length(tokens);
     }
 
     fn adopt(&mut self, origin: name::Box, held: Held, now: Duration) {
@@ -344,6 +365,9 @@
             endpoint,
             granted: now.saturating_sub(held.held),
             unread,
+            ahead: 0,
+            place: None,
+            paused: false,
             started: true,
             first: (held.tokens.0 > 0).then_some(now),
             tokens: held.tokens,
@@ -418,45 +442,63 @@
             let Some(waiting) = self.queue.get(attempt) else {
                 break;
             };
-            let ask = &waiting.ask;
-            let (prefix, avoid) = (ask.prefix, ask.avoid.as_ref());
-            let chosen = match ask.placed {
-                Some(placed) => {
-                    let parted = self.placement.is_parted();
-                    let crowding = self.endpoints.crowding();
-                    let crowded = self.placement.note_crowding(crowding);
-                    let long = self.placement.is_long(&ask.class)
-                        || (crowded && !self.is_first_of_short(&ask.class));
-                    let prompt = endpoint::Prompt {
-                        placed,
-                        tokens: ask.prompt.0,
-                        target: ask.target,
-                        long,
-                        parted,
-                    };
-                    self.endpoints.choose_home(&prompt, avoid, now)
-                }
-                None => {
-                    let chosen = self.endpoints.choose(prefix, avoid, now, &self.settings);
-                    chosen.map(|endpoint| (endpoint, 0))
+            let ask = waiting.ask.clone();
+            let choice = match self.choose(&ask, now) {
+                Ok(choice) => choice,
+                Err(endpoint::Unplaced::NoSlot) => break,
+                Err(endpoint::Unplaced::Hopeless(wait)) => {
+                    self.shed_overload(attempt, wait);
+                    continue;
                 }
             };
-            let Some((endpoint, unread)) = chosen else {
-                break;
-            };
             let Some(waiting) = self.queue.remove(attempt) else {
                 break;
             };
-            self.start(waiting, endpoint, unread, now);
+            self.start(waiting, choice, now);
         }
     }
 
+    /// Chooses an endpoint for a request and takes a slot there.
+    fn choose(&mut self, ask: &Ask, now: Duration) -> Result<endpoint::Choice, endpoint::Unplaced> {
+        let avoid = ask.avoid.as_ref();
+        let Some(placed) = ask.placed else {
+            let chosen = self
+                .endpoints
+                .choose(ask.prefix, avoid, now, &self.settings);
+            return chosen.ok_or(endpoint::Unplaced::NoSlot);
+        };
+        let parted = self.placement.is_parted(&self.reading);
+        let crowding = self.endpoints.crowding();
+        let crowded = self.placement.note_crowding(crowding);
+        let long = self.placement.is_long(&ask.class, &self.reading);
+        let class = self.classes.get(&ask.class);
+        let hold = class.map_or(class::MIN_HOLD, |class| class.mean);
+        let left = |limit: Duration| limit.saturating_sub(ask.age);
+        let prompt = endpoint::Prompt {
+            placed,
+            tokens: ask.prompt.0,
+            target: ask.target,
+            patience: left(ask.patience.unwrap_or(ask.deadline)),
+            deadline: left(ask.deadline),
+            hold: Duration::from_secs_f64(hold),
+            length: class.and_then(|class| class.length.get()),
+            long,
+            for_long: long || (crowded && !self.is_first_of_short(&ask.class)),
+            parted,
+        };
+        let model = endpoint::Model {
+            reading: &self.reading,
+            pauses: &self.pauses,
+        };
+        self.endpoints.choose_home(&prompt, &model, avoid, now)
+    }
+
     /// Whether no class with short prompts stands before this one.
     fn is_first_of_short(&self, class: &name::Class) -> bool {
         let short = self
             .classes
             .iter()
-            .filter(|(name, _)| !self.placement.is_long(name));
+            .filter(|(name, _)| !self.placement.is_long(name, &self.reading));
         let first = short.map(|(_, class)| class.tier).min();
         self.classes.get(class).map(|class| class.tier) == first
     }
@@ -489,13 +531,7 @@
         soonest.is_none_or(|give_up| give_up > now + 2 * gap)
     }
 
-    fn start(
-        &mut self,
-        waiting: queue::Waiting,
-        endpoint: endpoint::Index,
-        unread: u64,
-        now: Duration,
-    ) {
+    fn start(&mut self, waiting: queue::Waiting, choice: endpoint::Choice, now: Duration) {
         self.freed = self.freed.saturating_sub(1);
         let attempt = waiting.ask.attempt;
         let class = waiting.ask.class.clone();
@@ -507,15 +543,18 @@
         let late = waiting.due < now;
         self.class(&class, waiting.ask.tier)
             .learn_reserve(late, slots);
-        let name = self.endpoints.name(endpoint).clone();
+        let name = self.endpoints.name(choice.endpoint).clone();
         self.outputs
             .push((waiting.origin.clone(), Order::Grant(attempt, name)));
         self.runs.insert(run::Run {
             origin: waiting.origin,
             ask: waiting.ask,
-            endpoint,
+            endpoint: choice.endpoint,
             granted: now,
-            unread,
+            unread: choice.unread,
+            ahead: choice.ahead,
+            place: choice.place,
+            paused: false,
             started: false,
             first: None,
             tokens: unit::Tokens(0),
--- a/src/scalewood/core/dispatch/placement.rs
+++ b/src/scalewood/core/dispatch/placement.rs
@@ -12,18 +12,28 @@
 //! the order of the endpoints and from which are slow. A border that follows the work, as
 //! each box sees it, was tried; half of what was read again came of it.
 
-use std::collections::HashMap;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
-use crate::core::{dispatch::message, estimate, name, unit};
+use crate::core::{
+    config,
+    dispatch::{message, reading::Reading},
+    estimate, name, unit,
+};
 
-/// The size from which on a prompt counts as long, and a class whose prompts have it in
-/// the mean.
+/// The part of the shortest pause that any class bears from which on reading a prompt is
+/// long: two of them, one after the other, then take all of it.
+const LONG_PART: f64 = 0.5;
+/// The size from which on the pace of a prompt's own stream tells more of the prompts
+/// beside it than of the endpoint.
 pub const LONG_PROMPT: unit::Tokens = unit::Tokens(4096);
 /// The weight of a new observation of a class's prompts.
 const WEIGHT: f64 = 0.05;
 /// The part of the endpoints that short prompts get, where there are long ones too: the
 /// first fast ones in an order that all boxes know.
-const SHORT: f64 = 0.45;
+const SHORT: f64 = 0.34;
 /// The part of the slots for short prompts from which on they count as about to be full,
 /// and under which they no longer do.
 const CROWDED: f64 = 0.85;
@@ -34,11 +44,20 @@
 pub(super) struct Placement {
     /// The mean size of each class's prompts.
     sizes: HashMap<name::Class, estimate::Ewma>,
+    /// The shortest pause that is borne by any class, once it is known.
+    gap: Option<Duration>,
     /// Whether the endpoints for short prompts are about to be full.
     crowded: bool,
 }
 
 impl Placement {
+    /// Takes the classes that are configured.
+    pub(super) fn configure(&mut self, classes: &BTreeMap<name::Class, config::Class>) {
+        // Where a class names no pause, it bears none that is longer than its target.
+        let gap = |class: &config::Class| class.gap().unwrap_or(class.target);
+        self.gap = classes.values().map(gap).min();
+    }
+
     /// Notes a request that is to be placed.
     pub(super) fn note(&mut self, ask: &message::Ask) {
         let unit::Tokens(tokens) = ask.prompt;
@@ -47,17 +66,24 @@
         size.observe(tokens as f64, WEIGHT);
     }
 
-    /// Whether a class has long prompts.
-    pub(super) fn is_long(&self, class: &name::Class) -> bool {
+    /// Whether a class has long prompts: reading one takes much of the pause that the
+    /// streams beside it bear.
+    pub(super) fn is_long(&self, class: &name::Class, reading: &Reading) -> bool {
         let size = self.sizes.get(class).and_then(|size| size.get());
-        // The size is far below 2^52, so the cast is exact.
-        size.is_some_and(|tokens| tokens >= LONG_PROMPT.0 as f64)
+        let (Some(tokens), Some(gap)) = (size, self.gap) else {
+            return false;
+        };
+        // The size is far below 2^52, and casts of floating point numbers saturate.
+        reading.time(tokens as u64) >= gap.mul_f64(LONG_PART)
     }
 
     /// Whether there are classes with short prompts and others with long ones, so that the
     /// endpoints are parted.
-    pub(super) fn is_parted(&self) -> bool {
-        let long = self.sizes.keys().filter(|class| self.is_long(class));
+    pub(super) fn is_parted(&self, reading: &Reading) -> bool {
+        let long = self
+            .sizes
+            .keys()
+            .filter(|class| self.is_long(class, reading));
         let long = long.count();
         long > 0 && long < self.sizes.len()
     }
--- a/src/scalewood/core/dispatch/run.rs
+++ b/src/scalewood/core/dispatch/run.rs
@@ -8,7 +8,7 @@
 
 use crate::core::{
     attempt,
-    dispatch::{endpoint, message},
+    dispatch::{endpoint, message, pauses},
     name, unit,
 };
 
@@ -21,6 +21,12 @@
     pub(super) granted: Duration,
     /// Tokens of its prompt that count as unread until its first token, and as held.
     pub(super) unread: u64,
+    /// Tokens that were unread at the endpoint before it, when it was granted.
+    pub(super) ahead: u64,
+    /// Where it runs, if its prompt was placed.
+    pub(super) place: Option<pauses::Place>,
+    /// Whether its stream has paused for longer than its class bears.
+    pub(super) paused: bool,
     pub(super) started: bool,
     pub(super) first: Option<Duration>,
     /// Tokens that this attempt has delivered.
@@ -47,6 +53,15 @@
         self.first.is_none() && waited > self.ask.target * TARGETS + SPARE
     }
 
+    /// Whether it has used nearly all the time that its caller waits: a caller that leaves
+    /// now leaves because the answer took too long.
+    pub(super) fn is_overdue(&self, now: Duration) -> bool {
+        /// The part of the time that counts as nearly all.
+        const NEARLY: f64 = 0.9;
+        let took = self.ask.age + now.saturating_sub(self.granted);
+        took >= self.ask.deadline.mul_f64(NEARLY)
+    }
+
     fn may_be_preempted(&self) -> bool {
         self.ask.preemptible && !self.preempting && self.ask.preempted < MAX_PREEMPTED
     }
@@ -118,6 +133,12 @@
         }
     }
 
+    pub(super) fn set_paused(&mut self, attempt: attempt::Attempt) {
+        if let Some(run) = self.runs.get_mut(&attempt) {
+            run.paused = true;
+        }
+    }
+
     pub(super) fn set_tokens(&mut self, attempt: attempt::Attempt, tokens: unit::Tokens) {
         let Some(run) = self.runs.get_mut(&attempt) else {
             return;
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -109,6 +109,18 @@
         }
     }
 
+    /// Sheds a request whose caller would leave before endpoints come to read it; it may
+    /// come back once that much has been read.
+    pub(super) fn shed_overload(&mut self, attempt: attempt::Attempt, wait: Duration) {
+        let Some(waiting) = self.queue.remove(attempt) else {
+            return;
+        };
+        let reason = message::Reason::Overload;
+        let retry = wait.clamp(MIN_RETRY, MAX_RETRY);
+        self.outputs
+            .push((waiting.origin, message::Order::Shed(attempt, reason, retry)));
+    }
+
     fn is_predicted_late(&self, attempt: attempt::Attempt, now: Duration) -> bool {
         let Some(waiting) = self.queue.get(attempt) else {
             return false;
--- a/src/scalewood/core/route.rs
+++ b/src/scalewood/core/route.rs
@@ -70,6 +70,10 @@
     /// The longest pause between two events that is in time, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub gap_ms: Option<u64>,
+    /// How long callers of a stream wait for its first or next event before they leave, in
+    /// milliseconds; without it, as long as the request is held.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub patience_ms: Option<u64>,
     /// Its rank; 0 is the highest.
     pub tier: unit::Tier,
     /// The most endpoints that one request is sent to.
@@ -85,6 +89,12 @@
         Duration::from_millis(self.timeout_ms)
     }
 
+    /// How long callers wait for the first event, or the answer.
+    pub fn patience(&self) -> Duration {
+        self.patience_ms
+            .map_or(Duration::MAX, Duration::from_millis)
+    }
+
     /// The time within which the answer or the first event is due.
     pub fn target(&self) -> Duration {
         Duration::from_millis(self.target_ms)
@@ -117,6 +127,7 @@
             share: unit::Share::default(),
             preemptible: false,
             repeatable: self.kind.is_repeatable(),
+            gap: self.gap_ms,
         }
     }
 }
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -31,6 +31,8 @@
     pub(super) prompt: unit::Tokens,
     pub(super) prefix: Option<dispatch::Prefix>,
     pub(super) placed: Option<dispatch::Placed>,
+    /// How long the caller waits for the first token, where that is known.
+    pub(super) patience: Option<Duration>,
 }
 
 /// What is known of a request before its level is decided.
@@ -90,6 +92,7 @@
         prompt: size.prompt,
         prefix,
         placed: None,
+        patience: None,
     };
     admit(board, &call, &rights)?;
     Ok(call)
@@ -238,6 +241,7 @@
             age: now(board).saturating_sub(self.arrived),
             target: self.class.target,
             deadline: self.class.deadline,
+            patience: self.patience,
             prompt: self.prompt,
             delivered: unit::Tokens(0),
             prefix: self.prefix,
@@ -265,6 +269,7 @@
                 "it would wait past its class's deadline; come back later"
             }
             dispatch::Reason::Full => "too many requests wait; come back later",
+            dispatch::Reason::Overload => "all endpoints have too much to read; come back later",
             dispatch::Reason::NoEndpoint => "the service has no endpoint here; come back later",
         };
         Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason.as_str(), why).after(retry)
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -208,6 +208,7 @@
         deadline: held,
         preemptible: false,
         repeatable: route.kind.is_repeatable(),
+        gap: route.gap_ms,
         ..Default::default()
     };
     Call {
@@ -223,6 +224,7 @@
         prompt: head.prompt,
         prefix: None,
         placed: outgoing::placed(head),
+        patience: Some(route.patience().min(held)),
     }
 }
 
--- a/src/scalewood/ops/entry/routed/reply.rs
+++ b/src/scalewood/ops/entry/routed/reply.rs
@@ -86,6 +86,7 @@
     let message = match reason {
         dispatch::Reason::Deadline => "it would wait past its deadline; come back later",
         dispatch::Reason::Full => "too many requests wait; come back later",
+        dispatch::Reason::Overload => "all endpoints have too much to read; come back later",
         dispatch::Reason::NoEndpoint => "the service has no endpoint here; come back later",
     };
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason.as_str(), message).after(retry)
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -136,6 +136,8 @@
     ) -> Result<(), Failure> {
         let mut buffer = BytesMut::new();
         let mut stream = pace::Stream::default();
+        let gap = self.request.routed.call.class.gap();
+        let mut paused = false;
         loop {
             let left = self.request.left();
             let pause = if self.request.routed.route.kind.is_repeatable() {
@@ -159,6 +161,11 @@
                 }
                 self.events += 1;
                 self.request.observer.token();
+                let pause = self.request.observer.longest_pause();
+                if !paused && gap.is_some_and(|gap| pause > gap) {
+                    paused = true;
+                    turn.paused();
+                }
                 self.measure(&mut stream, endpoint);
                 if self.pieces.send(Ok(events)).await.is_err() {
                     // The caller is gone; the other branch of the select ends this.
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -173,6 +173,11 @@
         self.tell(dispatch::Report::First(self.attempt));
     }
 
+    /// Notes that the stream paused for longer than its class bears.
+    pub(super) fn paused(&self) {
+        self.tell(dispatch::Report::Paused(self.attempt));
+    }
+
     /// Notes tokens that this attempt has delivered.
     pub(super) fn progress(&mut self, tokens: unit::Tokens) {
         /// Tokens between two reports: they only steer what is preempted.
--- a/tests/testsuite/random/dispatch.rs
+++ b/tests/testsuite/random/dispatch.rs
@@ -489,6 +489,7 @@
             age: Duration::ZERO,
             target: Duration::from_millis(500),
             deadline: Duration::from_secs(8),
+            patience: None,
             prompt: unit::Tokens(10),
             delivered: unit::Tokens(0),
             prefix: takes
--- a/tests/testsuite/route.rs
+++ b/tests/testsuite/route.rs
@@ -19,6 +19,7 @@
         timeout_ms: 1000,
         target_ms: 100,
         gap_ms: None,
+        patience_ms: None,
         tier: unit::Tier(tier),
         attempts: 2,
         public: false,
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -617,6 +617,7 @@
         share: share(0.05),
         preemptible: true,
         repeatable: true,
+        gap: None,
     };
     let record = config::Class {
         repeatable: false,
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -427,6 +427,7 @@
         timeout_ms: 4000,
         target_ms: 250,
         gap_ms: None,
+        patience_ms: None,
         tier: unit::Tier(tier),
         attempts: 2,
         public: false,
