Slow endpoints are known sooner, and again right after a restart

Hypothesis: chats late by a pause come within seconds of a start, before slowness is known.

Cause: twelve measurements a box and endpoint, told and given out once a second; each voter knew only the endpoints that beat there; after a loss of power nothing was known, and busy endpoints passed for slow.

Before that last part paces measured under the load after the fault replaced those from before (two endpoints wrongly slow for 2 s).

Nothing was told or written in the old way by other programs.

--- a/src/scalewood/core/pace.rs
+++ b/src/scalewood/core/pace.rs
@@ -18,8 +18,9 @@
 
 /// Events of one measurement: over several, what arrives together counts once.
 const SPAN: u32 = 4;
-/// Measurements from which one estimate is made.
-const SAMPLES: usize = 12;
+/// Measurements from which one estimate is made: few, since until an endpoint is known to
+/// be slow it gets streams that it can't serve in time.
+const SAMPLES: usize = 6;
 /// The place of the estimate among its sorted measurements.
 const LOW: usize = 1;
 /// How long an estimate counts.
@@ -162,6 +163,15 @@
         }
     }
 
+    /// Takes over what other boxes have measured, where nothing was measured here yet: a
+    /// box that has just started would else take busy endpoints for slow ones.
+    pub fn adopt(&mut self, endpoint: &name::Endpoint, pace: Pace, now: Duration) {
+        let meter = self.endpoints.entry(endpoint.clone()).or_default();
+        if meter.estimates.is_empty() {
+            meter.estimates.push_back((now, pace));
+        }
+    }
+
     /// The paces that are known.
     pub fn known(&self) -> impl Iterator<Item = (&name::Endpoint, Pace)> {
         self.endpoints
--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -63,15 +63,14 @@
     heard: Duration,
     /// The registry's stamp when the record last changed.
     stamp: u64,
-    /// How fast it goes, and the registry's stamp when that last changed.
-    pace: Option<pace::Pace>,
-    pace_stamp: u64,
     /// Whether it is slow beside the others of its service.
     slow: bool,
 }
 
 /// The most endpoints that have gone which are remembered.
 const MAX_GONE: usize = 4096;
+/// The most endpoints whose pace is kept: several times as many as a system has.
+const MAX_PACES: usize = 4096;
 
 /// The endpoints that have announced themselves.
 #[derive(Clone, Debug, Default)]
@@ -81,6 +80,9 @@
     gone: BTreeMap<name::Endpoint, u64>,
     gone_order: VecDeque<name::Endpoint>,
     stamp: u64,
+    /// How fast endpoints go, and the stamp when that last changed; also of endpoints that
+    /// have not announced themselves here.
+    paces: BTreeMap<name::Endpoint, (pace::Pace, u64)>,
 }
 
 impl Registry {
@@ -97,12 +99,12 @@
             let entry = Entry {
                 heard: now,
                 stamp: self.stamp,
-                pace: None,
-                pace_stamp: 0,
                 slow: false,
                 record,
             };
+            let service = entry.record.service.clone();
             self.entries.insert(entry.record.name.clone(), entry);
+            self.grade(&service);
             return Merged::Changed;
         };
         if record.sequence <= entry.record.sequence {
@@ -131,6 +133,7 @@
             return Merged::Nothing;
         }
         self.stamp += 1;
+        self.paces.remove(name);
         self.gone.insert(name.clone(), self.stamp);
         self.gone_order.push_back(name.clone());
         if self.gone_order.len() > MAX_GONE {
@@ -153,31 +156,37 @@
         self.entries.get(name).map(|entry| &entry.record)
     }
 
+    /// Whether anything is known of an endpoint.
+    pub fn knows(&self, name: &name::Endpoint) -> bool {
+        self.entries.contains_key(name) || self.paces.contains_key(name)
+    }
+
     /// All endpoints that have not gone.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
         self.entries.values().map(|entry| &entry.record)
     }
 
-    /// Notes how fast an endpoint goes; tells whether another one counts as slow by this.
+    /// Notes how fast an endpoint goes, whether or not it has announced itself; tells
+    /// whether that was unknown, or another endpoint counts as slow by this.
     pub fn set_pace(&mut self, name: &name::Endpoint, pace: pace::Pace) -> bool {
-        let Some(entry) = self.entries.get_mut(name) else {
-            return false;
-        };
-        if !pace.is_news(entry.pace) {
+        let known = self.paces.get(name).map(|(pace, _)| *pace);
+        let is_lost = self.gone.contains_key(name) || self.paces.len() >= MAX_PACES;
+        if !pace.is_news(known) || (known.is_none() && is_lost) {
             return false;
         }
         self.stamp += 1;
-        entry.pace = Some(pace);
-        entry.pace_stamp = self.stamp;
-        let service = entry.record.service.clone();
-        self.grade(&service)
+        self.paces.insert(name.clone(), (pace, self.stamp));
+        let service = self.entries.get(name).map(|e| e.record.service.clone());
+        let regraded = service.is_some_and(|service| self.grade(&service));
+        regraded || known.is_none()
     }
 
     /// Compares the endpoints of a service with each other.
     fn grade(&mut self, service: &name::Service) -> bool {
         let of_service = |entry: &&mut Entry| entry.record.service == *service;
         let mut entries: Vec<_> = self.entries.values_mut().filter(of_service).collect();
-        let mut graded: Vec<_> = entries.iter().map(|e| (e.pace, e.slow)).collect();
+        let pace = |entry: &Entry| self.paces.get(&entry.record.name).map(|(pace, _)| *pace);
+        let mut graded: Vec<_> = entries.iter().map(|e| (pace(e), e.slow)).collect();
         pace::grade(&mut graded);
         let mut changed = false;
         for (entry, (_, slow)) in entries.iter_mut().zip(graded) {
@@ -189,14 +198,12 @@
 
     /// The paces that changed after a stamp.
     pub fn paces_since(&self, stamp: u64) -> Vec<pace::Paced> {
-        let changed = self.entries.values().filter(|e| e.pace_stamp > stamp);
-        let paced = |entry: &Entry| {
-            Some(pace::Paced {
-                endpoint: entry.record.name.clone(),
-                pace: entry.pace?,
-            })
+        let changed = self.paces.iter().filter(|(_, (_, at))| *at > stamp);
+        let paced = |(name, (pace, _)): (&name::Endpoint, &(pace::Pace, u64))| pace::Paced {
+            endpoint: name.clone(),
+            pace: *pace,
         };
-        changed.filter_map(paced).collect()
+        changed.map(paced).collect()
     }
 
     /// All endpoints that have not gone, and whether each is slow beside the others of
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -15,7 +15,7 @@
     core::{agree, ledger, name, secret, unit},
     event,
     ops::{breach, reload, rpc, source},
-    store::{folder, identity, journal},
+    store::{folder, hints, identity, journal},
     util::{clock, settings, signal},
     wire::{control::ControlServer as _, registry::RegistryServer as _, source::SourceServer as _},
 };
@@ -292,6 +292,9 @@
         .change_context(Error)?;
     let metrics = metric::Metrics::new();
     let endpoints = registry::Endpoints::new(clock, log.clone());
+    let hints = hints::Place::new(&settings.data);
+    endpoints.read_hints(&hints);
+    tokio::spawn(endpoints.clone().keep_hints(hints));
     let registry = registry::Server {
         endpoints: endpoints.clone(),
         feed,
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -21,6 +21,7 @@
     core::{load, name, pace, registry, unit},
     event,
     ops::control::Handle,
+    store::hints,
     util::{
         clock::{self, Clock as _},
         lock::lock,
@@ -36,11 +37,19 @@
 /// How long an endpoint may be silent before this voter forgets it.
 const FORGET: Duration = Duration::from_secs(30);
 
+/// How often what was measured is written, if it has changed: often enough that little is
+/// measured anew after a loss of power, and rarely enough to cost next to nothing.
+const KEEP_HINTS: Duration = Duration::from_secs(2);
+
+/// Measured endpoints from which on those are forgotten that did not announce themselves
+/// here.
+const MAX_MEASURED: usize = 4096;
+
 /// The endpoints that announced themselves here.
 #[derive(Clone, Debug)]
 pub(super) struct Endpoints {
     registry: Arc<Mutex<registry::Registry>>,
-    /// What boxes measured of each endpoint that is known.
+    /// What boxes measured of each endpoint.
     measured: Arc<Mutex<BTreeMap<name::Endpoint, pace::Reports>>>,
     /// What boxes have at endpoints.
     hub: Arc<Mutex<load::Hub>>,
@@ -83,15 +92,67 @@
         }
     }
 
-    /// Takes what a box measured. Followers hear of it with the next news.
+    /// Takes what a box measured. Followers hear of it with the next news, and at once if
+    /// other endpoints than before count as slow.
     fn take_paces(&self, from: &name::Box, paces: Vec<pace::Paced>) {
-        let mut registry = lock(&self.registry);
-        let mut measured = lock(&self.measured);
-        measured.retain(|name, _| registry.get(name).is_some());
-        for paced in paces {
-            let reports = measured.entry(paced.endpoint.clone()).or_default();
-            let median = reports.take(from.clone(), paced.pace);
-            registry.set_pace(&paced.endpoint, median);
+        let mut regraded = false;
+        {
+            let mut registry = lock(&self.registry);
+            let mut measured = lock(&self.measured);
+            if measured.len() > MAX_MEASURED {
+                measured.retain(|name, _| registry.get(name).is_some());
+            }
+            for paced in paces {
+                let reports = measured.entry(paced.endpoint.clone()).or_default();
+                let median = reports.take(from.clone(), paced.pace);
+                regraded |= registry.set_pace(&paced.endpoint, median);
+            }
+        }
+        if regraded {
+            self.tell();
+        }
+    }
+
+    /// Keeps what was measured in a voter's folder, for ever.
+    pub(super) async fn keep_hints(self, place: hints::Place) {
+        let mut kept = hints::Hints::default();
+        let mut failing = false;
+        loop {
+            tokio::time::sleep(KEEP_HINTS).await;
+            let paces = lock(&self.registry).paces_since(0);
+            let fresh = hints::Hints { paces };
+            if fresh == kept || fresh.paces.is_empty() {
+                continue;
+            }
+            let (place, written) = (place.clone(), fresh.clone());
+            // A disk that hangs holds up this task alone.
+            let saved = tokio::task::spawn_blocking(move || place.save(&written)).await;
+            match saved {
+                Ok(Ok(())) => {
+                    kept = fresh;
+                    failing = false;
+                }
+                Ok(Err(error)) if !failing => {
+                    event!(self.log, HintsFailed, "why" => %error);
+                    failing = true;
+                }
+                Ok(Err(_)) => {}
+                Err(error) => event!(self.log, HintsFailed, "why" => %error),
+            }
+        }
+    }
+
+    /// Takes what was measured before this process started.
+    pub(super) fn read_hints(&self, place: &hints::Place) {
+        match place.load() {
+            Ok(hints) => {
+                event!(self.log, HintsRead, "paces" => hints.paces.len());
+                let mut registry = lock(&self.registry);
+                for paced in &hints.paces {
+                    registry.set_pace(&paced.endpoint, paced.pace);
+                }
+            }
+            Err(error) => event!(self.log, HintsFailed, "why" => %error),
         }
     }
 
--- a/src/scalewood/ops/entry/directory.rs
+++ b/src/scalewood/ops/entry/directory.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use jsonrpsee::{core::client::Subscription, ws_client::WsClient};
+use jsonrpsee::ws_client::WsClient;
 use tokio::sync::watch;
 
 use crate::{
@@ -26,6 +26,8 @@
 
 /// How long a voter may be silent.
 const SILENCE: Duration = Duration::from_millis(2500);
+/// How often what was measured here is told, if it has changed.
+const TELL: Duration = Duration::from_millis(250);
 /// The wait before a voter that was lost is tried again: short at first.
 const AGAIN: Duration = Duration::from_millis(250);
 const SOON: Duration = Duration::from_millis(50);
@@ -59,7 +61,7 @@
 fn forget(board: &Shared) {
     {
         let registry = lock(&board.registry);
-        lock(&board.paces).retain(|name| registry.get(name).is_some());
+        lock(&board.paces).retain(|name| registry.knows(name));
     }
     let linked_since = *lock(&board.linked_since);
     let Some(since) = linked_since else { return };
@@ -128,12 +130,21 @@
         return;
     };
     let mut told = BTreeMap::new();
-    while let Some(next) = next(&mut news).await {
-        add(board, followed, &next.voters);
-        let newer = next.revision > board.feed.current().revision;
-        take(board, next);
-        if newer {
-            tokio::spawn(fetch(board.clone(), client.clone()));
+    let mut heard = now(board);
+    loop {
+        match tokio::time::timeout(TELL, news.next()).await {
+            Ok(Some(Ok(next))) => {
+                heard = now(board);
+                add(board, followed, &next.voters);
+                let newer = next.revision > board.feed.current().revision;
+                take(board, next);
+                if newer {
+                    tokio::spawn(fetch(board.clone(), client.clone()));
+                }
+            }
+            Ok(_) => return,
+            Err(_) if now(board) > heard + SILENCE => return,
+            Err(_) => {}
         }
         let paces = measured(board, &mut told);
         if !paces.is_empty()
@@ -163,11 +174,6 @@
     news
 }
 
-async fn next(news: &mut Subscription<News>) -> Option<News> {
-    let next = tokio::time::timeout(SILENCE, news.next()).await;
-    next.ok()??.ok()
-}
-
 fn take(board: &Shared, news: News) {
     let now = now(board);
     note_sharers(board, news.followers);
@@ -190,6 +196,7 @@
     }
     let mut regraded = false;
     for paced in news.paces {
+        lock(&board.paces).adopt(&paced.endpoint, paced.pace, now);
         regraded |= registry.set_pace(&paced.endpoint, paced.pace);
     }
     if regraded {
--- a/src/scalewood/store/mod.rs
+++ b/src/scalewood/store/mod.rs
@@ -1,6 +1,7 @@
 //! What is kept on disk: the data folder of a voter.
 
 pub mod folder;
+pub mod hints;
 pub mod identity;
 pub mod journal;
 pub mod media;
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -61,6 +61,8 @@
     StoreCompacted = 2203, Info, "the log was compacted";
     StoreFailed = 2204, Critical, "the data folder can't be written";
     StoreRecovered = 2205, Info, "the data folder can be written again";
+    HintsFailed = 2206, Warning, "measurements can't be kept over a restart";
+    HintsRead = 2207, Info, "measurements from before the start were read";
     BecameLeader = 2301, Info, "this voter leads";
     LostLead = 2302, Warning, "this voter leads no more";
     VoterUnreachable = 2303, Warning, "a voter can't be reached";
