A request that would be late is refused once, to come back in time

Hypothesis: near capacity what is late is worth little and holds up what is not; a refusal at once and an answer in time afterwards is worth more than one that is late.

Change: where the first token is predicted beyond 1.25 targets and no endpoint has had the request, it is refused at once with the time that reading takes; who has come back (its caller names clearly less time than others of its class) is served while its patience allows.

Test: refused once, served when it returns or when an endpoint has had it.

--- a/benches/decisions/cost.rs
+++ b/benches/decisions/cost.rs
@@ -38,6 +38,7 @@
         target: Duration::from_secs(3600),
         deadline: Duration::from_secs(100_000),
         patience: None,
+        returned: false,
         prompt: unit::Tokens(100),
         delivered: unit::Tokens(0),
         prefix: Some(dispatch::Prefix(number % 50)),
--- a/benches/decisions/ours.rs
+++ b/benches/decisions/ours.rs
@@ -182,6 +182,7 @@
             target: class.config.target,
             deadline,
             patience: None,
+            returned: false,
             prompt: unit::Tokens(offered.prompt),
             delivered: unit::Tokens(fate.delivered),
             prefix: None,
--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -39,6 +39,11 @@
 /// that prompts do not mix for the sake of small differences.
 const MIXED: f64 = 0.25;
 
+/// From how many targets on a first token is predicted to be late so surely that its caller
+/// had better come back: above 1, since predictions err, and one that is refused in vain
+/// loses as much as one that is late.
+const LATE: f64 = 1.25;
+
 /// What was learnt from observation.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::core::dispatch) struct Model<'a> {
@@ -59,6 +64,9 @@
     pub(in crate::core::dispatch) target: Duration,
     /// The time within which the first token has to come, or the caller leaves.
     pub(in crate::core::dispatch) patience: Duration,
+    /// Whether the caller may come back if it is refused at once: it was not refused
+    /// before, and no endpoint has had its request.
+    pub(in crate::core::dispatch) may_return: bool,
     /// The time within which the answer has to be whole.
     pub(in crate::core::dispatch) deadline: Duration,
     /// How long a request of its class holds a slot in the mean.
@@ -94,6 +102,15 @@
         }
     }
 
+    /// The longest that its first token may be predicted to take, or it is refused.
+    pub(super) fn longest_first(&self) -> Duration {
+        if self.may_return {
+            self.patience.min(self.target.mul_f64(LATE))
+        } else {
+            self.patience
+        }
+    }
+
     /// What a certain loss costs.
     fn loss(&self) -> Duration {
         self.target.mul_f64(LOSS_TARGETS)
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -111,7 +111,7 @@
         let best = ranked.min_by_key(|(rank, ..)| *rank);
         let (_, index, kept_here) = best.ok_or(Unplaced::NoSlot)?;
         let first = cost::first(&self.endpoints[index.0], prompt, kept_here, model);
-        if first > prompt.patience {
+        if first > prompt.longest_first() {
             return Err(Unplaced::Hopeless(first));
         }
         if self.kept.note(prefix, index, now) {
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -40,6 +40,9 @@
     /// where that is known to be sooner.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub patience: Option<Duration>,
+    /// Whether the caller was likely refused before and has come back.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub returned: bool,
     /// The size of the prompt, as estimated.
     pub prompt: unit::Tokens,
     /// Tokens that earlier attempts have delivered.
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -479,6 +479,7 @@
             tokens: ask.prompt.0,
             target: ask.target,
             patience: left(ask.patience.unwrap_or(ask.deadline)),
+            may_return: ask.attempt.number == 0 && !ask.returned,
             deadline: left(ask.deadline),
             hold: Duration::from_secs_f64(hold),
             length: class.and_then(|class| class.length.get()),
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -33,6 +33,8 @@
     pub(super) placed: Option<dispatch::Placed>,
     /// How long the caller waits for the first token, where that is known.
     pub(super) patience: Option<Duration>,
+    /// Whether the caller was likely refused before and has come back.
+    pub(super) returned: bool,
 }
 
 /// What is known of a request before its level is decided.
@@ -93,6 +95,7 @@
         prefix,
         placed: None,
         patience: None,
+        returned: false,
     };
     admit(board, &call, &rights)?;
     Ok(call)
@@ -242,6 +245,7 @@
             target: self.class.target,
             deadline: self.class.deadline,
             patience: self.patience,
+            returned: self.returned,
             prompt: self.prompt,
             delivered: unit::Tokens(0),
             prefix: self.prefix,
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -5,6 +5,7 @@
 //! - `attempt`: attempts at endpoints, until one answers or none may follow.
 //! - `stream`: passing a stream on, and going on with it elsewhere.
 //! - `reply`: what callers are answered.
+//! - `returning`: which callers come back after a refusal.
 
 use std::{marker::PhantomData, sync::Arc, time::Duration};
 
@@ -32,6 +33,7 @@
 mod outgoing;
 mod pool;
 mod reply;
+mod returning;
 mod stream;
 
 /// How long after its start a box has its routes and endpoints, where the voters have
@@ -49,6 +51,7 @@
     board: Shared,
     pool: pool::Pool,
     limits: Limits,
+    longest: returning::Longest,
     started: Duration,
     dialect: PhantomData<D>,
 }
@@ -74,6 +77,7 @@
             board,
             pool: pool::Pool::default(),
             limits,
+            longest: returning::Longest::default(),
             dialect: PhantomData,
         }
     }
@@ -142,7 +146,7 @@
         })?;
         let held = head.deadline.unwrap_or(Duration::MAX).min(route.timeout());
         let rank = view.table.rank(route.tier, team_tier);
-        let call = call(
+        let mut call = call(
             &head,
             team.as_ref(),
             (name, service, route),
@@ -150,6 +154,7 @@
             arrived,
             held,
         );
+        call.returned = self.longest.is_return(name, head.deadline);
         Ok(Routed {
             route: Arc::new(route.clone()),
             team,
@@ -225,6 +230,7 @@
         prefix: None,
         placed: outgoing::placed(head),
         patience: Some(route.patience().min(held)),
+        returned: false,
     }
 }
 
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -60,6 +60,8 @@
     dispatcher
 }
 
+/// A request that is placed wherever it is best, though it be late there: its caller was
+/// refused before.
 fn ask(request: u64, class: &str, prefix: u64) -> Ask {
     let own = if class == "long" { 6600 } else { 600 };
     Ask {
@@ -70,6 +72,7 @@
         target: Duration::from_millis(250),
         deadline: Duration::from_secs(10),
         patience: None,
+        returned: true,
         prompt: unit::Tokens(own + 200),
         delivered: unit::Tokens(0),
         prefix: None,
@@ -473,6 +476,47 @@
     );
 }
 
+#[test]
+fn a_request_that_would_be_late_is_refused_once_and_served_when_it_returns() {
+    let own: name::Box = "e1".parse().unwrap();
+    let mut dispatcher = dispatcher();
+    // Everywhere stands what takes one and a half targets to read.
+    let busy = Load {
+        unread: 375 * READ_PER_MS,
+        ..Load::default()
+    };
+    let everywhere = (0..ENDPOINTS).map(|place| (format!("i-{place}").parse().unwrap(), busy));
+    dispatcher.step(Input::Others(Some(everywhere.collect())), START);
+    let orders = |dispatcher: &mut Dispatcher, asked| {
+        dispatcher.step(Input::Report(own.clone(), Report::Ask(asked)), START)
+    };
+    let never_refused = Ask {
+        returned: false,
+        ..ask(1, "short", 7)
+    };
+    let first = orders(&mut dispatcher, never_refused);
+    assert!(
+        matches!(first.as_slice(), [(_, Order::Shed(_, Reason::Overload, _))]),
+        "{first:?}"
+    );
+    let second = orders(&mut dispatcher, ask(2, "short", 7));
+    assert!(
+        matches!(second.as_slice(), [(_, Order::Grant(..))]),
+        "{second:?}"
+    );
+    // An endpoint has had this one: a refusal would not be at once.
+    let again = Ask {
+        attempt: Attempt::first(Request(3)).next(),
+        returned: false,
+        ..ask(3, "short", 7)
+    };
+    let third = orders(&mut dispatcher, again);
+    assert!(
+        matches!(third.as_slice(), [(_, Order::Grant(..))]),
+        "{third:?}"
+    );
+}
+
 #[test]
 fn streams_avoid_endpoints_where_they_paused_too_long_and_long_prompts_do_not_join_them() {
     let own: name::Box = "e1".parse().unwrap();
--- a/tests/testsuite/random/dispatch.rs
+++ b/tests/testsuite/random/dispatch.rs
@@ -490,6 +490,7 @@
             target: Duration::from_millis(500),
             deadline: Duration::from_secs(8),
             patience: None,
+            returned: false,
             prompt: unit::Tokens(10),
             delivered: unit::Tokens(0),
             prefix: takes
