A voter that was removed while it was silent joins again by itself

Change: a node that hears no leader for 1.2 s asks to join, whatever its own log says; a leader passes over who is a member. Test with processes: frozen, removed, woken, member again, and then two others lost (failed first: it never came back).

--- a/src/scalewood/ops/control/membership.rs
+++ b/src/scalewood/ops/control/membership.rs
@@ -9,6 +9,7 @@
     core::{agree, name},
     event,
     ops::{control::Handle, rpc},
+    util::clock::{self, Clock as _},
     wire::control::ControlClient as _,
 };
 
@@ -40,21 +41,48 @@
     text.parse().expect("an address is a valid name")
 }
 
-/// Asks to become a member whenever this node is none, for ever.
+/// How long a member may hear of no leader before it asks to join: it may have been
+/// removed while it was silent, and then nobody tells it. Longer than an election takes,
+/// and asking in vain does no harm.
+const ALONE: Duration = Duration::from_millis(1200);
+
+/// Whether a node has to ask to become a member.
+#[derive(Debug, Default)]
+struct Standing {
+    /// Since when no leader is heard.
+    alone_since: Option<Duration>,
+}
+
+impl Standing {
+    fn has_to_ask(&mut self, status: &agree::Status, now: Duration) -> bool {
+        if status.leader.is_some() {
+            self.alone_since = None;
+        } else {
+            self.alone_since.get_or_insert(now);
+        }
+        let members = &status.members;
+        let is_member = members.is_voter(&status.node) || members.is_learner(&status.node);
+        !is_member || self.alone_since.is_some_and(|since| now >= since + ALONE)
+    }
+}
+
+/// Asks to become a member whenever this node is none, or may be none without knowing it;
+/// for ever.
 pub(super) async fn keep(
     handle: Handle,
     own: SocketAddr,
     known: watch::Receiver<Vec<SocketAddr>>,
+    clock: clock::System,
     log: slog::Logger,
 ) {
+    let mut standing = Standing::default();
     let mut asked = false;
     let mut turn = 0;
     let mut next: Option<SocketAddr> = None;
     loop {
         tokio::time::sleep(AGAIN).await;
         let status = handle.published().status;
-        let members = &status.members;
-        if members.is_voter(&status.node) || members.is_learner(&status.node) {
+        if !standing.has_to_ask(&status, clock.now()) {
             asked = false;
             continue;
         }
@@ -62,6 +90,7 @@
             event!(log, VoterJoins, "node" => %status.node);
             asked = true;
         }
+        let members = &status.members;
         let mut addresses: Vec<_> = members.addresses().map(|(_, address)| *address).collect();
         addresses.extend(known.borrow().iter());
         addresses.retain(|address| *address != own);
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -341,6 +341,7 @@
             handle.clone(),
             settings.listen,
             voters,
+            clock,
             log.clone(),
         ));
     }
--- a/tests/testsuite/routed.rs
+++ b/tests/testsuite/routed.rs
@@ -344,6 +344,45 @@
     assert!(system.entry.take().unwrap().stop(Duration::from_secs(4)));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_voter_that_was_removed_while_it_was_silent_comes_back_by_itself() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut system = System::start(4, dir.path());
+    assert_eq!(system.publish(&text(&routing(1))).await, 200);
+    wait_members(&system, &[0, 1, 2, 3], 4).await;
+    system.voters[3].as_ref().unwrap().signal("STOP");
+    wait_members(&system, &[0, 1, 2], 3).await;
+    system.voters[3].as_ref().unwrap().signal("CONT");
+    // It does not know that it is none any more: nobody speaks to it.
+    wait_members(&system, &[0, 1, 2, 3], 4).await;
+    // So the loss of two disks is borne again: two of four hold what was acknowledged.
+    let newer = text(&routing(2));
+    assert_eq!(system.publish(&newer).await, 200);
+    for i in [1, 2] {
+        system.voters[i].take().unwrap().kill();
+    }
+    for i in [1, 2] {
+        system.start_voter(i, false);
+    }
+    assert_eq!(system.read().await, newer);
+}
+
+/// Waits until each of these voters votes among so many.
+async fn wait_members(system: &System, voters: &[usize], count: usize) {
+    for voter in voters {
+        let address = system.admin_address(*voter);
+        deploy::wait("the membership is as expected", || async move {
+            let asked = client::ask(address, "GET", "/metrics", &[], "").await;
+            let text = asked.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+            let text = text.unwrap_or_default();
+            let members = format!("scalewood_voter_members {count}");
+            let holds = |line: &str| text.lines().any(|l| l == line);
+            holds("scalewood_voter_votes 1") && holds(&members)
+        })
+        .await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn voters_and_boxes_tell_their_figures() {
     let dir = tempfile::tempdir().unwrap();
