The test of orders waits until its stand-ins listen

Cause: the stand-ins are started and asked without a wait. Shown by stand-ins that start four seconds late: the same failure at the same line without the wait, none with it. No check is eased: the wait is bounded, and all that was asserted still is.

--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -13,7 +13,7 @@
 
 use crate::support::{
     client,
-    deploy::{Deployment, Plan, Process, Standin},
+    deploy::{self, Deployment, Plan, Process, Standin},
 };
 
 /// Two stand-ins beside a deployment of voters: one that checks orders, one that does not.
@@ -79,6 +79,17 @@
     orders.iter().map(read).collect()
 }
 
+/// Waits until the stand-ins listen: on a busy machine they start after the first changes.
+async fn wait_started(deployment: &Deployment) {
+    for standin in &deployment.standins {
+        deploy::wait("the stand-in listens", || async {
+            let asked = client::ask(standin.address, "GET", "/standin/orders", &[], "");
+            asked.await.is_ok()
+        })
+        .await;
+    }
+}
+
 async fn wait_loaded(deployment: &Deployment, model: &str) {
     let until = Instant::now() + Duration::from_secs(20);
     for standin in &deployment.standins {
@@ -138,6 +149,7 @@
     };
     let mut deployment = Deployment::start(plan, dir.path()).await;
     add_standins(&mut deployment);
+    wait_started(&deployment).await;
     accept(&deployment, services()).await;
     accept(&deployment, loads(&deployment, "a")).await;
     wait_loaded(&deployment, "a").await;
