--- a/benches/decisions/main.rs
+++ b/benches/decisions/main.rs
@@ -151,7 +151,7 @@
             Event::Leave(request) => router.leave(world, request),
             Event::First(run) => router.first(world, run),
             Event::Done(run) => router.done(world, run),
-            Event::Report(zone, from, report) => router.report(world, zone, from, report),
+            Event::Report(zone, from, report) => router.report(world, zone, from, *report),
             Event::Order(zone, order) => router.order(world, zone, order),
             Event::Fault(fault) => {
                 begin(world, fault);
--- a/benches/decisions/ours.rs
+++ b/benches/decisions/ours.rs
@@ -145,7 +145,7 @@
         };
         let from = (world.requests[request].zone, world.requests[request].entry);
         let wait = self.distance(world, from, place.zone);
-        world.after(wait, Event::Report(place.zone, from, report));
+        world.after(wait, Event::Report(place.zone, from, Box::new(report)));
     }
 
     fn step(&mut self, world: &mut World, zone: usize, input: Input) {
@@ -291,7 +291,7 @@
             }
             reports.push(Report::Announced);
             for report in reports {
-                world.after(wait, Event::Report(zone, from, report));
+                world.after(wait, Event::Report(zone, from, Box::new(report)));
             }
         }
     }
--- a/benches/decisions/world.rs
+++ b/benches/decisions/world.rs
@@ -22,7 +22,7 @@
     Tick,
     Fault(Fault),
     /// A report reaches the dispatcher of a zone, from (zone, entry).
-    Report(usize, (usize, usize), dispatch::Report),
+    Report(usize, (usize, usize), Box<dispatch::Report>),
     /// An order reaches the request that it is for, from a zone's dispatcher.
     Order(usize, dispatch::Order),
 }
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -22,6 +22,7 @@
 };
 
 mod cost;
+mod health;
 mod home;
 
 pub(super) use cost::{Model, Prompt};
@@ -143,30 +144,6 @@
         (f64::from(self.slots) * self.speed).ceil() as u32
     }
 
-    /// How likely the next request fails: what was met fades, since faults end.
-    fn risk(&self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.risk_at).as_secs_f64();
-        let risk = self.risk * (-passed / FADING).exp();
-        if risk < LEAST_RISK {
-            0.0
-        } else {
-            risk
-        }
-    }
-
-    /// Notes that a request failed, with a weight from 0 to 1.
-    fn raise_risk(&mut self, weight: f64, now: Duration) {
-        let risk = self.risk(now);
-        self.risk = risk + (1.0 - risk) * FAILED * weight;
-        self.risk_at = now;
-    }
-
-    /// Notes that a request got its first token.
-    fn lower_risk(&mut self, now: Duration) {
-        self.risk = self.risk(now) * ANSWERED;
-        self.risk_at = now;
-    }
-
     fn score(&self) -> Option<Score> {
         let allowed = self.allowed();
         if self.running >= allowed {
@@ -225,25 +202,6 @@
     zones: zone::Zones,
 }
 
-/// Failures, by weight, after which an endpoint is ejected.
-const EJECT_AT: u32 = 3;
-/// How often the speeds are compared.
-const REFRESH: Duration = Duration::from_millis(500);
-/// The speed under which an endpoint counts as slow: noise stays above it.
-const SLOW: f64 = 0.67;
-/// The least weight of a slow endpoint.
-const MIN_SPEED: f64 = 0.1;
-/// The time, in seconds, in which the risk of a failure fades to a third: most faults last
-/// for a few seconds.
-const FADING: f64 = 4.0;
-/// The risk below which an endpoint counts as sound, so that the memory of a fault that has
-/// ended does not keep prompts from where they are kept.
-const LEAST_RISK: f64 = 0.25;
-/// The part of what is missing to certainty that a failure adds to the risk of the next.
-const FAILED: f64 = 0.6;
-/// The part of the risk that an answer leaves: it takes several to make up for a failure,
-/// since an endpoint may fail a part of its requests.
-const ANSWERED: f64 = 0.75;
 /// How much fuller, in thousandths, an endpoint of this zone may be than one of
 /// another zone and still go first.
 const AWAY: u64 = 300;
@@ -521,119 +479,6 @@
         self.rescore(index);
     }
 
-    /// Notes an endpoint's pace: seconds for each token, or for each call.
-    pub(super) fn observe_pace(&mut self, index: Index, seconds: f64) {
-        /// The weight of a new observation.
-        const WEIGHT: f64 = 0.2;
-        self.endpoints[index.0].pace.observe(seconds, WEIGHT);
-    }
-
-    /// Notes that an attempt did well.
-    pub(super) fn succeeded(&mut self, index: Index) {
-        let endpoint = &mut self.endpoints[index.0];
-        endpoint.failures = 0;
-        endpoint.state = State::Active;
-        if endpoint.ramp < endpoint.slots {
-            endpoint.ramp = endpoint.ramp.saturating_mul(2).max(1);
-        } else {
-            endpoint.ejections = 0;
-        }
-        self.rescore(index);
-    }
-
-    /// Notes that an attempt got its first token: the endpoint takes more.
-    pub(super) fn answered(&mut self, index: Index, unread: u64, now: Duration) {
-        let endpoint = &mut self.endpoints[index.0];
-        endpoint.unread = endpoint.unread.saturating_sub(unread);
-        endpoint.pending = endpoint.pending.saturating_sub(1);
-        endpoint.quiet_since = now;
-        endpoint.lower_risk(now);
-        self.zones.reached(&endpoint.zone);
-        if endpoint.state == State::Active && endpoint.ramp < endpoint.slots {
-            endpoint.ramp = endpoint.ramp.saturating_add(1);
-            self.rescore(index);
-        }
-    }
-
-    /// Notes that an attempt failed; `weight` says how sure a sign of a fault it is.
-    pub(super) fn failed(&mut self, index: Index, weight: u32, now: Duration, settings: &Settings) {
-        let failed = &self.endpoints[index.0];
-        if failed.away {
-            self.zones.missed(&failed.zone, index.0, now);
-        }
-        let ejected = self
-            .endpoints
-            .iter()
-            .filter(|e| e.configured && e.state != State::Active);
-        let configured = self.endpoints.iter().filter(|e| e.configured).count();
-        // The product is at most `configured`, so the cast is exact.
-        let most = (configured as f64 * settings.max_ejected) as usize;
-        // A lone endpoint is ejected too: its zone then shows that it has none, and
-        // requests go to another zone or wait for the probe.
-        let may_eject = ejected.count() < most.max(1);
-        let endpoint = &mut self.endpoints[index.0];
-        endpoint.raise_risk(1.0, now);
-        endpoint.failures = (endpoint.failures + weight).min(EJECT_AT * 2);
-        let probing = endpoint.state == State::Probing;
-        if probing || (endpoint.failures >= EJECT_AT && may_eject) {
-            endpoint.state = State::Ejected(now + ejection(endpoint, settings));
-            endpoint.ejections += 1;
-            endpoint.ramp = 1;
-        }
-        self.rescore(index);
-    }
-
-    /// Notes that a caller left before an endpoint gave a first token: it may have lost
-    /// the request, or be busy.
-    pub(super) fn suspected(&mut self, index: Index, now: Duration) {
-        /// What that counts beside a failure.
-        const PART: f64 = 0.75;
-        self.endpoints[index.0].raise_risk(PART, now);
-    }
-
-    /// Moves on what depends on time.
-    pub(super) fn tick(&mut self, now: Duration) {
-        for i in 0..self.endpoints.len() {
-            let endpoint = &mut self.endpoints[i];
-            if matches!(endpoint.state, State::Ejected(until) if until <= now) {
-                endpoint.state = State::Probing;
-                self.rescore(Index(i));
-            }
-        }
-        if now.saturating_sub(self.refreshed) >= REFRESH {
-            self.refreshed = now;
-            self.hints.retain(|_, hint| hint.until > now);
-            self.compare_speeds();
-        }
-    }
-
-    /// Compares each endpoint's pace with the median.
-    fn compare_speeds(&mut self) {
-        let mut paces: Vec<_> = self.endpoints.iter().filter_map(|e| e.pace.get()).collect();
-        if paces.len() < 2 {
-            return;
-        }
-        paces.sort_by(f64::total_cmp);
-        // The lower median: with two endpoints the faster one is the measure.
-        let median = paces[(paces.len() - 1) / 2];
-        for i in 0..self.endpoints.len() {
-            let endpoint = &mut self.endpoints[i];
-            let Some(pace) = endpoint.pace.get() else {
-                continue;
-            };
-            let speed = if pace > 0.0 {
-                (median / pace).clamp(MIN_SPEED, 1.0)
-            } else {
-                1.0
-            };
-            let speed = if speed < SLOW { speed } else { 1.0 };
-            if (speed - endpoint.speed).abs() > f64::EPSILON {
-                endpoint.speed = speed;
-                self.rescore(Index(i));
-            }
-        }
-    }
-
     fn rescore_all(&mut self) {
         for i in 0..self.endpoints.len() {
             self.rescore(Index(i));
@@ -706,15 +551,3 @@
     /// Whether it leaves.
     pub leaving: bool,
 }
-
-/// How long an endpoint is ejected: doubling, spread by up to a half so that many
-/// do not come back at once.
-fn ejection(endpoint: &Endpoint, settings: &Settings) -> Duration {
-    let doubled = settings
-        .ejection
-        .saturating_mul(1 << endpoint.ejections.min(5));
-    let seed = rendezvous::hash(&[endpoint.name.as_str(), &endpoint.ejections.to_string()]);
-    // The remainder is below 1000, so the cast is exact.
-    let spread = (seed % 1000) as f64 / 2000.0;
-    doubled.min(settings.max_ejection).mul_f64(1.0 + spread)
-}
--- /dev/null
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -0,0 +1,148 @@
+//! Granting: who gets the next free slot, and at which endpoint.
+
+use std::time::Duration;
+
+use crate::core::{
+    attempt,
+    dispatch::{class, endpoint, message, queue, run, Dispatcher},
+    name, unit,
+};
+
+impl Dispatcher {
+    /// Hands out the free slots.
+    pub(super) fn grant(&mut self, now: Duration) {
+        if !self.is_settled(now) {
+            return;
+        }
+        while self.endpoints.has_free() {
+            let Some(attempt) = self.next(now) else {
+                break;
+            };
+            let Some(waiting) = self.queue.get(attempt) else {
+                break;
+            };
+            let ask = waiting.ask.clone();
+            let choice = match self.choose(&ask, now) {
+                Ok(choice) => choice,
+                Err(endpoint::Unplaced::NoSlot) => break,
+                Err(endpoint::Unplaced::Hopeless(wait)) => {
+                    self.shed_overload(attempt, wait);
+                    continue;
+                }
+            };
+            let Some(waiting) = self.queue.remove(attempt) else {
+                break;
+            };
+            self.start(waiting, choice, now);
+        }
+    }
+
+    /// Chooses an endpoint for a request and takes a slot there.
+    fn choose(
+        &mut self,
+        ask: &message::Ask,
+        now: Duration,
+    ) -> Result<endpoint::Choice, endpoint::Unplaced> {
+        let avoid = ask.avoid.as_ref();
+        let Some(placed) = ask.placed else {
+            let chosen = self
+                .endpoints
+                .choose(ask.prefix, avoid, now, &self.settings);
+            return chosen.ok_or(endpoint::Unplaced::NoSlot);
+        };
+        let parted = self.placement.is_parted(&self.reading);
+        let crowding = self.endpoints.crowding();
+        let crowded = self.placement.note_crowding(crowding);
+        let long = self.placement.is_long(&ask.class, &self.reading);
+        let class = self.classes.get(&ask.class);
+        let hold = class.map_or(class::MIN_HOLD, |class| class.mean);
+        let left = |limit: Duration| limit.saturating_sub(ask.age);
+        let prompt = endpoint::Prompt {
+            placed,
+            tokens: ask.prompt.0,
+            target: ask.target,
+            patience: left(ask.patience.unwrap_or(ask.deadline)),
+            may_return: ask.attempt.number == 0 && !ask.returned,
+            deadline: left(ask.deadline),
+            hold: Duration::from_secs_f64(hold),
+            length: class.and_then(|class| class.length.get()),
+            long,
+            for_long: long || (crowded && !self.is_first_of_short(&ask.class)),
+            parted,
+        };
+        let model = endpoint::Model {
+            reading: &self.reading,
+            pauses: &self.pauses,
+        };
+        self.endpoints.choose_home(&prompt, &model, avoid, now)
+    }
+
+    /// Whether no class with short prompts stands before this one.
+    fn is_first_of_short(&self, class: &name::Class) -> bool {
+        let short = self
+            .classes
+            .iter()
+            .filter(|(name, _)| !self.placement.is_long(name, &self.reading));
+        let first = short.map(|(_, class)| class.tier).min();
+        self.classes.get(class).map(|class| class.tier) == first
+    }
+
+    /// The request that gets the next free slot.
+    fn next(&self, now: Duration) -> Option<attempt::Attempt> {
+        let first = self.queue.first()?;
+        // A slot that a preemption freed goes to the request that it was freed for.
+        if self.freed > 0 || self.runs.preempting() > 0 {
+            return Some(first);
+        }
+        let waits = |class: &name::Class| self.queue.count(class) > 0;
+        let owed = self.shares.owed(waits, |class| self.mean_hold(class));
+        let owed = owed.and_then(|class| self.queue.first_of(class));
+        if let Some(owed) = owed.filter(|attempt| self.may_go_first(*attempt, now)) {
+            return Some(owed);
+        }
+        let waiting = self.queue.get(first)?;
+        (!self.is_held_back(waiting)).then_some(first)
+    }
+
+    /// Whether a slot can be given to a request without a higher tier being shed
+    /// for it: whoever is about to be shed goes first.
+    fn may_go_first(&self, attempt: attempt::Attempt, now: Duration) -> bool {
+        let Some(waiting) = self.queue.get(attempt) else {
+            return false;
+        };
+        let gap = Duration::from_secs_f64(self.slot_gap());
+        let soonest = self.queue.soonest_give_up_above(waiting.ask.tier);
+        soonest.is_none_or(|give_up| give_up > now + 2 * gap)
+    }
+
+    fn start(&mut self, waiting: queue::Waiting, choice: endpoint::Choice, now: Duration) {
+        self.freed = self.freed.saturating_sub(1);
+        let attempt = waiting.ask.attempt;
+        let class = waiting.ask.class.clone();
+        let (queue, classes) = (&self.queue, &self.classes);
+        let mean = |name: &name::Class| classes.get(name).map_or(0.0, |class| class.mean);
+        let waits = |name: &name::Class| queue.count(name) > 0;
+        self.shares.granted(&class, waiting.hold, waits, mean);
+        let slots = self.endpoints.allowed();
+        let late = waiting.due < now;
+        self.class(&class, waiting.ask.tier)
+            .learn_reserve(late, slots);
+        let name = self.endpoints.name(choice.endpoint).clone();
+        self.outputs
+            .push((waiting.origin.clone(), message::Order::Grant(attempt, name)));
+        self.runs.insert(run::Run {
+            origin: waiting.origin,
+            ask: waiting.ask,
+            endpoint: choice.endpoint,
+            granted: now,
+            unread: choice.unread,
+            ahead: choice.ahead,
+            place: choice.place,
+            paused: false,
+            started: false,
+            first: None,
+            tokens: unit::Tokens(0),
+            preempting: false,
+        });
+    }
+}
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -57,6 +57,8 @@
     runs: u32,
     pub(super) verdict: verdict::Verdict,
     last: Option<name::Endpoint>,
+    /// When the caller was told to come back.
+    retry_after: Option<Duration>,
 }
 
 /// An endpoint's answer that has begun.
@@ -100,6 +102,7 @@
             runs: 0,
             verdict: verdict::Verdict::NotRun,
             last: None,
+            retry_after: None,
         }
     }
 
@@ -387,6 +390,7 @@
     /// The final answer of a request that got none from an endpoint.
     pub(super) fn refuse(&mut self, refusal: &Refusal) -> Response<Answer> {
         self.observer.refused(refusal);
+        self.retry_after = refusal.retry_after;
         self.log_end(refusal.status, refusal.code, refusal.verdict);
         reply::refusal::<D>(refusal, self.routed.head.id.as_deref())
     }
@@ -398,7 +402,8 @@
         event!(self.context.board.log, RequestEnded, "id" => routed.head.id.as_deref(),
             "route" => %routed.call.key, "team" => %routed.call.team, "rank" => %routed.rank,
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
- "prompt" => routed.call.prompt.0, "tries" => self.tries,
+            "prompt" => routed.call.prompt.0, "returned" => routed.call.returned,
+            "retry_ms" => self.retry_after.map(|wait| wait.as_millis()), "tries" => self.tries,
             "first_ms" => self.observer.first_after().map(|first| first.as_millis()),
             "pause_ms" => self.observer.longest_pause().as_millis(),
             "took_ms" => took.as_millis(), "status" => status.as_u16(), "code" => code, "verdict" => %verdict,
--- a/src/scalewood/ops/explain.rs
+++ b/src/scalewood/ops/explain.rs
@@ -78,7 +78,7 @@
         return format!(
             "answered {} ({}) after {} ms, verdict {}: route {}, rank {}, team {}, prompt of {} \
              tokens, {} attempts, the last at {}; first event after {} ms, longest pause {} ms; \
-             configuration revision {}",
+             configuration revision {}; told to come back after {} ms, had come back before: {}",
             field("status"),
             field("code"),
             field("took_ms"),
@@ -91,7 +91,9 @@
             field("endpoint"),
             field("first_ms"),
             field("pause_ms"),
-            field("revision")
+            field("revision"),
+            field("retry_ms"),
+            field("returned")
         );
     }
     let other = fields
