Paces of endpoints that crashed make room for new ones

Found in reading the diff: an endpoint that crashes is never said to have gone, so its pace stayed, and after 4,096 of them no new endpoint's would have been taken: slow ones would not be known any more. Now the one that was told longest ago goes, first of those whose endpoint is not known.

--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -152,13 +152,14 @@
             unfinished(endpoint, prompt),
             paused(endpoint, prompt, model, now),
         ];
-        let kept = risks.iter().fold(1.0, |kept, risk| kept * (1.0 - risk));
-        let lost = 1.0 - kept + harm(endpoint, prompt, model, now);
+        let sound = risks.iter().fold(1.0, |sound, risk| sound * (1.0 - risk));
+        let lost = 1.0 - sound + harm(endpoint, prompt, model, now);
         let wait = wait(endpoint, model) + slot_wait(endpoint, prompt);
         micros(wait + prompt.loss().mul_f64(lost))
     }
 }
 
+/// How many times as long as at a fast endpoint reading takes.
 fn slowness(endpoint: &Endpoint) -> f64 {
     if endpoint.slow {
         SLOW
--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -170,10 +170,12 @@
     /// whether that was unknown, or another endpoint counts as slow by this.
     pub fn set_pace(&mut self, name: &name::Endpoint, pace: pace::Pace) -> bool {
         let known = self.paces.get(name).map(|(pace, _)| *pace);
-        let is_lost = self.gone.contains_key(name) || self.paces.len() >= MAX_PACES;
-        if !pace.is_news(known) || (known.is_none() && is_lost) {
+        if !pace.is_news(known) || self.gone.contains_key(name) {
             return false;
         }
+        if known.is_none() && self.paces.len() >= MAX_PACES {
+            self.forget_oldest_pace();
+        }
         self.stamp += 1;
         self.paces.insert(name.clone(), (pace, self.stamp));
         let service = self.entries.get(name).map(|e| e.record.service.clone());
@@ -181,6 +183,18 @@
         regraded || known.is_none()
     }
 
+    /// Makes room for another pace: the one that was told longest ago goes, first of those
+    /// whose endpoint is not known.
+    fn forget_oldest_pace(&mut self) {
+        let told = |(name, (_, at)): &(&name::Endpoint, &(pace::Pace, u64))| {
+            (self.entries.contains_key(*name), *at)
+        };
+        let oldest = self.paces.iter().min_by_key(told);
+        if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+            self.paces.remove(&name);
+        }
+    }
+
     /// Compares the endpoints of a service with each other.
     fn grade(&mut self, service: &name::Service) -> bool {
         let of_service = |entry: &&mut Entry| entry.record.service == *service;
--- a/tests/testsuite/pace.rs
+++ b/tests/testsuite/pace.rs
@@ -183,6 +183,23 @@
     );
 }
 
+#[test]
+fn paces_of_endpoints_that_are_not_known_make_room_first() {
+    let mut registry = Registry::default();
+    registry.merge(record("known", "a"), START);
+    registry.set_pace(&"known".parse().unwrap(), Pace(20_000));
+    // Endpoints that crashed are never said to have gone.
+    for number in 0..5000 {
+        let name = format!("crashed-{number}").parse().unwrap();
+        assert!(registry.set_pace(&name, Pace(20_000)), "{number}");
+    }
+    assert_eq!(registry.paces_since(0).len(), 4096);
+    assert!(registry.knows(&"crashed-4999".parse().unwrap()));
+    assert!(!registry.knows(&"crashed-0".parse().unwrap()));
+    let kept = registry.paces_since(0);
+    assert!(kept.iter().any(|paced| paced.endpoint.as_str() == "known"));
+}
+
 #[test]
 fn measurements_outlast_a_restart_and_a_file_that_is_torn_counts_for_nothing() {
     let dir = tempfile::tempdir().unwrap();
