Where prompts are kept is still known after an endpoint went

Cause: a dispatcher with nothing running forgot all of it when an endpoint was no longer configured, since indexes change. Indexes are moved now.

The test failed before.

--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -49,6 +49,8 @@
     pub(super) unread: u64,
     /// Tokens that are unread there before it.
     pub(super) ahead: u64,
+    /// Whether the endpoint likely keeps what the prompt shares with others.
+    pub(super) kept: bool,
     /// Where it runs, if its prompt was placed.
     pub(super) place: Option<pauses::Place>,
 }
@@ -422,6 +424,7 @@
             endpoint: index,
             unread: 0,
             ahead: 0,
+            kept: false,
             place: None,
         })
     }
@@ -537,9 +540,22 @@
         if self.running > 0 || self.endpoints.iter().all(|e| e.configured) {
             return;
         }
+        let mut next = 0;
+        let stays = self.endpoints.iter().map(|endpoint| {
+            let index = Index(next);
+            next += usize::from(endpoint.configured);
+            endpoint.configured.then_some(index)
+        });
+        let new: Vec<Option<Index>> = stays.collect();
+        // A box with few requests is often at rest. If it forgot by this where prompts are
+        // kept, each endpoint that goes would have all of them read again.
+        self.kept.reindex(|old| new[old.0]);
+        self.hints.retain(|_, hint| {
+            let moved = new[hint.index.0];
+            hint.index = moved.unwrap_or(hint.index);
+            moved.is_some()
+        });
         self.ready.clear();
-        self.hints.clear();
-        self.kept.clear();
         self.allowed = 0;
         self.endpoints.retain(|e| e.configured);
         let names = self.endpoints.iter().enumerate();
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -63,10 +63,17 @@
         }
     }
 
-    /// Forgets everything, since the indexes change.
-    pub(super) fn clear(&mut self) {
-        self.places.clear();
-        self.news.clear();
+    /// Moves on to other indexes; what has none any more is forgotten.
+    pub(super) fn reindex(&mut self, new: impl Fn(Index) -> Option<Index>) {
+        for places in self.places.values_mut() {
+            let moved = places
+                .iter()
+                .filter_map(|(at, until)| Some((new(*at)?, *until)));
+            *places = moved.collect();
+        }
+        let news = self.news.iter();
+        let moved = news.filter_map(|(prefix, at)| Some((*prefix, new(*at)?)));
+        self.news = moved.collect();
     }
 }
 
@@ -129,6 +136,7 @@
             endpoint: index,
             unread: prompt.unread(kept),
             ahead: endpoint.unread + endpoint.others.unread,
+            kept,
             place: Some(prompt.place(endpoint)),
         }
     }
--- a/src/scalewood/core/dispatch/grant.rs
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -137,6 +137,7 @@
             granted: now,
             unread: choice.unread,
             ahead: choice.ahead,
+            kept: choice.kept,
             place: choice.place,
             paused: false,
             started: false,
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -169,6 +169,17 @@
     pub waits: BTreeMap<unit::Tier, Duration>,
 }
 
+/// What an endpoint was chosen by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// Tokens of the prompt that have to be read there.
+    pub unread: unit::Tokens,
+    /// Tokens that all boxes had unread there before.
+    pub ahead: unit::Tokens,
+    /// Whether the endpoint likely keeps what the prompt shares with others.
+    pub kept: bool,
+}
+
 impl Dispatcher {
     /// A dispatcher that settles first.
     pub fn new(settings: Settings, now: Duration) -> Self {
@@ -374,6 +385,7 @@
             granted: now.saturating_sub(held.held),
             unread,
             ahead: 0,
+            kept: false,
             place: None,
             paused: false,
             started: true,
@@ -463,6 +475,16 @@
         }
     }
 
+    /// What a run's endpoint was chosen by, if the run is known.
+    pub fn basis(&self, attempt: attempt::Attempt) -> Option<Basis> {
+        let run = self.runs.get(attempt)?;
+        Some(Basis {
+            unread: unit::Tokens(run.unread),
+            ahead: unit::Tokens(run.ahead),
+            kept: run.kept,
+        })
+    }
+
     /// How long an endpoint may be silent towards a request, `least` where nothing waits.
     pub fn patience(&self, endpoint: &name::Endpoint, least: Duration, now: Duration) -> Duration {
         self.endpoints.patience(endpoint, least, &self.reading, now)
--- a/src/scalewood/core/dispatch/run.rs
+++ b/src/scalewood/core/dispatch/run.rs
@@ -23,6 +23,8 @@
     pub(super) unread: u64,
     /// Tokens that were unread at the endpoint before it, when it was granted.
     pub(super) ahead: u64,
+    /// Whether its endpoint likely kept what the prompt shares with others.
+    pub(super) kept: bool,
     /// Where it runs, if its prompt was placed.
     pub(super) place: Option<pauses::Place>,
     /// Whether its stream has paused for longer than its class bears.
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -133,6 +133,16 @@
     held
 }
 
+/// What the endpoint of an attempt was chosen by, if a dispatcher here chose it.
+pub(super) fn basis(
+    board: &Shared,
+    service: &name::Service,
+    attempt: attempt::Attempt,
+) -> Option<dispatch::Basis> {
+    let shard = board.dispatchers.shard(service);
+    shard.get(service)?.basis(attempt)
+}
+
 /// How long an endpoint may be silent towards a request that a dispatcher here has granted,
 /// `least` where nothing else waits there.
 pub(super) fn patience(
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -62,6 +62,8 @@
     runs: u32,
     pub(super) verdict: verdict::Verdict,
     last: Option<name::Endpoint>,
+    /// What the last endpoint was chosen by.
+    basis: dispatch::Basis,
     /// When the caller was told to come back.
     retry_after: Option<Duration>,
 }
@@ -108,6 +110,7 @@
             runs: 0,
             verdict: verdict::Verdict::NotRun,
             last: None,
+            basis: dispatch::Basis::default(),
             retry_after: None,
         }
     }
@@ -218,7 +221,11 @@
         let service = &self.routed.call.key.service;
         let mut turn = Turn::ask(&board, service, &zone, self.ask.clone());
         match self.in_time(turn.wait()).await {
-            Some(Got::Granted(endpoint)) => Ok((turn, endpoint)),
+            Some(Got::Granted(endpoint)) => {
+                let basis = desk::basis(&board, service, turn.attempt());
+                self.basis = basis.unwrap_or_default();
+                Ok((turn, endpoint))
+            }
             Some(Got::Shed(reason, retry)) => {
                 Err(self.refuse(&reply::shed(reason, retry, self.verdict)))
             }
@@ -445,7 +452,8 @@
         event!(self.context.board.log, RequestEnded, "id" => routed.head.id.as_deref(),
             "route" => %routed.call.key, "team" => %routed.call.team, "rank" => %routed.rank,
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
-            "prompt" => routed.call.prompt.0, "returned" => routed.call.returned,
+            "prompt" => routed.call.prompt.0, "unread" => self.basis.unread.0,
+            "ahead" => self.basis.ahead.0, "kept" => self.basis.kept, "returned" => routed.call.returned,
             "retry_ms" => self.retry_after.map(|wait| wait.as_millis()), "tries" => self.tries,
             "first_ms" => self.observer.first_after().map(|first| first.as_millis()),
             "pause_ms" => self.observer.longest_pause().as_millis(),
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -30,6 +30,16 @@
 
 fn configured(mut dispatcher: Dispatcher, slow: &[usize]) -> Dispatcher {
     let own: name::Box = "e1".parse().unwrap();
+    let (specs, classes) = configuration(slow);
+    dispatcher.step(Input::Configure(specs, classes), START);
+    dispatcher.step(Input::Boxes(BTreeSet::from([own.clone()])), START);
+    dispatcher.step(Input::Report(own.clone(), Report::Hello), START);
+    dispatcher.step(Input::Report(own, Report::Announced), START);
+    dispatcher
+}
+
+/// Nine endpoints in three zones, some of which are slow, and three classes.
+fn configuration(slow: &[usize]) -> (Vec<Spec>, BTreeMap<name::Class, config::Class>) {
     let specs = (0..ENDPOINTS).map(|place| Spec {
         name: format!("i-{place}").parse().unwrap(),
         slots: 64,
@@ -55,12 +65,7 @@
             };
             (name.parse().unwrap(), class)
         });
-    let configure = Input::Configure(specs.collect(), classes.collect());
-    dispatcher.step(configure, START);
-    dispatcher.step(Input::Boxes(BTreeSet::from([own.clone()])), START);
-    dispatcher.step(Input::Report(own.clone(), Report::Hello), START);
-    dispatcher.step(Input::Report(own, Report::Announced), START);
-    dispatcher
+    (specs.collect(), classes.collect())
 }
 
 /// A request that is placed wherever it is best, though it be late there: its caller was
@@ -693,3 +698,28 @@
     resumed.renew_patience(patience);
     granted(&mut dispatcher, resumed, true, START);
 }
+
+#[test]
+fn where_prompts_are_kept_is_still_known_after_another_endpoint_went() {
+    let mut dispatcher = dispatcher();
+    let home = granted(&mut dispatcher, ask(1, "short", 7), true, START);
+    let gone = if home == "i-0" { "i-1" } else { "i-0" };
+    // Another box had to read it elsewhere.
+    let elsewhere = ["i-2", "i-3"]
+        .into_iter()
+        .find(|name| *name != home)
+        .unwrap();
+    let mut fresh = self::dispatcher();
+    let placement = Placement {
+        prefix: Prefix(7),
+        endpoint: elsewhere.parse().unwrap(),
+    };
+    fresh.step(Input::Placed(vec![placement]), START);
+    let (specs, classes) = configuration(&[]);
+    let specs = specs.into_iter().filter(|spec| spec.name.as_str() != gone);
+    fresh.step(Input::Configure(specs.collect(), classes), START);
+    // It is at rest, so that the endpoint that has gone is forgotten.
+    fresh.step(Input::Tick, START + Duration::from_millis(20));
+    let next = granted(&mut fresh, ask(2, "short", 7), true, START);
+    assert_eq!(next, elsewhere, "it is kept there");
+}
