A box that starts gets its first configuration once, from a voter near it

Cause: a whole configuration came by two ways at once, from one of the voters that settings name (mostly of another zone) and from the first whose registry is followed. Following now waits for the other way for 0.4 s at most.

--- a/src/scalewood/ops/source.rs
+++ b/src/scalewood/ops/source.rs
@@ -28,6 +28,9 @@
 /// The wait before the next source is tried: short at first.
 const NEXT: Duration = Duration::from_millis(200);
 const SOON: Duration = Duration::from_millis(50);
+/// How long a box that has just started waits for its first configuration to come by another
+/// way: some times what a voter on the same network takes.
+const FIRST: Duration = Duration::from_millis(400);
 /// Sources that fail one after another before they are tried less often.
 const SOON_TRIES: u32 = 12;
 
@@ -129,8 +132,19 @@
 }
 
 impl Follower {
+    /// Waits for a moment until the box has a configuration by another way: a voter of its own
+    /// zone gives a whole one out at less cost than the voters named here, which would each
+    /// have to give it to a part of all boxes, and hold as many copies.
+    async fn wait_for_first(&self) {
+        let mut watch = self.feed.watch();
+        let has_any = watch.wait_for(|state| state.revision > unit::Revision(0));
+        // Without any it begins here.
+        let _ = tokio::time::timeout(FIRST, has_any).await;
+    }
+
     /// Follows for ever.
     pub async fn run(self) {
+        self.wait_for_first().await;
         // Boxes begin with different voters, so that none has to give to all at once.
         let mut turn = rendezvous::hash(&[self.own.as_str()]) as usize % self.voters.len().max(1);
         let mut failures = 0;
