Boxes agree on which classes have long prompts, from what all have seen

Cause: each box judged by its own few prompts. And what a hub tells once, such as placements, was lost where a box had heard it before its first configuration.

Change: hubs bring together counts and tokens by class, boxes go by these; a box tells and hears nothing before it has a dispatcher.

Ruled out: first tokens (late in 4 of 100), reading of prompts, slow endpoints (4).

--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -125,6 +125,9 @@
     Placed(Vec<load::Placement>),
     /// How likely requests fail at endpoints, as all boxes together met it.
     Risks(Vec<load::Risk>),
+    /// The prompts of classes, as all boxes together have seen them; classes of other
+    /// services are passed over.
+    Prompts(Vec<load::Prompts>),
     /// Time has passed.
     Tick,
 }
@@ -221,6 +224,10 @@
             Input::Others(loads) => self.endpoints.set_others(loads.as_ref()),
             Input::Placed(placements) => self.endpoints.note_placed(&placements, now),
             Input::Risks(risks) => self.endpoints.set_risks(&risks, now),
+            Input::Prompts(mut prompts) => {
+                prompts.retain(|seen| self.classes.contains_key(&seen.class));
+                self.placement.set_sizes(&prompts);
+            }
             Input::Tick => self.tick(now),
         }
         self.grant(now);
@@ -505,6 +512,11 @@
         self.endpoints.take_placements()
     }
 
+    /// The prompts that were seen here since they were last taken.
+    pub fn take_prompts(&mut self) -> Vec<load::Prompts> {
+        self.placement.take_news()
+    }
+
     /// What came of requests here since it was last taken.
     pub fn take_outcomes(&mut self) -> Vec<load::Outcome> {
         self.endpoints.take_outcomes()
--- a/src/scalewood/core/dispatch/placement.rs
+++ b/src/scalewood/core/dispatch/placement.rs
@@ -20,7 +20,7 @@
 use crate::core::{
     config,
     dispatch::{message, reading::Reading},
-    estimate, name, unit,
+    estimate, load, name, unit,
 };
 
 /// The part of the shortest pause that any class bears from which on reading a prompt is
@@ -42,8 +42,12 @@
 /// How the endpoints are parted between short and long prompts.
 #[derive(Debug, Default)]
 pub(super) struct Placement {
-    /// The mean size of each class's prompts.
+    /// The mean size of each class's prompts, as this box has seen them.
     sizes: HashMap<name::Class, estimate::Ewma>,
+    /// The same as all boxes together have seen them, which goes first.
+    shared: HashMap<name::Class, f64>,
+    /// What this box has seen and others have not heard of: prompts and their tokens.
+    news: HashMap<name::Class, (u32, u64)>,
     /// The shortest pause that is borne by any class, once it is known.
     gap: Option<Duration>,
     /// Whether the endpoints for short prompts are about to be full.
@@ -56,6 +60,8 @@
         // Where a class names no pause, it bears none that is longer than its target.
         let gap = |class: &config::Class| class.gap().unwrap_or(class.target);
         self.gap = classes.values().map(gap).min();
+        self.sizes.retain(|class, _| classes.contains_key(class));
+        self.shared.retain(|class, _| classes.contains_key(class));
     }
 
     /// Notes a request that is to be placed.
@@ -64,13 +70,41 @@
         let size = self.sizes.entry(ask.class.clone()).or_default();
         // Prompts are far shorter than 2^52 tokens, so the cast is exact.
         size.observe(tokens as f64, WEIGHT);
+        let (count, sum) = self.news.entry(ask.class.clone()).or_default();
+        *count += 1;
+        *sum += tokens;
+    }
+
+    /// Takes over what all boxes together have seen.
+    pub(super) fn set_sizes(&mut self, prompts: &[load::Prompts]) {
+        for seen in prompts.iter().filter(|seen| seen.count > 0) {
+            // Sums are far below 2^52 tokens, so the cast is exact.
+            let mean = seen.tokens as f64 / f64::from(seen.count);
+            self.shared.insert(seen.class.clone(), mean);
+        }
+    }
+
+    /// The prompts that were seen here since they were last taken.
+    pub(super) fn take_news(&mut self) -> Vec<load::Prompts> {
+        let news = std::mem::take(&mut self.news);
+        let seen = |(class, (count, tokens))| load::Prompts {
+            class,
+            count,
+            tokens,
+        };
+        news.into_iter().map(seen).collect()
+    }
+
+    /// The mean size of a class's prompts, once any was seen.
+    fn size(&self, class: &name::Class) -> Option<f64> {
+        let own = || self.sizes.get(class).and_then(|size| size.get());
+        self.shared.get(class).copied().or_else(own)
     }
 
     /// Whether a class has long prompts: reading one takes much of the pause that the
     /// streams beside it bear.
     pub(super) fn is_long(&self, class: &name::Class, reading: &Reading) -> bool {
-        let size = self.sizes.get(class).and_then(|size| size.get());
-        let (Some(tokens), Some(gap)) = (size, self.gap) else {
+        let (Some(tokens), Some(gap)) = (self.size(class), self.gap) else {
             return false;
         };
         // The size is far below 2^52, and casts of floating point numbers saturate.
@@ -80,12 +114,16 @@
     /// Whether there are classes with short prompts and others with long ones, so that the
     /// endpoints are parted.
     pub(super) fn is_parted(&self, reading: &Reading) -> bool {
-        let long = self
-            .sizes
-            .keys()
-            .filter(|class| self.is_long(class, reading));
-        let long = long.count();
-        long > 0 && long < self.sizes.len()
+        let shared = self.shared.keys();
+        let own = self.sizes.keys();
+        let own = own.filter(|class| !self.shared.contains_key(*class));
+        let long = shared.chain(own).map(|class| self.is_long(class, reading));
+        let (mut has_long, mut has_short) = (false, false);
+        for is_long in long {
+            has_long |= is_long;
+            has_short |= !is_long;
+        }
+        has_long && has_short
     }
 
     /// Notes which part of the slots for short prompts is used; tells whether they are
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -11,7 +11,8 @@
 };
 
 use super::{
-    difference, merge, set, Answer, Count, Load, Loaded, Loads, News, Outcome, Placement, Risk,
+    difference, merge, set, sizes::Sizes, Answer, Count, Load, Loaded, Loads, News, Outcome,
+    Placement, Prompts, Risk,
 };
 use crate::core::{
     name,
@@ -41,6 +42,8 @@
     told: Loads,
     /// The risks that it was told.
     risks: BTreeMap<name::Endpoint, Chance>,
+    /// The mean sizes of prompts that it was told.
+    sizes: BTreeMap<name::Class, u64>,
     /// The serial number of the next placement that it has to hear of.
     next: u64,
     /// Its requests of late, fading.
@@ -55,6 +58,7 @@
             own: Loads::new(),
             told: Loads::new(),
             risks: BTreeMap::new(),
+            sizes: BTreeMap::new(),
             next: 0,
             answered: 0.0,
             failed: 0.0,
@@ -92,6 +96,8 @@
     next: u64,
     /// What it has not heard of requests.
     outcomes: BTreeMap<name::Endpoint, Count>,
+    /// Prompts that it has not heard of.
+    prompts: Sizes,
 }
 
 /// Where a shared beginning was placed, and who told.
@@ -114,6 +120,8 @@
     /// What the members and all other hubs' boxes have.
     total: Loads,
     risks: BTreeMap<name::Endpoint, risk::Risk>,
+    /// The prompts that all boxes have seen.
+    sizes: Sizes,
     /// Since when requests wait for a first token at an endpoint and none has come.
     waiting: BTreeMap<name::Endpoint, Duration>,
     /// The last placements, and the number of those before.
@@ -143,11 +151,16 @@
         self.take_placements(from, true, told.placements);
         self.pass_on(&told.outcomes, weight);
         self.note_outcomes(&told.outcomes, weight, now);
+        self.sizes.add(&told.prompts);
+        for link in self.links.values_mut() {
+            link.prompts.add(&told.prompts);
+        }
         self.note_stalled(now);
         let news = News {
             loads: self.loads_for(from),
             placements: self.placements_for(from),
             outcomes: Vec::new(),
+            prompts: self.sizes_for(from),
             risks: self.risks_for(from, &met, now),
         };
         // A voter serves some hundred boxes.
@@ -179,6 +192,7 @@
         merge(&mut peer.loads, told.loads);
         self.take_placements(from, false, told.placements);
         self.note_outcomes(&told.outcomes, 1.0, now);
+        self.sizes.add(&told.prompts);
         true
     }
 
@@ -208,6 +222,7 @@
             loads,
             placements,
             outcomes: outcomes.into_iter().map(outcome).collect(),
+            prompts: link.prompts.take(),
             risks: Vec::new(),
         }
     }
@@ -266,6 +281,11 @@
         others.map(|placed| placed.placement.clone()).collect()
     }
 
+    fn sizes_for(&mut self, name: &name::Box) -> Vec<Prompts> {
+        let member = self.members.get_mut(name);
+        member.map_or_else(Vec::new, |member| self.sizes.news(&mut member.sizes))
+    }
+
     /// Notes for the other hubs what came of a box's requests.
     fn pass_on(&mut self, outcomes: &[Outcome], weight: f64) {
         for link in self.links.values_mut() {
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -15,6 +15,7 @@
 use crate::core::{dispatch::Prefix, name, risk};
 
 mod hub;
+mod sizes;
 
 pub use hub::Hub;
 
@@ -179,6 +180,37 @@
     }
 }
 
+/// Prompts of a class that boxes have seen; written as a row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "PromptsRow", into = "PromptsRow")]
+pub struct Prompts {
+    /// The class.
+    pub class: name::Class,
+    /// How many; those of long ago count less.
+    pub count: u32,
+    /// All their tokens.
+    pub tokens: u64,
+}
+
+/// Class, count, tokens.
+type PromptsRow = (name::Class, u32, u64);
+
+impl From<PromptsRow> for Prompts {
+    fn from((class, count, tokens): PromptsRow) -> Self {
+        Self {
+            class,
+            count,
+            tokens,
+        }
+    }
+}
+
+impl From<Prompts> for PromptsRow {
+    fn from(prompts: Prompts) -> Self {
+        (prompts.class, prompts.count, prompts.tokens)
+    }
+}
+
 /// What is told in an exchange, either way.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -191,6 +223,9 @@
     /// What came of requests; told to hubs.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub outcomes: Vec<Outcome>,
+    /// Prompts by class: to hubs those that are new, to boxes what all have seen.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub prompts: Vec<Prompts>,
     /// Risks that have changed; told to boxes.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub risks: Vec<Risk>,
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -82,6 +82,10 @@
     }
 
     async fn exchange(&mut self, followed: &Followed) {
+        if desk::held(&self.board).is_empty() {
+            // What is heard once, such as placements, would be lost on nobody.
+            return;
+        }
         let Some((voter, client)) = self.choose(followed) else {
             return self.lose();
         };
@@ -92,8 +96,9 @@
         let own = own_loads(&self.board);
         let told = load::News {
             loads: load::difference(&self.told, &own),
-            placements: own_placements(&self.board),
-            outcomes: own_outcomes(&self.board),
+            placements: taken(&self.board, dispatch::Dispatcher::take_placements),
+            outcomes: taken(&self.board, dispatch::Dispatcher::take_outcomes),
+            prompts: taken(&self.board, dispatch::Dispatcher::take_prompts),
             risks: Vec::new(),
         };
         let call = client.exchange(self.board.own.name.clone(), anew, told);
@@ -119,6 +124,9 @@
         if !news.placements.is_empty() {
             self.tell(&dispatch::Input::Placed(news.placements));
         }
+        if !news.prompts.is_empty() {
+            self.tell(&dispatch::Input::Prompts(news.prompts));
+        }
         if !news.risks.is_empty() {
             let risk = |risk: &load::Risk| format!("{}:{}", risk.endpoint, risk.chance.0);
             let risks: Vec<_> = news.risks.iter().map(risk).collect();
@@ -159,24 +167,13 @@
     loads
 }
 
-/// What came of requests here since it was last asked for.
-fn own_outcomes(board: &Shared) -> Vec<load::Outcome> {
-    let mut outcomes = Vec::new();
-    board.dispatchers.each(|shard| {
-        for dispatcher in shard.values_mut() {
-            outcomes.extend(dispatcher.take_outcomes());
-        }
-    });
-    outcomes
-}
-
-/// What was placed here since it was last asked for.
-fn own_placements(board: &Shared) -> Vec<load::Placement> {
-    let mut placements = Vec::new();
+/// What the dispatchers here have to tell since it was last taken.
+fn taken<T>(board: &Shared, take: impl Fn(&mut dispatch::Dispatcher) -> Vec<T>) -> Vec<T> {
+    let mut all = Vec::new();
     board.dispatchers.each(|shard| {
         for dispatcher in shard.values_mut() {
-            placements.extend(dispatcher.take_placements());
+            all.extend(take(dispatcher));
         }
     });
-    placements
+    all
 }
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -4,7 +4,9 @@
 
 use scalewood::core::{
     dispatch::Prefix,
-    load::{difference, merge, Count, Hub, Load, Loaded, Loads, News, Outcome, Placement, Risk},
+    load::{
+        difference, merge, Count, Hub, Load, Loaded, Loads, News, Outcome, Placement, Prompts, Risk,
+    },
     name,
 };
 
@@ -345,3 +347,43 @@
         .any(|(name, chance)| name == "a" && *chance > 300));
     assert!(heard.iter().all(|(name, _)| name != "b"), "{heard:?}");
 }
+
+#[test]
+fn a_box_that_starts_hears_how_large_the_prompts_of_each_class_are() {
+    let (mut near, mut far, one, other) = linked();
+    let seen = |class: &str, count, tokens| Prompts {
+        class: class.parse().unwrap(),
+        count,
+        tokens,
+    };
+    let tell = |prompts| News {
+        prompts,
+        ..News::default()
+    };
+    let told = tell(vec![seen("report", 2, 24_000), seen("question", 10, 8000)]);
+    let heard = near.exchange(&one, false, told, START).news.prompts;
+    assert_eq!(
+        heard.len(),
+        2,
+        "it may have seen too few to know: {heard:?}"
+    );
+    pass(&mut near, "c1", &mut far, "c2", false, START);
+    let heard = far
+        .exchange(&other, false, News::default(), START)
+        .news
+        .prompts;
+    assert_eq!(
+        heard,
+        [seen("question", 10, 8000), seen("report", 2, 24_000)]
+    );
+    // What moves the mean by little is not told again, what moves it by much is.
+    let little = tell(vec![seen("question", 1, 900)]);
+    assert!(far
+        .exchange(&other, false, little, START)
+        .news
+        .prompts
+        .is_empty());
+    let much = tell(vec![seen("report", 2, 48_000)]);
+    let heard = far.exchange(&other, false, much, START).news.prompts;
+    assert_eq!(heard, [seen("report", 4, 72_000)]);
+}
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -12,7 +12,7 @@
     dispatch::{
         Ask, Dispatcher, End, Input, Order, Placed, Prefix, Reason, Report, Settings, Spec,
     },
-    load::{Load, Loads, Placement, Risk},
+    load::{Load, Loads, Placement, Prompts, Risk},
     name, risk, unit,
 };
 
@@ -723,3 +723,31 @@
     let next = granted(&mut fresh, ask(2, "short", 7), true, START);
     assert_eq!(next, elsewhere, "it is kept there");
 }
+
+#[test]
+fn a_box_that_has_seen_nothing_places_prompts_as_the_others_do() {
+    let seen = |class: &str, count, tokens| Prompts {
+        class: class.parse().unwrap(),
+        count,
+        tokens,
+    };
+    let prompts = vec![seen("long", 10, 68_000), seen("short", 100, 80_000)];
+    let at = places(&mut dispatcher());
+    assert!(at["short"].is_disjoint(&at["long"]));
+    let place = |endpoint: String| endpoint[2..].parse::<usize>().unwrap();
+    for prefix in 0..40 {
+        let mut fresh = dispatcher();
+        fresh.step(Input::Prompts(prompts.clone()), START);
+        let placed = granted(&mut fresh, ask(1, "short", prefix), true, START);
+        assert!(at["short"].contains(&place(placed)), "its first prompt");
+        let small = Ask {
+            prompt: unit::Tokens(900),
+            ..ask(2, "long", prefix)
+        };
+        let placed = granted(&mut fresh, small, true, START);
+        assert!(
+            at["long"].contains(&place(placed)),
+            "a small one of long ones"
+        );
+    }
+}
