--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod route;
 mod routed;
 mod settings;
+mod size;
 mod soak;
 mod stop;
 mod support;
