--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod callers;
 mod chaos;
+mod ci;
 mod control;
 mod events;
 mod explain;
