Tests that fail: a box waits for voters that tell of a configuration and do not give it

Found by looking for the cause of an incident in which boxes handled requests by an old configuration 2.6 s after a newer one was acknowledged. With two voters that tell of a new revision and never answer, a box has it from a third 4.01 s after that one told (aim 1.5): one fetch at a time, two seconds each. Fetches that fail leave no line, and nothing tells how far a box is behind.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod failure;
 mod feed;
+mod follow;
 mod help;
 mod invariant;
 mod journal;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod deploy;
 pub(crate) mod forwarder;
 pub(crate) mod routed;
+pub(crate) mod voter;
--- /dev/null
+++ b/tests/testsuite/support/voter.rs
@@ -0,0 +1,165 @@
+//! A stand-in for a voter as boxes see it: it tells of a configuration, and gives it out, keeps
+//! it back or fails, as the test says.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use jsonrpsee::{
+    core::{async_trait, RpcResult, SubscriptionResult},
+    server::ServerHandle,
+    types::ErrorObjectOwned,
+    PendingSubscriptionSink, SubscriptionMessage,
+};
+use scalewood::{
+    board::feed::Feed,
+    core::{change::Step, config, load, name, pace, unit},
+    ops::rpc,
+    wire::{
+        registry::{News, RegistryServer, Update, Whole},
+        source::{self, SourceServer},
+    },
+};
+use serde_json::value::RawValue;
+use tokio::sync::watch;
+
+/// How often followers hear at least.
+const ALIVE: Duration = Duration::from_millis(500);
+
+/// What it does when it is asked for the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Gives {
+    /// It gives it at once.
+    Well,
+    /// It never answers.
+    Nothing,
+    /// It answers with an error.
+    Errors,
+}
+
+/// The stand-in.
+#[derive(Clone, Debug)]
+pub(crate) struct Voter {
+    feed: Arc<Feed>,
+    gives: watch::Sender<Gives>,
+    asked: Arc<AtomicU32>,
+}
+
+impl Voter {
+    /// Serves at an address until the handle is dropped.
+    pub(crate) async fn start(address: SocketAddr) -> (Self, ServerHandle) {
+        let voter = Self {
+            feed: Arc::default(),
+            gives: watch::Sender::new(Gives::Well),
+            asked: Arc::default(),
+        };
+        let mut methods = RegistryServer::into_rpc(voter.clone());
+        methods
+            .merge(SourceServer::into_rpc(voter.clone()))
+            .unwrap();
+        (voter, rpc::serve(address, methods).await.unwrap())
+    }
+
+    /// Tells of a configuration from now on.
+    pub(crate) fn publish(&self, revision: u64, document: &config::Document) {
+        let document = Arc::new(document.clone());
+        self.feed.publish_whole(unit::Revision(revision), document);
+    }
+
+    /// Sets what it does when it is asked.
+    pub(crate) fn set(&self, gives: Gives) {
+        self.gives.send_replace(gives);
+    }
+
+    /// How often it was asked for the configuration.
+    pub(crate) fn asked(&self) -> u32 {
+        self.asked.load(Ordering::Relaxed)
+    }
+}
+
+#[async_trait]
+impl RegistryServer for Voter {
+    async fn follow(
+        &self,
+        pending: PendingSubscriptionSink,
+        _who: name::Box,
+    ) -> SubscriptionResult {
+        let sink = pending.accept().await?;
+        let mut feed = self.feed.watch();
+        loop {
+            let news = News {
+                revision: feed.borrow_and_update().revision,
+                followers: 1,
+                ..News::default()
+            };
+            let raw = serde_json::value::to_raw_value(&news)?;
+            if sink.send(SubscriptionMessage::from(raw)).await.is_err() {
+                return Ok(());
+            }
+            let _ = tokio::time::timeout(ALIVE, feed.changed()).await;
+        }
+    }
+
+    async fn measured(&self, _who: name::Box, _paces: Vec<pace::Paced>) -> RpcResult<()> {
+        Ok(())
+    }
+
+    async fn exchange(
+        &self,
+        _who: name::Box,
+        _anew: bool,
+        _told: load::News,
+    ) -> RpcResult<Option<load::Answer>> {
+        Ok(None)
+    }
+
+    async fn share(&self, _who: name::Box, _anew: bool, _told: load::News) -> RpcResult<bool> {
+        Ok(true)
+    }
+
+    async fn document(&self, newer_than: unit::Revision) -> RpcResult<Option<Update>> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let gives = *self.gives.borrow();
+        match gives {
+            Gives::Well => {}
+            Gives::Nothing => std::future::pending().await,
+            Gives::Errors => {
+                return Err(ErrorObjectOwned::owned(1, "not now", None::<()>));
+            }
+        }
+        let state = self.feed.current();
+        if let Some(steps) = state.since(newer_than).filter(|steps| !steps.is_empty()) {
+            let steps = steps.iter().map(|step| Step::clone(step));
+            return Ok(Some(Update::Steps(steps.collect())));
+        }
+        Ok(Some(Update::Whole(Whole {
+            revision: state.revision,
+            document: RawValue::from_string(state.text().unwrap().to_string()).unwrap(),
+        })))
+    }
+}
+
+#[async_trait]
+impl SourceServer for Voter {
+    /// As a source it is far behind and alive, so a configuration comes only on demand.
+    async fn follow(
+        &self,
+        pending: PendingSubscriptionSink,
+        _who: name::Box,
+        from: unit::Revision,
+    ) -> SubscriptionResult {
+        let sink = pending.accept().await?;
+        loop {
+            let raw = serde_json::value::to_raw_value(&source::Update::Alive(from))?;
+            if sink.send(SubscriptionMessage::from(raw)).await.is_err() {
+                return Ok(());
+            }
+            tokio::time::sleep(ALIVE).await;
+        }
+    }
+}
