A box asks the next voter beside one that does not give its configuration

Cause: a box fetched from one voter at a time and waited two seconds for each, so what it decided by was as old as its slowest voters; a fetch that failed left no line, and each news started a fetch of its own.

Now a pure machine (core/catchup) says whom to ask and when: own zone first, the next one 0.4 s later beside it, three at once at most, one that failed left alone for 0.5 s; the first good answer wins and the others are dropped. 2005 tells what failed and why, 2006 that the box is behind for over a second, the metric scalewood_config_behind_seconds for how long, and each final answer (3311) how far the box was behind when it gave it.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -10,11 +10,11 @@
 };
 
 use arc_swap::ArcSwap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 
 use crate::{
     board::{feed, view},
-    core::{attempt, claim, dispatch, limit, member, name, pace, registry, retry, unit},
+    core::{attempt, catchup, claim, dispatch, limit, member, name, pace, registry, retry, unit},
     util::{
         clock::Clock,
         lock::{lock, Sharded},
@@ -137,8 +137,10 @@
     pub linked_since: Mutex<Option<Duration>>,
     /// How many boxes use the same endpoints, this one included; 0 if that is not known.
     pub sharers: AtomicU32,
-    /// Held while a configuration is fetched, so that only one is at a time.
-    pub fetching: tokio::sync::Mutex<()>,
+    /// Which configuration the voters that are followed tell of, and who was asked for it.
+    pub catchup: Mutex<catchup::Catchup>,
+    /// Wakes the fetcher when a voter tells of a newer configuration.
+    pub told: Notify,
     /// Whether this box is about to stop.
     pub draining: AtomicBool,
     /// Whether this box takes new work.
@@ -187,7 +189,8 @@
             links_up: Mutex::new(0),
             linked_since: Mutex::new(None),
             sharers: AtomicU32::new(0),
-            fetching: tokio::sync::Mutex::new(()),
+            catchup: Mutex::default(),
+            told: Notify::new(),
             draining: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             pulse: AtomicU64::new(millis(now)),
--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod agree;
 pub mod attempt;
 pub mod audit;
+pub mod catchup;
 pub mod change;
 pub mod claim;
 pub mod config;
--- a/src/scalewood/ops/entry/directory.rs
+++ b/src/scalewood/ops/entry/directory.rs
@@ -1,4 +1,4 @@
-//! Follows the registry of every voter, and the configuration where it lags here.
+//! Follows the registry of every voter, and hears which configuration each has.
 //!
 //! One connection to each voter: whichever of them an endpoint spoke to, this box hears
 //! of it at once, and no single voter that is cut off or behind can keep news from it.
@@ -14,14 +14,14 @@
 use tokio::sync::watch;
 
 use crate::{
-    core::{dispatch, name, pace, registry},
+    core::{dispatch, name, pace, registry, unit},
     event,
     ops::{
-        entry::{desk, exchange, now, Shared},
+        entry::{desk, exchange, fetch, now, Shared},
         rpc,
     },
     util::lock::lock,
-    wire::registry::{News, RegistryClient as _, Update},
+    wire::registry::{News, RegistryClient as _},
 };
 
 /// How long a voter may be silent.
@@ -35,11 +35,6 @@
 const SOON_TRIES: u32 = 8;
 /// How long a voter that is no member any more is still followed.
 const ATTEMPTS: u32 = 40;
-/// How long a document may take.
-const DOCUMENT: Duration = Duration::from_secs(2);
-/// How much later a configuration is fetched from a voter of another zone: replication to a
-/// voter here takes a heartbeat of the leader at most, and a change has seconds to be in force.
-const OWN_ZONE_FIRST: Duration = Duration::from_millis(250);
 /// How long after its first link to a voter a box takes endpoints that voters only remember.
 const JUST_STARTED: Duration = Duration::from_secs(2);
 /// How long an endpoint may be unheard of before it is forgotten.
@@ -63,6 +58,7 @@
 pub(super) async fn run(board: Shared, mut voters: watch::Receiver<Vec<SocketAddr>>) {
     let followed = Followed::default();
     tokio::spawn(exchange::run(board.clone(), followed.clone()));
+    tokio::spawn(fetch::run(board.clone(), followed.clone()));
     loop {
         let named = voters.borrow_and_update().clone();
         add(&board, &followed, &named);
@@ -112,6 +108,7 @@
             note_client(&followed, voter, Some(client.clone()));
             follow(&board, &followed, voter, &client).await;
             note_client(&followed, voter, None);
+            lock(&board.catchup).lost(voter);
             note_link(&board, -1);
             event!(board.log, RegistryLost, "voter" => %voter);
         }
@@ -133,18 +130,13 @@
     }
 }
 
-/// How long a voter's newer configuration waits for one of this box's zone: what comes from
-/// another zone costs a link between zones, and reaches it as many times as it has boxes.
-fn lag(board: &Shared, followed: &Followed, voter: SocketAddr) -> Duration {
-    let followed = lock(followed);
-    let is_near = |known: &Voter| known.zone.as_ref() == Some(&board.own.zone);
-    let near = followed
-        .values()
-        .any(|known| known.client.is_some() && is_near(known));
-    if near && !followed.get(&voter).is_some_and(is_near) {
-        OWN_ZONE_FIRST
-    } else {
-        Duration::ZERO
+/// Notes the revision that a voter tells, for the fetcher.
+fn note_revision(board: &Shared, followed: &Followed, voter: SocketAddr, revision: unit::Revision) {
+    let zone = lock(followed).get(&voter).and_then(|v| v.zone.clone());
+    let near = zone.as_ref() == Some(&board.own.zone);
+    lock(&board.catchup).told(voter, revision, near, now(board));
+    if revision > board.feed.current().revision {
+        board.told.notify_one();
     }
 }
 
@@ -174,12 +166,8 @@
                 if let Some(zone) = &next.zone {
                     note_zone(followed, voter, zone);
                 }
-                let newer = next.revision > board.feed.current().revision;
+                note_revision(board, followed, voter, next.revision);
                 take(board, next);
-                if newer {
-                    let wait = lag(board, followed, voter);
-                    tokio::spawn(fetch(board.clone(), client.clone(), wait));
-                }
             }
             Ok(_) => return,
             Err(_) if now(board) > heard + SILENCE => return,
@@ -261,34 +249,3 @@
         desk::input(board, &service, dispatch::Input::Sharers(count));
     }
 }
-
-/// Fetches the configuration after a wait, if no other voter has brought it meanwhile.
-async fn fetch(board: Shared, client: Arc<WsClient>, wait: Duration) {
-    tokio::time::sleep(wait).await;
-    let _one = board.fetching.lock().await;
-    let before = board.feed.current().revision;
-    let asked = tokio::time::timeout(DOCUMENT, client.document(before)).await;
-    let Ok(Ok(Some(update))) = asked else { return };
-    match update {
-        Update::Steps(steps) => {
-            for step in steps {
-                // What another source has brought meanwhile does not fit any more.
-                board.feed.publish_step(step);
-            }
-        }
-        Update::Whole(whole) => {
-            match serde_json::from_str(whole.document.get()) {
-                Ok(document) => board.feed.publish_whole(whole.revision, Arc::new(document)),
-                Err(error) => {
-                    event!(board.log, DocumentUnreadable, "revision" => %whole.revision,
-                        "why" => %error);
-                    return;
-                }
-            };
-        }
-    }
-    let revision = board.feed.current().revision;
-    if revision > before {
-        event!(board.log, RevisionInForce, "revision" => %revision);
-    }
-}
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -9,6 +9,7 @@
 //! - `claim`: claims keys, and reads claims back after a start.
 //! - `poll`: asks endpoints how they are.
 //! - `directory`: follows the endpoints that announce themselves.
+//! - `fetch`: has the newest configuration that a voter tells of in force.
 //! - `exchange`: tells what this box has at endpoints, and hears what the others have.
 //! - `routed`: serves requests of routes.
 //! - `caller`: the HTTP server that callers see.
@@ -44,6 +45,7 @@
 pub mod dialect;
 mod directory;
 mod exchange;
+mod fetch;
 mod health;
 mod link;
 mod member;
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -449,6 +449,7 @@
     pub(super) fn log_end(&self, status: StatusCode, code: &str, verdict: verdict::Verdict) {
         let routed = &self.routed;
         let took = self.now().saturating_sub(routed.call.arrived);
+        let behind = lock(&self.context.board.catchup).behind(self.now());
         event!(self.context.board.log, RequestEnded, "id" => routed.head.id.as_deref(),
             "route" => %routed.call.key, "team" => %routed.call.team, "rank" => %routed.rank,
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
@@ -458,7 +459,7 @@
             "first_ms" => self.observer.first_after().map(|first| first.as_millis()),
             "pause_ms" => self.observer.longest_pause().as_millis(),
             "took_ms" => took.as_millis(), "status" => status.as_u16(), "code" => code, "verdict" => %verdict,
-            "revision" => %routed.revision);
+            "revision" => %routed.revision, "behind_ms" => behind.as_millis());
     }
 }
 
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -99,10 +99,12 @@
         let routed = match self.route(request, head, arrived).await {
             Ok(routed) => routed,
             Err(refusal) => {
+                let behind = lock(&self.board.catchup).behind(now(&self.board));
                 event!(self.board.log, RequestEnded, "id" => id.as_deref(),
                     "status" => refusal.status.as_u16(), "code" => refusal.code,
                     "verdict" => %refusal.verdict,
-                    "revision" => %self.board.view.load().revision);
+                    "revision" => %self.board.view.load().revision,
+                    "behind_ms" => behind.as_millis());
                 return reply::refusal::<D>(&refusal, id.as_deref());
             }
         };
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -54,6 +54,8 @@
     SourceLost = 2002, Warning, "the source of configuration can't be reached";
     SourceFound = 2003, Info, "the configuration is followed from a source";
     DocumentUnreadable = 2004, Error, "a configuration that was fetched can't be read";
+    RevisionNotFetched = 2005, Warning, "a newer configuration could not be fetched from a voter";
+    RevisionBehind = 2006, Warning, "voters have had a newer configuration for long";
     ChangeAccepted = 2101, Info, "a change was accepted";
     ChangeRefused = 2102, Info, "a change was not applied";
     TokenRefused = 2103, Warning, "a request with a wrong or missing token was refused";
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -108,6 +108,8 @@
     pub policy_failures: Counter,
     /// The configuration revision in force here.
     pub revision: Gauge,
+    /// For how many seconds a voter has told of a newer revision.
+    pub behind: Gauge<f64, AtomicU64>,
     /// Whether this process takes new work.
     pub ready: Gauge,
     breaches: Family<RuleLabel, Gauge<f64, AtomicU64>>,
@@ -128,6 +130,7 @@
             running: Family::default(),
             policy_failures: Counter::default(),
             revision: Gauge::default(),
+            behind: Gauge::default(),
             ready: Gauge::default(),
             breaches: Family::default(),
         };
@@ -194,6 +197,11 @@
             "Revision in force here",
             self.revision.clone(),
         );
+        r.register(
+            "config_behind_seconds",
+            "For how long a voter has told of a newer revision",
+            self.behind.clone(),
+        );
         r.register("ready", "Whether new work is taken", self.ready.clone());
         r.register(
             "invariant_breaches",
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -15,8 +15,9 @@
 
 use jsonrpsee::server::ServerHandle;
 use scalewood::core::{
+    catchup::Catchup,
     change::{Edit, Item},
-    config,
+    config, unit,
 };
 
 use crate::support::{
@@ -169,3 +170,89 @@
     scene.in_force(2.0).await;
     assert_eq!(scene.metric(behind).await, Some(0.0));
 }
+
+fn at(i: u16) -> SocketAddr {
+    SocketAddr::new([10, 0, 0, 1].into(), i)
+}
+
+const START: Duration = Duration::from_secs(10);
+const STEP: Duration = Duration::from_millis(10);
+
+/// A box at revision 1 whose voters have all told of it; the first is in its zone.
+fn at_rest(voters: u16) -> Catchup {
+    let mut catchup = Catchup::default();
+    for i in 1..=voters {
+        catchup.told(at(i), unit::Revision(1), i == 1, START);
+    }
+    assert!(catchup.reached(unit::Revision(1)));
+    catchup
+}
+
+/// Whom it asks until a time, and when after the start.
+fn asks(catchup: &mut Catchup, until: Duration) -> Vec<(u16, u128)> {
+    let mut asked = Vec::new();
+    let mut now = START;
+    while now < START + until {
+        while let Some(voter) = catchup.next(now) {
+            asked.push((voter.port(), (now - START).as_millis()));
+        }
+        now += STEP;
+    }
+    asked
+}
+
+#[test]
+fn voters_are_asked_beside_those_that_do_not_answer() {
+    let mut catchup = at_rest(5);
+    for i in 1..=5 {
+        catchup.told(at(i), unit::Revision(2), i == 1, START);
+    }
+    let asked = asks(&mut catchup, Duration::from_secs(3));
+    assert_eq!(
+        asked,
+        [(1, 0), (2, 400), (3, 800)],
+        "three at a time at most"
+    );
+}
+
+#[test]
+fn a_voter_of_another_zone_waits_for_the_one_of_this_zone() {
+    let mut catchup = at_rest(3);
+    catchup.told(at(2), unit::Revision(2), false, START);
+    assert_eq!(catchup.next(START), None);
+    assert_eq!(catchup.due(START), Some(START + Duration::from_millis(250)));
+    catchup.told(at(1), unit::Revision(2), true, START + STEP);
+    assert_eq!(catchup.next(START + STEP), Some(at(1)));
+}
+
+#[test]
+fn a_voter_that_fails_is_left_alone_and_the_next_one_asked_at_once() {
+    let mut catchup = at_rest(3);
+    for i in 1..=3 {
+        catchup.told(at(i), unit::Revision(2), false, START);
+    }
+    let now = START + Duration::from_millis(250);
+    for i in 1..=3 {
+        // None of this zone has it; the others are asked after a moment.
+        assert_eq!(catchup.next(now), Some(at(i)));
+        assert_eq!(catchup.next(now), None, "one at first");
+        catchup.answered(at(i), false, now);
+    }
+    assert_eq!(catchup.next(now), None);
+    let again = now + Duration::from_millis(500);
+    assert_eq!(catchup.due(now), Some(again));
+    assert_eq!(catchup.next(again), Some(at(1)));
+}
+
+#[test]
+fn a_box_is_behind_since_a_voter_told_of_what_it_has_not() {
+    let mut catchup = at_rest(2);
+    assert_eq!(catchup.behind(START + STEP), Duration::ZERO);
+    catchup.told(at(1), unit::Revision(2), true, START);
+    catchup.told(at(2), unit::Revision(3), false, START + STEP);
+    assert_eq!(catchup.behind(START + 3 * STEP), 3 * STEP);
+    assert!(!catchup.reached(unit::Revision(2)));
+    assert_eq!(catchup.behind(START + 3 * STEP), 2 * STEP, "for the third");
+    catchup.lost(at(2));
+    assert_eq!(catchup.behind(START + 3 * STEP), Duration::ZERO);
+}
