What endpoints turn away is paid for as what is sent again

Two counts now: what a request may still try (a miss costs it none), and what the service may still be sent (every arrival costs one; a connection that was never opened none). The allowance of all boxes, ratio and slack, is a setting that the platform fills; a box's part of the slack follows from the number of boxes, so that all together stay below it whatever their number. A first attempt earns 0.9 of the ratio (0.18, before 0.1 for tries that reached).

--- a/src/scalewood/core/retry.rs
+++ b/src/scalewood/core/retry.rs
@@ -33,6 +33,40 @@
     }
 }
 
+/// What all boxes together may send to a service beyond the first of each request, whatever
+/// comes of it: what an endpoint turns away has arrived there too.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// For each request.
+    pub ratio: f64,
+    /// Beside that, in any window.
+    pub slack: f64,
+}
+
+impl Default for Allowance {
+    /// A fifth more load at most when everything fails, and some retries where there is next
+    /// to no traffic to earn them.
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            slack: 20.0,
+        }
+    }
+}
+
+impl Allowance {
+    /// One box's part, where so many use the service. Requests earn all of their ratio but a
+    /// tenth, and the slack is shared out but for a fifth, for boxes that do not know yet
+    /// of others that have started.
+    pub fn part(&self, boxes: u32) -> (f64, f64) {
+        const EARNED: f64 = 0.9;
+        const SAVED: f64 = 0.8;
+        let most = self.slack * SAVED / f64::from(boxes.max(1));
+        // Below a whole retry a box could not make any.
+        (self.ratio * EARNED, most.max(1.0))
+    }
+}
+
 /// The retries that a service has left.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -49,6 +83,13 @@
         }
     }
 
+    /// Sets what a first attempt earns, and the most that is saved up.
+    pub fn set(&mut self, (earned, most): (f64, f64)) {
+        self.settings.earned = earned;
+        self.settings.most = most;
+        self.saved = self.saved.min(most);
+    }
+
     /// Whether a retry is left.
     pub fn has_any(&self) -> bool {
         self.saved >= 1.0
--- a/src/scalewood/ops/entry/caller.rs
+++ b/src/scalewood/ops/entry/caller.rs
@@ -73,7 +73,7 @@
             .await
             .change_context(Error)
             .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
-        let routes = routed::Context::new(board.clone(), settings.limits.clone());
+        let routes = routed::Context::new(board.clone(), settings.limits.clone(), settings.retries);
         tokio::spawn(routes.clone().sweep());
         let context = Context {
             board,
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     board::entry::{Board, Own},
-    core::{name, unit},
+    core::{name, retry, unit},
     event,
     ops::{breach, reload, rpc, source},
     util::{
@@ -80,6 +80,8 @@
     pub voters: Vec<SocketAddr>,
     /// How callers are treated.
     pub limits: Limits,
+    /// What all boxes together may send again to a service of a routing.
+    pub retries: retry::Allowance,
     /// How long a claimed key is remembered.
     pub retention: Duration,
     /// How long callers are still taken after readiness went down.
@@ -128,6 +130,22 @@
     }
 }
 
+impl settings::Settings for retry::Allowance {
+    fn read(reader: &mut settings::Reader<'_>) -> Self {
+        let default = Self::default();
+        let allowance = Self {
+            ratio: reader.number("ratio", default.ratio),
+            slack: reader.number("slack", default.slack),
+        };
+        for (key, value) in [("ratio", allowance.ratio), ("slack", allowance.slack)] {
+            if !(0.0..=1e9).contains(&value) {
+                reader.problem(key, "it can't be below 0 or without end", "0.2");
+            }
+        }
+        allowance
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
@@ -138,6 +156,7 @@
             health: ([127, 0, 0, 1], 7202).into(),
             voters: Vec::new(),
             limits: Limits::default(),
+            retries: retry::Allowance::default(),
             retention: Duration::from_secs(300),
             grace: Duration::from_secs(2),
             drain: Duration::from_secs(600),
@@ -166,6 +185,7 @@
                 .filter_map(|v| v.0)
                 .collect(),
             limits: reader.object("limits"),
+            retries: reader.object("retries"),
             retention: reader.duration("claim_retention", default.retention),
             grace: reader.duration("stop_grace", default.grace),
             drain: reader.duration("stop_drain", default.drain),
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts at endpoints, until one answers or none may follow.
 
-use std::{collections::HashMap, future::Future, time::Duration};
+use std::{collections::HashMap, future::Future, sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -42,14 +42,10 @@
 const RECHECK: Duration = Duration::from_millis(100);
 /// How long the rest of a refusal may take, for its connection to be kept.
 const REST: Duration = Duration::from_millis(50);
-/// The settings of a service's retry budget: this box's part of what all may spend.
-const BUDGET: retry::Settings = retry::Settings {
-    earned: 0.1,
-    most: 4.0,
-    base: Duration::from_millis(10),
-    cap: Duration::from_millis(50),
-    attempts: MAX_TRIES,
-};
+/// The longest wait before the first retry, and before any: requests are due within some
+/// hundred milliseconds.
+const WAIT: Duration = Duration::from_millis(10);
+const LONGEST_WAIT: Duration = Duration::from_millis(50);
 
 /// A request on its way to a final answer.
 #[derive(Debug)]
@@ -102,7 +98,13 @@
         let label = metric::ClassLabel::from(&routed.call.key);
         board.metrics.offered.get_or_create(&label).inc();
         let service = &routed.call.key.service;
-        budget(&mut board.budgets.shard(service), service).earn();
+        let part = context.retries.part(board.sharers.load(Ordering::Relaxed));
+        {
+            let mut shard = board.budgets.shard(service);
+            let budget = budget(&mut shard, service, part);
+            budget.set(part);
+            budget.earn();
+        }
         Self {
             context,
             routed,
@@ -410,9 +412,17 @@
     }
 
     fn has_budget(&self) -> bool {
+        let service = &self.routed.call.key.service;
+        let shard = self.context.board.budgets.shard(service);
+        shard.get(service).is_some_and(retry::Budget::has_any)
+    }
+
+    /// Has the service's budget pay for one more arrival, after so many tries of this request;
+    /// how long to wait before it.
+    fn pay(&self, tries: u32) -> Option<Duration> {
         let service = &self.routed.call.key.service;
         let mut shard = self.context.board.budgets.shard(service);
-        budget(&mut shard, service).has_any()
+        shard.get_mut(service)?.spend(tries, rand::random())
     }
 
     /// How long to wait before the next attempt, if there may be one.
@@ -430,13 +440,13 @@
         if !harmless && (!route.kind.is_repeatable() || self.runs >= route.attempts) {
             return None;
         }
-        if failure.is_miss() {
-            // Nothing ran and nothing waits to run, so nothing is repeated.
-            return Some(Duration::ZERO);
+        match failure.end {
+            // Nothing has arrived, so nothing is sent a second time.
+            dispatch::End::Unreachable => Some(Duration::ZERO),
+            // What an endpoint turned away arrived there; it costs this request no try.
+            dispatch::End::Mistaken => self.pay(0).map(|_| Duration::ZERO),
+            _ => self.pay(self.reached()),
         }
-        let service = &self.routed.call.key.service;
-        let mut shard = self.context.board.budgets.shard(service);
-        budget(&mut shard, service).spend(self.reached(), rand::random())
     }
 
     /// Passes an endpoint's own failure on.
@@ -472,12 +482,20 @@
     }
 }
 
-/// A service's budget of retries.
+/// A service's budget of retries, new ones with what a box may earn and save up.
 fn budget<'a>(
     budgets: &'a mut HashMap<name::Service, retry::Budget>,
     service: &name::Service,
+    (earned, most): (f64, f64),
 ) -> &'a mut retry::Budget {
+    let settings = retry::Settings {
+        earned,
+        most,
+        base: WAIT,
+        cap: LONGEST_WAIT,
+        attempts: MAX_TRIES,
+    };
     budgets
         .entry(service.clone())
-        .or_insert_with(|| retry::Budget::new(BUDGET))
+        .or_insert_with(|| retry::Budget::new(settings))
 }
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     board::view::View,
-    core::{config, name, route, unit},
+    core::{config, name, retry, route, unit},
     event,
     ops::entry::{
         body::Answer,
@@ -51,6 +51,7 @@
     board: Shared,
     pool: pool::Pool,
     limits: Limits,
+    retries: retry::Allowance,
     longest: returning::Longest,
     started: Duration,
     dialect: PhantomData<D>,
@@ -71,8 +72,9 @@
 }
 
 impl<D: Dialect> Context<D> {
-    pub(super) fn new(board: Shared, limits: Limits) -> Self {
+    pub(super) fn new(board: Shared, limits: Limits, retries: retry::Allowance) -> Self {
         Self {
+            retries,
             started: now(&board),
             board,
             pool: pool::Pool::default(),
--- a/tests/testsuite/routed.rs
+++ b/tests/testsuite/routed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use scalewood::{
-    core::registry::State,
+    core::{registry::State, retry},
     ops::entry::dialect::{Dialect as _, Native},
 };
 
@@ -177,6 +177,41 @@
     );
 }
 
+/// Seen: a quarter more arrivals at a service than the boxes may send again, while many of its
+/// endpoints were replaced at once. How it came about: requests went on to the next endpoint
+/// at once, up to seven times, and only tries that an endpoint meant took from the budget. Cause:
+/// one count for two things, what a request may still try and what a service may still be sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_endpoints_turn_away_is_paid_for_as_what_is_sent_again() {
+    const REQUESTS: usize = 12;
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints) = system(60, dir.path()).await;
+    for endpoint in &endpoints {
+        endpoint.next(Act::Mistaken);
+    }
+    let mut served = 0;
+    for i in 0..REQUESTS {
+        let path = format!("/safe/{i}");
+        let answer = system.call("GET", &path, "moved").await.unwrap();
+        assert!(matches!(answer.status, 200 | 503), "{}", answer.status);
+        served += usize::from(answer.status == 200);
+    }
+    let arrivals: usize = (0..REQUESTS)
+        .map(|i| seen(&endpoints, &format!("/safe/{i}")))
+        .sum();
+    let retry::Allowance { ratio, slack } = retry::Allowance::default();
+    let allowed = ratio * REQUESTS as f64 + slack;
+    assert!(arrivals > REQUESTS, "some are sent again");
+    assert!(
+        ((arrivals - REQUESTS) as f64) <= allowed,
+        "{arrivals} for {REQUESTS}"
+    );
+    // Once the endpoints that have gone are known, or the budget is earned, all is served.
+    endpoints.iter().for_each(Endpoint::calm);
+    system.wait_served().await;
+    assert!(served < REQUESTS, "the budget was dry before the end");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_whole_or_visibly_cut_and_goes_on_elsewhere_where_it_may() {
     let dir = tempfile::tempdir().unwrap();
