--- a/src/scalewood/core/catchup.rs
+++ b/src/scalewood/core/catchup.rs
@@ -3,8 +3,8 @@
 //! Voters are asked one after the other without waiting for those before to answer, and the
 //! first good answer wins. So the age of what a box decides by does not depend on the slowest
 //! voter: while two voters tell and do not give, a third one's configuration is in force
-//! after [`OWN_ZONE_FIRST`] and two times [`HEDGE`], 1.05 s, and the time of one fetch. The
-//! shortest time within which a change has to be in force is two seconds.
+//! after 1.05 s (`OWN_ZONE_FIRST` and two times `HEDGE`) and the time of one fetch. The shortest
+//! time within which a change has to be in force is two seconds.
 
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration};
 
