--- a/tests/testsuite/leave.rs
+++ b/tests/testsuite/leave.rs
@@ -2,11 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use scalewood::core::registry::State;
-
 use crate::support::{
     client, deploy,
-    routed::{routing, text, Act, Endpoint, System, HOST},
+    routed::{seen, serving, Act, Endpoint, System, HOST},
 };
 
 /// Callers that leave unread: one in eight was served without a look at its connection.
@@ -14,29 +12,10 @@
 /// How soon after a caller has left its work has ended.
 const ENDED: Duration = Duration::from_millis(500);
 
-async fn system(endpoints: usize, dir: &std::path::Path) -> (System, Vec<Endpoint>) {
-    let system = System::start(1, dir);
-    assert_eq!(system.publish(&text(&routing(7))).await, 200);
-    let mut started = Vec::new();
-    for i in 0..endpoints {
-        let port = u16::try_from(9000 + i).unwrap();
-        let endpoint = Endpoint::start(&format!("i-{i}"), (system.host, port).into()).await;
-        system.announce(0, &endpoint.record(1, State::Ready)).await;
-        started.push(endpoint);
-    }
-    system.wait_served().await;
-    (system, started)
-}
-
 fn running(endpoints: &[Endpoint]) -> usize {
     endpoints.iter().map(Endpoint::running).sum()
 }
 
-fn seen(endpoints: &[Endpoint], path: &str) -> usize {
-    let all = endpoints.iter().flat_map(Endpoint::seen);
-    all.filter(|seen| seen.path == path).count()
-}
-
 /// Sends a request on a connection of its own and leaves once an endpoint is at work on it.
 async fn leave(system: &System, endpoints: &[Endpoint], method: &'static str, path: &'static str) {
     let callers = system.callers();
@@ -59,7 +38,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn work_for_a_caller_that_left_ends_at_once_and_is_not_begun_elsewhere() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(2, dir.path()).await;
+    let (system, endpoints) = serving(2, dir.path()).await;
     let cases = [
         ("GET", "/safe/left", Act::Hang),
         ("POST", "/stream/left", Act::Hang),
@@ -94,7 +73,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_reaches_an_endpoint_for_a_caller_that_left_unread() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(1, dir.path()).await;
+    let (system, endpoints) = serving(1, dir.path()).await;
     let entry = system.entry.as_ref().unwrap();
     // A box that stands still reads nothing; its callers give up and close.
     entry.signal("STOP");
--- a/tests/testsuite/routed.rs
+++ b/tests/testsuite/routed.rs
@@ -10,34 +10,13 @@
 
 use crate::support::{
     client, deploy,
-    routed::{routing, text, Act, Endpoint, System, EVENTS, HOST},
+    routed::{routing, seen, serving, text, Act, Endpoint, System, EVENTS, HOST},
 };
 
-/// A system with one voter and so many endpoints that serve.
-async fn system(endpoints: usize, dir: &std::path::Path) -> (System, Vec<Endpoint>) {
-    let system = System::start(1, dir);
-    assert_eq!(system.publish(&text(&routing(7))).await, 200);
-    let mut started = Vec::new();
-    for i in 0..endpoints {
-        let port = u16::try_from(9000 + i).unwrap();
-        let address = (system.host, port).into();
-        let endpoint = Endpoint::start(&format!("i-{i}"), address).await;
-        system.announce(0, &endpoint.record(1, State::Ready)).await;
-        started.push(endpoint);
-    }
-    system.wait_served().await;
-    (system, started)
-}
-
-fn seen(endpoints: &[Endpoint], path: &str) -> usize {
-    let all = endpoints.iter().flat_map(Endpoint::seen);
-    all.filter(|seen| seen.path == path).count()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_gets_the_callers_request_with_the_instruction() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(1, dir.path()).await;
+    let (system, endpoints) = serving(1, dir.path()).await;
     let answer = system.call("POST", "/unsafe/x?y=z", "one").await.unwrap();
     assert_eq!((answer.status, &answer.body[..]), (200, &b"well"[..]));
     let seen = endpoints[0].seen().pop().unwrap();
@@ -68,7 +47,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_reserved_header_reaches_an_endpoint_as_a_caller_sent_it() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(1, dir.path()).await;
+    let (system, endpoints) = serving(1, dir.path()).await;
     let reserved = Native::RESERVED;
     let reserved = reserved.iter().filter(|name| **name != "authorization");
     let mut headers: Vec<_> = reserved.map(|name| (*name, "4000")).collect();
@@ -86,7 +65,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_bounded_as_the_routing_says_without_a_restart() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, _endpoints) = system(1, dir.path()).await;
+    let (system, _endpoints) = serving(1, dir.path()).await;
     let large = "x".repeat(10 * 1024);
     let send = || async {
         let mut connection = client::Connection::open(system.callers()).await.unwrap();
@@ -107,7 +86,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_box_that_is_stopped_right_after_its_start_serves_what_it_has_taken() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(1, dir.path()).await;
+    let (system, endpoints) = serving(1, dir.path()).await;
     system.entry.as_ref().unwrap().signal("TERM");
     // Its callers still come for a moment; the stop is known everywhere in the box by now.
     tokio::time::sleep(Duration::from_millis(120)).await;
@@ -119,7 +98,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unsafe_call_is_sent_once_and_a_safe_one_is_repeated() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(2, dir.path()).await;
+    let (system, endpoints) = serving(2, dir.path()).await;
     for endpoint in &endpoints {
         endpoint.next(Act::Foreign);
     }
@@ -136,7 +115,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn what_an_endpoint_did_not_run_is_refused_truly_or_served_elsewhere() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(1, dir.path()).await;
+    let (system, endpoints) = serving(1, dir.path()).await;
     for _ in 0..3 {
         endpoints[0].next(Act::Refuse);
     }
@@ -157,7 +136,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn addresses_that_passed_to_other_endpoints_cost_a_request_no_try() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(6, dir.path()).await;
+    let (system, endpoints) = serving(6, dir.path()).await;
     for endpoint in &endpoints[1..] {
         endpoint.next(Act::Mistaken);
         endpoint.next(Act::Mistaken);
@@ -185,7 +164,7 @@
 async fn what_endpoints_turn_away_is_paid_for_as_what_is_sent_again() {
     const REQUESTS: usize = 12;
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(60, dir.path()).await;
+    let (system, endpoints) = serving(60, dir.path()).await;
     for endpoint in &endpoints {
         endpoint.next(Act::Mistaken);
     }
@@ -215,7 +194,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_whole_or_visibly_cut_and_goes_on_elsewhere_where_it_may() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(2, dir.path()).await;
+    let (system, endpoints) = serving(2, dir.path()).await;
     let whole: String = (0..EVENTS)
         .map(|number| format!("id: {number}\ndata: piece {number}\n\n"))
         .collect();
@@ -247,7 +226,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_goes_on_elsewhere_where_its_endpoint_falls_silent() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(2, dir.path()).await;
+    let (system, endpoints) = serving(2, dir.path()).await;
     for endpoint in &endpoints {
         endpoint.next(Act::StallAfter(2));
     }
@@ -267,7 +246,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn who_is_unknown_or_asks_for_nothing_is_told_so() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(1, dir.path()).await;
+    let (system, endpoints) = serving(1, dir.path()).await;
     let answer = system.call("GET", "/nowhere/", "n").await.unwrap();
     assert_eq!((answer.status, answer.verdict()), (404, Some("not-run")));
     let mut connection = client::Connection::open(system.callers()).await.unwrap();
@@ -280,7 +259,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_that_leaves_gets_no_new_work() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(2, dir.path()).await;
+    let (system, endpoints) = serving(2, dir.path()).await;
     system
         .announce(0, &endpoints[0].record(5, State::Leaving))
         .await;
@@ -310,7 +289,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn the_highest_version_wins_and_what_is_invalid_is_refused() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, _endpoints) = system(1, dir.path()).await;
+    let (system, _endpoints) = serving(1, dir.path()).await;
     let newer = text(&routing(9));
     assert_eq!(system.publish(&newer).await, 200);
     assert_eq!(
@@ -381,7 +360,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_are_read_again_and_nothing_ends() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut system, _endpoints) = system(1, dir.path()).await;
+    let (mut system, _endpoints) = serving(1, dir.path()).await;
     system.entry.as_ref().unwrap().signal("HUP");
     system.voters[0].as_ref().unwrap().signal("HUP");
     for name in ["e1", "c0"] {
@@ -411,7 +390,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_no_stream_and_ends_in_time() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut system, _endpoints) = system(1, dir.path()).await;
+    let (mut system, _endpoints) = serving(1, dir.path()).await;
     let stream = system.call("POST", "/stream/stop", "p");
     let stop = async {
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -464,7 +443,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn voters_and_boxes_tell_their_figures() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, _endpoints) = system(2, dir.path()).await;
+    let (system, _endpoints) = serving(2, dir.path()).await;
     assert_eq!(system.publish("{").await, 400);
     let figures = |address| async move {
         let answer = client::ask(address, "GET", "/metrics", &[], "")
@@ -494,7 +473,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoints_that_can_not_be_reached_cost_no_call_that_another_could_serve() {
     let dir = tempfile::tempdir().unwrap();
-    let (system, endpoints) = system(1, dir.path()).await;
+    let (system, endpoints) = serving(1, dir.path()).await;
     // The one that serves is farther away, so that the others go first.
     let mut far = endpoints[0].record(2, State::Ready);
     far.zone = "z1".parse().unwrap();
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -511,3 +511,25 @@
 pub(crate) fn text(routing: &Routing) -> String {
     serde_json::to_string_pretty(routing).unwrap()
 }
+
+/// A system with one voter and so many endpoints that serve.
+pub(crate) async fn serving(endpoints: usize, dir: &Path) -> (System, Vec<Endpoint>) {
+    let system = System::start(1, dir);
+    assert_eq!(system.publish(&text(&routing(7))).await, 200);
+    let mut started = Vec::new();
+    for i in 0..endpoints {
+        let port = u16::try_from(9000 + i).unwrap();
+        let address = (system.host, port).into();
+        let endpoint = Endpoint::start(&format!("i-{i}"), address).await;
+        system.announce(0, &endpoint.record(1, State::Ready)).await;
+        started.push(endpoint);
+    }
+    system.wait_served().await;
+    (system, started)
+}
+
+/// How many requests for a path have reached endpoints.
+pub(crate) fn seen(endpoints: &[Endpoint], path: &str) -> usize {
+    let all = endpoints.iter().flat_map(Endpoint::seen);
+    all.filter(|seen| seen.path == path).count()
+}
