A test that fails: larger, less urgent requests begin while the more urgent are refused

On one dispatcher: 20 of 20 larger requests are begun while each urgent one is refused, since each is measured by its own patience.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod leave;
 mod load;
 mod orders;
+mod overload;
 mod pace;
 mod path;
 mod placement;
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -16,10 +16,10 @@
     name, risk, unit,
 };
 
-const START: Duration = Duration::from_secs(1000);
-const ENDPOINTS: usize = 9;
+pub(crate) const START: Duration = Duration::from_secs(1000);
+pub(crate) const ENDPOINTS: usize = 9;
 
-fn dispatcher() -> Dispatcher {
+pub(crate) fn dispatcher() -> Dispatcher {
     dispatcher_with(&[])
 }
 
@@ -70,7 +70,7 @@
 
 /// A request that is placed wherever it is best, though it be late there: its caller was
 /// refused before.
-fn ask(request: u64, class: &str, prefix: u64) -> Ask {
+pub(crate) fn ask(request: u64, class: &str, prefix: u64) -> Ask {
     let own = if class == "long" { 6600 } else { 600 };
     Ask {
         attempt: Attempt::first(Request(request)),
@@ -130,7 +130,7 @@
 }
 
 /// Tokens that endpoints are taken to read in a millisecond before any was measured.
-const READ_PER_MS: u64 = 40;
+pub(crate) const READ_PER_MS: u64 = 40;
 /// What is unread at a home before a short prompt goes to the next endpoint: what is read
 /// within its target.
 const BORNE: u64 = 250 * READ_PER_MS;
