--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc, Mutex,
+    },
     time::Duration,
 };
 
@@ -57,6 +60,8 @@
     /// What boxes have at endpoints.
     hub: Arc<Mutex<load::Hub>>,
     changed: watch::Sender<u64>,
+    /// How many subscriptions there were; each has a number of its own.
+    subscriptions: Arc<AtomicU64>,
     /// The boxes that follow, with the number of each one's latest subscription.
     followers: watch::Sender<BTreeMap<name::Box, u64>>,
     clock: clock::System,
@@ -71,6 +76,7 @@
             restored: Arc::default(),
             hub: Arc::default(),
             changed: watch::Sender::new(0),
+            subscriptions: Arc::default(),
             followers: watch::Sender::default(),
             clock,
             log,
@@ -201,11 +207,9 @@
 
     /// Notes that a box follows; returns the number of this subscription.
     fn followed_by(&self, who: &name::Box) -> u64 {
-        let mut number = 0;
+        let number = self.subscriptions.fetch_add(1, Ordering::Relaxed);
         self.followers.send_modify(|followers| {
-            let latest = followers.entry(who.clone()).or_default();
-            *latest += 1;
-            number = *latest;
+            followers.insert(who.clone(), number);
         });
         number
     }
@@ -214,7 +218,7 @@
     /// is sent over it would be counted and kept for nobody.
     async fn superseded(&self, who: &name::Box, number: u64) {
         let mut followers = self.followers.subscribe();
-        let is_later = |followers: &BTreeMap<_, _>| followers.get(who) != Some(&number);
+        let is_later = |followers: &BTreeMap<_, _>| followers.get(who) > Some(&number);
         // The sender lives as long as this.
         let _ = followers.wait_for(is_later).await;
     }
