A refusal for overload holds back larger, less urgent requests

Cause: each request was measured by its own caller's patience alone, and the less urgent class is the more patient one; what it began is what the more urgent one was refused for.

Now a refusal is remembered until the refused request could have begun (250 ms to 2 s), and larger requests of less urgent tiers are refused meanwhile. Requests that were sent to an endpoint before are not held back.

--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -60,8 +60,17 @@
 pub(super) enum Unplaced {
     /// No slot is free.
     NoSlot,
-    /// The caller would leave before the first token, which takes so long at least.
-    Hopeless(Duration),
+    /// It would be late, or its caller would leave before its first token.
+    Overload(Overload),
+}
+
+/// How far a request is from being begun in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Overload {
+    /// How long its first token would take.
+    pub(super) first: Duration,
+    /// How long it would have to come back later to be begun.
+    pub(super) over: Duration,
 }
 
 /// The zone of an endpoint that is not configured.
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -8,7 +8,7 @@
 
 use super::{
     cost::{self, Cost, Model, Prompt},
-    Choice, Index, Set, Unplaced,
+    Choice, Index, Overload, Set, Unplaced,
 };
 use crate::core::{
     dispatch::message,
@@ -118,8 +118,9 @@
         let best = ranked.min_by_key(|(rank, ..)| *rank);
         let (_, index, kept_here) = best.ok_or(Unplaced::NoSlot)?;
         let first = cost::first(&self.endpoints[index.0], prompt, kept_here, model);
-        if first > prompt.longest_first() {
-            return Err(Unplaced::Hopeless(first));
+        let over = first.saturating_sub(prompt.longest_first());
+        if !over.is_zero() {
+            return Err(Unplaced::Overload(Overload { first, over }));
         }
         if self.kept.note(prefix, index, now) {
             self.kept.news.push((prefix, index));
--- a/src/scalewood/core/dispatch/grant.rs
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -25,8 +25,8 @@
             let choice = match self.choose(&ask, now) {
                 Ok(choice) => choice,
                 Err(endpoint::Unplaced::NoSlot) => break,
-                Err(endpoint::Unplaced::Hopeless(wait)) => {
-                    self.shed_overload(attempt, wait);
+                Err(endpoint::Unplaced::Overload(overload)) => {
+                    self.shed_overload(attempt, overload, now);
                     continue;
                 }
             };
@@ -44,6 +44,13 @@
         now: Duration,
     ) -> Result<endpoint::Choice, endpoint::Unplaced> {
         let avoid = ask.avoid.as_ref();
+        if let Some(over) = self.held_back(ask, now) {
+            let first = over;
+            return Err(endpoint::Unplaced::Overload(endpoint::Overload {
+                first,
+                over,
+            }));
+        }
         let Some(placed) = ask.placed else {
             let chosen = self
                 .endpoints
@@ -77,6 +84,15 @@
         self.endpoints.choose_home(&prompt, &model, avoid, now)
     }
 
+    /// How long a request must not begin, since more urgent ones are refused. One that was
+    /// sent to an endpoint before goes on: what it has begun is not taken away.
+    fn held_back(&self, ask: &message::Ask, now: Duration) -> Option<Duration> {
+        if ask.attempt.number > 0 {
+            return None;
+        }
+        self.refusals.hold_back(ask.tier, ask.prompt, now)
+    }
+
     /// Whether no class with short prompts stands before this one.
     fn is_first_of_short(&self, class: &name::Class) -> bool {
         let short = self
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -35,6 +35,7 @@
 mod message;
 mod pauses;
 mod placement;
+mod precedence;
 mod preempt;
 mod queue;
 mod reading;
@@ -147,6 +148,7 @@
     placement: placement::Placement,
     reading: reading::Reading,
     pauses: pauses::Pauses,
+    refusals: precedence::Refusals,
     settled_at: Duration,
     /// The entry boxes that are alive, and those that have announced what they hold.
     alive: BTreeSet<name::Box>,
@@ -197,6 +199,7 @@
             placement: placement::Placement::default(),
             reading: reading::Reading::default(),
             pauses: pauses::Pauses::default(),
+            refusals: precedence::Refusals::default(),
             settled_at,
             alive: BTreeSet::new(),
             announced: BTreeSet::new(),
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -10,7 +10,7 @@
 
 use crate::core::{
     attempt,
-    dispatch::{message, queue, Dispatcher},
+    dispatch::{endpoint, message, queue, Dispatcher},
     invariant, unit,
 };
 
@@ -111,12 +111,20 @@
 
     /// Sheds a request whose caller would leave before endpoints come to read it; it may
     /// come back once that much has been read.
-    pub(super) fn shed_overload(&mut self, attempt: attempt::Attempt, wait: Duration) {
+    pub(super) fn shed_overload(
+        &mut self,
+        attempt: attempt::Attempt,
+        overload: endpoint::Overload,
+        now: Duration,
+    ) {
         let Some(waiting) = self.queue.remove(attempt) else {
             return;
         };
+        let ask = &waiting.ask;
+        self.refusals
+            .note(ask.tier, ask.prompt, overload.over, now);
         let reason = message::Reason::Overload;
-        let retry = wait.clamp(MIN_RETRY, MAX_RETRY);
+        let retry = overload.first.clamp(MIN_RETRY, MAX_RETRY);
         self.outputs
             .push((waiting.origin, message::Order::Shed(attempt, reason, retry)));
     }
