What a request waits for is what goes before it in the endpoints' order

Endpoints admit the more urgent first, but the prediction counted all that was unread. Boxes now tell what is unread by tier, and which part of the less urgent is read first is learnt beside the rate (it starts at all of it, which is what stood).

--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::core::{
-    dispatch::{message, pauses, placement, zone, Settings},
+    dispatch::{message, pauses, placement, reading, zone, Settings},
     estimate, invariant,
     load::{self, Load},
     name, rendezvous, risk, unit,
@@ -41,6 +41,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Index(usize);
 
+/// What a run's prompt adds to what is unread at its endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Tokens {
+    /// Its tokens that have to be read there.
+    pub(super) unread: u64,
+    /// The tier of its request.
+    pub(super) tier: unit::Tier,
+}
+
 /// An endpoint that was chosen, with a slot of it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Choice {
@@ -48,7 +57,7 @@
     /// Tokens of the prompt that have to be read there.
     pub(super) unread: u64,
     /// Tokens that are unread there before it.
-    pub(super) ahead: u64,
+    pub(super) ahead: reading::Ahead,
     /// Whether the endpoint likely keeps what the prompt shares with others.
     pub(super) kept: bool,
     /// Where it runs, if its prompt was placed.
@@ -119,6 +128,8 @@
     memory: Option<unit::Tokens>,
     /// Tokens of this box's prompts that have no first token yet.
     unread: u64,
+    /// How much of that is of less urgent requests than those of each tier.
+    later: load::Later,
     /// Tokens of this box's prompts that it holds.
     held: u64,
     /// What the other boxes have there.
@@ -160,6 +171,12 @@
         (f64::from(self.slots) * self.speed).ceil() as u32
     }
 
+    /// Takes off a prompt whose first token has come, or never will.
+    fn no_longer_unread(&mut self, prompt: Tokens) {
+        self.unread = self.unread.saturating_sub(prompt.unread);
+        self.later.remove(prompt.tier, prompt.unread);
+    }
+
     fn score(&self) -> Option<Score> {
         let allowed = self.allowed();
         if self.running >= allowed {
@@ -298,6 +315,7 @@
             for_short: true,
             memory: None,
             unread: 0,
+            later: load::Later::default(),
             held: 0,
             others: Load::default(),
             pending: 0,
@@ -317,15 +335,15 @@
     pub(super) fn adopt(
         &mut self,
         name: &name::Endpoint,
-        tokens: u64,
+        prompt: Tokens,
         answered: bool,
         now: Duration,
         settings: &Settings,
     ) -> Index {
         let index = self.index_or_add(name, settings);
-        self.take(index, tokens, now);
+        self.take(index, prompt, now);
         if answered {
-            self.answered(index, tokens, now);
+            self.answered(index, prompt, now);
         }
         index
     }
@@ -425,14 +443,14 @@
         let hinted = prefix.and_then(|p| self.hinted(p, best.0, avoid, now, settings));
         let index = hinted.unwrap_or(best.1);
         self.check_grant(index, now);
-        self.take(index, 0, now);
+        self.take(index, Tokens::default(), now);
         if let Some(prefix) = prefix {
             self.hint(prefix, index, now + settings.hint_life);
         }
         Some(Choice {
             endpoint: index,
             unread: 0,
-            ahead: 0,
+            ahead: reading::Ahead::default(),
             kept: false,
             place: None,
         })
@@ -482,26 +500,27 @@
         self.sharers = count.saturating_sub(1);
     }
 
-    fn take(&mut self, index: Index, unread: u64, now: Duration) {
+    fn take(&mut self, index: Index, prompt: Tokens, now: Duration) {
         let endpoint = &mut self.endpoints[index.0];
         if endpoint.pending == 0 {
             endpoint.quiet_since = now;
         }
         endpoint.pending += 1;
-        endpoint.unread += unread;
-        endpoint.held += unread;
+        endpoint.unread += prompt.unread;
+        endpoint.later.add(prompt.tier, prompt.unread);
+        endpoint.held += prompt.unread;
         endpoint.running += 1;
         self.running += 1;
         self.rescore(index);
     }
 
     /// Frees a slot with the tokens of a prompt, of a run that was `answered` or not.
-    pub(super) fn free(&mut self, index: Index, tokens: u64, answered: bool) {
+    pub(super) fn free(&mut self, index: Index, prompt: Tokens, answered: bool) {
         let endpoint = &mut self.endpoints[index.0];
-        endpoint.held = endpoint.held.saturating_sub(tokens);
+        endpoint.held = endpoint.held.saturating_sub(prompt.unread);
         if !answered {
             endpoint.pending = endpoint.pending.saturating_sub(1);
-            endpoint.unread = endpoint.unread.saturating_sub(tokens);
+            endpoint.no_longer_unread(prompt);
         }
         endpoint.running = endpoint.running.saturating_sub(1);
         self.running = self.running.saturating_sub(1);
--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -11,7 +11,7 @@
 use super::{Endpoint, Set};
 use crate::core::{
     dispatch::{message, pauses, reading},
-    name,
+    name, unit,
 };
 
 /// A cost, in microseconds that a first token is put off.
@@ -66,6 +66,8 @@
     pub(in crate::core::dispatch) placed: message::Placed,
     /// All its tokens.
     pub(in crate::core::dispatch) tokens: u64,
+    /// The tier of its request.
+    pub(in crate::core::dispatch) tier: unit::Tier,
     /// The time within which the first token is due.
     pub(in crate::core::dispatch) target: Duration,
     /// The time within which the first token has to come, or the caller leaves.
@@ -138,7 +140,7 @@
     model: &Model<'_>,
 ) -> Duration {
     let own = model.reading.time(prompt.unread(kept));
-    wait(endpoint, model.reading) + slot_wait(endpoint, prompt) + own.mul_f64(slowness(endpoint))
+    turn(endpoint, prompt, model.reading) + slot_wait(endpoint, prompt) + own.mul_f64(slowness(endpoint))
 }
 
 impl Set {
@@ -160,7 +162,7 @@
         ];
         let sound = risks.iter().fold(1.0, |sound, risk| sound * (1.0 - risk));
         let lost = 1.0 - sound + harm(endpoint, prompt, model, now);
-        let wait = wait(endpoint, model.reading) + slot_wait(endpoint, prompt);
+        let wait = turn(endpoint, prompt, model.reading) + slot_wait(endpoint, prompt);
         micros(wait + prompt.loss().mul_f64(lost))
     }
 }
@@ -225,6 +227,24 @@
     (-prompt.deadline.as_secs_f64() / expected).exp()
 }
 
+impl Endpoint {
+    /// What all boxes have unread there before a request of a tier.
+    pub(super) fn ahead(&self, tier: unit::Tier) -> reading::Ahead {
+        let later = self.later.than(tier) + self.others.later.than(tier);
+        let unread = self.unread + self.others.unread;
+        reading::Ahead {
+            sooner: unread.saturating_sub(later),
+            later,
+        }
+    }
+}
+
+/// How long a prompt waits until its own reading begins.
+fn turn(endpoint: &Endpoint, prompt: &Prompt, reading: &reading::Reading) -> Duration {
+    let ahead = endpoint.ahead(prompt.tier);
+    reading.wait(ahead).mul_f64(slowness(endpoint))
+}
+
 /// How long reading what all boxes have there takes.
 fn wait(endpoint: &Endpoint, reading: &reading::Reading) -> Duration {
     let backlog = endpoint.unread + endpoint.others.unread;
--- a/src/scalewood/core/dispatch/endpoint/health.rs
+++ b/src/scalewood/core/dispatch/endpoint/health.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{Endpoint, Index, Set, State, DOUBT};
+use super::{Endpoint, Index, Set, State, Tokens, DOUBT};
 use crate::core::{dispatch::Settings, load, rendezvous, risk};
 
 /// Failures, by weight, after which an endpoint is ejected.
@@ -60,9 +60,14 @@
     }
 
     /// Notes that an attempt got its first token: the endpoint takes more.
-    pub(in crate::core::dispatch) fn answered(&mut self, index: Index, unread: u64, now: Duration) {
+    pub(in crate::core::dispatch) fn answered(
+        &mut self,
+        index: Index,
+        prompt: Tokens,
+        now: Duration,
+    ) {
         let endpoint = &mut self.endpoints[index.0];
-        endpoint.unread = endpoint.unread.saturating_sub(unread);
+        endpoint.no_longer_unread(prompt);
         endpoint.pending = endpoint.pending.saturating_sub(1);
         endpoint.quiet_since = now;
         endpoint.lower_risk(now);
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -8,7 +8,7 @@
 
 use super::{
     cost::{self, Cost, Model, Prompt},
-    Choice, Index, Overload, Set, Unplaced,
+    Choice, Index, Overload, Set, Tokens, Unplaced,
 };
 use crate::core::{
     dispatch::message,
@@ -127,7 +127,11 @@
         }
         self.check_grant(index, now);
         let choice = self.choice(index, prompt, kept_here);
-        self.take(index, choice.unread, now);
+        let taken = Tokens {
+            unread: choice.unread,
+            tier: prompt.tier,
+        };
+        self.take(index, taken, now);
         Ok(choice)
     }
 
@@ -136,7 +140,7 @@
         Choice {
             endpoint: index,
             unread: prompt.unread(kept),
-            ahead: endpoint.unread + endpoint.others.unread,
+            ahead: endpoint.ahead(prompt.tier),
             kept,
             place: Some(prompt.place(endpoint)),
         }
@@ -207,6 +211,7 @@
         loaded.map(|endpoint| {
             let load = Load {
                 unread: endpoint.unread,
+                later: endpoint.later,
                 held: endpoint.held,
                 running: endpoint.running,
             };
--- a/src/scalewood/core/dispatch/grant.rs
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -67,6 +67,7 @@
         let prompt = endpoint::Prompt {
             placed,
             tokens: ask.prompt.0,
+            tier: ask.tier,
             target: ask.target,
             patience: left(ask.patience.unwrap_or(ask.deadline)),
             may_return: ask.attempt.number == 0 && !ask.returned,
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -179,8 +179,10 @@
 pub struct Basis {
     /// Tokens of the prompt that have to be read there.
     pub unread: unit::Tokens,
-    /// Tokens that all boxes had unread there before.
+    /// Tokens that all boxes had unread there of requests no less urgent, and of others.
     pub ahead: unit::Tokens,
+    /// The same of less urgent requests.
+    pub later: unit::Tokens,
     /// Whether the endpoint likely keeps what the prompt shares with others.
     pub kept: bool,
 }
@@ -321,13 +323,13 @@
         };
         let (name, tier) = (run.ask.class.clone(), run.ask.tier);
         let waited = now.saturating_sub(run.granted);
-        let (endpoint, unread) = (run.endpoint, run.unread);
+        let (endpoint, prompt) = (run.endpoint, run.prompt());
         if !already && run.place.is_some_and(|place| !place.slow) {
-            self.reading.observe(run.ahead + unread, waited);
+            self.reading.observe(run.ahead, prompt.unread, waited);
         }
         self.class(&name, tier).observe_first(waited);
         if !already {
-            self.endpoints.answered(endpoint, unread, now);
+            self.endpoints.answered(endpoint, prompt, now);
         }
     }
 
@@ -381,9 +383,13 @@
         }
         self.queue.remove(held.ask.attempt);
         let unread = held.ask.prompt.0;
+        let prompt = endpoint::Tokens {
+            unread,
+            tier: held.ask.tier,
+        };
         let endpoint = self.endpoints.adopt(
             &held.endpoint,
-            unread,
+            prompt,
             held.tokens.0 > 0,
             now,
             &self.settings,
@@ -394,7 +400,7 @@
             endpoint,
             granted: now.saturating_sub(held.held),
             unread,
-            ahead: 0,
+            ahead: reading::Ahead::default(),
             kept: false,
             place: None,
             paused: false,
@@ -409,7 +415,7 @@
     fn release(&mut self, attempt: attempt::Attempt) -> Option<run::Run> {
         let run = self.runs.remove(attempt)?;
         self.endpoints
-            .free(run.endpoint, run.unread, run.first.is_some());
+            .free(run.endpoint, run.prompt(), run.first.is_some());
         Some(run)
     }
 
@@ -490,7 +496,8 @@
         let run = self.runs.get(attempt)?;
         Some(Basis {
             unread: unit::Tokens(run.unread),
-            ahead: unit::Tokens(run.ahead),
+            ahead: unit::Tokens(run.ahead.sooner),
+            later: unit::Tokens(run.ahead.later),
             kept: run.kept,
         })
     }
--- a/src/scalewood/core/dispatch/run.rs
+++ b/src/scalewood/core/dispatch/run.rs
@@ -8,7 +8,7 @@
 
 use crate::core::{
     attempt,
-    dispatch::{endpoint, message, pauses},
+    dispatch::{endpoint, message, pauses, reading},
     name, unit,
 };
 
@@ -22,7 +22,7 @@
     /// Tokens of its prompt that count as unread until its first token, and as held.
     pub(super) unread: u64,
     /// Tokens that were unread at the endpoint before it, when it was granted.
-    pub(super) ahead: u64,
+    pub(super) ahead: reading::Ahead,
     /// Whether its endpoint likely kept what the prompt shares with others.
     pub(super) kept: bool,
     /// Where it runs, if its prompt was placed.
@@ -45,6 +45,14 @@
 type Place = (Reverse<unit::Tier>, u64, attempt::Attempt);
 
 impl Run {
+    /// What its prompt adds to what is unread at its endpoint.
+    pub(super) fn prompt(&self) -> endpoint::Tokens {
+        endpoint::Tokens {
+            unread: self.unread,
+            tier: self.ask.tier,
+        }
+    }
+
     /// Whether it got no first token for so long that its endpoint may have lost it.
     pub(super) fn is_unanswered(&self, now: Duration) -> bool {
         /// How many targets a first token may take.
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -15,9 +15,11 @@
 use crate::core::{dispatch::Prefix, name, risk};
 
 mod hub;
+mod later;
 mod sizes;
 
 pub use hub::Hub;
+pub use later::Later;
 
 /// By how much a load has to change to be worth telling: about what the smallest prompts
 /// make.
@@ -30,6 +32,8 @@
 pub struct Load {
     /// Tokens of prompts that wait to be read or are being read.
     pub unread: u64,
+    /// How much of that is of less urgent requests than those of each tier.
+    pub later: Later,
     /// Tokens of all prompts that are held in its memory, shared parts counted once.
     pub held: u64,
     /// Requests that hold a slot.
@@ -42,6 +46,7 @@
     fn is_news(self, told: Self) -> bool {
         self == Self::default()
             || self.unread.abs_diff(told.unread) >= UNREAD_NEWS
+            || self.later.differs_by(told.later, UNREAD_NEWS)
             || self.held.abs_diff(told.held) >= HELD_NEWS
             || self.running.abs_diff(told.running) >= RUNNING_NEWS
     }
@@ -50,6 +55,7 @@
     pub fn plus(self, other: Self) -> Self {
         Self {
             unread: self.unread + other.unread,
+            later: self.later.plus(other.later),
             held: self.held + other.held,
             running: self.running + other.running,
         }
@@ -59,6 +65,7 @@
     pub fn minus(self, part: Self) -> Self {
         Self {
             unread: self.unread.saturating_sub(part.unread),
+            later: self.later.minus(part.later),
             held: self.held.saturating_sub(part.held),
             running: self.running.saturating_sub(part.running),
         }
@@ -75,13 +82,14 @@
     pub load: Load,
 }
 
-/// Endpoint, unread, held, running.
-type LoadedRow = (name::Endpoint, u64, u64, u32);
+/// Endpoint, unread, held, running, and what is unread of less urgent requests.
+type LoadedRow = (name::Endpoint, u64, u64, u32, Later);
 
 impl From<LoadedRow> for Loaded {
-    fn from((endpoint, unread, held, running): LoadedRow) -> Self {
+    fn from((endpoint, unread, held, running, later): LoadedRow) -> Self {
         let load = Load {
             unread,
+            later,
             held,
             running,
         };
@@ -91,7 +99,13 @@
 
 impl From<Loaded> for LoadedRow {
     fn from(Loaded { endpoint, load }: Loaded) -> Self {
-        (endpoint, load.unread, load.held, load.running)
+        (
+            endpoint,
+            load.unread,
+            load.held,
+            load.running,
+            load.later,
+        )
     }
 }
 
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -473,7 +473,7 @@
             "route" => %routed.call.key, "team" => %routed.call.team, "rank" => %routed.rank,
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
             "prompt" => routed.call.prompt.0, "unread" => self.basis.unread.0,
-            "ahead" => self.basis.ahead.0, "kept" => self.basis.kept, "returned" => routed.call.returned,
+            "ahead" => self.basis.ahead.0, "later" => self.basis.later.0, "kept" => self.basis.kept, "returned" => routed.call.returned,
             "retry_ms" => self.retry_after.map(|wait| wait.as_millis()), "tries" => self.tries,
             "first_ms" => self.observer.first_after().map(|first| first.as_millis()),
             "pause_ms" => self.observer.longest_pause().as_millis(),
