--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -14,7 +14,10 @@
 
 use crate::{
     board::{feed, view},
-    core::{attempt, catchup, claim, dispatch, limit, member, name, pace, registry, retry, unit},
+    core::{
+        attempt, catchup, claim, dispatch, limit, member, name, pace, registry, retry, unit, usage,
+        wall,
+    },
     util::{
         clock::Clock,
         lock::{lock, Sharded},
@@ -131,6 +134,12 @@
     pub registry: Mutex<registry::Registry>,
     /// How fast endpoints go, as this box measures it.
     pub paces: Mutex<pace::Meters>,
+    /// The requests that endpoints have begun for this box, by team and window.
+    pub usage: Mutex<usage::Tally>,
+    /// The time of day that the voters agree on.
+    pub wall: Mutex<wall::Follower>,
+    /// Tells this start of the process from others of the same box.
+    pub start: u64,
     /// How many voters' registries are followed.
     pub links_up: watch::Sender<u32>,
     /// Since when at least one voter's registry is followed, if any is.
@@ -159,7 +168,13 @@
 
 impl<C: Clock> Board<C> {
     /// A board with nothing on it.
-    pub fn new(own: Own, clock: C, log: slog::Logger, retention: Duration) -> Self {
+    pub fn new(
+        own: Own,
+        clock: C,
+        log: slog::Logger,
+        retention: Duration,
+        usage_window: Duration,
+    ) -> Self {
         let now = clock.now();
         let members = member::Members::new(
             member::Settings::default(),
@@ -188,6 +203,9 @@
             gone: Mutex::default(),
             registry: Mutex::default(),
             paces: Mutex::default(),
+            usage: Mutex::new(usage::Tally::new(usage_window)),
+            wall: Mutex::default(),
+            start: rand::random(),
             links_up: watch::Sender::new(0),
             linked_since: Mutex::new(None),
             sharers: AtomicU32::new(0),
@@ -226,6 +244,13 @@
         gap > millis(FREEZE) || now < self.stale_until.load(Ordering::Relaxed)
     }
 
+    /// Counts a request that an endpoint has begun.
+    pub fn count_usage(&self, team: &name::Team) {
+        let now = self.clock.now();
+        let unix_ms = lock(&self.wall).unix_ms(self.clock.unix_ms(), now);
+        lock(&self.usage).count(team, unix_ms);
+    }
+
     /// Whether this box is about to stop.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/src/scalewood/core/change.rs
+++ b/src/scalewood/core/change.rs
@@ -21,6 +21,11 @@
     pub(crate) fn of_version(version: u64) -> Self {
         Self(format!("version-{version}"))
     }
+
+    /// The id under which the trail holds an order of endpoints.
+    pub(crate) fn of_scaling(at_unix_ms: u64) -> Self {
+        Self(format!("scaling-{at_unix_ms}"))
+    }
 }
 
 impl FromStr for Id {
--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -140,7 +140,9 @@
     model: &Model<'_>,
 ) -> Duration {
     let own = model.reading.time(prompt.unread(kept));
-    turn(endpoint, prompt, model.reading) + slot_wait(endpoint, prompt) + own.mul_f64(slowness(endpoint))
+    turn(endpoint, prompt, model.reading)
+        + slot_wait(endpoint, prompt)
+        + own.mul_f64(slowness(endpoint))
 }
 
 impl Set {
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -121,8 +121,7 @@
             return;
         };
         let ask = &waiting.ask;
-        self.refusals
-            .note(ask.tier, ask.prompt, overload.over, now);
+        self.refusals.note(ask.tier, ask.prompt, overload.over, now);
         let reason = message::Reason::Overload;
         let retry = overload.first.clamp(MIN_RETRY, MAX_RETRY);
         self.outputs
--- a/src/scalewood/core/ledger.rs
+++ b/src/scalewood/core/ledger.rs
@@ -8,11 +8,14 @@
 //! acceptance, and a refusal whose base lies ahead. The other refusals stay refusals,
 //! since the revision only rises.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{agree, audit, change, config, name, route, unit};
+use crate::core::{agree, audit, change, config, name, route, scaling, tenure, unit, usage};
 
 /// How many answers are remembered for resends: 20 days at 500 changes a day.
 pub const MAX_ANSWERS: usize = 10_000;
@@ -31,6 +34,12 @@
     Change(Proposal),
     /// A whole routing under the operator's own version.
     Publish(Publication),
+    /// A voter takes over what only one process may do.
+    Hold(agree::Node),
+    /// The counts of a window of usage.
+    Usage(usage::Closed),
+    /// An order of endpoints.
+    Scale(Scale),
 }
 
 /// A whole routing under the operator's own version. The highest version wins; one that
@@ -47,6 +56,19 @@
     pub at_unix_ms: u64,
 }
 
+/// An order of endpoints that is about to be given.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Scale {
+    /// The service.
+    pub service: name::Service,
+    /// The order.
+    pub order: scaling::Order,
+    /// What it rests on, in words.
+    pub why: String,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+}
+
 /// A change as the log holds it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Proposal {
@@ -76,6 +98,15 @@
     // Shared, since the state is copied for each snapshot and for each reader.
     answers: VecDeque<Arc<Given>>,
     records: VecDeque<Arc<audit::Record>>,
+    /// Who does what only one process may do.
+    #[serde(default)]
+    holder: Option<tenure::Holder>,
+    /// The windows of usage that were agreed on.
+    #[serde(default)]
+    usage: usage::Log,
+    /// The endpoints that were ordered last.
+    #[serde(default)]
+    ordered: BTreeMap<String, u32>,
 }
 
 impl Ledger {
@@ -89,6 +120,16 @@
         &self.document
     }
 
+    /// Who does what only one process may do, if anybody has.
+    pub fn holder(&self) -> Option<&tenure::Holder> {
+        self.holder.as_ref()
+    }
+
+    /// The windows of usage that were agreed on.
+    pub fn usage(&self) -> &usage::Log {
+        &self.usage
+    }
+
     /// The audit trail, the oldest record first.
     pub fn records(&self) -> impl DoubleEndedIterator<Item = &audit::Record> {
         self.records.iter().map(Arc::as_ref)
@@ -218,6 +259,11 @@
     }
 }
 
+/// Who is named in the audit trail for orders of endpoints.
+fn scaler() -> name::Operator {
+    "scaling".parse().expect("the name is valid")
+}
+
 impl agree::State for Ledger {
     type Command = Command;
     type Answer = change::Answer;
@@ -226,6 +272,18 @@
         match command {
             Command::Change(proposal) => self.change(proposal),
             Command::Publish(publication) => self.publish(publication),
+            Command::Hold(node) => {
+                self.holder = Some(tenure::Holder::next(self.holder.as_ref(), node.clone()));
+                self.done()
+            }
+            Command::Scale(scale) => {
+                self.scale(scale);
+                self.done()
+            }
+            Command::Usage(closed) => {
+                self.usage.close(closed);
+                self.done()
+            }
         }
     }
 }
@@ -272,6 +330,41 @@
         }
     }
 
+    /// Notes an order of endpoints, with a record if it is another than the last one.
+    fn scale(&mut self, scale: &Scale) {
+        let scaling::Order { zone, kind, count } = &scale.order;
+        let item = format!("endpoints of {} in {zone}, {kind}", scale.service);
+        let before = self.ordered.insert(item.clone(), *count);
+        if before == Some(*count) {
+            return;
+        }
+        self.keep_record(audit::Record {
+            revision: self.revision,
+            base: self.revision,
+            id: change::Id::of_scaling(scale.at_unix_ms),
+            operator: scaler(),
+            at_unix_ms: scale.at_unix_ms,
+            why: scale.why.clone(),
+            differences: vec![audit::Difference {
+                item,
+                before: before.map(Into::into),
+                after: Some((*count).into()),
+            }],
+        });
+    }
+
+    /// The endpoints that were ordered last, by service, zone and kind.
+    pub fn ordered(&self) -> &BTreeMap<String, u32> {
+        &self.ordered
+    }
+
+    /// The answer to a command that leaves the configuration as it is.
+    fn done(&self) -> change::Answer {
+        change::Answer::Accepted {
+            revision: self.revision,
+        }
+    }
+
     fn keep_record(&mut self, record: audit::Record) {
         self.records.push_back(Arc::new(record));
         if self.records.len() > MAX_RECORDS {
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -168,6 +168,11 @@
         Answer { news, boxes }
     }
 
+    /// How many requests all boxes together have at an endpoint.
+    pub fn running(&self, endpoint: &name::Endpoint) -> u32 {
+        self.total.get(endpoint).map_or(0, |load| load.running)
+    }
+
     /// Whether a box is known, so that it may tell differences.
     pub fn knows(&self, name: &name::Box) -> bool {
         self.members.contains_key(name)
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -99,13 +99,7 @@
 
 impl From<Loaded> for LoadedRow {
     fn from(Loaded { endpoint, load }: Loaded) -> Self {
-        (
-            endpoint,
-            load.unread,
-            load.held,
-            load.running,
-            load.later,
-        )
+        (endpoint, load.unread, load.held, load.running, load.later)
     }
 }
 
--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -44,6 +44,9 @@
     pub state: State,
     /// Rises with each heartbeat.
     pub sequence: u64,
+    /// Whether it is paid for as one that may be taken away.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub interruptible: bool,
 }
 
 /// What a merge changed.
--- a/src/scalewood/core/route.rs
+++ b/src/scalewood/core/route.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{config, name, secret, unit};
+use crate::core::{config, name, scaling, secret, unit};
 
 /// What may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -133,7 +133,7 @@
 }
 
 /// A service that routes lead to; its endpoints register themselves.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Connections that one endpoint takes from all boxes together.
@@ -143,6 +143,9 @@
     /// Tokens that an endpoint's memory holds, if that is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub memory: Option<unit::Tokens>,
+    /// What the provider offers, if endpoints can be ordered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub offer: Option<scaling::Offer>,
 }
 
 /// A team that calls routes.
--- /dev/null
+++ b/src/scalewood/ops/control/collect.rs
@@ -0,0 +1,161 @@
+//! What the holder of the provider's tasks brings together from all voters: what their boxes
+//! have counted, and which endpoints have announced themselves.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use jsonrpsee::ws_client::WsClient;
+
+use crate::{
+    core::{agree, registry},
+    ops::{
+        control::{provider, registry::Endpoints, Handle},
+        rpc,
+    },
+    util::{
+        clock::{self, Clock as _},
+        lock::lock,
+    },
+    wire::registry::{Gathered, RegistryClient as _, Stamps},
+};
+
+/// How often the other voters are asked. It is the time that a notice of an endpoint's end may
+/// be older by, and what a box and its voter lose together of their usage.
+pub(super) const PERIOD: Duration = Duration::from_millis(250);
+/// How long a voter may take to answer.
+const ANSWER: Duration = Duration::from_millis(400);
+/// How long an endpoint may be unheard of before it counts no more: some heartbeats.
+const FORGET: Duration = Duration::from_secs(4);
+
+/// All endpoints, as all voters know them together.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Gathering {
+    registry: Arc<Mutex<registry::Registry>>,
+    /// When at least half of the other voters had answered last.
+    complete: Arc<Mutex<Option<Duration>>>,
+}
+
+impl Gathering {
+    /// All endpoints, if a majority of the voters was heard of late.
+    pub(super) fn endpoints(&self, now: Duration) -> Option<Vec<registry::Record>> {
+        let complete = *lock(&self.complete);
+        complete.filter(|at| *at + 4 * PERIOD >= now)?;
+        let registry = lock(&self.registry);
+        let displaced = registry.displaced();
+        let records = registry.records().filter(|r| !displaced.contains(&r.name));
+        Some(records.cloned().collect())
+    }
+
+    /// Brings together, for as long as this voter holds.
+    pub(super) async fn run(
+        self,
+        hold: provider::Hold,
+        handle: Handle,
+        endpoints: Endpoints,
+        clock: clock::System,
+    ) {
+        let mut others = Others::default();
+        let mut own = Stamps::default();
+        loop {
+            tokio::time::sleep(PERIOD).await;
+            if !hold.leads() {
+                others = Others::default();
+                own = Stamps::default();
+                *lock(&self.registry) = registry::Registry::default();
+                *lock(&self.complete) = None;
+                continue;
+            }
+            let gathered = endpoints.gather(own);
+            own = gathered.stamps;
+            self.take(gathered, &endpoints, clock.now(), true);
+            let answers = others.ask_all(&handle).await;
+            let (asked, heard) = (answers.len(), answers.iter().flatten().count());
+            for gathered in answers.into_iter().flatten() {
+                self.take(gathered, &endpoints, clock.now(), false);
+            }
+            let now = clock.now();
+            lock(&self.registry).expire(now.saturating_sub(FORGET));
+            if heard * 2 >= asked {
+                *lock(&self.complete) = Some(now);
+            }
+        }
+    }
+
+    fn take(&self, gathered: Gathered, endpoints: &Endpoints, now: Duration, own: bool) {
+        if !own {
+            let mut book = lock(endpoints.book());
+            gathered.usage.into_iter().for_each(|page| book.take(page));
+        }
+        let mut registry = lock(&self.registry);
+        for record in gathered.changed {
+            registry.merge(record, now);
+        }
+        for name in gathered.gone {
+            registry.leave(&name);
+        }
+        for name in gathered.heard {
+            registry.hear(&name, now);
+        }
+    }
+}
+
+/// The other voters, with the stamps of what each has told.
+#[derive(Default)]
+struct Others {
+    known: BTreeMap<agree::Node, Other>,
+}
+
+struct Other {
+    address: SocketAddr,
+    client: Option<Arc<WsClient>>,
+    stamps: Stamps,
+}
+
+impl Others {
+    /// Asks all other voters at once.
+    async fn ask_all(&mut self, handle: &Handle) -> Vec<Option<Gathered>> {
+        let status = handle.published().status;
+        let members: BTreeMap<_, _> = status.members.addresses().collect();
+        self.known
+            .retain(|node, other| members.get(node) == Some(&&other.address));
+        for (node, address) in members {
+            if *node == status.node || self.known.contains_key(node) {
+                continue;
+            }
+            let other = Other {
+                address: *address,
+                client: None,
+                stamps: Stamps::default(),
+            };
+            self.known.insert(node.clone(), other);
+        }
+        let asked = self.known.values_mut().map(Other::ask);
+        futures_util::future::join_all(asked).await
+    }
+}
+
+impl Other {
+    async fn ask(&mut self) -> Option<Gathered> {
+        let asked = tokio::time::timeout(ANSWER, self.gather()).await;
+        let gathered = asked.ok().flatten();
+        match &gathered {
+            Some(gathered) => self.stamps = gathered.stamps,
+            // A voter that has started again counts its stamps from the beginning.
+            None => (self.client, self.stamps) = (None, Stamps::default()),
+        }
+        gathered
+    }
+
+    async fn gather(&mut self) -> Option<Gathered> {
+        let client = match self.client.clone() {
+            Some(client) => client,
+            None => rpc::connect(self.address).await.ok()?,
+        };
+        self.client = Some(client.clone());
+        client.gather(self.stamps).await.ok()
+    }
+}
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -21,15 +21,19 @@
 };
 
 mod admin;
+mod collect;
+mod guarded;
 mod link;
 mod membership;
 mod metric;
 mod order;
+pub mod provider;
 pub mod publish;
 mod registry;
 mod replica;
 mod server;
 mod share;
+mod usage;
 
 pub use replica::{Handle, Published};
 
@@ -59,6 +63,8 @@
     pub operators: BTreeMap<name::Operator, secret::Hash>,
     /// Orders to endpoints a second, as the weight store bears them.
     pub orders: unit::Rate,
+    /// What is done for a provider.
+    pub provider: provider::Settings,
     /// Settings of the agreement.
     pub agree: agree::Settings,
 }
@@ -77,6 +83,7 @@
             voters: Vec::new(),
             operators: BTreeMap::new(),
             orders: unit::Rate::try_from(DEFAULT_ORDERS).expect("the default rate is valid"),
+            provider: provider::Settings::default(),
             agree: agree::Settings::default(),
         }
     }
@@ -156,6 +163,7 @@
             voters,
             operators,
             orders,
+            provider: reader.object("provider"),
             agree,
         }
     }
@@ -271,7 +279,7 @@
 /// # Errors
 ///
 /// Fails if the data folder or an address can't be used, or the disk fails.
-pub async fn run<D: publish::Dialect>(
+pub async fn run<D: publish::Dialect + provider::Dialect>(
     settings: Settings,
     path: Option<PathBuf>,
     log: slog::Logger,
@@ -333,6 +341,7 @@
         rate: settings.orders,
     };
     tokio::spawn(giver.run());
+    serve_provider::<D>(&settings, &handle, &endpoints, clock, &log);
     tokio::spawn(breach::watch(log.clone()));
     let admin = admin::Admin {
         handle: handle.clone(),
@@ -381,6 +390,41 @@
     Ok(())
 }
 
+/// Does what the settings ask for a provider.
+fn serve_provider<D: provider::Dialect>(
+    settings: &Settings,
+    handle: &Handle,
+    endpoints: &registry::Endpoints,
+    clock: clock::System,
+    log: &slog::Logger,
+) {
+    let settings = &settings.provider;
+    let tasks = provider::tasks(settings, log);
+    let Some(address) = settings.address.filter(|_| !tasks.is_empty()) else {
+        return;
+    };
+    let hold = provider::Hold::new(handle.clone(), settings.rest, clock, log.clone());
+    tokio::spawn(hold.clone().keep());
+    let gathering = collect::Gathering::default();
+    tokio::spawn(
+        gathering
+            .clone()
+            .run(hold.clone(), handle.clone(), endpoints.clone(), clock),
+    );
+    if tasks.contains(&provider::Task::Usage) {
+        let reporter = || usage::Reporter {
+            handle: handle.clone(),
+            endpoints: endpoints.clone(),
+            settings: settings.clone(),
+            hold: hold.clone(),
+            log: log.clone(),
+        };
+        let client = provider::Client::new(hold.clone(), address, settings);
+        tokio::spawn(reporter().close());
+        tokio::spawn(reporter().report::<D>(client));
+    }
+}
+
 /// What was kept beside the journal before this process started; nothing if it can't be read.
 fn read_hints(place: &hints::Place, log: &slog::Logger) -> hints::Hints {
     match place.load() {
--- a/src/scalewood/ops/control/order.rs
+++ b/src/scalewood/ops/control/order.rs
@@ -2,11 +2,8 @@
 //!
 //! Only the leader gives orders, and only under its lease. Each order carries the term and
 //! a number that rises within it, so that an endpoint that checks can refuse an older one.
-//! For endpoints that check nobody the lease has to do: the connection is opened first, then
-//! the lease is checked once more, right before the order is written, and it must last for
-//! the whole time that the order may take. A new leader can't be elected before the old
-//! one's lease is over, so it need not wait. A process that was frozen finds its lease run
-//! out at that check.
+//! For endpoints that check nobody the lease has to do (`guarded`). A new leader can't be
+//! elected before the old one's lease is over, so it need not wait.
 //!
 //! A new leader gives all orders anew: it does not know which arrived, and to load what is
 //! loaded costs nothing. The weight store bounds how many orders go out a second.
@@ -15,24 +12,20 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{client::conn::http1, header, Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper::{header, Request, StatusCode};
 use serde::Serialize;
-use tokio::net::TcpStream;
 
 use crate::{
     core::{invariant, limit, name, unit},
     event,
-    ops::control::{Handle, Published},
+    ops::control::{guarded, Handle, Published},
     util::clock::Clock,
 };
 
 /// How often it is looked for orders that are due.
 const PERIOD: Duration = Duration::from_millis(100);
-/// How long an order may take once the lease was checked.
+/// How long an order may take to be answered.
 const ORDER: Duration = Duration::from_millis(200);
-/// How long a connection to an endpoint may take.
-const CONNECT: Duration = Duration::from_millis(500);
 
 /// An order as it is sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -71,7 +64,7 @@
         loop {
             tokio::time::sleep(PERIOD).await;
             let published = self.handle.published();
-            if !self.holds_lease(&published) {
+            if !self.lasts(&published, guarded::WRITTEN) {
                 continue;
             }
             if done.term != published.status.term.0 {
@@ -97,39 +90,47 @@
         }
     }
 
-    /// Whether the lease lasts for as long as an order may take.
-    fn holds_lease(&self, published: &Published) -> bool {
+    /// Whether the lease lasts for so long.
+    fn lasts(&self, published: &Published, long: Duration) -> bool {
         published
             .lease
-            .is_some_and(|until| until > self.clock.now() + ORDER)
+            .is_some_and(|until| until > self.clock.now() + long)
     }
 
     async fn give(&self, endpoint: &name::Endpoint, address: SocketAddr, order: &Order) -> bool {
-        let opened = tokio::time::timeout(CONNECT, open(address)).await;
-        let Ok(Some(sender)) = opened else {
-            event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => "unreachable");
+        let Some(request) = request(order) else {
             return false;
         };
-        // What was read before may be long out of date by now.
-        let published = self.handle.published();
-        let current = published.status.term.0 == order.term;
-        if !current || !self.holds_lease(&published) {
-            event!(self.log, OrderHeldBack, "endpoint" => %endpoint, "term" => order.term);
-            return false;
-        }
-        self.check_lease(&published, order);
-        match tokio::time::timeout(ORDER, send(sender, address, order)).await {
-            Ok(Some(StatusCode::OK)) => {
+        let holds = |long| {
+            // What was read before may be long out of date by now.
+            let published = self.handle.published();
+            let current = published.status.term.0 == order.term;
+            let lasts = current && self.lasts(&published, long);
+            if lasts {
+                self.check_lease(&published, order);
+            }
+            lasts
+        };
+        let sent = async {
+            let mut connection = guarded::Connection::open(address).await?;
+            connection.call(request, holds, ORDER).await
+        };
+        match sent.await {
+            Ok(StatusCode::OK) => {
                 event!(self.log, OrderSent, "endpoint" => %endpoint, "load" => %order.load,
                     "term" => order.term, "number" => order.number);
                 true
             }
-            Ok(Some(status)) => {
+            Ok(status) => {
                 event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => %status);
                 false
             }
-            Ok(None) | Err(_) => {
-                event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => "no answer");
+            Err(guarded::Failure::NoLease) => {
+                event!(self.log, OrderHeldBack, "endpoint" => %endpoint, "term" => order.term);
+                false
+            }
+            Err(failure) => {
+                event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => failure.as_str());
                 false
             }
         }
@@ -158,29 +159,10 @@
     wanted.collect()
 }
 
-type Sender = http1::SendRequest<Full<Bytes>>;
-
-async fn open(address: SocketAddr) -> Option<Sender> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(async move {
-        // The connection's end shows at the order.
-        let _ = connection.await;
-    });
-    Some(sender)
-}
-
-async fn send(mut sender: Sender, address: SocketAddr, order: &Order) -> Option<StatusCode> {
+fn request(order: &Order) -> Option<Request<Full<Bytes>>> {
     let body = serde_json::to_vec(order).ok()?;
-    let request = Request::post("/orders")
-        .header(header::HOST, address.to_string())
+    Request::post("/orders")
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(body)))
-        .ok()?;
-    sender
-        .send_request(request)
-        .await
         .ok()
-        .map(|response| response.status())
 }
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -1,7 +1,7 @@
 //! What a voter knows of endpoints that announced themselves, and its followers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         atomic::{AtomicU64, Ordering},
@@ -19,7 +19,7 @@
 
 use crate::{
     board::feed,
-    core::{agree, change, load, name, pace, registry, unit},
+    core::{agree, change, load, name, pace, registry, unit, usage, wall},
     event,
     ops::control::Handle,
     store::hints,
@@ -27,7 +27,7 @@
         clock::{self, Clock as _},
         lock::lock,
     },
-    wire::registry::{News, RegistryServer, Update, Whole},
+    wire::registry::{Exchanged, Gathered, News, RegistryServer, Stamps, Update, Whole},
 };
 
 /// How often followers hear at least.
@@ -42,6 +42,10 @@
 /// measured anew after a loss of power, and rarely enough to cost next to nothing.
 const KEEP_HINTS: Duration = Duration::from_secs(2);
 
+/// How long ago an endpoint was heard of, at most, to be told to who gathers: some times as
+/// long as the time between two such calls.
+const LATELY: Duration = Duration::from_millis(800);
+
 /// How long before an endpoint was heard of, at most, for it to be kept: some heartbeats.
 const ALIVE_OF_LATE: Duration = Duration::from_secs(4);
 
@@ -59,6 +63,12 @@
     restored: Arc<Mutex<(Duration, Vec<registry::Record>)>>,
     /// What boxes have at endpoints.
     hub: Arc<Mutex<load::Hub>>,
+    /// What boxes have counted of their usage.
+    book: Arc<Mutex<usage::Book>>,
+    /// The windows of usage that this voter has reported.
+    reported: Arc<Mutex<BTreeSet<usage::Window>>>,
+    /// The times of day that voters tell.
+    readings: Arc<Mutex<wall::Readings>>,
     changed: watch::Sender<u64>,
     /// How many subscriptions there were; each has a number of its own.
     subscriptions: Arc<AtomicU64>,
@@ -75,6 +85,9 @@
             measured: Arc::default(),
             restored: Arc::default(),
             hub: Arc::default(),
+            book: Arc::default(),
+            reported: Arc::default(),
+            readings: Arc::default(),
             changed: watch::Sender::new(0),
             subscriptions: Arc::default(),
             followers: watch::Sender::default(),
@@ -195,6 +208,33 @@
         &self.hub
     }
 
+    /// What boxes have counted of their usage.
+    pub(super) fn book(&self) -> &Mutex<usage::Book> {
+        &self.book
+    }
+
+    /// What boxes and endpoints have told since some stamps.
+    pub(super) fn gather(&self, after: Stamps) -> Gathered {
+        let usage = lock(&self.book).changed_since(after.usage);
+        let registry = lock(&self.registry);
+        let lately = self.clock.now().saturating_sub(LATELY);
+        Gathered {
+            stamps: Stamps {
+                usage: usage.stamp,
+                registry: registry.stamp(),
+            },
+            usage: usage.pages,
+            changed: registry.changed_since(after.registry),
+            gone: registry.gone_since(after.registry),
+            heard: registry.heard_since(lately),
+        }
+    }
+
+    /// The windows of usage that this voter has reported.
+    pub(super) fn reported(&self) -> &Mutex<BTreeSet<usage::Window>> {
+        &self.reported
+    }
+
     /// How many endpoints are known, and how many boxes follow.
     pub(super) fn counts(&self) -> (usize, u32) {
         let known = lock(&self.registry).records().count();
@@ -234,6 +274,13 @@
         });
     }
 
+    /// The time of day that so many voters agree on, in milliseconds since the Unix epoch.
+    pub(super) fn unix_ms(&self, voters: usize) -> u64 {
+        let now = self.clock.now();
+        let offset = lock(&self.readings).agree(self.clock.unix_ms(), voters, now);
+        offset.unix_ms(now)
+    }
+
     fn tell(&self) {
         let stamp = lock(&self.registry).stamp();
         self.changed.send_replace(stamp);
@@ -273,18 +320,45 @@
         who: name::Box,
         anew: bool,
         told: load::News,
-    ) -> RpcResult<Option<load::Answer>> {
+        usage: usage::Told,
+    ) -> RpcResult<Option<Exchanged>> {
         let now = self.endpoints.clock.now();
-        let mut hub = lock(&self.endpoints.hub);
-        let known = anew || hub.knows(&who);
-        Ok(known.then(|| hub.exchange(&who, anew, told, now)))
+        let load = {
+            let mut hub = lock(&self.endpoints.hub);
+            let known = anew || hub.knows(&who);
+            known.then(|| hub.exchange(&who, anew, told, now))
+        };
+        let Some(load) = load else {
+            return Ok(None);
+        };
+        let unix_ms = self.unix_ms();
+        lock(&self.endpoints.book).take(usage::Page {
+            source: usage::Source {
+                name: who,
+                start: usage.start,
+            },
+            heard_ms: unix_ms,
+            rows: usage.rows,
+        });
+        Ok(Some(Exchanged { load, unix_ms }))
     }
 
-    async fn share(&self, who: name::Box, anew: bool, told: load::News) -> RpcResult<bool> {
+    async fn share(
+        &self,
+        who: name::Box,
+        anew: bool,
+        told: load::News,
+        unix_ms: u64,
+    ) -> RpcResult<bool> {
         let now = self.endpoints.clock.now();
+        lock(&self.endpoints.readings).note(&who, unix_ms, now);
         Ok(lock(&self.endpoints.hub).take(&who, anew, told, now))
     }
 
+    async fn gather(&self, after: Stamps) -> RpcResult<Gathered> {
+        Ok(self.endpoints.gather(after))
+    }
+
     async fn document(&self, newer_than: unit::Revision) -> RpcResult<Option<Update>> {
         let state = self.feed.current();
         if state.revision <= newer_than {
@@ -306,6 +380,12 @@
 }
 
 impl Server {
+    /// The time of day that the voters agree on, in milliseconds since the Unix epoch.
+    fn unix_ms(&self) -> u64 {
+        let members = self.handle.voter_count();
+        self.endpoints.unix_ms(members)
+    }
+
     /// Sends a follower all news until it goes.
     async fn give(&self, sink: &SubscriptionSink) {
         let mut endpoints = self.endpoints.changed.subscribe();
--- a/src/scalewood/ops/control/replica.rs
+++ b/src/scalewood/ops/control/replica.rs
@@ -86,6 +86,11 @@
         self.published.borrow().clone()
     }
 
+    /// How many voters there are.
+    pub(super) fn voter_count(&self) -> usize {
+        self.published.borrow().status.members.voters().count()
+    }
+
     /// Waits for what the voter shows next.
     pub fn watch(&self) -> watch::Receiver<Published> {
         self.published.clone()
@@ -136,7 +141,8 @@
         self.propose(command).await
     }
 
-    async fn propose(&self, command: ledger::Command) -> Passed<change::Answer> {
+    /// Agrees on a command if this voter leads.
+    pub(super) async fn propose(&self, command: ledger::Command) -> Passed<change::Answer> {
         match self
             .ask(|ticket| agree::Input::Propose(ticket, command))
             .await
--- a/src/scalewood/ops/control/share.rs
+++ b/src/scalewood/ops/control/share.rs
@@ -104,7 +104,7 @@
             let now = self.clock.now();
             let news = lock(self.endpoints.hub()).news_for(&self.name, anew, now);
             if anew || !news.is_empty() || now >= told_at + ALIVE {
-                let call = client.share(self.own.clone(), anew, news);
+                let call = client.share(self.own.clone(), anew, news, self.clock.unix_ms());
                 match tokio::time::timeout(ANSWER, call).await {
                     Ok(Ok(known)) => anew = !known,
                     Ok(Err(_)) | Err(_) => return,
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -23,6 +23,8 @@
 pub(super) struct Call {
     pub(super) request: attempt::Request,
     pub(super) team: name::Team,
+    /// Whether the team is known by a key, and not a name for all callers without one.
+    pub(super) is_known: bool,
     pub(super) key: config::ClassKey,
     pub(super) class: config::Class,
     /// Whether another zone may serve it.
@@ -87,6 +89,7 @@
     let call = Call {
         request: desk::new_request(),
         team,
+        is_known: true,
         key,
         class,
         spill,
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -4,12 +4,12 @@
 //! Voters tell each other of their boxes. While no voter answers, the dispatchers guess from
 //! what this box has.
 
-use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use jsonrpsee::ws_client::WsClient;
 
 use crate::{
-    core::{dispatch, load},
+    core::{dispatch, load, usage},
     event,
     ops::entry::{
         desk,
@@ -52,6 +52,8 @@
     told: load::Loads,
     /// What the other boxes have.
     others: load::Loads,
+    /// What the voter knows of this box's usage.
+    counted: BTreeMap<usage::Window, usage::Counts>,
 }
 
 impl Partner {
@@ -63,6 +65,7 @@
             boxes: 0,
             told: load::Loads::new(),
             others: load::Loads::new(),
+            counted: BTreeMap::new(),
         }
     }
 
@@ -101,7 +104,13 @@
             prompts: taken(&self.board, dispatch::Dispatcher::take_prompts),
             risks: Vec::new(),
         };
-        let call = client.exchange(self.board.own.name.clone(), anew, told);
+        let counted = lock(&self.board.usage).windows().clone();
+        let usage = usage::Told {
+            start: self.board.start,
+            rows: usage::difference(&self.counted, &counted),
+        };
+        let asked = now(&self.board);
+        let call = client.exchange(self.board.own.name.clone(), anew, told, usage);
         match tokio::time::timeout(ANSWER, call).await {
             Ok(Ok(Some(answer))) => {
                 if anew {
@@ -109,8 +118,11 @@
                 }
                 self.voter = Some(voter);
                 self.told = own;
-                self.boxes = answer.boxes;
-                self.take(answer.news, anew);
+                self.counted = counted;
+                self.boxes = answer.load.boxes;
+                let answered = now(&self.board);
+                lock(&self.board.wall).note(answer.unix_ms, asked, answered);
+                self.take(answer.load.news, anew);
             }
             Ok(Ok(None)) => self.lose(),
             Ok(Err(_)) | Err(_) => {
@@ -148,6 +160,7 @@
         }
         self.told.clear();
         self.others.clear();
+        self.counted.clear();
     }
 
     fn tell(&self, input: &dispatch::Input) {
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -84,6 +84,8 @@
     pub retries: retry::Allowance,
     /// How long a claimed key is remembered.
     pub retention: Duration,
+    /// The length of the windows in which usage is counted; nothing is counted where it is zero.
+    pub usage_window: Duration,
     /// How long callers are still taken after readiness went down.
     pub grace: Duration,
     /// How long running requests may take after that.
@@ -158,6 +160,7 @@
             limits: Limits::default(),
             retries: retry::Allowance::default(),
             retention: Duration::from_secs(300),
+            usage_window: Duration::ZERO,
             grace: Duration::from_secs(2),
             drain: Duration::from_secs(600),
         }
@@ -187,6 +190,7 @@
             limits: reader.object("limits"),
             retries: reader.object("retries"),
             retention: reader.duration("claim_retention", default.retention),
+            usage_window: reader.duration("usage_window", default.usage_window),
             grace: reader.duration("stop_grace", default.grace),
             drain: reader.duration("stop_drain", default.drain),
         };
@@ -268,7 +272,14 @@
         incarnation: unit::Incarnation::default(),
     };
     let clock = clock::System::default();
-    let board = Arc::new(Board::new(own, clock, log.clone(), settings.retention));
+    let board = Board::new(
+        own,
+        clock,
+        log.clone(),
+        settings.retention,
+        settings.usage_window,
+    );
+    let board = Arc::new(board);
     let mut methods = server::Server::new(board.clone()).into_rpc();
     methods
         .merge(source::Server::new(board.feed.clone()).into_rpc())
--- a/src/scalewood/ops/entry/observer.rs
+++ b/src/scalewood/ops/entry/observer.rs
@@ -18,6 +18,7 @@
     last: Duration,
     longest_pause: Duration,
     tokens: u64,
+    begun: bool,
     ended: bool,
 }
 
@@ -30,6 +31,7 @@
             last: Duration::ZERO,
             longest_pause: Duration::ZERO,
             tokens: 0,
+            begun: false,
             ended: false,
         }
     }
@@ -38,11 +40,20 @@
         (&self.call.key).into()
     }
 
+    /// Notes that an endpoint has begun the request: for the team's usage it counts once,
+    /// however many endpoints begin it and whatever comes of it.
+    pub(super) fn begun(&mut self) {
+        if !std::mem::replace(&mut self.begun, true) && self.call.is_known {
+            self.board.count_usage(&self.call.team);
+        }
+    }
+
     /// Notes the first token, or a plain service's answer.
     pub(super) fn first(&mut self) {
         if self.first.is_some() {
             return;
         }
+        self.begun();
         let now = now(&self.board);
         let took = now.saturating_sub(self.call.arrived);
         self.first = Some(took);
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -155,6 +155,8 @@
             parts,
             body,
         } = opened;
+        // Whatever its status, the endpoint has run the request.
+        self.observer.begun();
         let most = self.context.limits.answer.0;
         let read = Limited::new(body, most).collect();
         let read = match self.in_time(read).await {
@@ -373,7 +375,11 @@
         let attempt = turn.attempt();
         turn.end(failure.end);
         self.verdict = self.verdict.and(failure.verdict);
-        self.runs += u32::from(failure.verdict != verdict::Verdict::NotRun);
+        let may_have_run = failure.verdict != verdict::Verdict::NotRun;
+        self.runs += u32::from(may_have_run);
+        if may_have_run && !self.is_stream() {
+            self.observer.begun();
+        }
         self.misses += u32::from(failure.is_miss());
         let wait = self.next_wait(failure);
         event!(self.context.board.log, RequestRetried, "id" => self.routed.head.id.as_deref(),
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -238,6 +238,7 @@
     Call {
         request: desk::new_request(),
         team: team.cloned().unwrap_or_else(anybody),
+        is_known: team.is_some(),
         key: config::ClassKey {
             service: service.clone(),
             class: name.clone(),
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -83,6 +83,13 @@
     OrderSent = 2401, Info, "an order was given to an endpoint";
     OrderFailed = 2402, Warning, "an order to an endpoint failed";
     OrderHeldBack = 2403, Warning, "an order was held back since the lease has run out";
+    HolderTakes = 2411, Info, "this voter takes over what only one process may do";
+    HolderChanged = 2412, Info, "this voter begins or ends what only one process may do";
+    TaskOff = 2413, Error, "a task for the provider can't be done as the settings are";
+    ProviderCalled = 2414, Info, "the provider was called";
+    UsageClosed = 2421, Info, "the counts of a window of usage are agreed on";
+    UsageIncomplete = 2422, Warning, "a box was not heard after the end of a window of usage";
+    EndpointsOrdered = 2431, Info, "endpoints are ordered from the provider";
     PeerUp = 3001, Info, "a link to a peer is up";
     PeerDown = 3002, Warning, "a link to a peer is down";
     MemberAlive = 3003, Info, "a box counts as alive";
--- a/src/scalewood/wire/registry.rs
+++ b/src/scalewood/wire/registry.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use crate::core::{change, load, name, pace, registry, unit};
+use crate::core::{change, load, name, pace, registry, unit, usage};
 
 /// News of the registry; the first of a subscription holds everything.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -60,6 +60,39 @@
     Whole(Whole),
 }
 
+/// What a voter answers a box.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Exchanged {
+    /// What other boxes have.
+    pub load: load::Answer,
+    /// The agreed time of day, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
+/// Up to where a voter has told what boxes and endpoints have told it; zeros are the beginning.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamps {
+    /// Of usage.
+    pub usage: u64,
+    /// Of the registry.
+    pub registry: u64,
+}
+
+/// What boxes and endpoints have told a voter since some stamps.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Gathered {
+    /// The stamps to ask after next.
+    pub stamps: Stamps,
+    /// What boxes have counted of their usage.
+    pub usage: Vec<usage::Page>,
+    /// Endpoints that are new or changed.
+    pub changed: Vec<registry::Record>,
+    /// Endpoints that have gone.
+    pub gone: Vec<name::Endpoint>,
+    /// Endpoints that were heard of lately.
+    pub heard: Vec<name::Endpoint>,
+}
+
 /// Gives out what a voter knows of endpoints, and the configuration on demand.
 #[rpc(server, client, namespace = "registry")]
 pub trait Registry {
@@ -72,20 +105,31 @@
     async fn measured(&self, who: name::Box, paces: Vec<pace::Paced>) -> RpcResult<()>;
 
     /// Takes what a box has at endpoints, as far as it has changed or all of it if the box
-    /// starts `anew`, and what it has placed; returns the same of the other boxes. Nothing if the voter
-    /// does not know the box: it has to start anew.
+    /// starts `anew`, what it has placed and what it has counted of its usage; returns the same
+    /// of the other boxes. Nothing if the voter does not know the box: it has to start anew.
     #[method(name = "exchange")]
     async fn exchange(
         &self,
         who: name::Box,
         anew: bool,
         told: load::News,
-    ) -> RpcResult<Option<load::Answer>>;
+        usage: usage::Told,
+    ) -> RpcResult<Option<Exchanged>>;
 
     /// Takes what has changed at another voter's boxes, or all of it if that voter starts
-    /// `anew`; false if it has to start anew.
+    /// `anew`, and that voter's time of day; false if it has to start anew.
     #[method(name = "share")]
-    async fn share(&self, who: name::Box, anew: bool, told: load::News) -> RpcResult<bool>;
+    async fn share(
+        &self,
+        who: name::Box,
+        anew: bool,
+        told: load::News,
+        unix_ms: u64,
+    ) -> RpcResult<bool>;
+
+    /// What boxes and endpoints have told this voter since some stamps.
+    #[method(name = "gather")]
+    async fn gather(&self, after: Stamps) -> RpcResult<Gathered>;
 
     /// The configuration, if the voter has one that is newer.
     #[method(name = "document")]
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -17,6 +17,7 @@
         unread,
         held: unread,
         running,
+        ..Load::default()
     }
 }
 
--- a/tests/testsuite/pace.rs
+++ b/tests/testsuite/pace.rs
@@ -90,6 +90,7 @@
         slots: unit::Slots(4),
         state: State::Ready,
         sequence: 1,
+        interruptible: false,
     }
 }
 
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -609,6 +609,7 @@
         unread: 40_000,
         held: 40_000,
         running: 9,
+        ..Load::default()
     };
     dispatcher.step(others("i-4", load), START);
     assert!(patience(&dispatcher) >= least + Duration::from_millis(1500));
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -16,6 +16,7 @@
         slots: unit::Slots(4),
         state,
         sequence,
+        interruptible: false,
     }
 }
 
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -142,6 +142,8 @@
     /// The port under which the members' list names the first voter, if it is not its
     /// own: that of a link which can be cut.
     pub(crate) listed: Option<u16>,
+    /// The port of the provider that usage is reported to, in windows of a second.
+    pub(crate) provider: Option<u16>,
 }
 
 impl Default for Plan {
@@ -157,6 +159,7 @@
             retention: "2s",
             grace: "200ms",
             listed: None,
+            provider: None,
         }
     }
 }
@@ -299,8 +302,16 @@
             ..
         } = &self.voters[i];
         let hash = secret::Hash::of(OPERATOR);
+        let provider = self.plan.provider.map(|port| {
+            format!(
+                "  \"provider\": {{ \"address\": \"{}\", \"caller\": \"{name}\", \"tasks\": \"usage\", \
+                 \"usage_window\": \"1s\", \"rest\": \"500ms\" }},\n",
+                self.address(port)
+            )
+        });
+        let provider = provider.unwrap_or_default();
         let text = format!(
-            "// Made by the test support.\n{{\n  \"box\": \"{name}\",\n  \"listen\": \"{listen}\",\n  \
+            "// Made by the test support.\n{{\n{provider}  \"box\": \"{name}\",\n  \"listen\": \"{listen}\",\n  \
              \"admin\": \"{admin}\",\n  \"data\": \"{}\",\n  \"operators\": [\n    \
              {{ \"name\": \"nara\", \"token_hash\": \"{hash}\" }},\n  ],\n}}\n",
             data.display()
@@ -416,7 +427,7 @@
         let text = format!(
             "{{\n  \"box\": \"{name}\",\n  \"zone\": \"{zone}\",\n  \"callers\": \"{callers}\",\n  \
              \"listen\": \"{listen}\",\n  \"health\": \"{health}\",\n  \"voters\": [{voters}],\n  \
-             \"claim_retention\": \"{retention}\",\n  \"stop_grace\": \"{grace}\",\n  \
+             \"usage_window\": \"1s\", \"claim_retention\": \"{retention}\",\n  \"stop_grace\": \"{grace}\",\n  \
              \"limits\": {{ \"silence\": \"3s\", \"arrival\": \"1s\", \"body\": \"64KiB\" }},\n}}\n"
         );
         self.write(&format!("{name}.json"), &text)
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod client;
 pub(crate) mod deploy;
 pub(crate) mod forwarder;
+pub(crate) mod provider;
 pub(crate) mod routed;
 pub(crate) mod voter;
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -157,6 +157,7 @@
             slots: unit::Slots(8),
             state,
             sequence,
+            interruptible: false,
         }
     }
 }
--- a/tests/testsuite/support/voter.rs
+++ b/tests/testsuite/support/voter.rs
@@ -18,10 +18,10 @@
 };
 use scalewood::{
     board::feed::Feed,
-    core::{change::Step, config, load, name, pace, unit},
+    core::{change::Step, config, load, name, pace, unit, usage},
     ops::rpc,
     wire::{
-        registry::{News, RegistryServer, Update, Whole},
+        registry::{Exchanged, Gathered, News, RegistryServer, Stamps, Update, Whole},
         source::{self, SourceServer},
     },
 };
@@ -121,14 +121,25 @@
         _who: name::Box,
         _anew: bool,
         _told: load::News,
-    ) -> RpcResult<Option<load::Answer>> {
+        _usage: usage::Told,
+    ) -> RpcResult<Option<Exchanged>> {
         Ok(None)
     }
 
-    async fn share(&self, _who: name::Box, _anew: bool, _told: load::News) -> RpcResult<bool> {
+    async fn share(
+        &self,
+        _who: name::Box,
+        _anew: bool,
+        _told: load::News,
+        _unix_ms: u64,
+    ) -> RpcResult<bool> {
         Ok(true)
     }
 
+    async fn gather(&self, _after: Stamps) -> RpcResult<Gathered> {
+        Ok(Gathered::default())
+    }
+
     async fn document(&self, newer_than: unit::Revision) -> RpcResult<Option<Update>> {
         self.asked.fetch_add(1, Ordering::Relaxed);
         let gives = *self.gives.borrow();
--- /dev/null
+++ b/tests/testsuite/usage.rs
@@ -0,0 +1,222 @@
+//! Usage by team: whatever is lost, told twice or told elsewhere, each request counts once, and
+//! what was agreed on for a window stays.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use scalewood::core::{
+    name,
+    usage::{difference, Book, Closed, Counts, Log, Page, Source, Tally, Window},
+};
+
+const LENGTH: Duration = Duration::from_secs(5);
+const START_MS: u64 = 1_790_000_000_000;
+
+fn team(i: usize) -> name::Team {
+    format!("t{i}").parse().unwrap()
+}
+
+fn counts(pairs: &[(usize, u64)]) -> Counts {
+    pairs.iter().map(|(i, count)| (team(*i), *count)).collect()
+}
+
+/// A box that counts, tells one of some voters, and is killed now and then.
+struct Teller {
+    source: Source,
+    tally: Tally,
+    voter: usize,
+    told: BTreeMap<Window, Counts>,
+}
+
+impl Teller {
+    fn new(i: usize, start: u64) -> Self {
+        Self {
+            source: Source {
+                name: format!("e{i}").parse().unwrap(),
+                start,
+            },
+            tally: Tally::new(LENGTH),
+            voter: i % 3,
+            told: BTreeMap::new(),
+        }
+    }
+
+    fn page(&self, heard_ms: u64) -> Page {
+        Page {
+            source: self.source.clone(),
+            heard_ms,
+            rows: difference(&self.told, self.tally.windows()),
+        }
+    }
+}
+
+/// Boxes tell three voters by turns over links that lose messages and answers; the sums of
+/// what was told are exact, and only what a killed box had not told is missing.
+#[test]
+fn each_request_counts_once_through_losses_moves_and_kills() {
+    for seed in 0..40 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut books: Vec<_> = (0..3).map(|_| Book::default()).collect();
+        let mut boxes: Vec<_> = (0..12).map(|i| Teller::new(i, 0)).collect();
+        let mut truth: BTreeMap<Window, Counts> = BTreeMap::new();
+        for step in 0..300_u64 {
+            let now_ms = START_MS + 100 * step;
+            for i in 0..boxes.len() {
+                for _ in 0..random.random_range(0..3) {
+                    boxes[i]
+                        .tally
+                        .count(&team(random.random_range(0..5)), now_ms);
+                }
+                let told = random.random_bool(0.7) || step == 299;
+                if told {
+                    let page = boxes[i].page(now_ms);
+                    books[boxes[i].voter].take(page);
+                    // An answer is lost: the box tells the same once more.
+                    if random.random_bool(0.8) {
+                        boxes[i].told = boxes[i].tally.windows().clone();
+                    }
+                }
+                if random.random_bool(0.01) {
+                    // It goes to another voter and tells everything anew.
+                    boxes[i].voter = random.random_range(0..3);
+                    boxes[i].told.clear();
+                } else if told && random.random_bool(0.005) && step < 250 {
+                    add(&mut truth, boxes[i].tally.windows());
+                    boxes[i] = Teller::new(i, step + 1);
+                }
+            }
+        }
+        for teller in &boxes {
+            add(&mut truth, teller.tally.windows());
+        }
+        // The holder brings the voters' books together, twice.
+        let mut all = Book::default();
+        for _ in 0..2 {
+            for book in &books {
+                for page in book.changed_since(0).pages {
+                    all.take(page);
+                }
+            }
+        }
+        for (window, expected) in &truth {
+            assert_eq!(
+                all.totals(*window),
+                *expected,
+                "seed {seed}, window {window}"
+            );
+        }
+    }
+}
+
+fn add(truth: &mut BTreeMap<Window, Counts>, windows: &BTreeMap<Window, Counts>) {
+    for (window, counts) in windows {
+        let sums = truth.entry(*window).or_default();
+        for (team, count) in counts {
+            *sums.entry(team.clone()).or_default() += count;
+        }
+    }
+}
+
+#[test]
+fn a_box_that_was_not_heard_after_the_end_is_waited_for_until_it_starts_again() {
+    let window = Window::at(START_MS, LENGTH).unwrap();
+    let end = window.end_ms(LENGTH);
+    let mut book = Book::default();
+    let page = |name: &str, start, heard_ms| Page {
+        source: Source {
+            name: name.parse().unwrap(),
+            start,
+        },
+        heard_ms,
+        rows: Vec::new(),
+    };
+    book.take(page("e1", 1, end + 10));
+    book.take(page("e2", 1, end - 200));
+    book.take(page("e3", 1, end - 60_000));
+    let behind = |book: &Book| -> Vec<_> {
+        let behind = book.behind(end - 10_000, end);
+        behind
+            .into_iter()
+            .map(|(source, _)| source.name.to_string())
+            .collect()
+    };
+    assert_eq!(behind(&book), ["e2"], "e3 has long gone");
+    book.take(page("e2", 2, end + 500));
+    assert_eq!(behind(&book), Vec::<String>::new());
+}
+
+#[test]
+fn changes_tell_only_what_is_new_to_the_one_who_asks() {
+    let mut teller = Teller::new(1, 0);
+    let mut book = Book::default();
+    teller.tally.count(&team(1), START_MS);
+    teller.tally.count(&team(2), START_MS);
+    book.take(teller.page(START_MS));
+    let first = book.changed_since(0);
+    assert_eq!(first.pages[0].rows[0].counts, counts(&[(1, 1), (2, 1)]));
+    assert!(book.changed_since(first.stamp).pages.is_empty());
+    teller.tally.count(&team(2), START_MS);
+    book.take(teller.page(START_MS));
+    let second = book.changed_since(first.stamp);
+    assert_eq!(second.pages[0].rows[0].counts, counts(&[(2, 2)]));
+}
+
+#[test]
+fn what_was_agreed_on_for_a_window_stays() {
+    let mut log = Log::default();
+    let closed = |window, pairs: &[(usize, u64)], reported: &[u64]| Closed {
+        window: Window(window),
+        counts: Arc::new(counts(pairs)),
+        reported: reported
+            .iter()
+            .map(|window| Window(*window))
+            .collect::<BTreeSet<_>>(),
+    };
+    log.close(&closed(7, &[(1, 5)], &[]));
+    log.close(&closed(7, &[(1, 6)], &[]));
+    assert_eq!(*log.windows()[&Window(7)].counts, counts(&[(1, 5)]));
+    log.close(&closed(8, &[(1, 1)], &[7]));
+    assert!(log.windows()[&Window(7)].reported);
+    assert!(!log.windows()[&Window(8)].reported);
+    // The log is bounded; a window that was dropped is never agreed on anew.
+    for window in 9..200 {
+        log.close(&closed(window, &[(1, 1)], &[window - 1]));
+    }
+    assert!(log.windows().len() <= 64, "{}", log.windows().len());
+    assert!(log.is_closed(Window(7)));
+    log.close(&closed(7, &[(1, 9)], &[]));
+    assert!(!log.windows().contains_key(&Window(7)));
+}
+
+/// A window of 27,000 teams on 390 boxes, by the bytes that boxes tell and the log keeps.
+#[test]
+fn a_window_of_many_teams_stays_within_its_bounds() {
+    let window = Window::at(START_MS, LENGTH).unwrap();
+    let mut book = Book::default();
+    let mut told = 0;
+    for i in 0..390 {
+        let mut teller = Teller::new(i, 0);
+        // 5,800 requests a second are 75 of a box in a window.
+        for request in 0..75 {
+            teller
+                .tally
+                .count(&team((i * 75 + request) % 27_000), START_MS);
+        }
+        let page = teller.page(START_MS);
+        told += serde_json::to_vec(&page.rows).unwrap().len();
+        book.take(page);
+    }
+    let totals = book.totals(window);
+    assert_eq!(totals.values().sum::<u64>(), 390 * 75);
+    let a_box_and_second = told / 390 / 5;
+    assert!(
+        a_box_and_second < 1024,
+        "{a_box_and_second} bytes a box and second"
+    );
+    let report = serde_json::to_vec(&totals).unwrap().len();
+    assert!(report < 512 * 1024, "{report} bytes a report");
+}
--- /dev/null
+++ b/tests/testsuite/wall.rs
@@ -0,0 +1,87 @@
+//! The time of day that boxes agree on: clocks that jump move nothing while most do not.
+
+use std::time::Duration;
+
+use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use scalewood::core::{
+    name,
+    wall::{Follower, Readings},
+};
+
+const VOTERS: usize = 6;
+/// The true time of day when the steady clock shows zero.
+const EPOCH_MS: u64 = 1_790_000_000_000;
+
+fn voter(i: usize) -> name::Box {
+    format!("c{i}").parse().unwrap()
+}
+
+/// Plays voters of which a third jumps by two seconds at some time; returns the furthest that
+/// the agreed time of one that jumped was off, in milliseconds.
+fn furthest(seed: u64, jump_ms: i64) -> u64 {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let skews: Vec<i64> = (0..VOTERS).map(|_| random.random_range(-30..30)).collect();
+    let mut readings = Readings::default();
+    let mut furthest = 0;
+    for step in 0..200_u64 {
+        let now = Duration::from_millis(100 * step);
+        let true_ms = EPOCH_MS + 100 * step;
+        let jumped = |i: usize| {
+            if i < VOTERS / 3 && step >= 100 {
+                jump_ms
+            } else {
+                0
+            }
+        };
+        let told = |i: usize| true_ms.saturating_add_signed(skews[i] + jumped(i));
+        for i in 1..VOTERS {
+            if random.random_bool(0.5) {
+                readings.note(&voter(i), told(i), now);
+            }
+        }
+        let agreed = readings.agree(told(0), VOTERS, now).unix_ms(now);
+        if step > 10 {
+            furthest = furthest.max(agreed.abs_diff(true_ms));
+        }
+    }
+    furthest
+}
+
+#[test]
+fn a_third_of_the_clocks_that_jumps_moves_nothing() {
+    for seed in 0..50 {
+        for jump_ms in [2000, -2000, 60_000] {
+            let off = furthest(seed, jump_ms);
+            assert!(off <= 60, "seed {seed}, jump {jump_ms}: {off} ms off");
+        }
+    }
+}
+
+#[test]
+fn a_voter_that_hears_no_majority_keeps_what_was_agreed() {
+    let mut readings = Readings::default();
+    for i in 1..VOTERS {
+        readings.note(&voter(i), EPOCH_MS, Duration::ZERO);
+    }
+    let agreed = readings.agree(EPOCH_MS, VOTERS, Duration::ZERO);
+    // Cut off from the others, its own clock jumps.
+    let later = Duration::from_secs(60);
+    let jumped = EPOCH_MS + 62_000;
+    assert_eq!(readings.agree(jumped, VOTERS, later), agreed);
+}
+
+#[test]
+fn a_box_follows_its_voter_and_not_its_own_clock() {
+    let mut follower = Follower::default();
+    let asked = Duration::from_secs(10);
+    assert_eq!(follower.unix_ms(123, asked), 123, "nothing is known yet");
+    // The answer was slow; then one came fast, and one slow again.
+    for (way_ms, shown_ms) in [(400, 390), (2, 1), (300, 20)] {
+        let answered = asked + Duration::from_millis(way_ms);
+        follower.note(EPOCH_MS + shown_ms, asked, answered);
+    }
+    let now = asked + Duration::from_secs(1);
+    let off = follower.unix_ms(5, now).abs_diff(EPOCH_MS + 1000);
+    assert!(off <= 1, "{off} ms off");
+    assert_eq!(follower.error(), Some(Duration::from_millis(1)));
+}
