The number of endpoints follows the demand, mostly with interruptible ones

Now the holder orders what the highest demand of the last 15 s asks for at 0.3 of the slots in use, interruptible endpoints first, spread so that any zone's can go; ordinary ones stay until those serve and are ordered where interruptible ones can't be had and 0.5 of the slots would be in use. A new holder watches before it orders; each order is in the audit trail.

--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -31,6 +31,7 @@
 pub mod publish;
 mod registry;
 mod replica;
+mod scaling;
 mod server;
 mod share;
 mod usage;
@@ -411,6 +412,18 @@
             .clone()
             .run(hold.clone(), handle.clone(), endpoints.clone(), clock),
     );
+    if tasks.contains(&provider::Task::Scaling) {
+        let orderer = scaling::Orderer {
+            handle: handle.clone(),
+            endpoints: endpoints.clone(),
+            gathering,
+            settings: settings.scaling.clone(),
+            clock,
+            log: log.clone(),
+        };
+        let client = provider::Client::new(hold.clone(), address, settings);
+        tokio::spawn(orderer.run::<D>(client));
+    }
     if tasks.contains(&provider::Task::Usage) {
         let reporter = || usage::Reporter {
             handle: handle.clone(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod report;
 mod route;
 mod routed;
+mod scaling;
 mod settings;
 mod silence;
 mod size;
--- /dev/null
+++ b/tests/testsuite/scaling.rs
@@ -0,0 +1,320 @@
+//! How many endpoints are ordered, where and of which kind. Each test names the pattern of load
+//! or loss that it answers; the emulated provider starts endpoints after four seconds, takes
+//! all interruptible ones of a zone away with two seconds of notice, and has none there for
+//! ten seconds: figures as the users' provider shows them.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use scalewood::core::{
+    name,
+    scaling::{Answer, Kind, Offer, Order, Scaler, Seen, Serving, Settings},
+};
+
+const ZONES: [&str; 4] = ["z0", "z1", "z2", "z3"];
+const SLOTS: u32 = 12;
+const MAX: u32 = 56;
+const TICK: Duration = Duration::from_millis(250);
+const STARTS: Duration = Duration::from_secs(4);
+const NOTICE: Duration = Duration::from_millis(2000);
+const DRY: Duration = Duration::from_secs(10);
+
+fn offer() -> Offer {
+    Offer {
+        min: 1,
+        max: MAX,
+        start_ms: 4000,
+        interruptible_price: Some(0.22),
+        zone_prices: ZONES
+            .iter()
+            .map(|zone| (zone.parse().unwrap(), 1.0))
+            .collect(),
+    }
+}
+
+/// The endpoints of a kind in a zone, as the provider has them.
+#[derive(Clone, Debug, Default)]
+struct Stock {
+    serving: u32,
+    /// Those that start, and when they serve.
+    starting: Vec<(Duration, u32)>,
+    /// Those that go, and when they have gone.
+    going: Option<(Duration, u32)>,
+}
+
+/// A provider and what orders make of it.
+struct World {
+    now: Duration,
+    scaler: Scaler,
+    stock: BTreeMap<(name::Zone, Kind), Stock>,
+    dry: BTreeMap<name::Zone, Duration>,
+    orders: Vec<Order>,
+}
+
+impl World {
+    /// A service with so many ordinary endpoints in each zone.
+    fn new(ordinary: u32) -> Self {
+        let now = Duration::from_secs(100);
+        let stock = ZONES.iter().map(|zone| {
+            let stock = Stock {
+                serving: ordinary,
+                ..Stock::default()
+            };
+            ((zone.parse().unwrap(), Kind::Ordinary), stock)
+        });
+        Self {
+            now,
+            scaler: Scaler::new(Settings::default(), now),
+            stock: stock.collect(),
+            dry: BTreeMap::new(),
+            orders: Vec::new(),
+        }
+    }
+
+    fn seen(&self, in_use: u32) -> Seen {
+        let mut zones: BTreeMap<name::Zone, Serving> = BTreeMap::new();
+        for ((zone, kind), stock) in &self.stock {
+            let serving = zones.entry(zone.clone()).or_default();
+            match kind {
+                Kind::Ordinary => serving.ordinary += stock.serving,
+                Kind::Interruptible => serving.interruptible += stock.serving,
+            }
+            serving.going += stock.going.map_or(0, |(_, count)| count);
+        }
+        Seen {
+            in_use,
+            slots: SLOTS,
+            zones,
+        }
+    }
+
+    /// Plays for some time with so many slots in use.
+    fn play(&mut self, long: Duration, in_use: u32) {
+        let until = self.now + long;
+        while self.now < until {
+            self.now += TICK;
+            for stock in self.stock.values_mut() {
+                let now = self.now;
+                let ready = stock.starting.iter().filter(|(at, _)| *at <= now);
+                stock.serving += ready.map(|(_, count)| count).sum::<u32>();
+                stock.starting.retain(|(at, _)| *at > now);
+                stock.going = stock.going.filter(|(at, _)| *at > now);
+            }
+            let seen = self.seen(in_use);
+            for order in self.scaler.step(&offer(), &seen, self.now) {
+                let answer = self.take(&order);
+                self.scaler.answered(&order, answer, self.now);
+                self.orders.push(order);
+            }
+            self.check();
+        }
+    }
+
+    fn take(&mut self, order: &Order) -> Answer {
+        let dry = self
+            .dry
+            .get(&order.zone)
+            .is_some_and(|until| *until > self.now);
+        let stock = self
+            .stock
+            .entry((order.zone.clone(), order.kind))
+            .or_default();
+        let has = stock.serving + stock.starting.iter().map(|(_, count)| count).sum::<u32>();
+        if order.count > has {
+            if dry && order.kind == Kind::Interruptible {
+                return Answer::NoneLeft;
+            }
+            stock.starting.push((self.now + STARTS, order.count - has));
+        } else {
+            let mut less = has - order.count;
+            while less > 0 {
+                if let Some((at, count)) = stock.starting.pop() {
+                    let kept = count.saturating_sub(less);
+                    less -= count - kept;
+                    if kept > 0 {
+                        stock.starting.push((at, kept));
+                    }
+                } else {
+                    stock.serving -= less;
+                    less = 0;
+                }
+            }
+        }
+        Answer::Taken
+    }
+
+    /// All interruptible endpoints of a zone are about to go.
+    fn reclaim(&mut self, zone: &str) {
+        let zone: name::Zone = zone.parse().unwrap();
+        let stock = self
+            .stock
+            .entry((zone.clone(), Kind::Interruptible))
+            .or_default();
+        stock.going = Some((self.now + NOTICE, stock.serving));
+        stock.serving = 0;
+        stock.starting.clear();
+        self.dry.insert(zone, self.now + DRY);
+    }
+
+    /// What no order may break: the provider's bounds for both kinds together.
+    fn check(&self) {
+        for zone in ZONES {
+            let zone: name::Zone = zone.parse().unwrap();
+            let count = |kind| {
+                let stock = self.stock.get(&(zone.clone(), kind));
+                stock.map_or(0, |stock| {
+                    stock.serving + stock.starting.iter().map(|(_, count)| count).sum::<u32>()
+                })
+            };
+            let both = count(Kind::Ordinary) + count(Kind::Interruptible);
+            assert!(both <= MAX, "{both} in {zone} at {:?}", self.now);
+        }
+    }
+
+    fn serving(&self, kind: Kind) -> u32 {
+        let stock = self.stock.iter().filter(|((_, of), _)| *of == kind);
+        stock.map(|(_, stock)| stock.serving).sum()
+    }
+
+    fn all(&self) -> u32 {
+        self.serving(Kind::Ordinary) + self.serving(Kind::Interruptible)
+    }
+}
+
+/// Before there is any demand, what was found is replaced by what costs less, and at no time
+/// does less serve than was found.
+#[test]
+fn what_was_found_is_replaced_before_it_is_given_up() {
+    let mut world = World::new(28);
+    for _ in 0..80 {
+        world.play(TICK, 0);
+        assert!(
+            f64::from(world.all()) >= 112.0 * 0.85,
+            "{} serve",
+            world.all()
+        );
+    }
+    assert_eq!(world.serving(Kind::Ordinary), 0);
+    assert!(world.serving(Kind::Interruptible) >= 112);
+}
+
+/// A demand of a quarter of the slots, then a burst of three times as much for nine seconds:
+/// the order is out within a tick, and is not taken back while bursts come again.
+#[test]
+fn a_burst_is_ordered_for_at_once_and_kept_for_the_next_one() {
+    let mut world = World::new(28);
+    world.play(Duration::from_secs(20), 330);
+    let before = world.all();
+    world.play(TICK, 1000);
+    let ordered: u32 = world
+        .orders
+        .iter()
+        .rev()
+        .take(4)
+        .map(|order| order.count)
+        .sum();
+    assert!(ordered > before, "{ordered} ordered, {before} serve");
+    world.play(Duration::from_secs(9), 1000);
+    let grown = world.all();
+    assert!(grown > before, "{grown} serve, {before} did");
+    world.play(Duration::from_secs(8), 330);
+    assert!(world.all() >= grown, "given up between two bursts");
+    world.play(Duration::from_secs(30), 330);
+    assert!(world.all() < grown, "never given up");
+}
+
+/// All interruptible endpoints of a zone go in the middle of a demand: those of the others are
+/// enough for it, replacements are ordered in the tick of the notice, and the zone is full
+/// again soon after they are to be had.
+#[test]
+fn a_zone_that_loses_its_interruptible_endpoints_is_covered() {
+    let mut world = World::new(28);
+    world.play(Duration::from_secs(30), 330);
+    let needed = 330_u32.div_ceil(SLOTS);
+    world.reclaim("z1");
+    world.orders.clear();
+    world.play(TICK, 330);
+    let elsewhere = world
+        .orders
+        .iter()
+        .filter(|order| order.zone.as_str() != "z1");
+    assert!(elsewhere.count() > 0, "nothing is ordered elsewhere");
+    // Until they are to be had, the order is given again, and they start: with a tick each.
+    let back_within = DRY + Duration::from_secs(2) + STARTS + 4 * TICK;
+    let until = world.now + back_within;
+    while world.now < until {
+        world.play(TICK, 330);
+        assert!(world.all() >= 2 * needed, "{} serve", world.all());
+    }
+    let back = &world.stock[&("z1".parse().unwrap(), Kind::Interruptible)];
+    assert!(back.serving > 0, "none came back: {back:?}");
+}
+
+/// None are to be had anywhere under a demand that strains what is left: ordinary ones are
+/// ordered, and given up once others serve in their place.
+#[test]
+fn ordinary_endpoints_stand_in_while_no_others_are_to_be_had() {
+    let mut world = World::new(28);
+    world.play(Duration::from_secs(30), 900);
+    for zone in ZONES {
+        world.reclaim(zone);
+    }
+    world.play(Duration::from_secs(8), 900);
+    let ordinary = world.serving(Kind::Ordinary);
+    assert!(f64::from(ordinary * SLOTS) >= 900.0, "{ordinary} stand in");
+    world.play(Duration::from_secs(60), 900);
+    assert_eq!(world.serving(Kind::Ordinary), 0, "they are still paid for");
+}
+
+/// Any demand, losses and outages by turns: the bounds hold at each tick, and a service with
+/// demand is never left without endpoints for longer than a start takes.
+#[test]
+fn bounds_hold_through_any_order_of_demand_and_losses() {
+    for seed in 0..30 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut world = World::new(random.random_range(1..40));
+        let mut without = Duration::ZERO;
+        for _ in 0..400 {
+            if random.random_bool(0.03) {
+                world.reclaim(ZONES[random.random_range(0..ZONES.len())]);
+            }
+            world.play(TICK, random.random_range(1..2000));
+            without = if world.all() == 0 {
+                without + TICK
+            } else {
+                Duration::ZERO
+            };
+            assert!(without < DRY + STARTS * 2, "seed {seed}: nothing serves");
+        }
+    }
+}
+
+/// Where nothing costs less, the number still follows the demand, and no interruptible ones
+/// are ordered.
+#[test]
+fn a_provider_without_interruptible_endpoints_gets_orders_of_the_others_only() {
+    let mut scaler = Scaler::new(Settings::default(), Duration::ZERO);
+    let offer = Offer {
+        interruptible_price: None,
+        ..offer()
+    };
+    let zones = ZONES.iter().map(|zone| {
+        let serving = Serving {
+            ordinary: 10,
+            ..Serving::default()
+        };
+        (zone.parse().unwrap(), serving)
+    });
+    let seen = Seen {
+        in_use: 400,
+        slots: SLOTS,
+        zones: zones.collect(),
+    };
+    scaler.step(&offer, &seen, Duration::ZERO);
+    let orders = scaler.step(&offer, &seen, Duration::from_secs(5));
+    assert!(!orders.is_empty());
+    for order in orders {
+        assert_eq!(order.kind, Kind::Ordinary);
+        assert!(order.count > 10, "{order:?}");
+    }
+}
