A window of usage waits for voters that are cut off

Ruled out: boxes that were heard and fell silent; those were waited for already.

A book of usage is bounded in the starts that it remembers.

--- a/src/scalewood/core/usage.rs
+++ b/src/scalewood/core/usage.rs
@@ -22,6 +22,8 @@
 
 /// The windows that boxes and voters remember: several times as many as a report may take.
 const MAX_OPEN: usize = 12;
+/// The starts of boxes that a voter remembers: several times as many as boxes run.
+const MAX_SOURCES: usize = 2048;
 /// The rows of agreed windows that the log keeps at most, reported ones being dropped first:
 /// some windows of 27,000 teams, a few megabytes.
 const MAX_ROWS: usize = 120_000;
@@ -214,6 +216,17 @@
         while entry.windows.len() > MAX_OPEN {
             entry.windows.pop_first();
         }
+        if self.sources.len() > MAX_SOURCES {
+            self.forget_oldest();
+        }
+    }
+
+    /// Forgets the start that was heard the longest ago.
+    fn forget_oldest(&mut self) {
+        let oldest = self.sources.iter().min_by_key(|(_, entry)| entry.heard_ms);
+        if let Some(source) = oldest.map(|(source, _)| source.clone()) {
+            self.sources.remove(&source);
+        }
     }
 
     /// What has changed since a stamp; everything since 0.
--- a/src/scalewood/ops/control/collect.rs
+++ b/src/scalewood/ops/control/collect.rs
@@ -11,7 +11,7 @@
 use jsonrpsee::ws_client::WsClient;
 
 use crate::{
-    core::{agree, registry},
+    core::{agree, name, registry},
     ops::{
         control::{provider, registry::Endpoints, Handle},
         rpc,
@@ -31,12 +31,26 @@
 /// How long an endpoint may be unheard of before it counts no more: some heartbeats.
 const FORGET: Duration = Duration::from_secs(4);
 
+/// How long a voter that is no member any more may come back: most cuts are shorter.
+const REMEMBERED: Duration = Duration::from_secs(15);
+
+/// Another voter, as the holder hears it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heard {
+    /// When it was a member last.
+    member: Duration,
+    /// When it has answered last, if it has.
+    answered: Option<Duration>,
+}
+
 /// All endpoints, as all voters know them together.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Gathering {
     registry: Arc<Mutex<registry::Registry>>,
     /// When at least half of the other voters had answered last.
     complete: Arc<Mutex<Option<Duration>>>,
+    /// The other voters, also those that were removed of late.
+    heard: Arc<Mutex<BTreeMap<name::Box, Heard>>>,
 }
 
 impl Gathering {
@@ -50,6 +64,17 @@
         Some(records.cloned().collect())
     }
 
+    /// The voters that have not answered since a time: what their boxes have counted until then
+    /// may not be known here. One that is cut off comes back with it; the boxes of one that has
+    /// died tell another one.
+    pub(super) fn unheard_since(&self, time: Duration) -> Vec<name::Box> {
+        let heard = lock(&self.heard);
+        let unheard = heard
+            .iter()
+            .filter(|(_, voter)| voter.answered.is_none_or(|at| at < time));
+        unheard.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Brings together, for as long as this voter holds.
     pub(super) async fn run(
         self,
@@ -67,17 +92,19 @@
                 own = Stamps::default();
                 *lock(&self.registry) = registry::Registry::default();
                 *lock(&self.complete) = None;
+                lock(&self.heard).clear();
                 continue;
             }
             let gathered = endpoints.gather(own);
             own = gathered.stamps;
             self.take(gathered, &endpoints, clock.now(), true);
             let answers = others.ask_all(&handle).await;
-            let (asked, heard) = (answers.len(), answers.iter().flatten().count());
-            for gathered in answers.into_iter().flatten() {
-                self.take(gathered, &endpoints, clock.now(), false);
-            }
+            let asked = answers.len();
             let now = clock.now();
+            let heard = self.note_heard(&answers, now);
+            for gathered in answers.into_iter().filter_map(|(_, gathered)| gathered) {
+                self.take(gathered, &endpoints, now, false);
+            }
             lock(&self.registry).expire(now.saturating_sub(FORGET));
             if heard * 2 >= asked {
                 *lock(&self.complete) = Some(now);
@@ -85,6 +112,22 @@
         }
     }
 
+    /// Notes which voters have answered; returns how many.
+    fn note_heard(&self, answers: &[Answered], now: Duration) -> usize {
+        let mut heard = lock(&self.heard);
+        for (name, gathered) in answers {
+            let voter = heard.entry(name.clone()).or_default();
+            voter.member = now;
+            voter.answered = gathered.as_ref().map(|_| now).or(voter.answered);
+        }
+        // A voter that is cut off is soon no member, and comes back with what it was told.
+        heard.retain(|_, voter| voter.member + REMEMBERED >= now);
+        answers
+            .iter()
+            .filter(|(_, gathered)| gathered.is_some())
+            .count()
+    }
+
     fn take(&self, gathered: Gathered, endpoints: &Endpoints, now: Duration, own: bool) {
         if !own {
             let mut book = lock(endpoints.book());
@@ -103,6 +146,9 @@
     }
 }
 
+/// A voter, and what it has answered, if it has.
+type Answered = (name::Box, Option<Gathered>);
+
 /// The other voters, with the stamps of what each has told.
 #[derive(Default)]
 struct Others {
@@ -117,7 +163,7 @@
 
 impl Others {
     /// Asks all other voters at once.
-    async fn ask_all(&mut self, handle: &Handle) -> Vec<Option<Gathered>> {
+    async fn ask_all(&mut self, handle: &Handle) -> Vec<Answered> {
         let status = handle.published().status;
         let members: BTreeMap<_, _> = status.members.addresses().collect();
         self.known
@@ -133,7 +179,10 @@
             };
             self.known.insert(node.clone(), other);
         }
-        let asked = self.known.values_mut().map(Other::ask);
+        let asked = self.known.iter_mut().map(|(node, other)| async {
+            let gathered = other.ask().await;
+            (node.name.clone(), gathered)
+        });
         futures_util::future::join_all(asked).await
     }
 }
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -416,7 +416,7 @@
         let orderer = scaling::Orderer {
             handle: handle.clone(),
             endpoints: endpoints.clone(),
-            gathering,
+            gathering: gathering.clone(),
             settings: settings.scaling.clone(),
             clock,
             log: log.clone(),
@@ -428,6 +428,8 @@
         let reporter = || usage::Reporter {
             handle: handle.clone(),
             endpoints: endpoints.clone(),
+            gathering: gathering.clone(),
+            clock,
             settings: settings.clone(),
             hold: hold.clone(),
             log: log.clone(),
--- a/src/scalewood/ops/control/usage.rs
+++ b/src/scalewood/ops/control/usage.rs
@@ -9,8 +9,11 @@
 use crate::{
     core::{ledger, usage},
     event,
-    ops::control::{provider, registry::Endpoints, Handle},
-    util::lock::lock,
+    ops::control::{collect, provider, registry::Endpoints, Handle},
+    util::{
+        clock::{self, Clock as _},
+        lock::lock,
+    },
     wire::control::Passed,
 };
 
@@ -29,6 +32,8 @@
 pub(super) struct Reporter {
     pub(super) handle: Handle,
     pub(super) endpoints: Endpoints,
+    pub(super) gathering: collect::Gathering,
+    pub(super) clock: clock::System,
     pub(super) settings: provider::Settings,
     pub(super) hold: provider::Hold,
     pub(super) log: slog::Logger,
@@ -80,9 +85,17 @@
             (missing, counts)
         };
         let wait = self.settings.due.mul_f64(WAIT_PART);
-        if now < after(BEYOND) || (!missing.is_empty() && now < after(wait)) {
+        let ago = Duration::from_millis(now.saturating_sub(after(BEYOND)));
+        let unheard = self
+            .gathering
+            .unheard_since(self.clock.now().saturating_sub(ago));
+        let is_whole = missing.is_empty() && unheard.is_empty();
+        if now < after(BEYOND) || (!is_whole && now < after(wait)) {
             return;
         }
+        for voter in &unheard {
+            event!(self.log, UsageUnheard, "window" => window.0, "voter" => %voter);
+        }
         for (source, heard_ms) in &missing {
             event!(self.log, UsageIncomplete, "window" => window.0, "source" => %source,
                 "behind_ms" => after(BEYOND).saturating_sub(*heard_ms));
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -89,6 +89,7 @@
     ProviderCalled = 2414, Info, "the provider was called";
     UsageClosed = 2421, Info, "the counts of a window of usage are agreed on";
     UsageIncomplete = 2422, Warning, "a box was not heard after the end of a window of usage";
+    UsageUnheard = 2423, Warning, "a voter was not heard after the end of a window of usage";
     EndpointsOrdered = 2431, Info, "endpoints are ordered from the provider";
     PeerUp = 3001, Info, "a link to a peer is up";
     PeerDown = 3002, Warning, "a link to a peer is down";
