Interruptible endpoints are ordered while what serves is still being found

At the start the holder waited until all endpoints had announced themselves before it ordered the cheaper ones, and paid for the ordinary ones meanwhile. Now it adds at once and gives up later.

--- a/src/scalewood/core/scaling.rs
+++ b/src/scalewood/core/scaling.rs
@@ -24,8 +24,8 @@
 /// How long a zone is left alone in which no interruptible endpoints were to be had, or whose
 /// were taken away: they come back some seconds later, and a refused order costs a call.
 const SCARCE: Duration = Duration::from_secs(2);
-/// How long what serves is watched before anything is ordered: endpoints announce themselves
-/// about every second, and those that have not yet would be ordered once more.
+/// How long nothing more may have been found before anything is given up: endpoints announce
+/// themselves about every second.
 const SETTLE: Duration = Duration::from_millis(2500);
 /// By how much a lower number has to differ to be worth a move.
 const WORTH_LOWERING: f64 = 0.85;
@@ -135,14 +135,6 @@
     pub zones: BTreeMap<name::Zone, Serving>,
 }
 
-impl Seen {
-    /// The endpoints that serve and stay.
-    fn serving(&self) -> u32 {
-        let zones = self.zones.values();
-        zones.map(|zone| zone.ordinary + zone.interruptible).sum()
-    }
-}
-
 /// An order: how many endpoints of a kind a zone is to have.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
@@ -219,9 +211,7 @@
     pub fn step(&mut self, offer: &Offer, seen: &Seen, now: Duration) -> Vec<Order> {
         self.note_peak(seen.in_use, now);
         self.note_scarcity(seen, now);
-        if self.is_watching(seen, now) {
-            return Vec::new();
-        }
+        let watching = self.is_watching(seen, now);
         if seen.slots == 0 || offer.zone_prices.is_empty() {
             return Vec::new();
         }
@@ -239,7 +229,10 @@
         let mut orders = Vec::new();
         for (zone, kind, wanted) in self.wanted(offer, seen, needed) {
             let count = self.lazily(&zone, kind, wanted, seen);
-            if self.is_due(&zone, kind, count, seen, now) {
+            // While it watches it gives nothing up: others may serve that it has not seen yet.
+            let adds_cheap =
+                kind == Kind::Interruptible && count > self.count_of(&zone, kind, seen);
+            if (!watching || adds_cheap) && self.is_due(&zone, kind, count, seen, now) {
                 orders.push(Order { zone, kind, count });
             }
         }
@@ -270,13 +263,30 @@
         if now >= self.since + SETTLE {
             return false;
         }
-        if seen.serving() > self.found {
-            self.found = seen.serving();
+        let found = self.found_in(seen);
+        if found > self.found {
+            self.found = found;
             self.since = now;
         }
         true
     }
 
+    /// What serves now, without the interruptible endpoints that are to spare or were ordered
+    /// here: they stand in for others that still serve.
+    fn found_in(&self, seen: &Seen) -> u32 {
+        let ordinary: u32 = seen.zones.values().map(|zone| zone.ordinary).sum();
+        let is_own = |zone: &name::Zone| {
+            let key = (zone.clone(), Kind::Interruptible);
+            self.taken.contains_key(&key)
+        };
+        let others = seen.zones.iter().filter(|(zone, _)| !is_own(zone));
+        let interruptible: u32 = others.map(|(_, zone)| zone.interruptible).sum();
+        let zones = u32::try_from(seen.zones.len()).unwrap_or(u32::MAX).max(1);
+        let spare = u32::try_from(self.settings.spare_zones).unwrap_or(zones);
+        let used = zones.saturating_sub(spare).max(1);
+        ordinary + interruptible * used / zones
+    }
+
     fn note_peak(&mut self, in_use: u32, now: Duration) {
         if in_use > 0 {
             self.demand_since.get_or_insert(now);
