What is done for the provider can be looked at; bad settings of it stop no voter

`scalewood provider` shows the holder, the usage by window and team, and the endpoints ordered last. Tasks that a later platform names, an address that does not parse, a window or rate of 0, an offer whose fewest are more than its most: each puts its task off with a log line. Before, a task of an unknown name or a bad address kept the voter from starting, and such an offer would have ended the orderer by a panic. The soak keeps the logs of each run that fails.

--- a/src/bin/scalewood/commands/mod.rs
+++ b/src/bin/scalewood/commands/mod.rs
@@ -15,6 +15,7 @@
 mod explain;
 mod item;
 mod policy;
+mod provider;
 mod status;
 mod token;
 mod voter;
@@ -25,6 +26,7 @@
         check::cli(),
         config::cli(),
         explain::cli(),
+        provider::cli(),
         status::cli(),
         token::cli(),
         voter::cli(),
@@ -42,6 +44,7 @@
         "check" => check::exec(matches),
         "config" => config::exec(matches).await,
         "explain" => explain::exec(matches),
+        "provider" => provider::exec(matches).await,
         "status" => status::exec(matches).await,
         "token" => token::exec(matches),
         "voter" => voter::exec(matches).await,
--- a/src/scalewood/core/scaling.rs
+++ b/src/scalewood/core/scaling.rs
@@ -29,8 +29,9 @@
 const SETTLE: Duration = Duration::from_millis(2500);
 /// By how much a lower number has to differ to be worth a move.
 const WORTH_LOWERING: f64 = 0.85;
-/// How often an order is given again that seems not to have been followed.
-const REMIND: Duration = Duration::from_secs(5);
+/// How long after the time that endpoints take to start an order is given again that seems not
+/// to have been followed: some heartbeats.
+const REMIND: Duration = Duration::from_secs(1);
 
 /// The kind of an endpoint by how it is paid for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -70,6 +71,16 @@
 }
 
 impl Offer {
+    /// Whether endpoints can be ordered by it at all.
+    pub fn is_usable(&self) -> bool {
+        self.max > 0 && self.min <= self.max && !self.zone_prices.is_empty()
+    }
+
+    /// How long after an order its endpoints should serve.
+    fn starts_within(&self) -> Duration {
+        Duration::from_millis(self.start_ms) + REMIND
+    }
+
     /// Whether interruptible endpoints are to be had for less.
     fn has_cheap(&self) -> bool {
         self.interruptible_price.is_some_and(|price| price < 1.0)
@@ -212,7 +223,7 @@
         self.note_peak(seen.in_use, now);
         self.note_scarcity(seen, now);
         let watching = self.is_watching(seen, now);
-        if seen.slots == 0 || offer.zone_prices.is_empty() {
+        if seen.slots == 0 || !offer.is_usable() {
             return Vec::new();
         }
         let needed = Needed {
@@ -230,10 +241,11 @@
         for (zone, kind, wanted) in self.wanted(offer, seen, needed) {
             let count = self.lazily(&zone, kind, wanted, seen);
             // While it watches it gives nothing up: others may serve that it has not seen yet.
-            let adds_cheap =
-                kind == Kind::Interruptible && count > self.count_of(&zone, kind, seen);
-            if (!watching || adds_cheap) && self.is_due(&zone, kind, count, seen, now) {
-                orders.push(Order { zone, kind, count });
+            let before = self.count_of(&zone, kind, seen);
+            let adds_cheap = kind == Kind::Interruptible && count > before;
+            let order = Order { zone, kind, count };
+            if (!watching || adds_cheap) && self.is_due(&order, offer, seen, now) {
+                orders.push(order);
             }
         }
         // What is added goes first: what it stands in for is given up later.
@@ -443,19 +455,13 @@
         taken.unwrap_or(serves)
     }
 
-    fn is_due(
-        &self,
-        zone: &name::Zone,
-        kind: Kind,
-        count: u32,
-        seen: &Seen,
-        now: Duration,
-    ) -> bool {
-        let serves = seen.zones.get(zone).map_or(0, |zone| zone.count(kind));
-        match self.taken.get(&(zone.clone(), kind)) {
-            None => count != serves,
-            Some((taken, _)) if *taken != count => true,
-            Some((_, at)) => serves < count && now >= *at + REMIND,
+    fn is_due(&self, order: &Order, offer: &Offer, seen: &Seen, now: Duration) -> bool {
+        let Order { zone, kind, count } = order;
+        let serves = seen.zones.get(zone).map_or(0, |zone| zone.count(*kind));
+        match self.taken.get(&(zone.clone(), *kind)) {
+            None => *count != serves,
+            Some((taken, _)) if taken != count => true,
+            Some((_, at)) => serves < *count && now >= *at + offer.starts_within(),
         }
     }
 }
--- a/src/scalewood/ops/control/admin.rs
+++ b/src/scalewood/ops/control/admin.rs
@@ -13,7 +13,7 @@
     event,
     ops::control::{metric, registry, server, Error, Handle},
     wire::{
-        admin::{Config, Failure, History},
+        admin::{Config, Failure, History, Provider},
         control::Passed,
     },
 };
@@ -95,6 +95,10 @@
         .and(known.clone())
         .and(with.clone())
         .map(|_, a: Admin| a.status());
+    let provider = get("provider")
+        .and(known.clone())
+        .and(with.clone())
+        .map(|_, a: Admin| a.provider());
     let changes = post("changes")
         .and(known.clone())
         .and(with.clone())
@@ -109,6 +113,7 @@
         .or(config)
         .or(history)
         .or(status)
+        .or(provider)
         .or(changes)
         .or(voters)
         .recover(|rejection| async move { Ok::<_, std::convert::Infallible>(refusal(&rejection)) })
@@ -198,6 +203,20 @@
         warp::reply::json(&self.server.status()).into_response()
     }
 
+    fn provider(&self) -> warp::reply::Response {
+        let published = self.handle.published();
+        if !published.current {
+            return behind();
+        }
+        let ledger = published.ledger;
+        warp::reply::json(&Provider {
+            holder: ledger.holder().cloned(),
+            usage: ledger.usage().windows().clone(),
+            ordered: ledger.ordered().clone(),
+        })
+        .into_response()
+    }
+
     async fn change(&self, operator: name::Operator, bytes: bytes::Bytes) -> warp::reply::Response {
         let change: change::Change = match serde_json::from_slice(&bytes) {
             Ok(change) => change,
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -400,8 +400,7 @@
     log: &slog::Logger,
 ) {
     let settings = &settings.provider;
-    let tasks = provider::tasks(settings, log);
-    let Some(address) = settings.address.filter(|_| !tasks.is_empty()) else {
+    let Some((address, tasks)) = provider::tasks(settings, log) else {
         return;
     };
     let hold = provider::Hold::new(handle.clone(), settings.rest, clock, log.clone());
--- a/src/scalewood/ops/control/provider.rs
+++ b/src/scalewood/ops/control/provider.rs
@@ -58,28 +58,25 @@
     }
 }
 
-/// Tasks as settings name them: a text with commas.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Tasks(BTreeSet<Task>);
-
-impl FromStr for Tasks {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        let named = text.split(',').map(str::trim).filter(|t| !t.is_empty());
-        named.map(str::parse).collect::<Result<_, _>>().map(Self)
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Task::Usage => "usage",
+            Task::Scaling => "scaling",
+        })
     }
 }
 
 /// Settings of what is done for a provider.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Where it takes calls, if there is one.
-    pub address: Option<SocketAddr>,
+    /// Where it takes calls; empty if there is none. What does not parse puts the tasks off, and
+    /// not the voter: without voters nothing is routed.
+    pub address: String,
     /// The name under which this process calls it.
     pub caller: String,
-    /// What is done for it.
-    pub tasks: BTreeSet<Task>,
+    /// What is done for it, with commas between.
+    pub tasks: String,
     /// Calls a second that it takes of all processes together.
     pub rate: unit::Rate,
     /// The length of the windows of usage.
@@ -95,9 +92,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            address: None,
+            address: String::new(),
             caller: String::new(),
-            tasks: BTreeSet::new(),
+            tasks: String::new(),
             rate: unit::Rate::try_from(DEFAULT_RATE).expect("the default rate is valid"),
             window: Duration::ZERO,
             due: Duration::from_secs(10),
@@ -110,13 +107,15 @@
 impl settings::Settings for Settings {
     fn read(reader: &mut settings::Reader<'_>) -> Self {
         let default = Self::default();
-        let tasks: Option<Tasks> = reader.parsed("tasks", "usage,scaling");
+        let mut text = |key, example| reader.parsed(key, example).unwrap_or_default();
+        let address = text("address", "10.0.0.1:8080");
+        let tasks = text("tasks", "usage,scaling");
         Self {
-            address: reader.parsed("address", "10.0.0.1:8080"),
+            address,
             caller: reader
                 .parsed("caller", "control-1")
                 .unwrap_or(default.caller),
-            tasks: tasks.unwrap_or_default().0,
+            tasks,
             rate: reader.parsed("rate", "50").unwrap_or(default.rate),
             window: reader.duration("usage_window", default.window),
             due: reader.duration("usage_due", default.due),
@@ -152,8 +151,8 @@
 impl Settings {
     /// Why a task that is asked for can't be done, if it can't.
     pub fn hindrance(&self, task: Task) -> Option<&'static str> {
-        if self.address.is_none() {
-            return Some("no address of the provider is set");
+        if self.address.parse::<SocketAddr>().is_err() {
+            return Some("the address of the provider is missing or no IP:PORT");
         }
         if self.caller.is_empty() {
             return Some("no name to call it by is set");
@@ -447,14 +446,25 @@
     }
 }
 
-/// Checks which tasks can be done, and says so.
-pub(super) fn tasks(settings: &Settings, log: &slog::Logger) -> BTreeSet<Task> {
-    let can = |task: &Task| match settings.hindrance(*task) {
-        None => true,
-        Some(why) => {
-            event!(log, TaskOff, "task" => ?task, "why" => why);
-            false
+/// Where the provider is and which tasks can be done for it; says which can't. A task that is not
+/// known here, of a later version, say, is passed over.
+pub(super) fn tasks(
+    settings: &Settings,
+    log: &slog::Logger,
+) -> Option<(SocketAddr, BTreeSet<Task>)> {
+    let named = settings.tasks.split(',').map(str::trim);
+    let mut tasks = BTreeSet::new();
+    for name in named.filter(|name| !name.is_empty()) {
+        let task = name.parse::<Task>();
+        let why = match &task {
+            Ok(task) => settings.hindrance(*task).map(str::to_owned),
+            Err(why) => Some(why.clone()),
+        };
+        match (task, why) {
+            (Ok(task), None) => drop(tasks.insert(task)),
+            (_, why) => event!(log, TaskOff, "task" => name, "why" => why),
         }
-    };
-    settings.tasks.iter().copied().filter(can).collect()
+    }
+    let address = settings.address.parse().ok()?;
+    (!tasks.is_empty()).then_some((address, tasks))
 }
--- a/src/scalewood/ops/control/scaling.rs
+++ b/src/scalewood/ops/control/scaling.rs
@@ -1,6 +1,9 @@
 //! Has the provider add and take away endpoints as the demand asks.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     core::{ledger, name, registry, scaling},
@@ -30,6 +33,7 @@
     /// Orders for ever, for as long as this voter holds.
     pub(super) async fn run<D: provider::Dialect>(self, mut client: provider::Client) {
         let mut scalers = BTreeMap::new();
+        let mut unusable = BTreeSet::new();
         loop {
             tokio::time::sleep(PERIOD).await;
             if !client.leads() {
@@ -41,6 +45,14 @@
                 continue;
             };
             for (service, offer) in self.offers() {
+                if !offer.is_usable() {
+                    if unusable.insert(service.clone()) {
+                        let why = "its fewest are more than its most, or it names no zone";
+                        event!(self.log, TaskOff, "task" => "scaling", "service" => %service, "why" => why);
+                    }
+                    continue;
+                }
+                unusable.remove(&service);
                 let seen = self.seen(&service, &records);
                 let now = self.clock.now();
                 let scaler = scalers.entry(service.clone());
--- a/src/scalewood/ops/operate.rs
+++ b/src/scalewood/ops/operate.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     core::{agree, change, config, unit},
-    wire::admin::{Config, Failure, History, Status, PREFIX},
+    wire::admin::{Config, Failure, History, Provider, Status, PREFIX},
 };
 
 /// How long a call may take.
@@ -99,6 +99,15 @@
         self.get("status").await
     }
 
+    /// What is done for the provider.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader answers.
+    pub async fn provider(&self) -> Result<Provider, Report<Error>> {
+        self.get("provider").await
+    }
+
     /// Asks for a change.
     ///
     /// # Errors
--- a/src/scalewood/wire/admin.rs
+++ b/src/scalewood/wire/admin.rs
@@ -1,8 +1,10 @@
 //! The administration API's bodies: JSON over HTTP under `/admin/v1`.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
-use crate::core::{agree, audit, change, config, unit, verdict};
+use crate::core::{agree, audit, change, config, tenure, unit, usage, verdict};
 
 /// The prefix of all paths.
 pub const PREFIX: &str = "/admin/v1";
@@ -45,6 +47,17 @@
     pub boxes: Vec<BoxStatus>,
 }
 
+/// What is done for the provider, as the voters have agreed on it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Provider {
+    /// Who does it.
+    pub holder: Option<tenure::Holder>,
+    /// The windows of usage that are kept.
+    pub usage: BTreeMap<usage::Window, usage::Agreed>,
+    /// How many endpoints were ordered last, by service, zone and kind.
+    pub ordered: BTreeMap<String, u32>,
+}
+
 /// What an operator sends to change the configuration.
 pub type Change = change::Change;
 
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -69,3 +69,28 @@
     let error = settings::load::<entry::Settings>("/nowhere/entry.json".as_ref()).unwrap_err();
     assert!(error.to_string().contains("it can't be read"), "{error}");
 }
+
+/// A provider's settings that make no sense put its tasks off; the voter starts all the same.
+#[test]
+fn a_provider_that_makes_no_sense_is_told_and_stops_no_voter() {
+    use scalewood::ops::control::{provider::Task, Settings};
+    let read = |provider: &str| {
+        let text = format!(
+            r#"{{ "box": "c1", "listen": "127.0.0.1:7100", "admin": "127.0.0.1:7101",
+                "publish": "127.0.0.1:7102", "data": "data", "provider": {provider} }}"#
+        );
+        let settings = settings::parse::<Settings>("c1.json", &text).unwrap();
+        settings.provider.hindrance(Task::Usage).unwrap_or("none")
+    };
+    let whole = |window: &str, rate: &str| {
+        format!(
+            r#"{{ "address": "10.0.0.1:80", "caller": "c1", "tasks": "usage,unheard-of",
+                "usage_window": "{window}", "rate": "{rate}" }}"#
+        )
+    };
+    assert_eq!(read(&whole("5s", "50")), "none");
+    assert!(read(r#"{ "address": "nowhere" }"#).contains("address"));
+    assert!(read(&whole("0s", "50")).contains("window"));
+    assert!(read(&whole("5s", "0")).contains("rate"));
+    assert!(read(r#"{ "address": "10.0.0.1:80" }"#).contains("name"));
+}
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -512,8 +512,12 @@
 
 /// Runs one seed; returns what was broken.
 async fn soak(seed: u64, length: Duration) -> Vec<String> {
-    let mut dir = tempfile::tempdir().unwrap();
-    dir.disable_cleanup(std::env::var_os("SCALEWOOD_SOAK_KEEP").is_some());
+    // A failure that shows once has to be traced from its logs, also if the test panics.
+    let mut dir = tempfile::Builder::new()
+        .prefix(&format!("soak-{seed}-"))
+        .tempdir_in(env!("CARGO_TARGET_TMPDIR"))
+        .unwrap();
+    dir.disable_cleanup(true);
     let mut system = System::start(VOTERS, dir.path());
     let mut entries = vec![system.entry.take()];
     entries.extend((1..ENTRIES).map(|i| Some(system.start_entry_at(i))));
@@ -559,10 +563,12 @@
     check_mended(&system, &mut back, &account).await;
     check(&account, &runs(&back));
     print_account(seed, &account);
-    if std::env::var_os("SCALEWOOD_SOAK_KEEP").is_some() {
+    let broken = account.broken.lock().unwrap().clone();
+    if broken.is_empty() && std::env::var_os("SCALEWOOD_SOAK_KEEP").is_none() {
+        dir.disable_cleanup(false);
+    } else {
         println!("seed {seed}: logs in {}", dir.path().display());
     }
-    let broken = account.broken.lock().unwrap().clone();
     broken
 }
 
