Voters take each other's time of day only from answers that came soon

Traced: a voter was frozen from second 2.5 to 10.1. Woken, it read what the others had told it before the freeze as their time of day now, so its median was off by 7 s until they spoke again, and boxes of its zone took that over for up to five seconds. Ruled out: lost boxes (2 of 16 were without power, in another window), a holder that did not wait (nothing was missing by its books), double counting.

Now the time of day is told in an answer, and one that was under way for over 400 ms, by the asker's steady clock, tells nothing; the same at boxes.

--- a/src/scalewood/core/wall.rs
+++ b/src/scalewood/core/wall.rs
@@ -11,6 +11,9 @@
 
 /// How long a voter's time of day counts: voters tell each other several times a second.
 const FRESH: Duration = Duration::from_secs(3);
+/// How long a question and its answer may be under way for the answer to tell the time: half of
+/// it is the error.
+const LONGEST_WAY: Duration = Duration::from_millis(400);
 /// How long a box keeps the sample with the shortest way: long enough that one comes that did
 /// not wait at a full link, short enough that drift between steady clocks stays far below the
 /// way itself.
@@ -50,10 +53,15 @@
 }
 
 impl Readings {
-    /// Notes another voter's time of day as it arrives.
-    pub fn note(&mut self, from: &name::Box, unix_ms: u64, now: Duration) {
-        let reading = (Offset::of(unix_ms, now), now);
-        self.told.insert(from.clone(), reading);
+    /// Notes another voter's time of day, as it told it in answer to a question. What took long
+    /// is passed over: a process that was frozen finds answers that are as old as the freeze,
+    /// and with those of all others its median would be off by as much.
+    pub fn note(&mut self, from: &name::Box, unix_ms: u64, asked: Duration, answered: Duration) {
+        let way = answered.saturating_sub(asked);
+        if way <= LONGEST_WAY {
+            let reading = (Offset::of(unix_ms, asked + way / 2), answered);
+            self.told.insert(from.clone(), reading);
+        }
     }
 
     /// The agreed offset, for a voter among so many with its own time of day. While a majority
@@ -92,6 +100,9 @@
     /// Notes the agreed time of day as a voter told it, in answer to a question.
     pub fn note(&mut self, unix_ms: u64, asked: Duration, answered: Duration) {
         let way = answered.saturating_sub(asked);
+        if way > LONGEST_WAY {
+            return;
+        }
         let offset = Offset::of(unix_ms, asked + way / 2);
         let sample = Sample {
             offset,
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -27,7 +27,7 @@
         clock::{self, Clock as _},
         lock::lock,
     },
-    wire::registry::{Exchanged, Gathered, News, RegistryServer, Stamps, Update, Whole},
+    wire::registry::{Exchanged, Gathered, News, RegistryServer, Shared, Stamps, Update, Whole},
 };
 
 /// How often followers hear at least.
@@ -274,6 +274,12 @@
         });
     }
 
+    /// Notes another voter's time of day, as it told it in answer to a question.
+    pub(super) fn note_time(&self, from: &name::Box, unix_ms: u64, asked: Duration) {
+        let answered = self.clock.now();
+        lock(&self.readings).note(from, unix_ms, asked, answered);
+    }
+
     /// The time of day that so many voters agree on, in milliseconds since the Unix epoch.
     pub(super) fn unix_ms(&self, voters: usize) -> u64 {
         let now = self.clock.now();
@@ -343,16 +349,12 @@
         Ok(Some(Exchanged { load, unix_ms }))
     }
 
-    async fn share(
-        &self,
-        who: name::Box,
-        anew: bool,
-        told: load::News,
-        unix_ms: u64,
-    ) -> RpcResult<bool> {
+    async fn share(&self, who: name::Box, anew: bool, told: load::News) -> RpcResult<Shared> {
         let now = self.endpoints.clock.now();
-        lock(&self.endpoints.readings).note(&who, unix_ms, now);
-        Ok(lock(&self.endpoints.hub).take(&who, anew, told, now))
+        Ok(Shared {
+            known: lock(&self.endpoints.hub).take(&who, anew, told, now),
+            unix_ms: self.endpoints.clock.unix_ms(),
+        })
     }
 
     async fn gather(&self, after: Stamps) -> RpcResult<Gathered> {
--- a/src/scalewood/ops/control/share.rs
+++ b/src/scalewood/ops/control/share.rs
@@ -104,9 +104,12 @@
             let now = self.clock.now();
             let news = lock(self.endpoints.hub()).news_for(&self.name, anew, now);
             if anew || !news.is_empty() || now >= told_at + ALIVE {
-                let call = client.share(self.own.clone(), anew, news, self.clock.unix_ms());
+                let call = client.share(self.own.clone(), anew, news);
                 match tokio::time::timeout(ANSWER, call).await {
-                    Ok(Ok(known)) => anew = !known,
+                    Ok(Ok(shared)) => {
+                        anew = !shared.known;
+                        self.endpoints.note_time(&self.name, shared.unix_ms, now);
+                    }
                     Ok(Err(_)) | Err(_) => return,
                 }
                 told_at = now;
--- a/src/scalewood/wire/registry.rs
+++ b/src/scalewood/wire/registry.rs
@@ -69,6 +69,15 @@
     pub unix_ms: u64,
 }
 
+/// What a voter answers another one.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Shared {
+    /// Whether it knows the other; else that has to start anew.
+    pub known: bool,
+    /// Its own time of day, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
 /// Up to where a voter has told what boxes and endpoints have told it; zeros are the beginning.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamps {
@@ -117,15 +126,9 @@
     ) -> RpcResult<Option<Exchanged>>;
 
     /// Takes what has changed at another voter's boxes, or all of it if that voter starts
-    /// `anew`, and that voter's time of day; false if it has to start anew.
+    /// `anew`.
     #[method(name = "share")]
-    async fn share(
-        &self,
-        who: name::Box,
-        anew: bool,
-        told: load::News,
-        unix_ms: u64,
-    ) -> RpcResult<bool>;
+    async fn share(&self, who: name::Box, anew: bool, told: load::News) -> RpcResult<Shared>;
 
     /// What boxes and endpoints have told this voter since some stamps.
     #[method(name = "gather")]
--- a/tests/testsuite/support/voter.rs
+++ b/tests/testsuite/support/voter.rs
@@ -21,7 +21,7 @@
     core::{change::Step, config, load, name, pace, unit, usage},
     ops::rpc,
     wire::{
-        registry::{Exchanged, Gathered, News, RegistryServer, Stamps, Update, Whole},
+        registry::{Exchanged, Gathered, News, RegistryServer, Shared, Stamps, Update, Whole},
         source::{self, SourceServer},
     },
 };
@@ -126,14 +126,11 @@
         Ok(None)
     }
 
-    async fn share(
-        &self,
-        _who: name::Box,
-        _anew: bool,
-        _told: load::News,
-        _unix_ms: u64,
-    ) -> RpcResult<bool> {
-        Ok(true)
+    async fn share(&self, _who: name::Box, _anew: bool, _told: load::News) -> RpcResult<Shared> {
+        Ok(Shared {
+            known: true,
+            unix_ms: 0,
+        })
     }
 
     async fn gather(&self, _after: Stamps) -> RpcResult<Gathered> {
--- a/tests/testsuite/wall.rs
+++ b/tests/testsuite/wall.rs
@@ -36,7 +36,7 @@
         let told = |i: usize| true_ms.saturating_add_signed(skews[i] + jumped(i));
         for i in 1..VOTERS {
             if random.random_bool(0.5) {
-                readings.note(&voter(i), told(i), now);
+                readings.note(&voter(i), told(i), now, now);
             }
         }
         let agreed = readings.agree(told(0), VOTERS, now).unix_ms(now);
@@ -61,7 +61,7 @@
 fn a_voter_that_hears_no_majority_keeps_what_was_agreed() {
     let mut readings = Readings::default();
     for i in 1..VOTERS {
-        readings.note(&voter(i), EPOCH_MS, Duration::ZERO);
+        readings.note(&voter(i), EPOCH_MS, Duration::ZERO, Duration::ZERO);
     }
     let agreed = readings.agree(EPOCH_MS, VOTERS, Duration::ZERO);
     // Cut off from the others, its own clock jumps.
@@ -85,3 +85,27 @@
     assert!(off <= 1, "{off} ms off");
     assert_eq!(follower.error(), Some(Duration::from_millis(1)));
 }
+
+/// Seen: a voter that had been frozen for 7.6 s took what the others had told it before as their
+/// time now, and its boxes counted five seconds of requests into windows long past.
+#[test]
+fn what_was_under_way_during_a_freeze_tells_no_time() {
+    let mut readings = Readings::default();
+    let agreed = {
+        for i in 1..VOTERS {
+            readings.note(&voter(i), EPOCH_MS, Duration::ZERO, Duration::ZERO);
+        }
+        readings.agree(EPOCH_MS, VOTERS, Duration::ZERO)
+    };
+    let asked = Duration::from_millis(100);
+    let thawed = Duration::from_millis(7700);
+    for i in 1..VOTERS {
+        readings.note(&voter(i), EPOCH_MS + 101, asked, thawed);
+    }
+    let now_ms = EPOCH_MS + 7700;
+    assert_eq!(readings.agree(now_ms, VOTERS, thawed), agreed);
+    let mut follower = Follower::default();
+    follower.note(EPOCH_MS, Duration::ZERO, Duration::ZERO);
+    follower.note(EPOCH_MS + 101, asked, thawed);
+    assert_eq!(follower.unix_ms(0, thawed), now_ms);
+}
