No window of usage is closed before the other voters were asked

Cause, by reading: a voter that has just come to lead acts at once, and knew of no voter that it had not heard until its first round of questions, 250 to 650 ms later; a window that was over then was closed with what its own boxes had told. Ruled out: a box or voter that fell silent.

Now nobody counts as heard before the first round (core/usage::Voters; test).

--- a/src/scalewood/ops/control/collect.rs
+++ b/src/scalewood/ops/control/collect.rs
@@ -11,7 +11,7 @@
 use jsonrpsee::ws_client::WsClient;
 
 use crate::{
-    core::{agree, name, registry},
+    core::{agree, name, registry, usage},
     ops::{
         control::{provider, registry::Endpoints, Handle},
         rpc,
@@ -31,18 +31,6 @@
 /// How long an endpoint may be unheard of before it counts no more: some heartbeats.
 const FORGET: Duration = Duration::from_secs(4);
 
-/// How long a voter that is no member any more may come back: most cuts are shorter.
-const REMEMBERED: Duration = Duration::from_secs(15);
-
-/// Another voter, as the holder hears it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Heard {
-    /// When it was a member last.
-    member: Duration,
-    /// When it has answered last, if it has.
-    answered: Option<Duration>,
-}
-
 /// All endpoints, as all voters know them together.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Gathering {
@@ -50,7 +38,7 @@
     /// When at least half of the other voters had answered last.
     complete: Arc<Mutex<Option<Duration>>>,
     /// The other voters, also those that were removed of late.
-    heard: Arc<Mutex<BTreeMap<name::Box, Heard>>>,
+    voters: Arc<Mutex<usage::Voters>>,
 }
 
 impl Gathering {
@@ -64,15 +52,9 @@
         Some(records.cloned().collect())
     }
 
-    /// The voters that have not answered since a time: what their boxes have counted until then
-    /// may not be known here. One that is cut off comes back with it; the boxes of one that has
-    /// died tell another one.
-    pub(super) fn unheard_since(&self, time: Duration) -> Vec<name::Box> {
-        let heard = lock(&self.heard);
-        let unheard = heard
-            .iter()
-            .filter(|(_, voter)| voter.answered.is_none_or(|at| at < time));
-        unheard.map(|(name, _)| name.clone()).collect()
+    /// The other voters, and when each was heard.
+    pub(super) fn voters(&self) -> &Mutex<usage::Voters> {
+        &self.voters
     }
 
     /// Brings together, for as long as this voter holds.
@@ -92,7 +74,7 @@
                 own = Stamps::default();
                 *lock(&self.registry) = registry::Registry::default();
                 *lock(&self.complete) = None;
-                lock(&self.heard).clear();
+                *lock(&self.voters) = usage::Voters::default();
                 continue;
             }
             let gathered = endpoints.gather(own);
@@ -114,18 +96,11 @@
 
     /// Notes which voters have answered; returns how many.
     fn note_heard(&self, answers: &[Answered], now: Duration) -> usize {
-        let mut heard = lock(&self.heard);
-        for (name, gathered) in answers {
-            let voter = heard.entry(name.clone()).or_default();
-            voter.member = now;
-            voter.answered = gathered.as_ref().map(|_| now).or(voter.answered);
-        }
-        // A voter that is cut off is soon no member, and comes back with what it was told.
-        heard.retain(|_, voter| voter.member + REMEMBERED >= now);
-        answers
+        let round = answers
             .iter()
-            .filter(|(_, gathered)| gathered.is_some())
-            .count()
+            .map(|(name, gathered)| (name, gathered.is_some()));
+        lock(&self.voters).note(round.clone(), now);
+        round.filter(|(_, has_answered)| *has_answered).count()
     }
 
     fn take(&self, gathered: Gathered, endpoints: &Endpoints, now: Duration, own: bool) {
--- a/src/scalewood/ops/control/usage.rs
+++ b/src/scalewood/ops/control/usage.rs
@@ -86,9 +86,10 @@
         };
         let wait = self.settings.due.mul_f64(WAIT_PART);
         let ago = Duration::from_millis(now.saturating_sub(after(BEYOND)));
-        let unheard = self
-            .gathering
-            .unheard_since(self.clock.now().saturating_sub(ago));
+        let since = self.clock.now().saturating_sub(ago);
+        let Some(unheard) = lock(self.gathering.voters()).unheard_since(since) else {
+            return;
+        };
         let is_whole = missing.is_empty() && unheard.is_empty();
         if now < after(BEYOND) || (!is_whole && now < after(wait)) {
             return;
--- a/tests/testsuite/usage.rs
+++ b/tests/testsuite/usage.rs
@@ -10,7 +10,7 @@
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
 use scalewood::core::{
     name,
-    usage::{difference, Book, Closed, Counts, Log, Page, Source, Tally, Window},
+    usage::{difference, Book, Closed, Counts, Log, Page, Source, Tally, Voters, Window},
 };
 
 const LENGTH: Duration = Duration::from_secs(5);
@@ -220,3 +220,20 @@
     let report = serde_json::to_vec(&totals).unwrap().len();
     assert!(report < 512 * 1024, "{report} bytes a report");
 }
+
+/// Seen: a voter that had just become the holder closed windows with what its own boxes had
+/// told, a quarter of all, since it had not asked the others yet and so missed none of them.
+#[test]
+fn nobody_is_heard_before_the_others_were_asked() {
+    let names: Vec<name::Box> = ["c1", "c2"].map(|name| name.parse().unwrap()).into();
+    let at = Duration::from_secs;
+    let mut voters = Voters::default();
+    assert_eq!(voters.unheard_since(at(10)), None);
+    voters.note([(&names[0], true), (&names[1], false)].into_iter(), at(11));
+    assert_eq!(voters.unheard_since(at(10)), Some(vec![names[1].clone()]));
+    // It is taken off the members meanwhile, and is still waited for.
+    voters.note([(&names[0], true)].into_iter(), at(20));
+    assert_eq!(voters.unheard_since(at(15)), Some(vec![names[1].clone()]));
+    voters.note([(&names[0], true)].into_iter(), at(27));
+    assert_eq!(voters.unheard_since(at(25)), Some(vec![]));
+}
