What the new parts share: regions, residency, cordoned zones, incarnations, warm-up; one way to an endpoint

The types that four parts need stand before the parts are built, so that each has a module of its own. core/dispatch/endpoint.rs held two policies and all ways of getting a slot: choosing by slots moved to slots.rs, eligibility and grants to eligible.rs, where the compiler sees to it that a slot is given only for what the one function of eligibility gave. The circle of dispatch and load is gone: what prompts share lies below both, in core/prompt.rs.

Behaviour: a cordoned zone's endpoints take nothing and count as no capacity, a request is shed at once where no region that it may use has an endpoint; nothing sets either yet.

--- a/benches/decisions/cost.rs
+++ b/benches/decisions/cost.rs
@@ -43,6 +43,7 @@
         delivered: unit::Tokens(0),
         prefix: Some(dispatch::Prefix(number % 50)),
         placed: None,
+        allowed: Default::default(),
         preemptible: tier > 2,
         preempted: 0,
         avoid: None,
@@ -67,6 +68,7 @@
         zone: "z0".parse().expect("a zone"),
         slow: false,
         memory: None,
+        standing: Default::default(),
     });
     let classes: BTreeMap<name::Class, config::Class> = (0..5u8)
         .map(|tier| {
--- a/benches/decisions/ours.rs
+++ b/benches/decisions/ours.rs
@@ -119,6 +119,7 @@
             zone: "z0".parse().expect("a zone"),
             slow: false,
             memory: None,
+            standing: Default::default(),
         });
         dispatcher.step(Input::Configure(specs.collect(), classes), world.now);
         let alive = (0..world.lost[zone].len()).filter(|entry| !world.lost[zone][*entry]);
@@ -187,6 +188,7 @@
             delivered: unit::Tokens(fate.delivered),
             prefix: None,
             placed: None,
+            allowed: Default::default(),
             preemptible: world.service.model && class.config.preemptible,
             preempted: fate.preempted,
             avoid: self
--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -15,8 +15,8 @@
 use crate::{
     board::{feed, view},
     core::{
-        attempt, catchup, claim, dispatch, limit, member, name, pace, registry, retry, unit, usage,
-        wall,
+        attempt, catchup, claim, dispatch, limit, member, name, pace, region, registry, retry,
+        unit, usage, wall,
     },
     util::{
         clock::Clock,
@@ -33,6 +33,8 @@
     pub name: name::Box,
     /// Its availability zone.
     pub zone: name::Zone,
+    /// The availability zones that are known beforehand, with their regions.
+    pub regions: region::Map,
     /// Which start of the box this is.
     pub incarnation: unit::Incarnation,
 }
--- a/src/scalewood/board/view.rs
+++ b/src/scalewood/board/view.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use crate::core::{claim, config, dispatch, name, policy, registry, route, secret, unit};
+use crate::core::{claim, config, dispatch, name, policy, region, registry, route, secret, unit};
 
 /// A revision of the configuration with its indexes.
 #[derive(Debug, Default)]
@@ -85,6 +85,7 @@
         service: &name::Service,
         zone: &name::Zone,
         registry: &registry::Registry,
+        regions: &region::Map,
     ) -> dispatch::Input {
         let registered = registry
             .graded()
@@ -103,6 +104,7 @@
             zone: record.zone.clone(),
             slow,
             memory,
+            standing: self.standing(&record.zone, regions),
         });
         let specs = self
             .endpoints(service, zone)
@@ -115,6 +117,7 @@
                 zone: endpoint.zone.clone(),
                 slow: false,
                 memory: None,
+                standing: self.standing(&endpoint.zone, regions),
             });
         let specs = specs.chain(registered);
         let classes = self.document.classes_of(service);
@@ -124,6 +127,14 @@
         dispatch::Input::Configure(specs.collect(), classes)
     }
 
+    /// What is said of sending new work to the endpoints of a zone.
+    fn standing(&self, zone: &name::Zone, regions: &region::Map) -> dispatch::Standing {
+        dispatch::Standing {
+            cordoned: self.document.cordoned.contains(zone),
+            region: regions.region_of(zone).cloned(),
+        }
+    }
+
     /// The configured boxes with their zones.
     pub fn box_zones(&self) -> BTreeMap<name::Box, name::Zone> {
         let boxes = self.document.boxes.iter();
--- a/src/scalewood/core/config.rs
+++ b/src/scalewood/core/config.rs
@@ -197,6 +197,9 @@
     pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
     /// Policies by name.
     pub policies: BTreeMap<name::Policy, Policy>,
+    /// The availability zones whose endpoints get no new work, by order of an operator.
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    pub cordoned: BTreeSet<name::Zone>,
     /// Routes, if an operator has published any. Their services and classes stand
     /// among the others too.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -16,16 +16,22 @@
 
 use crate::core::{
     dispatch::{message, pauses, placement, reading, zone, Settings},
-    estimate, invariant,
+    estimate,
     load::{self, Load},
     name, rendezvous, risk, unit,
 };
 
 mod cost;
+mod eligible;
 mod health;
 mod home;
+mod slots;
 
-pub(super) use cost::{Model, Prompt};
+pub use eligible::Standing;
+pub(super) use {
+    cost::{Model, Prompt},
+    slots::Wanted,
+};
 
 /// Where an endpoint stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -120,6 +126,8 @@
     hash: u64,
     /// Where it stands.
     zone: name::Zone,
+    /// What is said of sending it new work.
+    standing: Standing,
     /// Whether it is slow beside the others.
     slow: bool,
     /// Whether it is for short prompts, where endpoints are parted.
@@ -155,7 +163,7 @@
 impl Endpoint {
     /// How many requests it may run at once.
     fn allowed(&self) -> u32 {
-        if !self.configured || self.leaving.is_some() {
+        if !self.configured || self.leaving.is_some() || self.standing.cordoned {
             return 0;
         }
         match self.state {
@@ -209,13 +217,8 @@
     pub slow: bool,
     /// Tokens that its memory holds, if that is known.
     pub memory: Option<unit::Tokens>,
-}
-
-/// Where a prefix is likely cached.
-#[derive(Clone, Copy, Debug)]
-struct Hint {
-    index: Index,
-    until: Duration,
+    /// What is said of sending it new work.
+    pub standing: Standing,
 }
 
 /// The endpoints of a service.
@@ -224,7 +227,7 @@
     endpoints: Vec<Endpoint>,
     names: HashMap<name::Endpoint, Index>,
     ready: BTreeSet<(Score, Index)>,
-    hints: HashMap<message::Prefix, Hint>,
+    hints: HashMap<message::Prefix, slots::Hint>,
     kept: home::Kept,
     allowed: u32,
     running: u32,
@@ -248,9 +251,6 @@
 /// What certain failure adds to the place in the index, in thousandths of the slots: an
 /// endpoint in doubt is used once the others have twice as many requests as slots.
 const DOUBT: f64 = 2000.0;
-/// The most prefix hints that are kept.
-const MAX_HINTS: usize = 8192;
-
 impl Set {
     /// Sets what is configured. Endpoints that are gone keep their runs.
     pub(super) fn configure(&mut self, specs: &[Spec], now: Duration, settings: &Settings) {
@@ -265,6 +265,7 @@
             endpoint.away = spec.away;
             endpoint.place = spec.place;
             endpoint.zone = spec.zone.clone();
+            endpoint.standing = spec.standing.clone();
             endpoint.slow = spec.slow;
             endpoint.memory = spec.memory;
             match (spec.leaving, endpoint.leaving) {
@@ -311,6 +312,7 @@
             place: 0,
             hash: rendezvous::hash(&[name.as_str()]),
             zone: own_zone(),
+            standing: Standing::default(),
             slow: false,
             for_short: true,
             memory: None,
@@ -330,24 +332,6 @@
         index
     }
 
-    /// Adds a run that was granted elsewhere, with the tokens of its prompt; its endpoint
-    /// may be unknown here.
-    pub(super) fn adopt(
-        &mut self,
-        name: &name::Endpoint,
-        prompt: Tokens,
-        answered: bool,
-        now: Duration,
-        settings: &Settings,
-    ) -> Index {
-        let index = self.index_or_add(name, settings);
-        self.take(index, prompt, now);
-        if answered {
-            self.answered(index, prompt, now);
-        }
-        index
-    }
-
     /// Notes the first sign that an endpoint leaves, or that it came back.
     pub(super) fn set_leaving(&mut self, name: &name::Endpoint, leaving: bool, now: Duration) {
         let Some(index) = self.names.get(name).copied() else {
@@ -371,43 +355,6 @@
         self.rescore(index);
     }
 
-    /// Notes a cache event. Events come late and with gaps, so they only hint.
-    pub(super) fn set_cached(
-        &mut self,
-        name: &name::Endpoint,
-        prefix: message::Prefix,
-        cached: bool,
-        until: Duration,
-    ) {
-        let Some(index) = self.names.get(name).copied() else {
-            return;
-        };
-        if cached {
-            self.hint(prefix, index, until);
-        } else if self
-            .hints
-            .get(&prefix)
-            .is_some_and(|hint| hint.index == index)
-        {
-            self.hints.remove(&prefix);
-        }
-    }
-
-    fn hint(&mut self, prefix: message::Prefix, index: Index, until: Duration) {
-        if self.hints.len() >= MAX_HINTS && !self.hints.contains_key(&prefix) {
-            return;
-        }
-        self.hints.insert(prefix, Hint { index, until });
-    }
-
-    /// Whether any endpoint could get work now or after a while.
-    pub(super) fn is_hopeless(&self) -> bool {
-        !self
-            .endpoints
-            .iter()
-            .any(|e| e.configured && e.leaving.is_none())
-    }
-
     /// How many requests may run at once in all.
     pub(super) fn allowed(&self) -> u32 {
         self.allowed
@@ -427,93 +374,11 @@
         &self.endpoints[index.0].name
     }
 
-    /// Chooses an endpoint with a free slot and takes the slot.
-    pub(super) fn choose(
-        &mut self,
-        prefix: Option<message::Prefix>,
-        avoid: Option<&name::Endpoint>,
-        now: Duration,
-        settings: &Settings,
-    ) -> Option<Choice> {
-        let mut candidates = self.ready.iter().take(2);
-        let mut best = *candidates.next()?;
-        if avoid.is_some_and(|name| self.endpoints[best.1 .0].name == *name) {
-            best = candidates.next().copied().unwrap_or(best);
-        }
-        let hinted = prefix.and_then(|p| self.hinted(p, best.0, avoid, now, settings));
-        let index = hinted.unwrap_or(best.1);
-        self.check_grant(index, now);
-        self.take(index, Tokens::default(), now);
-        if let Some(prefix) = prefix {
-            self.hint(prefix, index, now + settings.hint_life);
-        }
-        Some(Choice {
-            endpoint: index,
-            unread: 0,
-            ahead: reading::Ahead::default(),
-            kept: false,
-            place: None,
-        })
-    }
-
-    /// The endpoint that likely caches a prefix, while it costs little to wait for.
-    fn hinted(
-        &self,
-        prefix: message::Prefix,
-        best: Score,
-        avoid: Option<&name::Endpoint>,
-        now: Duration,
-        settings: &Settings,
-    ) -> Option<Index> {
-        let hint = self.hints.get(&prefix).filter(|hint| hint.until > now)?;
-        let endpoint = &self.endpoints[hint.index.0];
-        let score = endpoint.score?;
-        let avoided = avoid.is_some_and(|name| endpoint.name == *name);
-        (!avoided && score <= best + settings.hint_slack).then_some(hint.index)
-    }
-
-    fn check_grant(&self, index: Index, now: Duration) {
-        /// How long after the first sign a leaving endpoint may still get work.
-        const LEAVING_LIMIT: Duration = Duration::from_secs(3);
-        let endpoint = &self.endpoints[index.0];
-        invariant::check(
-            endpoint
-                .leaving
-                .is_none_or(|since| now.saturating_sub(since) <= LEAVING_LIMIT),
-            invariant::Rule::LeavingGrant,
-            || format!("grant to leaving endpoint {}", endpoint.name),
-        );
-        invariant::check(
-            endpoint.running < endpoint.slots,
-            invariant::Rule::SlotHolder,
-            || {
-                format!(
-                    "{} of {} slots of {} held",
-                    endpoint.running, endpoint.slots, endpoint.name
-                )
-            },
-        );
-    }
-
     /// Sets how many boxes use the endpoints, this one included.
     pub(super) fn set_sharers(&mut self, count: u32) {
         self.sharers = count.saturating_sub(1);
     }
 
-    fn take(&mut self, index: Index, prompt: Tokens, now: Duration) {
-        let endpoint = &mut self.endpoints[index.0];
-        if endpoint.pending == 0 {
-            endpoint.quiet_since = now;
-        }
-        endpoint.pending += 1;
-        endpoint.unread += prompt.unread;
-        endpoint.later.add(prompt.tier, prompt.unread);
-        endpoint.held += prompt.unread;
-        endpoint.running += 1;
-        self.running += 1;
-        self.rescore(index);
-    }
-
     /// Frees a slot with the tokens of a prompt, of a run that was `answered` or not.
     pub(super) fn free(&mut self, index: Index, prompt: Tokens, answered: bool) {
         let endpoint = &mut self.endpoints[index.0];
--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -11,7 +11,7 @@
 use super::{Endpoint, Set};
 use crate::core::{
     dispatch::{message, pauses, reading},
-    name, unit,
+    name, residency, unit,
 };
 
 /// A cost, in microseconds that a first token is put off.
@@ -61,7 +61,9 @@
 
 /// A prompt that is to be placed.
 #[derive(Clone, Copy, Debug)]
-pub(in crate::core::dispatch) struct Prompt {
+pub(in crate::core::dispatch) struct Prompt<'a> {
+    /// Where it may be served.
+    pub(in crate::core::dispatch) allowed: &'a residency::Allowed,
     /// What it shares with others.
     pub(in crate::core::dispatch) placed: message::Placed,
     /// All its tokens.
@@ -89,7 +91,7 @@
     pub(in crate::core::dispatch) parted: bool,
 }
 
-impl Prompt {
+impl Prompt<'_> {
     /// Tokens that are read where the shared part is kept or not.
     pub(super) fn unread(&self, kept: bool) -> u64 {
         let shared = if kept { self.placed.shared.0 } else { 0 };
@@ -127,7 +129,7 @@
 
 /// What a place further from home costs where the shared part is not kept: reading it once
 /// more, and as much as makes a request late at least, so that prompts stay together.
-pub(super) fn step(prompt: &Prompt, model: &Model<'_>) -> Cost {
+pub(super) fn step(prompt: &Prompt<'_>, model: &Model<'_>) -> Cost {
     let again = model.reading.time(prompt.placed.shared.0).mul_f64(AGAIN);
     micros(again.max(prompt.target))
 }
@@ -135,7 +137,7 @@
 /// How long a prompt's first token takes at an endpoint.
 pub(super) fn first(
     endpoint: &Endpoint,
-    prompt: &Prompt,
+    prompt: &Prompt<'_>,
     kept: bool,
     model: &Model<'_>,
 ) -> Duration {
@@ -150,7 +152,7 @@
     pub(super) fn cost(
         &self,
         endpoint: &Endpoint,
-        prompt: &Prompt,
+        prompt: &Prompt<'_>,
         model: &Model<'_>,
         now: Duration,
     ) -> Cost {
@@ -179,7 +181,7 @@
 }
 
 /// How long it takes until a slot comes free, where all boxes together have taken all.
-fn slot_wait(endpoint: &Endpoint, prompt: &Prompt) -> Duration {
+fn slot_wait(endpoint: &Endpoint, prompt: &Prompt<'_>) -> Duration {
     prompt.hold * slots_over(endpoint) / endpoint.slots.max(1)
 }
 
@@ -218,7 +220,7 @@
 
 /// How likely the answer is not whole by the deadline, at the pace that answers had there
 /// of late. Lengths are taken to be spread exponentially, as those of most answers are.
-fn unfinished(endpoint: &Endpoint, prompt: &Prompt) -> f64 {
+fn unfinished(endpoint: &Endpoint, prompt: &Prompt<'_>) -> f64 {
     let (Some(pace), Some(length)) = (endpoint.pace.get(), prompt.length) else {
         return 0.0;
     };
@@ -242,7 +244,7 @@
 }
 
 /// How long a prompt waits until its own reading begins.
-fn turn(endpoint: &Endpoint, prompt: &Prompt, reading: &reading::Reading) -> Duration {
+fn turn(endpoint: &Endpoint, prompt: &Prompt<'_>, reading: &reading::Reading) -> Duration {
     let ahead = endpoint.ahead(prompt.tier);
     reading.wait(ahead).mul_f64(slowness(endpoint))
 }
@@ -276,7 +278,7 @@
 }
 
 /// How likely the prompt's own stream pauses too long there.
-fn paused(endpoint: &Endpoint, prompt: &Prompt, model: &Model<'_>, now: Duration) -> f64 {
+fn paused(endpoint: &Endpoint, prompt: &Prompt<'_>, model: &Model<'_>, now: Duration) -> f64 {
     let part = model.pauses.part(prompt.place(endpoint), now);
     if prompt.is_foreign(endpoint) {
         part.max(MIXED)
@@ -287,7 +289,7 @@
 
 /// How many streams there are lost by a long prompt: those that would not have paused too
 /// long without it.
-fn harm(endpoint: &Endpoint, prompt: &Prompt, model: &Model<'_>, now: Duration) -> f64 {
+fn harm(endpoint: &Endpoint, prompt: &Prompt<'_>, model: &Model<'_>, now: Duration) -> f64 {
     if !(prompt.long && prompt.is_foreign(endpoint)) {
         return 0.0;
     }
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -81,17 +81,16 @@
     /// Chooses the endpoint for a prompt and takes a slot there.
     pub(in crate::core::dispatch) fn choose_home(
         &mut self,
-        prompt: &Prompt,
+        prompt: &Prompt<'_>,
         model: &Model<'_>,
         avoid: Option<&name::Endpoint>,
         now: Duration,
     ) -> Result<Choice, Unplaced> {
         let mut candidates: Vec<_> = self
-            .ready
-            .iter()
-            .map(|(_, index)| (self.weight(*index, prompt), *index))
+            .eligible(prompt.allowed)
+            .map(|eligible| (self.weight(eligible.index(), prompt), eligible))
             .collect();
-        candidates.sort_unstable_by_key(|candidate| Reverse(*candidate));
+        candidates.sort_unstable_by_key(|(weight, eligible)| Reverse((*weight, eligible.index())));
         let prefix = prompt.placed.prefix;
         let mut kept = self.kept.places(prefix, now);
         // At an endpoint of the other group it would be in the way of others.
@@ -100,7 +99,8 @@
         // Where it is kept nowhere, its home is as good as a place that keeps it. Steps are
         // counted in each of the two groups by itself.
         let mut steps = [Cost::from(!kept.is_empty()); 2];
-        let ranked = candidates.into_iter().map(|(_, index)| {
+        let ranked = candidates.into_iter().map(|(_, eligible)| {
+            let index = eligible.index();
             let endpoint = &self.endpoints[index.0];
             let foreign = self.is_foreign(index, prompt);
             let kept_here = kept.contains(&index);
@@ -113,10 +113,11 @@
             let avoided = avoid == Some(&endpoint.name);
             let cut = endpoint.away && self.zones.is_suspect(&endpoint.zone, now);
             let cost = away + self.cost(endpoint, prompt, model, now);
-            ((avoided, cut, cost), index, kept_here)
+            ((avoided, cut, cost), eligible, kept_here)
         });
         let best = ranked.min_by_key(|(rank, ..)| *rank);
-        let (_, index, kept_here) = best.ok_or(Unplaced::NoSlot)?;
+        let (_, chosen, kept_here) = best.ok_or(Unplaced::NoSlot)?;
+        let index = chosen.index();
         let first = cost::first(&self.endpoints[index.0], prompt, kept_here, model);
         let over = first.saturating_sub(prompt.longest_first());
         if !over.is_zero() {
@@ -125,17 +126,16 @@
         if self.kept.note(prefix, index, now) {
             self.kept.news.push((prefix, index));
         }
-        self.check_grant(index, now);
         let choice = self.choice(index, prompt, kept_here);
         let taken = Tokens {
             unread: choice.unread,
             tier: prompt.tier,
         };
-        self.take(index, taken, now);
+        self.grant(chosen, taken, now);
         Ok(choice)
     }
 
-    fn choice(&self, index: Index, prompt: &Prompt, kept: bool) -> Choice {
+    fn choice(&self, index: Index, prompt: &Prompt<'_>, kept: bool) -> Choice {
         let endpoint = &self.endpoints[index.0];
         Choice {
             endpoint: index,
@@ -147,7 +147,7 @@
     }
 
     /// Whether an endpoint is for prompts of the other kind.
-    fn is_foreign(&self, index: Index, prompt: &Prompt) -> bool {
+    fn is_foreign(&self, index: Index, prompt: &Prompt<'_>) -> bool {
         prompt.is_foreign(&self.endpoints[index.0])
     }
 
@@ -174,7 +174,7 @@
         news.into_iter().map(placement).collect()
     }
 
-    fn weight(&self, index: Index, prompt: &Prompt) -> u64 {
+    fn weight(&self, index: Index, prompt: &Prompt<'_>) -> u64 {
         rendezvous::mix(prompt.placed.prefix.0 ^ self.endpoints[index.0].hash)
     }
 
--- /dev/null
+++ b/src/scalewood/core/dispatch/endpoint/slots.rs
@@ -0,0 +1,114 @@
+//! Choosing by free slots: the least used endpoint goes first, or the one that likely caches
+//! the prompt's prefix.
+
+use std::time::Duration;
+
+use super::{eligible::Eligible, Choice, Index, Set, Tokens};
+use crate::core::{
+    dispatch::{reading, Settings},
+    name,
+    prompt::Prefix,
+    residency,
+};
+
+/// Where a prefix is likely cached.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hint {
+    pub(super) index: Index,
+    pub(super) until: Duration,
+}
+
+/// The most prefix hints that are kept.
+const MAX_HINTS: usize = 8192;
+
+/// A request that is to get the least used endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::core::dispatch) struct Wanted<'a> {
+    /// Where it may be served.
+    pub(in crate::core::dispatch) allowed: &'a residency::Allowed,
+    /// The prompt's prefix, if an engine's cache is worth something to it.
+    pub(in crate::core::dispatch) prefix: Option<Prefix>,
+    /// The endpoint that it goes to last.
+    pub(in crate::core::dispatch) avoid: Option<&'a name::Endpoint>,
+}
+
+impl Set {
+    /// Chooses an endpoint with a free slot and takes the slot.
+    pub(in crate::core::dispatch) fn choose(
+        &mut self,
+        wanted: Wanted<'_>,
+        now: Duration,
+        settings: &Settings,
+    ) -> Option<Choice> {
+        let mut candidates = self.eligible(wanted.allowed).take(2);
+        let mut best = candidates.next()?;
+        if self.is_avoided(best.index(), &wanted) {
+            best = candidates.next().unwrap_or(best);
+        }
+        drop(candidates);
+        let chosen = self.hinted(best, &wanted, now, settings).unwrap_or(best);
+        let index = chosen.index();
+        self.grant(chosen, Tokens::default(), now);
+        if let Some(prefix) = wanted.prefix {
+            self.hint(prefix, index, now + settings.hint_life);
+        }
+        Some(Choice {
+            endpoint: index,
+            unread: 0,
+            ahead: reading::Ahead::default(),
+            kept: false,
+            place: None,
+        })
+    }
+
+    fn is_avoided(&self, index: Index, wanted: &Wanted<'_>) -> bool {
+        wanted
+            .avoid
+            .is_some_and(|name| self.endpoints[index.0].name == *name)
+    }
+
+    /// The endpoint that likely caches a prefix, while it costs little to wait for.
+    fn hinted(
+        &self,
+        best: Eligible,
+        wanted: &Wanted<'_>,
+        now: Duration,
+        settings: &Settings,
+    ) -> Option<Eligible> {
+        let hint = self.hints.get(&wanted.prefix?);
+        let index = hint.filter(|hint| hint.until > now)?.index;
+        let most = best.score() + settings.hint_slack;
+        let mut near = self.eligible(wanted.allowed);
+        let hinted = near.find(|eligible| eligible.index() == index)?;
+        (!self.is_avoided(index, wanted) && hinted.score() <= most).then_some(hinted)
+    }
+
+    /// Notes a cache event. Events come late and with gaps, so they only hint.
+    pub(in crate::core::dispatch) fn set_cached(
+        &mut self,
+        name: &name::Endpoint,
+        prefix: Prefix,
+        cached: bool,
+        until: Duration,
+    ) {
+        let Some(index) = self.names.get(name).copied() else {
+            return;
+        };
+        if cached {
+            self.hint(prefix, index, until);
+        } else if self
+            .hints
+            .get(&prefix)
+            .is_some_and(|hint| hint.index == index)
+        {
+            self.hints.remove(&prefix);
+        }
+    }
+
+    fn hint(&mut self, prefix: Prefix, index: Index, until: Duration) {
+        if self.hints.len() >= MAX_HINTS && !self.hints.contains_key(&prefix) {
+            return;
+        }
+        self.hints.insert(prefix, Hint { index, until });
+    }
+}
--- a/src/scalewood/core/dispatch/grant.rs
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -52,9 +52,12 @@
             }));
         }
         let Some(placed) = ask.placed else {
-            let chosen = self
-                .endpoints
-                .choose(ask.prefix, avoid, now, &self.settings);
+            let wanted = endpoint::Wanted {
+                allowed: &ask.allowed,
+                prefix: ask.prefix,
+                avoid,
+            };
+            let chosen = self.endpoints.choose(wanted, now, &self.settings);
             return chosen.ok_or(endpoint::Unplaced::NoSlot);
         };
         let parted = self.placement.is_parted(&self.reading);
@@ -65,6 +68,7 @@
         let hold = class.map_or(class::MIN_HOLD, |class| class.mean);
         let left = |limit: Duration| limit.saturating_sub(ask.age);
         let prompt = endpoint::Prompt {
+            allowed: &ask.allowed,
             placed,
             tokens: ask.prompt.0,
             tier: ask.tier,
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -4,22 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{attempt, name, unit};
+use crate::core::{attempt, name, residency, unit};
 
-/// A hash over the start of a prompt. Prompts with the same prefix may share an
-/// engine's cached work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Prefix(pub u64);
-
-/// What decides where a prompt that others share is placed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Placed {
-    /// The part of the prompt that others share.
-    pub prefix: Prefix,
-    /// The tokens of that part.
-    pub shared: unit::Tokens,
-}
+pub use crate::core::prompt::{Placed, Prefix};
 
 /// A request for a slot.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -52,6 +39,9 @@
     /// Where the prompt belongs, if endpoints keep what prompts share.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub placed: Option<Placed>,
+    /// Where it may be served.
+    #[serde(default, skip_serializing_if = "residency::Allowed::is_everywhere")]
+    pub allowed: residency::Allowed,
     /// Whether the run can be interrupted and resumed.
     pub preemptible: bool,
     /// How often the request has been preempted.
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -47,7 +47,7 @@
 mod work;
 mod zone;
 
-pub use endpoint::{Spec, View};
+pub use endpoint::{Spec, Standing, View};
 pub use message::{Ask, End, Held, Order, Placed, Prefix, Reason, Report};
 pub use placement::LONG_PROMPT;
 
@@ -101,6 +101,10 @@
 }
 
 /// What a dispatcher is told.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "most inputs are reports, and a box for each is an allocation a request"
+)]
 #[derive(Clone, Debug)]
 pub enum Input {
     /// An entry box reports.
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -64,7 +64,7 @@
     /// Sheds what an arrival makes hopeless: the arrival itself, if it would wait
     /// past its deadline, or the last of the lowest tier, if the queue is full.
     pub(super) fn shed_on_arrival(&mut self, attempt: attempt::Attempt, now: Duration) {
-        if self.endpoints.is_hopeless() {
+        if self.is_hopeless(attempt) {
             return self.shed(attempt, message::Reason::NoEndpoint, now);
         }
         if self.queue.len() > self.settings.max_waiting {
@@ -99,16 +99,22 @@
         }
     }
 
-    /// Sheds everything when no endpoint is left.
+    /// Sheds the requests that no endpoint is left for.
     pub(super) fn shed_hopeless(&mut self) {
-        while self.endpoints.is_hopeless() {
-            let Some(attempt) = self.queue.last() else {
-                break;
-            };
+        let waiting = self.queue.all().map(|waiting| waiting.ask.attempt);
+        let hopeless = waiting.filter(|attempt| self.is_hopeless(*attempt));
+        let hopeless: Vec<_> = hopeless.collect();
+        for attempt in hopeless {
             self.shed(attempt, message::Reason::NoEndpoint, Duration::ZERO);
         }
     }
 
+    /// Whether no endpoint is left that a request may be sent to.
+    fn is_hopeless(&self, attempt: attempt::Attempt) -> bool {
+        let waiting = self.queue.get(attempt);
+        waiting.is_some_and(|waiting| self.endpoints.is_hopeless(&waiting.ask.allowed))
+    }
+
     /// Sheds a request whose caller would leave before endpoints come to read it; it may
     /// come back once that much has been read.
     pub(super) fn shed_overload(
--- a/src/scalewood/core/invariant.rs
+++ b/src/scalewood/core/invariant.rs
@@ -41,6 +41,8 @@
     KeyOnce = "key-once";
     /// A leaving endpoint gets no grant more than 3 s after the first sign.
     LeavingGrant = "leaving-grant";
+    /// An endpoint in a cordoned zone gets no grant.
+    CordonedGrant = "cordoned-grant";
     /// The pieces of an answer belong to one chain of attempts.
     AttemptChain = "attempt-chain";
     /// The revision at a box only rises.
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{dispatch::Prefix, name, risk};
+use crate::core::{name, prompt::Prefix, risk};
 
 mod hub;
 mod later;
--- a/src/scalewood/core/name.rs
+++ b/src/scalewood/core/name.rs
@@ -99,6 +99,8 @@
     Box = "box";
     /// An availability zone.
     Zone = "availability zone";
+    /// A region: some availability zones that lie close to each other.
+    Region = "region";
     /// A service that callers ask.
     Service = "service";
     /// A class of requests within a service.
--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{name, pace, unit};
+use crate::core::{name, pace, unit, warm_up};
 
 /// Whether an endpoint takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -47,6 +47,13 @@
     /// Whether it is paid for as one that may be taken away.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub interruptible: bool,
+    /// Which start of it this is, if it tells: a later start has a higher number. Numbers of
+    /// one endpoint are compared with each other only, never with a clock.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<unit::Incarnation>,
+    /// How much longer it warms up, if it tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm_up: Option<warm_up::Left>,
 }
 
 /// What a merge changed.
@@ -146,6 +153,7 @@
         entry.started = entry.started.min(started(record.sequence, now));
         let same = Record {
             sequence: record.sequence,
+            warm_up: record.warm_up,
             ..entry.record.clone()
         };
         let changed = same != record;
--- a/src/scalewood/core/route.rs
+++ b/src/scalewood/core/route.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{config, name, scaling, secret, unit};
+use crate::core::{config, name, residency, scaling, secret, unit, warm_up};
 
 /// What may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,6 +81,9 @@
     /// Whether it is open to callers without a key.
     #[serde(default)]
     pub public: bool,
+    /// Where its requests may be served.
+    #[serde(default, skip_serializing_if = "residency::Allowed::is_everywhere")]
+    pub allowed: residency::Allowed,
 }
 
 impl Route {
@@ -143,6 +146,9 @@
     /// Tokens that an endpoint's memory holds, if that is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub memory: Option<unit::Tokens>,
+    /// How its endpoints warm up after a start, if they have to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm_up: Option<warm_up::Rate>,
     /// What the provider offers, if endpoints can be ordered.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub offer: Option<scaling::Offer>,
@@ -156,6 +162,9 @@
     pub keys: Vec<secret::Hash>,
     /// Its rank, which goes before that of the route; 0 is the highest.
     pub tier: unit::Tier,
+    /// Where its requests may be served.
+    #[serde(default, skip_serializing_if = "residency::Allowed::is_everywhere")]
+    pub allowed: residency::Allowed,
 }
 
 /// How callers are treated.
--- a/src/scalewood/core/unit.rs
+++ b/src/scalewood/core/unit.rs
@@ -39,7 +39,7 @@
     Tokens(u64);
     /// How many requests an endpoint runs at once.
     Slots(u32);
-    /// Which start of a box this is; it rises with each restart.
+    /// Which start of a box or an endpoint this is; it rises with each restart.
     Incarnation(u64);
 }
 
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     board::feed,
-    core::{agree, ledger, name, secret, unit},
+    core::{agree, ledger, name, region, secret, unit},
     event,
     ops::{breach, reload, rpc, source},
     store::{folder, hints, identity, journal},
@@ -45,6 +45,8 @@
     pub name: name::Box,
     /// Its availability zone, if that is known: boxes of the zone prefer it.
     pub zone: Option<name::Zone>,
+    /// The availability zones that are known beforehand, with their regions.
+    pub zones: region::Map,
     /// Where the other processes of the system reach it.
     pub listen: SocketAddr,
     /// Where operators reach it.
@@ -75,6 +77,7 @@
         Self {
             name: "control".parse().expect("the default name is valid"),
             zone: None,
+            zones: region::Map::default(),
             listen: ([127, 0, 0, 1], 7100).into(),
             admin: ([127, 0, 0, 1], 7101).into(),
             data: "data".into(),
@@ -101,6 +104,7 @@
             .required("admin", "127.0.0.1:7101")
             .unwrap_or(default.admin);
         let zone = reader.parsed("zone", "cluj");
+        let zones = settings::zones(reader);
         let data: Option<String> = reader.required("data", "/var/lib/scalewood");
         let publish = reader.parsed("publish", "127.0.0.1:7102");
         let unattended = reader.flag("unattended", default.unattended);
@@ -155,6 +159,7 @@
         Self {
             name,
             zone,
+            zones,
             listen,
             admin,
             data: data.unwrap_or_default().into(),
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     board::{entry::Buckets, view::View},
-    core::{attempt, config, dispatch, limit, name, policy, unit},
+    core::{attempt, config, dispatch, limit, name, policy, residency, unit},
     event,
     ops::entry::{desk, member, now, reply::Refusal, Shared},
     util::{
@@ -33,6 +33,8 @@
     pub(super) prompt: unit::Tokens,
     pub(super) prefix: Option<dispatch::Prefix>,
     pub(super) placed: Option<dispatch::Placed>,
+    /// Where it may be served.
+    pub(super) allowed: residency::Allowed,
     /// How long the caller waits for the first token, where that is known.
     pub(super) patience: Option<Duration>,
     /// Whether the caller was likely refused before and has come back.
@@ -97,6 +99,7 @@
         prompt: size.prompt,
         prefix,
         placed: None,
+        allowed: residency::Allowed::default(),
         patience: None,
         returned: false,
     };
@@ -253,6 +256,7 @@
             delivered: unit::Tokens(0),
             prefix: self.prefix,
             placed: self.placed,
+            allowed: self.allowed.clone(),
             preemptible: preemptible && self.class.preemptible,
             preempted: 0,
             avoid: None,
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -101,7 +101,8 @@
 
 /// What a dispatcher of a service here is configured with.
 fn configuration(board: &Shared, view: &View, service: &name::Service) -> dispatch::Input {
-    view.dispatch_input(service, &board.own.zone, &lock(&board.registry))
+    let registry = lock(&board.registry);
+    view.dispatch_input(service, &board.own.zone, &registry, &board.own.regions)
 }
 
 /// The boxes whose requests the dispatchers here take. This one belongs to them also
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     board::entry::{Board, Own},
-    core::{name, retry, unit},
+    core::{name, region, retry, unit},
     event,
     ops::{breach, reload, rpc, source},
     util::{
@@ -70,6 +70,8 @@
     pub name: name::Box,
     /// Its availability zone.
     pub zone: name::Zone,
+    /// The availability zones that are known beforehand, with their regions.
+    pub zones: region::Map,
     /// Where callers reach it.
     pub callers: SocketAddr,
     /// Where the other processes of the system reach it.
@@ -153,6 +155,7 @@
         Self {
             name: "entry".parse().expect("the default name is valid"),
             zone: "zone".parse().expect("the default zone is valid"),
+            zones: region::Map::default(),
             callers: ([127, 0, 0, 1], 7200).into(),
             listen: ([127, 0, 0, 1], 7201).into(),
             health: ([127, 0, 0, 1], 7202).into(),
@@ -173,6 +176,7 @@
         let settings = Self {
             name: reader.required("box", "e1").unwrap_or(default.name),
             zone: reader.required("zone", "cluj").unwrap_or(default.zone),
+            zones: settings::zones(reader),
             callers: reader
                 .required("callers", "127.0.0.1:7200")
                 .unwrap_or(default.callers),
@@ -267,6 +271,7 @@
     let own = Own {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
+        regions: settings.zones.clone(),
         // Peers that know a higher one from a start before this say so. The wall clock
         // jumps, back too, so it can't tell one start from another.
         incarnation: unit::Incarnation::default(),
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     board::view::View,
-    core::{config, name, retry, route, unit},
+    core::{config, name, residency, retry, route, unit},
     event,
     ops::entry::{
         body::Answer,
@@ -249,6 +249,7 @@
         prompt: head.prompt,
         prefix: None,
         placed: outgoing::placed(head),
+        allowed: residency::Allowed::default(),
         patience: Some(route.patience().min(held)),
         returned: false,
     }
--- a/src/scalewood/util/settings.rs
+++ b/src/scalewood/util/settings.rs
@@ -8,7 +8,7 @@
 
 use jsonc_parser::{ast, common::Ranged as _};
 
-use crate::core::unit;
+use crate::core::{name, region, unit};
 
 /// Something wrong with a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -378,6 +378,30 @@
     }
 }
 
+/// Takes the availability zones that are known beforehand, as a list of objects with `zone` and
+/// `region`.
+pub fn zones(reader: &mut Reader<'_>) -> region::Map {
+    let named: Vec<Zone> = reader.list("zones");
+    let named: Vec<_> = named.into_iter().filter_map(|zone| zone.0).collect();
+    let count = named.len();
+    let map = region::Map::new(named);
+    if map.zones().count() < count {
+        reader.problem("zones", "a zone is named twice", "each zone once");
+    }
+    map
+}
+
+/// An availability zone with its region, as settings name one.
+struct Zone(Option<(name::Zone, name::Region)>);
+
+impl Settings for Zone {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        let zone = reader.required("zone", "cluj");
+        let region = reader.required("region", "transylvania");
+        Self(zone.zip(region))
+    }
+}
+
 /// A duration as settings write it.
 struct Span(Duration);
 
--- a/tests/testsuite/feed.rs
+++ b/tests/testsuite/feed.rs
@@ -79,6 +79,7 @@
         tier: unit::Tier(1),
         attempts: 2,
         public: true,
+        allowed: Default::default(),
     };
     let routes = hosts
         .iter()
--- a/tests/testsuite/pace.rs
+++ b/tests/testsuite/pace.rs
@@ -8,6 +8,7 @@
         dispatch::Input,
         name,
         pace::{grade, Meter, Meters, Pace, Paced, Reports, Stream},
+        region,
         registry::{Record, Registry, State},
         unit,
     },
@@ -91,6 +92,8 @@
         state: State::Ready,
         sequence: 1,
         interruptible: false,
+        incarnation: None,
+        warm_up: None,
     }
 }
 
@@ -98,7 +101,9 @@
 fn order(registry: &Registry) -> Vec<(String, bool)> {
     let view = View::new(unit::Revision(1), Arc::default());
     let (service, zone) = ("lm".parse().unwrap(), "a".parse().unwrap());
-    let Input::Configure(specs, _) = view.dispatch_input(&service, &zone, registry) else {
+    let Input::Configure(specs, _) =
+        view.dispatch_input(&service, &zone, registry, &region::Map::default())
+    else {
         panic!("a configuration is expected");
     };
     let mut specs = specs;
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -49,6 +49,7 @@
         zone: format!("z{}", place % 3).parse().unwrap(),
         slow: slow.contains(&place),
         memory: Some(unit::Tokens(100_000)),
+        standing: Default::default(),
     });
     let class = config::Class {
         target: Duration::from_millis(250),
@@ -81,6 +82,7 @@
         deadline: Duration::from_secs(10),
         patience: None,
         returned: true,
+        allowed: Default::default(),
         prompt: unit::Tokens(own + 200),
         delivered: unit::Tokens(0),
         prefix: None,
--- a/tests/testsuite/random/dispatch.rs
+++ b/tests/testsuite/random/dispatch.rs
@@ -200,6 +200,7 @@
             zone: "z0".parse().expect("a zone"),
             slow: false,
             memory: None,
+            standing: Default::default(),
         });
         let specs = specs.collect();
         let classes = (0..4u8).map(|tier| {
@@ -491,6 +492,7 @@
             deadline: Duration::from_secs(8),
             patience: None,
             returned: false,
+            allowed: Default::default(),
             prompt: unit::Tokens(10),
             delivered: unit::Tokens(0),
             prefix: takes
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -17,6 +17,8 @@
         state,
         sequence,
         interruptible: false,
+        incarnation: None,
+        warm_up: None,
     }
 }
 
--- a/tests/testsuite/route.rs
+++ b/tests/testsuite/route.rs
@@ -23,6 +23,7 @@
         tier: unit::Tier(tier),
         attempts: 2,
         public: false,
+        allowed: Default::default(),
     }
 }
 
@@ -30,6 +31,7 @@
     Team {
         keys: vec![secret::Hash::of(key)],
         tier: unit::Tier(tier),
+        allowed: Default::default(),
     }
 }
 
--- a/tests/testsuite/size.rs
+++ b/tests/testsuite/size.rs
@@ -158,6 +158,7 @@
                 zone: format!("z{}", i % ZONES).parse().unwrap(),
                 slow: false,
                 memory: None,
+                standing: Default::default(),
             })
             .collect();
         for i in 0..BOXES {
@@ -227,6 +228,7 @@
             deadline: DEADLINE,
             patience: None,
             returned: false,
+            allowed: Default::default(),
             prompt: unit::Tokens(PROMPT),
             delivered: unit::Tokens(0),
             prefix: None,
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -158,6 +158,8 @@
             state,
             sequence,
             interruptible: false,
+            incarnation: None,
+            warm_up: None,
         }
     }
 }
@@ -479,6 +481,7 @@
         tier: unit::Tier(tier),
         attempts: 2,
         public: false,
+        allowed: Default::default(),
     };
     let routes = [
         ("safe", route("/safe/", Kind::Safe, 0)),
@@ -495,6 +498,7 @@
     let team = Team {
         keys: vec![secret::Hash::of(KEY)],
         tier: unit::Tier(0),
+        allowed: Default::default(),
     };
     Routing {
         version,
