--- a/src/scalewood/util/settings.rs
+++ b/src/scalewood/util/settings/reader.rs
@@ -1,137 +1,11 @@
-//! Reading settings: JSON with comments, one file for each process.
-//!
-//! A [`Reader`] takes the known keys out of an object one by one and notes every
-//! problem with its line; what is left over at the end is unknown. So an operator
-//! gets all that is wrong with a file at once, and what to write instead.
+//! Takes known keys out of an object of settings, and tells of all that is wrong with it.
 
-use std::{fmt, net::SocketAddr, path::Path, str::FromStr, time::Duration};
+use std::{fmt, str::FromStr, time::Duration};
 
 use jsonc_parser::{ast, common::Ranged as _};
 
-use crate::core::{name, region, unit};
-
-/// Something wrong with a settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Problem {
-    /// The line, from 1.
-    pub line: usize,
-    /// The key's path, like `listen.callers`.
-    pub path: String,
-    /// What is wrong.
-    pub why: String,
-    /// What to write instead.
-    pub instead: String,
-}
-
-/// All that is wrong with a settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Error {
-    file: String,
-    problems: Vec<Problem>,
-}
-
-impl Error {
-    /// The problems, in the order of their lines.
-    pub fn problems(&self) -> &[Problem] {
-        &self.problems
-    }
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the settings can't be used")?;
-        for Problem {
-            line,
-            path,
-            why,
-            instead,
-        } in &self.problems
-        {
-            write!(
-                f,
-                "\n  {}:{line}: `{path}`: {why}\n      write {instead}",
-                self.file
-            )?;
-        }
-        Ok(())
-    }
-}
-
-impl std::error::Error for Error {}
-
-/// Settings that can be read from an object.
-pub trait Settings: Sized {
-    /// Takes the settings' keys out of the reader.
-    fn read(reader: &mut Reader<'_>) -> Self;
-}
-
-/// Reads settings from a file.
-///
-/// # Errors
-///
-/// Fails with all problems of the file.
-pub fn load<S: Settings>(path: &Path) -> Result<S, Error> {
-    let file = path.display().to_string();
-    match std::fs::read_to_string(path) {
-        Ok(text) => parse(&file, &text),
-        Err(error) => Err(Error {
-            file,
-            problems: vec![Problem {
-                line: 1,
-                path: "(file)".into(),
-                why: format!("it can't be read: {error}"),
-                instead: "a readable file, and name it with --settings".into(),
-            }],
-        }),
-    }
-}
-
-/// Reads settings from a text; `file` is its name in problems.
-///
-/// # Errors
-///
-/// Fails with all problems of the text.
-pub fn parse<S: Settings>(file: &str, text: &str) -> Result<S, Error> {
-    let fail = |problems| Error {
-        file: file.to_owned(),
-        problems,
-    };
-    let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &Default::default());
-    let parsed = parsed.map_err(|error| {
-        let line = line_of(text, error.range().start);
-        fail(vec![Problem {
-            line,
-            path: "(file)".into(),
-            why: format!("it is not JSON with comments: {}", error.kind()),
-            instead: "an object like { \"key\": value }".into(),
-        }])
-    })?;
-    let Some(ast::Value::Object(object)) = parsed.value else {
-        return Err(fail(vec![Problem {
-            line: 1,
-            path: "(file)".into(),
-            why: "it holds no object".into(),
-            instead: "an object like { \"key\": value }".into(),
-        }]));
-    };
-    let mut problems = Vec::new();
-    let mut reader = Reader::new(text, String::new(), object, &mut problems);
-    let settings = S::read(&mut reader);
-    reader.finish();
-    if problems.is_empty() {
-        return Ok(settings);
-    }
-    problems.sort_by_key(|problem| problem.line);
-    Err(fail(problems))
-}
-
-fn line_of(text: &str, offset: usize) -> usize {
-    1 + text
-        .bytes()
-        .take(offset)
-        .filter(|byte| *byte == b'\n')
-        .count()
-}
+use super::{line_of, value::Span, Problem, Settings};
+use crate::core::unit;
 
 /// Takes known keys out of an object and notes problems.
 pub struct Reader<'a> {
@@ -150,7 +24,7 @@
 }
 
 impl<'a> Reader<'a> {
-    fn new(
+    pub(super) fn new(
         text: &'a str,
         path: String,
         object: ast::Object<'a>,
@@ -342,7 +216,7 @@
     }
 
     /// Notes the keys that nobody took.
-    fn finish(mut self) {
+    pub(super) fn finish(mut self) {
         for property in std::mem::take(&mut self.properties) {
             let key = property.name.as_str().to_owned();
             let line = line_of(self.text, property.range.start);
@@ -362,68 +236,6 @@
     }
 }
 
-/// Where a voter is reached, as an object with `address` and, where its processes
-/// listen at another port than the one named there, `port`.
-#[derive(Clone, Copy, Debug)]
-pub struct Address(pub Option<SocketAddr>);
-
-impl Settings for Address {
-    fn read(reader: &mut Reader<'_>) -> Self {
-        let address: Option<SocketAddr> = reader.required("address", "127.0.0.1:7100");
-        let port = reader.number("port", 0);
-        Self(address.map(|address| match port {
-            0 => address,
-            port => SocketAddr::new(address.ip(), port),
-        }))
-    }
-}
-
-/// Takes the availability zones that are known beforehand, as a list of objects with `zone` and
-/// `region`.
-pub fn zones(reader: &mut Reader<'_>) -> region::Map {
-    let named: Vec<Zone> = reader.list("zones");
-    let named: Vec<_> = named.into_iter().filter_map(|zone| zone.0).collect();
-    let count = named.len();
-    let map = region::Map::new(named);
-    if map.zones().count() < count {
-        reader.problem("zones", "a zone is named twice", "each zone once");
-    }
-    map
-}
-
-/// An availability zone with its region, as settings name one.
-struct Zone(Option<(name::Zone, name::Region)>);
-
-impl Settings for Zone {
-    fn read(reader: &mut Reader<'_>) -> Self {
-        let zone = reader.required("zone", "cluj");
-        let region = reader.required("region", "transylvania");
-        Self(zone.zip(region))
-    }
-}
-
-/// A duration as settings write it.
-struct Span(Duration);
-
-/// The units of a duration, in the order in which a suffix is looked for.
-const UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1000), ("m", 60_000), ("h", 3_600_000)];
-
-impl FromStr for Span {
-    type Err = unit::Error;
-
-    fn from_str(text: &str) -> Result<Self, unit::Error> {
-        let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
-        let suffix = &text[digits.len()..];
-        let unit = UNITS.iter().find(|(name, _)| *name == suffix);
-        let count: Option<u64> = digits.trim_end().parse().ok();
-        let millis = unit
-            .zip(count)
-            .and_then(|((_, factor), count)| count.checked_mul(*factor));
-        let millis = millis.ok_or_else(unit::Error::duration)?;
-        Ok(Self(Duration::from_millis(millis)))
-    }
-}
-
 /// The known key that differs least, if it differs little.
 fn nearest(key: &str, known: &[&'static str]) -> Option<&'static str> {
     /// The most edits between a misspelt key and the known one.
