--- a/src/scalewood/board/view.rs
+++ b/src/scalewood/board/view.rs
@@ -104,7 +104,10 @@
             zone: record.zone.clone(),
             slow,
             memory,
-            standing: self.standing(&record.zone, regions),
+            standing: dispatch::Standing {
+                incarnation: record.incarnation,
+                ..self.standing(&record.zone, regions)
+            },
         });
         let specs = self
             .endpoints(service, zone)
@@ -132,6 +135,7 @@
         dispatch::Standing {
             cordoned: self.document.cordoned.contains(zone),
             region: regions.region_of(zone).cloned(),
+            incarnation: None,
         }
     }
 
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -18,13 +18,14 @@
     dispatch::{message, pauses, placement, reading, zone, Settings},
     estimate,
     load::{self, Load},
-    name, rendezvous, risk, unit,
+    name, registry, rendezvous, risk, unit,
 };
 
 mod cost;
 mod eligible;
 mod health;
 mod home;
+mod restart;
 mod slots;
 
 pub use eligible::Standing;
@@ -128,6 +129,8 @@
     zone: name::Zone,
     /// What is said of sending it new work.
     standing: Standing,
+    /// Which start of it this is, once it was configured.
+    start: Option<registry::Start>,
     /// Whether it is slow beside the others.
     slow: bool,
     /// Whether it is for short prompts, where endpoints are parted.
@@ -258,7 +261,7 @@
             endpoint.configured = false;
         }
         for spec in specs {
-            let index = self.index_or_add(&spec.name, settings);
+            let index = self.index_of_start(&spec.name, spec.standing.incarnation, settings);
             let endpoint = &mut self.endpoints[index.0];
             endpoint.configured = true;
             endpoint.slots = spec.slots;
@@ -313,6 +316,7 @@
             hash: rendezvous::hash(&[name.as_str()]),
             zone: own_zone(),
             standing: Standing::default(),
+            start: None,
             slow: false,
             for_short: true,
             memory: None,
@@ -451,6 +455,7 @@
         self.ready.clear();
         self.allowed = 0;
         self.endpoints.retain(|e| e.configured);
+        // At rest none is left of those that a later start took the place of.
         let names = self.endpoints.iter().enumerate();
         self.names = names.map(|(i, e)| (e.name.clone(), Index(i))).collect();
         for endpoint in &mut self.endpoints {
--- a/src/scalewood/core/dispatch/endpoint/eligible.rs
+++ b/src/scalewood/core/dispatch/endpoint/eligible.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::{Endpoint, Index, Score, Set, Tokens};
-use crate::core::{dispatch::Settings, invariant, name, residency};
+use crate::core::{dispatch::Settings, invariant, name, registry, residency};
 
 /// How long after the first sign a leaving endpoint may still get work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
@@ -19,6 +19,8 @@
     pub cordoned: bool,
     /// Its zone's region, if that is known.
     pub region: Option<name::Region>,
+    /// Which start of it this is, if it tells.
+    pub incarnation: registry::Start,
 }
 
 /// An endpoint with a free slot that a request may be sent to.
--- a/src/scalewood/core/dispatch/endpoint/health.rs
+++ b/src/scalewood/core/dispatch/endpoint/health.rs
@@ -145,13 +145,16 @@
 
     /// What came of requests here since it was last taken.
     pub(in crate::core::dispatch) fn take_outcomes(&mut self) -> Vec<load::Outcome> {
-        let met = self.endpoints.iter_mut();
-        let met = met.filter(|endpoint| endpoint.outcomes != load::Count::default());
-        let outcome = |endpoint: &mut Endpoint| load::Outcome {
-            endpoint: endpoint.name.clone(),
-            count: std::mem::take(&mut endpoint.outcomes),
-        };
-        met.map(outcome).collect()
+        let mut outcomes = Vec::new();
+        for i in 0..self.endpoints.len() {
+            let count = std::mem::take(&mut self.endpoints[i].outcomes);
+            // What an earlier start met says nothing of the one that has its name now.
+            if count != load::Count::default() && self.is_latest(Index(i)) {
+                let endpoint = self.endpoints[i].name.clone();
+                outcomes.push(load::Outcome { endpoint, count });
+            }
+        }
+        outcomes
     }
 
     /// Moves on what depends on time.
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -207,8 +207,9 @@
     pub(in crate::core::dispatch) fn loads(
         &self,
     ) -> impl Iterator<Item = (name::Endpoint, Load)> + '_ {
-        let loaded = self.endpoints.iter().filter(|e| e.running > 0);
-        loaded.map(|endpoint| {
+        let loaded = self.endpoints.iter().enumerate();
+        let loaded = loaded.filter(|(at, e)| e.running > 0 && self.is_latest(Index(*at)));
+        loaded.map(|(_, endpoint)| {
             let load = Load {
                 unread: endpoint.unread,
                 later: endpoint.later,
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -106,7 +106,8 @@
     teller: name::Box,
     /// Whether the teller is a box of this hub.
     own: bool,
-    placement: Placement,
+    /// Nothing once its endpoint has started anew.
+    placement: Option<Placement>,
 }
 
 /// Brings together what boxes have at endpoints.
@@ -173,6 +174,25 @@
         self.total.get(endpoint).map_or(0, |load| load.running)
     }
 
+    /// Ends what is believed of an endpoint that started anew. Which requests boxes have there
+    /// they tell by themselves.
+    pub fn restarted(&mut self, endpoint: &name::Endpoint) {
+        self.risks.remove(endpoint);
+        self.waiting.remove(endpoint);
+        for link in self.links.values_mut() {
+            link.outcomes.remove(endpoint);
+        }
+        // Emptied rather than taken out: the others count them.
+        let placed = self.placements.iter_mut();
+        for placed in placed.filter(|p| {
+            p.placement
+                .as_ref()
+                .is_some_and(|p| p.endpoint == *endpoint)
+        }) {
+            placed.placement = None;
+        }
+    }
+
     /// Whether a box is known, so that it may tell differences.
     pub fn knows(&self, name: &name::Box) -> bool {
         self.members.contains_key(name)
@@ -220,7 +240,7 @@
         merge(&mut link.loads, loads.clone());
         let unheard = unheard(&self.placements, self.dropped, &mut link.next);
         let own = unheard.filter(|placed| placed.own);
-        let placements = own.map(|placed| placed.placement.clone()).collect();
+        let placements = own.filter_map(|placed| placed.placement.clone()).collect();
         let outcomes = std::mem::take(&mut link.outcomes);
         let outcome = |(endpoint, count)| Outcome { endpoint, count };
         News {
@@ -268,7 +288,7 @@
         let placed = placements.into_iter().map(|placement| Placed {
             teller: from.clone(),
             own,
-            placement,
+            placement: Some(placement),
         });
         self.placements.extend(placed);
         while self.placements.len() > MAX_PLACEMENTS {
@@ -283,7 +303,9 @@
         };
         let unheard = unheard(&self.placements, self.dropped, &mut member.next);
         let others = unheard.filter(|placed| placed.teller != *name);
-        others.map(|placed| placed.placement.clone()).collect()
+        others
+            .filter_map(|placed| placed.placement.clone())
+            .collect()
     }
 
     fn sizes_for(&mut self, name: &name::Box) -> Vec<Prompts> {
--- a/src/scalewood/core/pace.rs
+++ b/src/scalewood/core/pace.rs
@@ -179,6 +179,11 @@
             .filter_map(|(name, meter)| Some((name, meter.pace()?)))
     }
 
+    /// Forgets an endpoint that started anew.
+    pub fn forget(&mut self, endpoint: &name::Endpoint) {
+        self.endpoints.remove(endpoint);
+    }
+
     /// Forgets the endpoints that are not known any more.
     pub fn retain(&mut self, known: impl Fn(&name::Endpoint) -> bool) {
         self.endpoints.retain(|name, _| known(name));
--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -1,21 +1,29 @@
 //! The registry: endpoints that announce themselves.
 //!
 //! It is soft state. Each voter notes what endpoints tell it and pushes the differences
-//! to every entry box; an entry box merges what it hears from all voters. A sequence
-//! number that rises with each heartbeat tells a late one from a new one; an endpoint
-//! that has gone never comes back under its name.
+//! to every entry box; an entry box merges what it hears from all voters. A start of an
+//! endpoint is known by the endpoint's name and the incarnation that it tells: a later one
+//! takes the place of an earlier one, and an earlier one that is heard late changes
+//! nothing. Within a start a number that rises with each heartbeat tells a late one from a
+//! new one. A start that has gone never comes back; where endpoints tell no incarnation,
+//! the name is the start. What is merged in any order, and twice, gives the same.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
 
 use crate::core::{name, pace};
 
+mod ended;
 mod record;
+mod refusal;
 
+pub use ended::{Ended, Start};
 pub use record::{Record, State};
+pub use refusal::{Reason, Refusal};
 
 /// What a merge changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +34,15 @@
     Alive,
     /// Something that others have to know.
     Changed,
+    /// A later start took the place of an earlier one, and others have to know.
+    Restarted,
+}
+
+impl Merged {
+    /// Whether others have to know.
+    pub fn is_news(self) -> bool {
+        matches!(self, Self::Changed | Self::Restarted)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -44,14 +61,27 @@
 }
 
 impl Entry {
-    /// Whether it is the later one of two at the same address.
+    fn new(record: Record, stamp: u64, now: Duration) -> Self {
+        Self {
+            heard: now,
+            stamp,
+            slow: false,
+            restored: false,
+            started: started(record.sequence, now),
+            record,
+        }
+    }
+
+    /// Whether it is the later one of two at the same address. Their incarnations decide where they
+    /// tell them, and one that tells none counts as earlier than one that does: where endpoints tell
+    /// theirs, it comes from another writer. Between two that tell none it is guessed.
     fn is_after(&self, other: &Self) -> bool {
-        let rank = |entry: &Self| (!entry.restored, entry.started);
+        let rank = |entry: &Self| (entry.record.incarnation, !entry.restored, entry.started);
         rank(self) > rank(other)
     }
 }
 
-/// When an endpoint started by a heartbeat that arrives now.
+/// When an endpoint that tells no incarnation started, by a heartbeat that arrives now.
 fn started(sequence: u64, now: Duration) -> i64 {
     let now = i64::try_from(now.as_millis()).unwrap_or(i64::MAX);
     let running = HEARTBEAT.as_millis().saturating_mul(sequence.into());
@@ -64,8 +94,6 @@
 /// The time between two heartbeats of an endpoint, about. It only tells which of two endpoints
 /// at one address started later, so the users' 1.2 s stand for all.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
-/// The most endpoints that have gone which are remembered.
-const MAX_GONE: usize = 4096;
 /// The most endpoints whose pace is kept: several times as many as a system has.
 const MAX_PACES: usize = 4096;
 
@@ -73,9 +101,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<name::Endpoint, Entry>,
-    /// Endpoints that have gone, with the stamp of that.
-    gone: BTreeMap<name::Endpoint, u64>,
-    gone_order: VecDeque<name::Endpoint>,
+    /// The starts that have ended.
+    ended: ended::Marks,
     stamp: u64,
     /// How fast endpoints go, and the stamp when that last changed; also of endpoints that
     /// have not announced themselves here.
@@ -86,46 +113,54 @@
     /// Takes a heartbeat, or a record that another process has heard.
     pub fn merge(&mut self, record: Record, now: Duration) -> Merged {
         if record.state == State::Gone {
-            return self.leave(&record.name);
+            return self.end(&record.name, record.incarnation);
         }
-        if self.gone.contains_key(&record.name) {
+        if self.ended.has(&record.name, record.incarnation) {
             return Merged::Nothing;
         }
-        let Some(entry) = self.entries.get_mut(&record.name) else {
-            self.stamp += 1;
-            let entry = Entry {
-                heard: now,
-                stamp: self.stamp,
-                slow: false,
-                restored: false,
-                started: started(record.sequence, now),
-                record,
-            };
-            let service = entry.record.service.clone();
-            self.entries.insert(entry.record.name.clone(), entry);
-            self.grade(&service);
+        let Some(entry) = self.entries.get(&record.name) else {
+            self.insert(record, now);
             return Merged::Changed;
         };
-        if record.sequence <= entry.record.sequence {
+        if record.rank() <= entry.record.rank() {
             return Merged::Nothing;
         }
+        match record.incarnation.cmp(&entry.record.incarnation) {
+            Ordering::Less => Merged::Nothing,
+            Ordering::Equal => self.go_on(record, now),
+            Ordering::Greater => {
+                self.paces.remove(&record.name);
+                self.insert(record, now);
+                Merged::Restarted
+            }
+        }
+    }
+
+    /// Takes a start that was not known, in place of an earlier one if there is one.
+    fn insert(&mut self, record: Record, now: Duration) {
+        self.stamp += 1;
+        let (name, service) = (record.name.clone(), record.service.clone());
+        let entry = Entry::new(record, self.stamp, now);
+        self.entries.insert(name, entry);
+        self.grade(&service);
+    }
+
+    /// Takes a later heartbeat of a start that is known.
+    fn go_on(&mut self, record: Record, now: Duration) -> Merged {
+        let Some(entry) = self.entries.get_mut(&record.name) else {
+            return Merged::Nothing;
+        };
         entry.heard = now;
         entry.restored = false;
         entry.started = entry.started.min(started(record.sequence, now));
-        let same = Record {
-            sequence: record.sequence,
-            warm_up: record.warm_up,
-            ..entry.record.clone()
-        };
-        let changed = same != record;
+        let same = record.says_the_same(&entry.record);
         entry.record = record;
-        if changed {
-            self.stamp += 1;
-            entry.stamp = self.stamp;
-            Merged::Changed
-        } else {
-            Merged::Alive
+        if same {
+            return Merged::Alive;
         }
+        self.stamp += 1;
+        entry.stamp = self.stamp;
+        Merged::Changed
     }
 
     /// Takes an endpoint that served before a loss of power: it is used until it should have
@@ -142,24 +177,67 @@
         merged
     }
 
-    /// Notes that an endpoint has gone.
+    /// Notes that an endpoint has gone which doesn't tell which start of it: the one that is known.
     pub fn leave(&mut self, name: &name::Endpoint) -> Merged {
-        self.entries.remove(name);
-        if self.gone.contains_key(name) {
+        let known = self.entries.get(name);
+        let known = known.map(|entry| entry.record.incarnation);
+        let start = known.unwrap_or_else(|| self.ended.forgotten(name));
+        let merged = self.end(name, start);
+        if merged.is_news() && known.is_none() && start.is_none() {
+            self.ended.note_unnamed(name, self.stamp);
+        }
+        merged
+    }
+
+    /// Notes that a start of an endpoint has ended, and so all before it. A later one goes on.
+    pub fn end(&mut self, name: &name::Endpoint, start: Start) -> Merged {
+        if !self.ended.raise(name, start, self.stamp + 1) {
             return Merged::Nothing;
         }
         self.stamp += 1;
-        self.paces.remove(name);
-        self.gone.insert(name.clone(), self.stamp);
-        self.gone_order.push_back(name.clone());
-        if self.gone_order.len() > MAX_GONE {
-            if let Some(oldest) = self.gone_order.pop_front() {
-                self.gone.remove(&oldest);
-            }
+        let known = self.entries.get(name).map(|e| e.record.incarnation);
+        if known.is_none_or(|known| known <= start) {
+            self.entries.remove(name);
+            self.paces.remove(name);
         }
         Merged::Changed
     }
 
+    /// Takes what another process tells of endpoints that have `gone`, with the starts of those
+    /// that have `ended` in particular, and of those that `left` a moment ago; returns those of
+    /// which this is news.
+    pub fn take_ends(
+        &mut self,
+        gone: &[name::Endpoint],
+        ended: &[Ended],
+        left: &[name::Endpoint],
+    ) -> Vec<name::Endpoint> {
+        let mut news = Vec::new();
+        for ended in ended {
+            let merged = self.end(&ended.name, Some(ended.incarnation));
+            news.extend(merged.is_news().then(|| ended.name.clone()));
+        }
+        // The left ones go first: a leave is news only once.
+        for name in left {
+            news.extend(self.leave(name).is_news().then(|| name.clone()));
+        }
+        for name in gone {
+            news.extend(self.end(name, None).is_news().then(|| name.clone()));
+        }
+        news
+    }
+
+    /// Forgets an endpoint that was not heard of.
+    fn forget(&mut self, name: &name::Endpoint) {
+        let Some(entry) = self.entries.remove(name) else {
+            return;
+        };
+        self.stamp += 1;
+        if let Some(start) = entry.record.incarnation {
+            self.ended.forget(name, start);
+        }
+    }
+
     /// Notes that an endpoint was heard of.
     pub fn hear(&mut self, name: &name::Endpoint, now: Duration) {
         if let Some(entry) = self.entries.get_mut(name) {
@@ -215,7 +293,8 @@
     /// whether that was unknown, or another endpoint counts as slow by this.
     pub fn set_pace(&mut self, name: &name::Endpoint, pace: pace::Pace) -> bool {
         let known = self.paces.get(name).map(|(pace, _)| *pace);
-        if !pace.is_news(known) || self.gone.contains_key(name) {
+        let has_gone = self.ended.is_told(name) && !self.entries.contains_key(name);
+        if !pace.is_news(known) || has_gone {
             return false;
         }
         if known.is_none() && self.paces.len() >= MAX_PACES {
@@ -284,10 +363,19 @@
         changed.map(|entry| entry.record.clone()).collect()
     }
 
-    /// The endpoints that went after a stamp.
+    /// The endpoints of which a start ended after a stamp.
     pub fn gone_since(&self, stamp: u64) -> Vec<name::Endpoint> {
-        let gone = self.gone.iter().filter(|(_, at)| **at > stamp);
-        gone.map(|(name, _)| name.clone()).collect()
+        self.ended.names_since(stamp)
+    }
+
+    /// Which starts ended after a stamp, of the endpoints that tell their incarnations.
+    pub fn ended_since(&self, stamp: u64) -> Vec<Ended> {
+        self.ended.since(stamp)
+    }
+
+    /// The endpoints that left after a stamp, of which no start was known here then.
+    pub fn left_since(&self, stamp: u64) -> Vec<name::Endpoint> {
+        self.ended.unnamed_since(stamp)
     }
 
     /// The endpoints that were heard of since a time.
@@ -303,8 +391,7 @@
         let over = self.entries.values().filter(is_over);
         let over: Vec<_> = over.map(|entry| entry.record.clone()).collect();
         for record in &over {
-            self.entries.remove(&record.name);
-            self.stamp += 1;
+            self.forget(&record.name);
         }
         over
     }
@@ -314,8 +401,7 @@
         let silent = self.entries.values().filter(|entry| entry.heard < before);
         let silent: Vec<_> = silent.map(|entry| entry.record.clone()).collect();
         for record in &silent {
-            self.entries.remove(&record.name);
-            self.stamp += 1;
+            self.forget(&record.name);
         }
         silent
     }
--- a/src/scalewood/core/unit.rs
+++ b/src/scalewood/core/unit.rs
@@ -43,6 +43,13 @@
     Incarnation(u64);
 }
 
+impl Incarnation {
+    /// The one that all before this one are up to, if there can be any.
+    pub fn before(self) -> Option<Self> {
+        self.0.checked_sub(1).map(Self)
+    }
+}
+
 /// The lowest tier that can be configured.
 pub const LOWEST_TIER: Tier = Tier(15);
 
--- a/src/scalewood/ops/control/collect.rs
+++ b/src/scalewood/ops/control/collect.rs
@@ -112,9 +112,7 @@
         for record in gathered.changed {
             registry.merge(record, now);
         }
-        for name in gathered.gone {
-            registry.leave(&name);
-        }
+        registry.take_ends(&gathered.gone, &gathered.ended, &gathered.left);
         for name in gathered.heard {
             registry.hear(&name, now);
         }
--- a/src/scalewood/ops/control/metric.rs
+++ b/src/scalewood/ops/control/metric.rs
@@ -8,7 +8,10 @@
     registry::Registry,
 };
 
-use crate::ops::control::{registry::Endpoints, Handle};
+use crate::{
+    core::registry as endpoint,
+    ops::control::{registry::Endpoints, Handle},
+};
 
 /// How a publication ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -16,6 +19,12 @@
     outcome: &'static str,
 }
 
+/// Why a heartbeat was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
 /// Bounds of the time that a publication takes, in seconds.
 const SECONDS: [f64; 8] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0];
 
@@ -25,6 +34,7 @@
     registry: Arc<Registry>,
     published: Family<OutcomeLabel, Counter>,
     took: Histogram,
+    refused: Family<ReasonLabel, Counter>,
     leads: Gauge,
     votes: Gauge,
     term: Gauge,
@@ -46,6 +56,12 @@
             "From a routing's arrival to its answer",
             took.clone(),
         );
+        let refused = Family::<ReasonLabel, Counter>::default();
+        registry.register(
+            "refused_heartbeats",
+            "Heartbeats of endpoints that were refused, by reason",
+            refused.clone(),
+        );
         let mut gauge = |name: &'static str, help: &'static str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -63,6 +79,7 @@
             registry: Arc::new(registry),
             published,
             took,
+            refused,
         }
     }
 
@@ -74,6 +91,14 @@
         self.took.observe(seconds);
     }
 
+    /// Counts a heartbeat that was refused.
+    pub(super) fn note_refused(&self, reason: endpoint::Reason) {
+        let label = ReasonLabel {
+            reason: reason.as_str(),
+        };
+        self.refused.get_or_create(&label).inc();
+    }
+
     /// The metrics as text, as they are now.
     pub(super) fn render(&self, handle: &Handle, endpoints: &Endpoints) -> String {
         let published = handle.published();
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -29,6 +29,7 @@
 mod order;
 pub mod provider;
 pub mod publish;
+mod refusal;
 mod registry;
 mod replica;
 mod scaling;
@@ -365,6 +366,7 @@
             handle: handle.clone(),
             endpoints,
             metrics,
+            refusals: Arc::default(),
             clock,
             log: log.clone(),
         };
--- a/src/scalewood/ops/control/publish.rs
+++ b/src/scalewood/ops/control/publish.rs
@@ -4,24 +4,32 @@
 //! all. An answer is never held: where no leader is reached in time, the caller is told
 //! to ask again. A routing that was taken is acknowledged or left unclear, never refused.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt as _};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::{
     body::Incoming, header, server::conn::http1, service::service_fn, Method, Request, Response,
     StatusCode,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::error::Category;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
     core::{change, ledger, name, registry, route},
     event,
-    ops::control::{metric::Metrics, registry::Endpoints, unix_ms, Error, Handle},
+    ops::control::{metric::Metrics, refusal, registry::Endpoints, unix_ms, Error, Handle},
     util::{
         clock::{self, Clock as _},
+        lock::lock,
         socket,
     },
     wire::control::Passed,
@@ -29,6 +37,9 @@
 
 /// The largest body, in bytes.
 const MAX_BODY: usize = 32 * 1024 * 1024;
+/// The largest heartbeat, in bytes: one has some hundred, and some thousand where it names many
+/// models.
+const MAX_HEARTBEAT: usize = 64 * 1024;
 /// How long a head may take, and a connection may be at rest.
 const REST: Duration = Duration::from_secs(30);
 /// How long a body may take.
@@ -68,7 +79,7 @@
     /// # Errors
     ///
     /// Fails with what is wrong if the body can't be read.
-    fn record(name: name::Endpoint, body: &[u8]) -> Result<registry::Record, String>;
+    fn record(name: name::Endpoint, body: &[u8]) -> Result<registry::Record, registry::Refusal>;
 }
 
 /// The product's own paths and bodies.
@@ -104,22 +115,31 @@
         serde_json::from_slice(body).map_err(|error| error.to_string())
     }
 
-    fn record(name: name::Endpoint, body: &[u8]) -> Result<registry::Record, String> {
-        let record: registry::Record =
-            serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    fn record(name: name::Endpoint, body: &[u8]) -> Result<registry::Record, registry::Refusal> {
+        let record: registry::Record = serde_json::from_slice(body).map_err(unread)?;
         if record.name != name {
-            return Err(format!("it names {}, and the path {name}", record.name));
+            let why = format!("it names {}, and the path {name}", record.name);
+            return Err(registry::Refusal::new(registry::Reason::OutOfRange, why));
         }
         Ok(record)
     }
 }
 
+fn unread(error: serde_json::Error) -> registry::Refusal {
+    let reason = match error.classify() {
+        Category::Data => registry::Reason::Mistyped,
+        Category::Io | Category::Syntax | Category::Eof => registry::Reason::Unreadable,
+    };
+    registry::Refusal::new(reason, error.to_string())
+}
+
 /// What the API works on.
 #[derive(Clone, Debug)]
 pub(super) struct Api {
     pub(super) handle: Handle,
     pub(super) endpoints: Endpoints,
     pub(super) metrics: Metrics,
+    pub(super) refusals: Arc<Mutex<refusal::Lines>>,
     pub(super) clock: clock::System,
     pub(super) log: slog::Logger,
 }
@@ -179,22 +199,51 @@
         name: name::Endpoint,
         request: Request<Incoming>,
     ) -> Reply {
-        let body = match read(request).await {
-            Ok(body) => body,
-            Err(reply) => return reply,
+        let record = match read(request, MAX_HEARTBEAT).await {
+            Ok(body) => D::record(name.clone(), &body),
+            Err(Unread::TooLarge) => Err(registry::Refusal::new(
+                registry::Reason::TooLong,
+                format!("it has over {MAX_HEARTBEAT} bytes"),
+            )),
+            Err(unread) => return unread.reply(),
         };
-        match D::record(name.clone(), &body) {
+        match record.and_then(|record| self.usable(record)) {
             Ok(record) => {
                 self.endpoints.announce(record);
                 reply(StatusCode::OK, "{}")
             }
-            Err(why) => {
-                event!(self.log, BadAnnouncement, "endpoint" => %name, "why" => &why);
-                failure(StatusCode::BAD_REQUEST, &why)
-            }
+            Err(refusal) => self.refuse_record(&name, &refusal),
         }
     }
 
+    /// Checks that a record is one of an endpoint that may be used.
+    fn usable(&self, record: registry::Record) -> Result<registry::Record, registry::Refusal> {
+        record.check()?;
+        let published = self.handle.published();
+        let document = published.ledger.document();
+        if document.routing.is_some() && !document.services.contains_key(&record.service) {
+            let why = format!("no service is configured as {}", record.service);
+            return Err(registry::Refusal::new(registry::Reason::Unknown, why));
+        }
+        Ok(record)
+    }
+
+    /// Refuses a heartbeat. What is known of its endpoint and of all others stays.
+    fn refuse_record(&self, name: &name::Endpoint, refusal: &registry::Refusal) -> Reply {
+        self.metrics.note_refused(refusal.reason);
+        let told = lock(&self.refusals).note(refusal.reason, self.clock.now());
+        if let Some(untold) = told {
+            event!(self.log, BadAnnouncement, "endpoint" => %name,
+                "reason" => refusal.reason.as_str(), "why" => &refusal.why, "untold" => untold);
+        }
+        let status = match refusal.reason {
+            registry::Reason::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            registry::Reason::Unknown => StatusCode::UNPROCESSABLE_ENTITY,
+            _ => StatusCode::BAD_REQUEST,
+        };
+        failure(status, &refusal.to_string())
+    }
+
     async fn publish<D: Dialect>(&self, request: Request<Incoming>) -> Reply {
         let arrived = self.clock.now();
         let reply = self.decide::<D>(request).await;
@@ -209,9 +258,9 @@
     }
 
     async fn decide<D: Dialect>(&self, request: Request<Incoming>) -> Reply {
-        let body = match read(request).await {
+        let body = match read(request, MAX_BODY).await {
             Ok(body) => body,
-            Err(reply) => return reply,
+            Err(unread) => return unread.reply(),
         };
         let routing = match D::routing(&body) {
             Ok(routing) => routing,
@@ -275,18 +324,34 @@
     answered.unwrap_or(Passed::Unknown)
 }
 
-async fn read(request: Request<Incoming>) -> Result<Bytes, Reply> {
-    let whole = Limited::new(request.into_body(), MAX_BODY).collect();
+/// Why a body was not read.
+enum Unread {
+    TooLarge,
+    BrokeOff,
+    Late,
+}
+
+impl Unread {
+    fn reply(self) -> Reply {
+        match self {
+            Self::TooLarge => failure(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+            Self::BrokeOff => failure(StatusCode::BAD_REQUEST, "the body broke off"),
+            Self::Late => failure(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time",
+            ),
+        }
+    }
+}
+
+/// Reads a body of at most so many bytes.
+async fn read(request: Request<Incoming>, most: usize) -> Result<Bytes, Unread> {
+    let whole = Limited::new(request.into_body(), most).collect();
     match tokio::time::timeout(ARRIVAL, whole).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(_)) => Err(failure(
-            StatusCode::BAD_REQUEST,
-            "the body broke off or is too large",
-        )),
-        Err(_) => Err(failure(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time",
-        )),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Unread::TooLarge),
+        Ok(Err(_)) => Err(Unread::BrokeOff),
+        Err(_) => Err(Unread::Late),
     }
 }
 
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -100,8 +100,16 @@
     pub(super) fn announce(&self, record: registry::Record) {
         let (name, state, sequence) = (record.name.clone(), record.state, record.sequence);
         let service = record.service.clone();
+        let incarnation = record.incarnation;
         let merged = lock(&self.registry).merge(record, self.clock.now());
-        if merged == registry::Merged::Changed {
+        if merged == registry::Merged::Restarted {
+            // What boxes measured was of an earlier start.
+            lock(&self.measured).remove(&name);
+            lock(&self.hub).restarted(&name);
+            event!(self.log, EndpointRestarted, "endpoint" => %name,
+                "incarnation" => incarnation.map(|i| i.0), "sequence" => sequence);
+        }
+        if merged.is_news() {
             event!(self.log, EndpointAnnounced, "endpoint" => %name, "service" => %service,
                 "state" => ?state, "sequence" => sequence);
             self.tell();
@@ -110,7 +118,7 @@
 
     /// Takes an endpoint's word that it has gone.
     pub(super) fn leave(&self, name: &name::Endpoint) {
-        if lock(&self.registry).leave(name) == registry::Merged::Changed {
+        if lock(&self.registry).leave(name).is_news() {
             event!(self.log, EndpointGone, "endpoint" => %name);
             self.tell();
         }
@@ -226,6 +234,8 @@
             usage: usage.pages,
             changed: registry.changed_since(after.registry),
             gone: registry.gone_since(after.registry),
+            ended: registry.ended_since(after.registry),
+            left: just_left(&registry, after.registry),
             heard: registry.heard_since(lately),
         }
     }
@@ -434,6 +444,8 @@
         registry.expire(before);
         news.changed = registry.changed_since(stamp);
         news.gone = registry.gone_since(stamp);
+        news.ended = registry.ended_since(stamp);
+        news.left = just_left(&registry, stamp);
         news.paces = registry.paces_since(stamp);
         news.revision = self.feed.current().revision;
         news.followers = self.endpoints.follower_count();
@@ -449,6 +461,15 @@
     }
 }
 
+/// The endpoints that left after a stamp while no start of theirs was known here. Who asks for the
+/// first time may know a start that began long after that, and isn't told.
+fn just_left(registry: &registry::Registry, stamp: u64) -> Vec<name::Endpoint> {
+    if stamp == 0 {
+        return Vec::new();
+    }
+    registry.left_since(stamp)
+}
+
 async fn send(sink: &SubscriptionSink, news: &News) -> Option<()> {
     let raw = serde_json::value::to_raw_value(news).ok()?;
     sink.send(SubscriptionMessage::from(raw)).await.ok()
--- a/src/scalewood/ops/entry/directory.rs
+++ b/src/scalewood/ops/entry/directory.rs
@@ -220,21 +220,10 @@
         }
     }
     for record in news.changed {
-        let (name, state) = (record.name.clone(), record.state);
-        let sequence = record.sequence;
-        if registry.merge(record, now) == registry::Merged::Changed {
-            event!(board.log, EndpointAnnounced, "endpoint" => %name, "state" => ?state,
-                "sequence" => sequence);
-            if let Some(by) = registry.displaced_by(&name) {
-                event!(board.log, EndpointDisplaced, "endpoint" => %name, "by" => %by,
-                    "sequence" => sequence);
-            }
-        }
+        take_record(board, &mut registry, record, now);
     }
-    for name in news.gone {
-        if registry.leave(&name) == registry::Merged::Changed {
-            event!(board.log, EndpointGone, "endpoint" => %name);
-        }
+    for name in registry.take_ends(&news.gone, &news.ended, &news.left) {
+        event!(board.log, EndpointGone, "endpoint" => %name);
     }
     for name in news.heard {
         registry.hear(&name, now);
@@ -251,6 +240,34 @@
     }
 }
 
+fn take_record(
+    board: &Shared,
+    registry: &mut registry::Registry,
+    record: registry::Record,
+    now: Duration,
+) {
+    let (name, state) = (record.name.clone(), record.state);
+    let (sequence, incarnation) = (record.sequence, record.incarnation);
+    let before = registry.get(&name).and_then(|known| known.incarnation);
+    let merged = registry.merge(record, now);
+    if merged == registry::Merged::Restarted {
+        // What was measured was of an earlier start.
+        lock(&board.paces).forget(&name);
+        event!(board.log, EndpointRestarted, "endpoint" => %name,
+            "incarnation" => incarnation.map(|i| i.0), "before" => before.map(|i| i.0),
+            "sequence" => sequence);
+    }
+    if !merged.is_news() {
+        return;
+    }
+    event!(board.log, EndpointAnnounced, "endpoint" => %name, "state" => ?state,
+        "sequence" => sequence);
+    if let Some(by) = registry.displaced_by(&name) {
+        event!(board.log, EndpointDisplaced, "endpoint" => %name, "by" => %by,
+            "sequence" => sequence);
+    }
+}
+
 /// Notes how many boxes use the same endpoints, for the dispatchers here.
 fn note_sharers(board: &Shared, count: u32) {
     if board.sharers.swap(count, Ordering::Relaxed) == count {
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -1,13 +1,15 @@
 //! Attempts at endpoints, until one answers or none may follow.
 
-use std::{collections::HashMap, future::Future, sync::atomic::Ordering, time::Duration};
+use std::{
+    collections::HashMap, future::Future, net::SocketAddr, sync::atomic::Ordering, time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{body::Incoming, header, http::response, Response, StatusCode};
 
 use crate::{
-    core::{dispatch, name, retry, unit, verdict},
+    core::{dispatch, name, registry, retry, unit, verdict},
     event,
     ops::entry::{
         body::Answer,
@@ -67,6 +69,14 @@
     retry_after: Option<Duration>,
 }
 
+/// The start of an endpoint that a request is sent to, as it was known then.
+#[derive(Debug)]
+struct At {
+    endpoint: name::Endpoint,
+    start: registry::Start,
+    address: SocketAddr,
+}
+
 /// An endpoint's answer that has begun.
 #[derive(Debug)]
 pub(super) struct Opened {
@@ -251,9 +261,13 @@
     ) -> Result<(pool::Sender, Response<Incoming>), Failed> {
         self.tries += 1;
         self.last = Some(endpoint.clone());
-        let address = lock(&self.context.board.registry)
+        let at = lock(&self.context.board.registry)
             .get(endpoint)
-            .map(|record| record.address)
+            .map(|record| At {
+                endpoint: record.name.clone(),
+                start: record.incarnation,
+                address: record.address,
+            })
             .ok_or(Failure::UNREACHABLE)?;
         let instruction = Instruction {
             endpoint,
@@ -264,7 +278,7 @@
         };
         let request = self.routed.outgoing.request::<D>(&instruction)?;
         let sent_at = self.now();
-        let sent = self.send(endpoint, address, request);
+        let sent = self.send(&at, request);
         let sent = self.unless_silent(endpoint, self.patience(), sent).await;
         let sent = sent.unwrap_or(Err(Failure::SILENT));
         let silent = self.now() >= sent_at + SILENT;
@@ -312,21 +326,22 @@
 
     async fn send(
         &self,
-        endpoint: &name::Endpoint,
-        address: std::net::SocketAddr,
+        at: &At,
         request: hyper::Request<Full<Bytes>>,
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
         let mut request = request;
         // An idle connection may have been closed meanwhile; hyper gives a request
         // back that it has not begun to write.
-        while let Some(mut sender) = self.context.pool.take(endpoint, self.now()) {
+        let pool = &self.context.pool;
+        while let Some(mut sender) = pool.take(&at.endpoint, at.start, self.now()) {
             match pool::send(&mut sender, request).await {
                 Ok(response) => return Ok((sender, response)),
                 Err(pool::Unsent::Untouched(untouched)) => request = *untouched,
                 Err(pool::Unsent::Broken) => return Err(Failure::BROKEN),
             }
         }
-        let mut sender = upstream::dial(address, self.context.limits.connect).await?;
+        let requests = upstream::dial(at.address, self.context.limits.connect).await?;
+        let mut sender = pool::Sender::new(at.start, requests);
         match pool::send(&mut sender, request).await {
             Ok(response) => Ok((sender, response)),
             Err(pool::Unsent::Untouched(_)) => Err(Failure::UNREACHABLE),
@@ -357,7 +372,8 @@
             Said::Mistaken => {
                 event!(self.context.board.log, EndpointMistaken, "endpoint" => %endpoint,
                     "id" => id);
-                lock(&self.context.board.registry).leave(endpoint);
+                // Only the start that it was sent to: a later one may have announced itself since.
+                lock(&self.context.board.registry).end(endpoint, sender.start());
                 Err(Failure::MISTAKEN.into())
             }
         }
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -88,7 +88,10 @@
     pub(super) async fn sweep(self) {
         loop {
             tokio::time::sleep(SWEEP).await;
-            let known = |name: &name::Endpoint| lock(&self.board.registry).get(name).is_some();
+            let known = |name: &name::Endpoint| {
+                let registry = lock(&self.board.registry);
+                registry.get(name).map(|record| record.incarnation)
+            };
             self.pool.sweep(now(&self.board), known);
         }
     }
--- a/src/scalewood/ops/entry/routed/pool.rs
+++ b/src/scalewood/ops/entry/routed/pool.rs
@@ -14,7 +14,10 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1, header, HeaderMap, Request, Response};
 
-use crate::{core::name, util::lock::lock};
+use crate::{
+    core::{name, registry},
+    util::lock::lock,
+};
 
 /// Idle connections that are kept for each endpoint.
 const IDLE: usize = 32;
@@ -23,7 +26,24 @@
 /// How long before an endpoint closes an idle connection it is used no more.
 const MARGIN: Duration = Duration::from_millis(700);
 
-pub(super) type Sender = http1::SendRequest<Full<Bytes>>;
+/// A connection to one start of an endpoint.
+#[derive(Debug)]
+pub(super) struct Sender {
+    start: registry::Start,
+    requests: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Sender {
+    /// A new connection.
+    pub(super) fn new(start: registry::Start, requests: http1::SendRequest<Full<Bytes>>) -> Self {
+        Self { start, requests }
+    }
+
+    /// The start of the endpoint that it leads to.
+    pub(super) fn start(&self) -> registry::Start {
+        self.start
+    }
+}
 
 #[derive(Debug)]
 struct Idle {
@@ -47,13 +67,19 @@
 }
 
 impl Pool {
-    /// A kept connection, if there is one that can be used.
-    pub(super) fn take(&self, endpoint: &name::Endpoint, now: Duration) -> Option<Sender> {
+    /// A kept connection to a start of an endpoint, if there is one that can be used. Those to
+    /// other starts are closed.
+    pub(super) fn take(
+        &self,
+        endpoint: &name::Endpoint,
+        start: registry::Start,
+        now: Duration,
+    ) -> Option<Sender> {
         let mut idle = lock(&self.idle);
         let kept = idle.get_mut(endpoint)?;
-        while let Some(connection) = kept.pop() {
-            if connection.until > now && connection.sender.is_ready() {
-                return Some(connection.sender);
+        while let Some(Idle { sender, until, .. }) = kept.pop() {
+            if sender.start == start && until > now && sender.requests.is_ready() {
+                return Some(sender);
             }
         }
         None
@@ -76,7 +102,7 @@
         keep: Duration,
         now: Duration,
     ) {
-        if sender.is_closed() || keep.is_zero() {
+        if sender.requests.is_closed() || keep.is_zero() {
             return;
         }
         let until = now + keep;
@@ -91,13 +117,23 @@
         }
     }
 
-    /// Closes what is kept for too long, and for endpoints that are gone.
-    pub(super) fn sweep(&self, now: Duration, known: impl Fn(&name::Endpoint) -> bool) {
+    /// Closes what is kept for too long, and for starts of endpoints that are gone: `known` tells
+    /// the start of each endpoint that isn't.
+    pub(super) fn sweep(
+        &self,
+        now: Duration,
+        known: impl Fn(&name::Endpoint) -> Option<registry::Start>,
+    ) {
         let mut idle = lock(&self.idle);
-        idle.retain(|name, _| known(name));
-        for kept in idle.values_mut() {
-            kept.retain(|connection| connection.until > now && !connection.sender.is_closed());
-        }
+        idle.retain(|name, kept| {
+            let Some(start) = known(name) else {
+                return false;
+            };
+            kept.retain(|Idle { sender, until, .. }| {
+                sender.start == start && *until > now && !sender.requests.is_closed()
+            });
+            !kept.is_empty()
+        });
     }
 }
 
@@ -106,7 +142,7 @@
     sender: &mut Sender,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, Unsent> {
-    let sent = sender.try_send_request(request).await;
+    let sent = sender.requests.try_send_request(request).await;
     sent.map_err(|mut error| match error.take_message() {
         Some(request) => Unsent::Untouched(Box::new(request)),
         None => Unsent::Broken,
--- a/src/scalewood/wire/registry.rs
+++ b/src/scalewood/wire/registry.rs
@@ -20,9 +20,16 @@
     /// Endpoints that served before the voter started, in the first news after that.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub restored: Vec<registry::Record>,
-    /// Endpoints that have gone.
+    /// Endpoints that have gone, or of which a start has.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub gone: Vec<name::Endpoint>,
+    /// Which start of them has gone, of those that tell their incarnations.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<registry::Ended>,
+    /// Endpoints that left a moment ago, where the voter knew no start of them: the start that is
+    /// known to who hears this has gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub left: Vec<name::Endpoint>,
     /// Endpoints that were heard of since the last news.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub heard: Vec<name::Endpoint>,
@@ -96,8 +103,14 @@
     pub usage: Vec<usage::Page>,
     /// Endpoints that are new or changed.
     pub changed: Vec<registry::Record>,
-    /// Endpoints that have gone.
+    /// Endpoints that have gone, or of which a start has.
     pub gone: Vec<name::Endpoint>,
+    /// Which start of them has gone, of those that tell their incarnations.
+    #[serde(default)]
+    pub ended: Vec<registry::Ended>,
+    /// Endpoints that left since the last call, where the voter knew no start of them.
+    #[serde(default)]
+    pub left: Vec<name::Endpoint>,
     /// Endpoints that were heard of lately.
     pub heard: Vec<name::Endpoint>,
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod feed;
 mod follow;
 mod help;
+mod incarnation;
 mod invariant;
 mod journal;
 mod leave;
--- a/tests/testsuite/random/mod.rs
+++ b/tests/testsuite/random/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod agree;
 pub(crate) mod claim;
 pub(crate) mod dispatch;
+pub(crate) mod incarnation;
 pub(crate) mod member;
 
 use std::panic::{catch_unwind, AssertUnwindSafe};
