Tests of restarts with real processes; the soak's endpoints start again under their names

Cause: no test brought an endpoint back under its name. A pooled connection that stays open, a late heartbeat of the earlier start, a leave and a third start are played with real voters and a box; each wrong heartbeat gets its status and harms nothing.

--- a/tests/testsuite/incarnation.rs
+++ b/tests/testsuite/incarnation.rs
@@ -158,10 +158,11 @@
         name: named("i"),
         incarnation: unit::Incarnation(9),
     };
-    assert_eq!(voter.ended_since(stamp), [ended.clone()]);
+    let told = voter.ended_since(stamp);
+    assert_eq!(told, [ended]);
     let mut heard = Registry::default();
     heard.merge(record("i", 9, 31), START);
-    heard.take_ends(&[], &[ended], &[]);
+    heard.take_ends(&[], &told, &[]);
     assert_eq!(used(&heard), uses([]));
 }
 
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -754,3 +754,46 @@
         );
     }
 }
+
+#[test]
+fn what_is_believed_of_an_endpoint_ends_with_its_start() {
+    let own: name::Box = "e1".parse().unwrap();
+    let mut dispatcher = dispatcher();
+    let home = granted(&mut dispatcher, ask(1, "short", 7), true, START);
+    let busy = Load {
+        unread: BORNE + 1000,
+        ..Load::default()
+    };
+    dispatcher.step(others(&home, busy), START);
+    let next = granted(&mut dispatcher, ask(2, "short", 7), true, START);
+    dispatcher.step(others(&home, Load::default()), START);
+    let runs = ask(3, "short", 7);
+    let attempt = runs.attempt;
+    assert_eq!(granted(&mut dispatcher, runs, false, START), home);
+    dispatcher.take_placements();
+    dispatcher.take_outcomes();
+    let mut started = |number: u64| {
+        let (mut specs, classes) = configuration(&[]);
+        let spec = specs.iter_mut().find(|spec| spec.name.as_str() == home);
+        spec.unwrap().standing.incarnation = Some(unit::Incarnation(number));
+        dispatcher.step(Input::Configure(specs, classes), START);
+        let loads: BTreeMap<_, _> = dispatcher.loads().collect();
+        loads.contains_key(&home.parse().unwrap())
+    };
+    assert!(
+        !started(5),
+        "what runs at the start before is none of its load"
+    );
+    assert!(!started(5), "the same start is configured again");
+    // Where it was kept before it has to be read anew; the other place still keeps it.
+    let found = granted(&mut dispatcher, ask(4, "short", 7), true, START);
+    assert_eq!(found, next);
+    dispatcher.take_outcomes();
+    // That what ran there failed says nothing of the start that has its name now.
+    let lost = Report::End(attempt, End::Broken, unit::Tokens(0));
+    dispatcher.step(Input::Report(own, lost), START);
+    assert!(dispatcher.take_outcomes().is_empty());
+    let views = dispatcher.endpoints();
+    let held: u32 = views.iter().map(|view| view.running).sum();
+    assert_eq!(held, 0, "its slot is free: {views:?}");
+}
--- a/tests/testsuite/routed.rs
+++ b/tests/testsuite/routed.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use scalewood::{
-    core::{registry::State, retry},
+    core::{
+        registry::{Record, State},
+        retry, unit,
+    },
     ops::entry::dialect::{Dialect as _, Native},
 };
 
@@ -286,6 +289,89 @@
     assert_eq!(endpoints[0].seen().len(), before);
 }
 
+/// The record of a start of an endpoint.
+fn of_start(endpoint: &Endpoint, start: u64, sequence: u64) -> Record {
+    Record {
+        incarnation: Some(unit::Incarnation(start)),
+        ..endpoint.record(sequence, State::Ready)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_starts_again_under_its_name_is_used_and_nothing_of_before() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints) = serving(1, dir.path()).await;
+    let old = &endpoints[0];
+    system.announce(0, &of_start(old, 5, 40)).await;
+    // A connection to it is kept, and it goes on listening: what reaches it is a mistake.
+    system.wait_served().await;
+    let address = (system.host, 9100).into();
+    let new = Endpoint::start(&old.name, address).await;
+    system.announce(0, &of_start(&new, 9, 1)).await;
+    deploy::wait("the later start is used", || async {
+        let _ = system.call("GET", "/safe/again", "a").await;
+        !new.seen().is_empty()
+    })
+    .await;
+    let before = old.seen().len();
+    // The earlier one is heard late, by way of the same voter.
+    system.announce(0, &of_start(old, 5, 41)).await;
+    for i in 0..20 {
+        let call = system.call("POST", "/unsafe/more", &format!("m{i}")).await;
+        assert_eq!(call.unwrap().status, 200);
+    }
+    assert_eq!(old.seen().len(), before);
+    // It goes, and starts once more.
+    let path = format!("/v1/endpoints/{}", new.name);
+    let leave = client::ask(system.publish_address(0), "DELETE", &path, &[], "");
+    assert_eq!(leave.await.unwrap().status, 200);
+    system.announce(0, &of_start(&new, 9, 7)).await;
+    deploy::wait("the one that has gone gets nothing", || async {
+        let before = new.seen().len();
+        let _ = system.call("GET", "/safe/gone", "g").await;
+        new.seen().len() == before
+    })
+    .await;
+    system.announce(0, &of_start(&new, 10, 1)).await;
+    system.wait_served().await;
+    assert_eq!(old.seen().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_heartbeat_that_another_writer_sent_harms_nothing() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints) = serving(1, dir.path()).await;
+    system.announce(0, &of_start(&endpoints[0], 5, 40)).await;
+    let good = serde_json::to_value(of_start(&endpoints[0], 6, 1)).unwrap();
+    let with = |field: &str, value: serde_json::Value| {
+        let mut bad = good.clone();
+        bad[field] = value;
+        bad.to_string()
+    };
+    let bodies = [
+        (400, String::new()),
+        (400, "{".to_owned()),
+        (400, "[]".to_owned()),
+        (400, with("slots", "many".into())),
+        (400, with("slots", 0.into())),
+        (400, with("incarnation", (-1).into())),
+        (400, with("state", "resting".into())),
+        (400, with("name", "i-1".into())),
+        (413, with("service", "x".repeat(70_000).into())),
+        (422, with("service", "unheard-of".into())),
+    ];
+    let path = format!("/v1/endpoints/{}", endpoints[0].name);
+    for (status, body) in bodies {
+        let answer = client::ask(system.publish_address(0), "PUT", &path, &[], body.clone());
+        let short: String = body.chars().take(200).collect();
+        assert_eq!(answer.await.unwrap().status, status, "{short}");
+    }
+    for i in 0..10 {
+        let call = system.call("POST", "/unsafe/on", &format!("o{i}")).await;
+        assert_eq!(call.unwrap().status, 200);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_highest_version_wins_and_what_is_invalid_is_refused() {
     let dir = tempfile::tempdir().unwrap();
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -3,7 +3,7 @@
 //! Real voters and entry boxes run as processes; endpoints and the links to them are in
 //! this process. Three drivers disturb them at the same time: voters are killed, paused,
 //! wiped, told to reload; entry boxes are killed, paused, stopped as planned, told to
-//! reload; endpoints fail in all their ways, leave, and sit behind links that are cut,
+//! reload; endpoints fail in all their ways, leave, start again under their names, and sit behind links that are cut,
 //! silent, one-way or late. Meanwhile callers ask over kept and new connections, and
 //! an operator publishes one routing after the other. Checked, from what callers, the
 //! operator and endpoints see:
@@ -32,7 +32,7 @@
 
 use http_body_util::BodyExt as _;
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
-use scalewood::core::registry::State;
+use scalewood::core::{registry::State, unit};
 
 use crate::support::{
     client, deploy,
@@ -270,12 +270,21 @@
     }
 }
 
+/// An endpoint with the link in front of it, and what its heartbeats say.
+struct Behind {
+    endpoint: Endpoint,
+    link: Forwarder,
+    state: State,
+    /// Which start of it this is, and the number of its last heartbeat.
+    start: u64,
+    sequence: u64,
+}
+
 /// The endpoints, and the links in front of them.
 struct Back {
     host: std::net::IpAddr,
     voters: Vec<SocketAddr>,
-    endpoints: Vec<(Endpoint, Forwarder, State)>,
-    sequence: u64,
+    endpoints: Vec<Behind>,
 }
 
 impl Back {
@@ -284,15 +293,23 @@
         let address = |port: usize| (self.host, u16::try_from(port).unwrap()).into();
         let endpoint = Endpoint::start(&format!("i-{number}"), address(PORTS + number)).await;
         let link = Forwarder::start(address(LINKS + number), endpoint.address).await;
-        self.endpoints.push((endpoint, link, State::Ready));
+        self.endpoints.push(Behind {
+            endpoint,
+            link,
+            state: State::Ready,
+            start: 1,
+            sequence: 0,
+        });
         self.beat().await;
     }
 
     /// Sends a heartbeat of each endpoint to the first voter that takes it.
     async fn beat(&mut self) {
-        self.sequence += 1;
-        for (number, (endpoint, _, state)) in self.endpoints.iter().enumerate() {
-            let mut record = endpoint.record(self.sequence, *state);
+        for (number, behind) in self.endpoints.iter_mut().enumerate() {
+            behind.sequence += 1;
+            let (endpoint, state) = (&behind.endpoint, behind.state);
+            let mut record = endpoint.record(behind.sequence, state);
+            record.incarnation = Some(unit::Incarnation(behind.start));
             record
                 .address
                 .set_port(u16::try_from(LINKS + number).unwrap());
@@ -312,8 +329,8 @@
     }
 
     fn left(&self) -> impl Iterator<Item = &Endpoint> {
-        let left = self.endpoints.iter().filter(|(.., s)| *s == State::Gone);
-        left.map(|(endpoint, ..)| endpoint)
+        let left = self.endpoints.iter().filter(|b| b.state == State::Gone);
+        left.map(|behind| &behind.endpoint)
     }
 
     /// Lets endpoints and links misbehave until it is over, then mends them.
@@ -322,12 +339,13 @@
         while !account.is_over() {
             let pause = Duration::from_millis(random.random_range(50..700));
             let ready: Vec<_> = (0..self.endpoints.len())
-                .filter(|i| self.endpoints[*i].2 == State::Ready)
+                .filter(|i| self.endpoints[*i].state == State::Ready)
                 .collect();
             let chosen = ready[random.random_range(0..ready.len())];
             match random.random_range(0..10) {
                 0 => self.replace(chosen).await,
-                1..=5 => self.link(chosen, &mut random, pause).await,
+                1 => self.restart(chosen, pause).await,
+                2..=5 => self.link(chosen, &mut random, pause).await,
                 _ => {
                     let act = match random.random_range(0..4) {
                         0 => Act::Foreign,
@@ -336,22 +354,22 @@
                         _ => Act::BreakAfter(random.random_range(0..EVENTS)),
                     };
                     for _ in 0..random.random_range(1..4) {
-                        self.endpoints[chosen].0.next(act);
+                        self.endpoints[chosen].endpoint.next(act);
                     }
                 }
             }
             self.beat().await;
             tokio::time::sleep(pause / 2).await;
         }
-        for (endpoint, link, _) in &self.endpoints {
-            link.set_whole(true);
-            endpoint.calm();
+        for behind in &self.endpoints {
+            behind.link.set_whole(true);
+            behind.endpoint.calm();
         }
         self.beat().await;
     }
 
     async fn link(&self, chosen: usize, random: &mut SmallRng, pause: Duration) {
-        let link = &self.endpoints[chosen].1;
+        let link = &self.endpoints[chosen].link;
         link.set(match random.random_range(0..4) {
             0 => Mode::Cut,
             1 => Mode::Silent,
@@ -362,13 +380,32 @@
         link.set_whole(true);
     }
 
-    /// One leaves, and another takes its place.
+    /// One crashes and starts again under its name.
+    async fn restart(&mut self, chosen: usize, pause: Duration) {
+        let behind = &mut self.endpoints[chosen];
+        behind.link.set(Mode::Cut);
+        tokio::time::sleep(pause / 2).await;
+        behind.start += 1;
+        behind.sequence = 0;
+        behind.link.set_whole(true);
+    }
+
+    /// One leaves, and another takes its place: one that has gone before starts again under its
+    /// name, or else a new one.
     async fn replace(&mut self, chosen: usize) {
-        self.add().await;
-        self.endpoints[chosen].2 = State::Leaving;
+        match self.endpoints.iter_mut().find(|b| b.state == State::Gone) {
+            Some(gone) => {
+                gone.start += 1;
+                gone.sequence = 0;
+                gone.state = State::Ready;
+                self.beat().await;
+            }
+            None => self.add().await,
+        }
+        self.endpoints[chosen].state = State::Leaving;
         self.beat().await;
         tokio::time::sleep(Duration::from_millis(300)).await;
-        self.endpoints[chosen].2 = State::Gone;
+        self.endpoints[chosen].state = State::Gone;
         self.beat().await;
     }
 }
@@ -478,8 +515,8 @@
 /// How often each request ran, by its id.
 fn runs(back: &Back) -> BTreeMap<String, usize> {
     let mut runs = BTreeMap::new();
-    for (endpoint, ..) in &back.endpoints {
-        for seen in endpoint.seen().iter().filter(|seen| seen.ran) {
+    for behind in &back.endpoints {
+        for seen in behind.endpoint.seen().iter().filter(|seen| seen.ran) {
             let id = seen.header("scalewood-id").unwrap_or_default();
             *runs.entry(id.to_owned()).or_default() += 1;
         }
@@ -528,7 +565,6 @@
         host: system.host,
         voters: voters.clone(),
         endpoints: Vec::new(),
-        sequence: 0,
     };
     for _ in 0..ENDPOINTS {
         back.add().await;
