--- a/src/scalewood/core/dispatch/grant.rs
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -91,7 +91,7 @@
         if ask.attempt.number > 0 {
             return None;
         }
-        self.refusals.hold_back(ask.tier, ask.prompt, now)
+        self.refusals.hold_back(ask, now)
     }
 
     /// Whether no class with short prompts stands before this one.
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -235,7 +235,7 @@
                 prompts.retain(|seen| self.classes.contains_key(&seen.class));
                 self.placement.set_sizes(&prompts);
             }
-            Input::Bounds(bounds) => self.refusals.set_bounds(&bounds, now),
+            Input::Bounds(bounds) => self.refusals.set_bounds(bounds, now),
             Input::Tick => self.tick(now),
         }
         self.grant(now);
@@ -304,7 +304,7 @@
             self.placement.note(&ask);
         }
         if attempt.number == 0 {
-            self.refusals.note_asked(ask.tier);
+            self.refusals.note_asked(&ask);
         }
         let class = self.class(&ask.class, ask.tier);
         let hold = ask.hold.map_or(class.mean, |hold| hold.as_secs_f64());
@@ -533,9 +533,9 @@
         self.placement.take_news()
     }
 
-    /// The requests that came here and those that were refused, by tier, of which other boxes
+    /// The requests that came here and those that were refused, by class, of which other boxes
     /// should hear by now.
-    pub fn take_refused(&mut self) -> Vec<(unit::Tier, load::Tally)> {
+    pub fn take_refused(&mut self) -> Vec<(name::Class, load::Tally)> {
         self.refusals.take_news()
     }
 
--- a/src/scalewood/core/dispatch/precedence.rs
+++ b/src/scalewood/core/dispatch/precedence.rs
@@ -7,12 +7,16 @@
 //! request could have begun, larger ones of less urgent tiers are refused too. It is a guard:
 //! where predictions follow the endpoints' order (`endpoint::cost`), it rarely acts.
 //!
+//! It holds between classes. Within one, requests of less urgent teams are not held back:
+//! the endpoints' order serves them last, and to refuse them as well would add to what the
+//! class loses.
+//!
 //! A box that refuses holds back at once. The others hear of it as a bound that the hubs
 //! make of all boxes' refusals (`load::Bound`). A box that hears nothing goes by its own.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::core::{load, unit};
+use crate::core::{dispatch::message, load, name, unit};
 
 /// How long a refusal counts at least. Boxes see one request in some hundred, so shorter
 /// ones would end before the next more urgent request shows whether the overload lasts.
@@ -26,88 +30,103 @@
 /// telling each would be a row in each exchange.
 const TOLD_TOGETHER: u32 = 8;
 
-/// The refusals of one tier that still count.
+/// The refusals of one class that still count.
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
-    /// The smallest prompt that was refused.
+    /// The least urgent tier that was refused.
+    tier: unit::Tier,
+    /// The largest prompt of less urgent classes that begins.
     tokens: unit::Tokens,
     /// When the last of them could have begun.
     until: Duration,
 }
 
-/// The refusals for overload that still count, by tier.
+impl Refusal {
+    /// How long it holds back a request.
+    fn left(&self, ask: &message::Ask, now: Duration) -> Option<Duration> {
+        let holds = self.until > now && self.tier.outranks(ask.tier) && self.tokens < ask.prompt;
+        holds.then(|| self.until - now)
+    }
+}
+
+/// The refusals for want of room that still count.
 #[derive(Debug, Default)]
 pub(super) struct Refusals {
-    tiers: BTreeMap<unit::Tier, Refusal>,
+    /// Those of this box.
+    own: BTreeMap<name::Class, Refusal>,
     /// The bounds that all boxes' refusals set.
-    bounds: BTreeMap<unit::Tier, Refusal>,
+    bounds: BTreeMap<name::Class, Refusal>,
     /// What other boxes have not heard of.
-    news: BTreeMap<unit::Tier, load::Tally>,
+    news: BTreeMap<name::Class, load::Tally>,
 }
 
 impl Refusals {
     /// Counts a request that came.
-    pub(super) fn note_asked(&mut self, tier: unit::Tier) {
-        self.news.entry(tier).or_default().asked += 1;
+    pub(super) fn note_asked(&mut self, ask: &message::Ask) {
+        self.tally(ask).asked += 1;
     }
 
     /// Counts a request that was refused for want of room.
-    pub(super) fn note_refused(&mut self, tier: unit::Tier, tokens: unit::Tokens) {
-        let tally = self.news.entry(tier).or_default();
+    pub(super) fn note_refused(&mut self, ask: &message::Ask) {
+        let tally = self.tally(ask);
         tally.refused += 1;
-        tally.tokens += tokens.0;
+        tally.tokens += ask.prompt.0;
+    }
+
+    fn tally(&mut self, ask: &message::Ask) -> &mut load::Tally {
+        let tally = self.news.entry(ask.class.clone()).or_default();
+        tally.tier = tally.tier.max(ask.tier);
+        tally
     }
 
     /// What other boxes should hear of by now.
-    pub(super) fn take_news(&mut self) -> Vec<(unit::Tier, load::Tally)> {
+    pub(super) fn take_news(&mut self) -> Vec<(name::Class, load::Tally)> {
         let is_due = |tally: &load::Tally| tally.refused > 0 || tally.asked >= TOLD_TOGETHER;
         let due = self.news.iter().filter(|(_, tally)| is_due(tally));
-        let due: Vec<_> = due.map(|(tier, tally)| (*tier, *tally)).collect();
+        let due: Vec<_> = due.map(|(class, tally)| (class.clone(), *tally)).collect();
         self.news.retain(|_, tally| !is_due(tally));
         due
     }
 
     /// Sets all bounds that other boxes' refusals set.
-    pub(super) fn set_bounds(&mut self, bounds: &[load::Bound], now: Duration) {
-        let until = now + HEARD;
-        let bound = |bound: &load::Bound| {
-            let tokens = bound.tokens;
-            (bound.tier, Refusal { tokens, until })
+    pub(super) fn set_bounds(&mut self, bounds: Vec<load::Bound>, now: Duration) {
+        let bound = |bound: load::Bound| {
+            let refusal = Refusal {
+                tier: bound.tier,
+                tokens: bound.tokens,
+                until: now + HEARD,
+            };
+            (bound.class, refusal)
         };
-        self.bounds = bounds.iter().map(bound).collect();
+        self.bounds = bounds.into_iter().map(bound).collect();
     }
 
     /// Notes that a request was refused that could have begun after a while.
-    pub(super) fn note(
-        &mut self,
-        tier: unit::Tier,
-        tokens: unit::Tokens,
-        after: Duration,
-        now: Duration,
-    ) {
-        let until = now + after.clamp(SHORTEST, LONGEST);
-        let fresh = Refusal { tokens, until };
-        let counted = self.tiers.entry(tier).or_insert(fresh);
+    pub(super) fn note(&mut self, ask: &message::Ask, after: Duration, now: Duration) {
+        self.note_refused(ask);
+        let fresh = Refusal {
+            tier: ask.tier,
+            tokens: ask.prompt,
+            until: now + after.clamp(SHORTEST, LONGEST),
+        };
+        let counted = self.own.entry(ask.class.clone()).or_insert(fresh);
         *counted = if counted.until <= now {
             fresh
         } else {
             Refusal {
-                tokens: counted.tokens.min(tokens),
-                until: counted.until.max(until),
+                tier: counted.tier.max(fresh.tier),
+                tokens: counted.tokens.min(fresh.tokens),
+                until: counted.until.max(fresh.until),
             }
         };
     }
 
-    /// How long a request must not begin, since smaller and more urgent ones are refused.
-    pub(super) fn hold_back(
-        &self,
-        tier: unit::Tier,
-        tokens: unit::Tokens,
-        now: Duration,
-    ) -> Option<Duration> {
-        let above = self.tiers.range(..tier).chain(self.bounds.range(..tier));
-        let above = above.map(|(_, refusal)| refusal);
-        let ahead = above.filter(|refusal| refusal.until > now && refusal.tokens < tokens);
-        ahead.map(|refusal| refusal.until - now).max()
+    /// How long a request must not begin, since smaller and more urgent ones of other classes
+    /// are refused.
+    pub(super) fn hold_back(&self, ask: &message::Ask, now: Duration) -> Option<Duration> {
+        let all = self.own.iter().chain(&self.bounds);
+        let others = all.filter(|(class, _)| **class != ask.class);
+        let left = others.filter_map(|(_, refusal)| refusal.left(ask, now));
+        left.max()
     }
 }
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -120,9 +120,7 @@
         let Some(waiting) = self.queue.remove(attempt) else {
             return;
         };
-        let ask = &waiting.ask;
-        self.refusals.note(ask.tier, ask.prompt, overload.over, now);
-        self.refusals.note_refused(ask.tier, ask.prompt);
+        self.refusals.note(&waiting.ask, overload.over, now);
         let reason = message::Reason::Overload;
         let retry = overload.first.clamp(MIN_RETRY, MAX_RETRY);
         self.outputs
@@ -175,8 +173,7 @@
         let wait = match reason {
             message::Reason::NoEndpoint => MIN_RETRY,
             _ => {
-                self.refusals
-                    .note_refused(waiting.ask.tier, waiting.ask.prompt);
+                self.refusals.note_refused(&waiting.ask);
                 self.predicted_wait(waiting.ask.tier, now + waiting.ask.target, now)
             }
         };
--- a/src/scalewood/core/load/refused.rs
+++ b/src/scalewood/core/load/refused.rs
@@ -1,4 +1,4 @@
-//! How many requests of each tier are refused, as all boxes together have seen.
+//! How many requests of each class are refused, as all boxes together have seen.
 //!
 //! A box sees one request in some hundred, so what it refuses by itself tells it late and
 //! unsurely that more urgent requests find no room. Boxes tell how many came and how many
@@ -16,7 +16,7 @@
 /// hubs long, so that one lost exchange does not end a bound, and short beside the seconds
 /// for which callers come back.
 const FADING: f64 = 1.0;
-/// The part of a tier's requests that may be refused before less urgent ones are held back:
+/// The part of a class's requests that may be refused before less urgent ones are held back:
 /// half of what is borne, so that the other half is left for the time that word takes.
 const LOW: f64 = 1.0 / 24.0;
 /// The part from which on nothing larger than those that are refused begins.
@@ -27,15 +27,15 @@
 /// `LOW`. The largest go first: each frees the most work.
 const WIDE: f64 = 4.0;
 
-/// Requests of a tier of a service, and those of them that were refused for want of room;
-/// written as a row.
+/// Requests of a class, and those of them that were refused for want of room; written as a
+/// row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "RefusedRow", into = "RefusedRow")]
 pub struct Refused {
     /// The service.
     pub service: name::Service,
-    /// The tier.
-    pub tier: unit::Tier,
+    /// The class.
+    pub class: name::Class,
     /// How many, by what came of them.
     pub tally: Tally,
 }
@@ -43,6 +43,8 @@
 /// Requests, and those of them that were refused.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
+    /// The least urgent tier among them: teams differ within a class.
+    pub tier: unit::Tier,
     /// Requests that came.
     pub asked: u32,
     /// Those that were refused for want of room.
@@ -54,6 +56,7 @@
 impl Tally {
     fn plus(self, other: Self) -> Self {
         Self {
+            tier: self.tier.max(other.tier),
             asked: self.asked.saturating_add(other.asked),
             refused: self.refused.saturating_add(other.refused),
             tokens: self.tokens.saturating_add(other.tokens),
@@ -61,19 +64,20 @@
     }
 }
 
-/// Service, tier, asked, refused, tokens.
-type RefusedRow = (name::Service, unit::Tier, u32, u32, u64);
+/// Service, class, tier, asked, refused, tokens.
+type RefusedRow = (name::Service, name::Class, unit::Tier, u32, u32, u64);
 
 impl From<RefusedRow> for Refused {
-    fn from((service, tier, asked, refused, tokens): RefusedRow) -> Self {
+    fn from((service, class, tier, asked, refused, tokens): RefusedRow) -> Self {
         let tally = Tally {
+            tier,
             asked,
             refused,
             tokens,
         };
         Self {
             service,
-            tier,
+            class,
             tally,
         }
     }
@@ -82,34 +86,38 @@
 impl From<Refused> for RefusedRow {
     fn from(row: Refused) -> Self {
         let Tally {
+            tier,
             asked,
             refused,
             tokens,
         } = row.tally;
-        (row.service, row.tier, asked, refused, tokens)
+        (row.service, row.class, tier, asked, refused, tokens)
     }
 }
 
-/// The bound that the refusals of a tier set to less urgent ones; written as a row.
+/// The bound that the refusals of a class set to less urgent ones; written as a row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "BoundRow", into = "BoundRow")]
 pub struct Bound {
     /// The service.
     pub service: name::Service,
-    /// The tier that is refused.
+    /// The class that is refused.
+    pub class: name::Class,
+    /// The least urgent tier of that class.
     pub tier: unit::Tier,
     /// The largest prompt that begins of a less urgent tier.
     pub tokens: unit::Tokens,
 }
 
-/// Service, tier, tokens.
-type BoundRow = (name::Service, unit::Tier, u64);
+/// Service, class, tier, tokens.
+type BoundRow = (name::Service, name::Class, unit::Tier, u64);
 
 impl From<BoundRow> for Bound {
-    fn from((service, tier, tokens): BoundRow) -> Self {
+    fn from((service, class, tier, tokens): BoundRow) -> Self {
         let tokens = unit::Tokens(tokens);
         Self {
             service,
+            class,
             tier,
             tokens,
         }
@@ -118,17 +126,18 @@
 
 impl From<Bound> for BoundRow {
     fn from(bound: Bound) -> Self {
-        (bound.service, bound.tier, bound.tokens.0)
+        (bound.service, bound.class, bound.tier, bound.tokens.0)
     }
 }
 
-/// A service's tier.
-type Key = (name::Service, unit::Tier);
+/// A class of a service.
+type Key = (name::Service, name::Class);
 
 /// Counts that fade.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sum {
     at: Duration,
+    tier: unit::Tier,
     asked: f64,
     refused: f64,
     tokens: f64,
@@ -143,6 +152,7 @@
             asked: self.asked * kept,
             refused: self.refused * kept,
             tokens: self.tokens * kept,
+            ..self
         }
     }
 
@@ -150,6 +160,7 @@
         let faded = self.faded(now);
         *self = Self {
             at: now,
+            tier: faded.tier.max(tally.tier),
             asked: faded.asked + f64::from(tally.asked),
             refused: faded.refused + f64::from(tally.refused),
             // Sums are far below 2^52 tokens, so the cast is exact.
@@ -177,7 +188,7 @@
     }
 }
 
-/// Requests that came and that were refused, by service and tier, fading.
+/// Requests that came and that were refused, by service and class, fading.
 #[derive(Debug, Default)]
 pub(super) struct Sums(BTreeMap<Key, Sum>);
 
@@ -185,7 +196,10 @@
     /// Counts requests.
     pub(super) fn add(&mut self, told: &[Refused], now: Duration) {
         for row in told {
-            let sum = self.0.entry((row.service.clone(), row.tier)).or_default();
+            let sum = self
+                .0
+                .entry((row.service.clone(), row.class.clone()))
+                .or_default();
             sum.add(row.tally, now);
         }
     }
@@ -195,12 +209,12 @@
         /// Counts that tell nothing any more.
         const NOTHING: f64 = 0.01;
         self.0.retain(|_, sum| sum.faded(now).asked > NOTHING);
-        let bounds = self.0.iter().filter_map(|((service, tier), sum)| {
+        let bounds = self.0.iter().filter_map(|((service, class), sum)| {
             let tokens = sum.bound(now)?;
-            let (service, tier) = (service.clone(), *tier);
             Some(Bound {
-                service,
-                tier,
+                service: service.clone(),
+                class: class.clone(),
+                tier: sum.tier,
                 tokens,
             })
         });
@@ -216,7 +230,10 @@
     /// Counts requests.
     pub(super) fn add(&mut self, told: &[Refused]) {
         for row in told {
-            let tally = self.0.entry((row.service.clone(), row.tier)).or_default();
+            let tally = self
+                .0
+                .entry((row.service.clone(), row.class.clone()))
+                .or_default();
             *tally = tally.plus(row.tally);
         }
     }
@@ -224,9 +241,9 @@
     /// All that was counted; nothing is left.
     pub(super) fn take(&mut self) -> Vec<Refused> {
         let all = std::mem::take(&mut self.0);
-        let row = |((service, tier), tally)| Refused {
+        let row = |((service, class), tally)| Refused {
             service,
-            tier,
+            class,
             tally,
         };
         all.into_iter().map(row).collect()
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -178,7 +178,7 @@
 
     /// Logs that refusals elsewhere have begun, or ceased, to hold back less urgent requests.
     fn log_bounds(&self, service: &name::Service, bounds: &[load::Bound]) {
-        let bound = |bound: &load::Bound| format!("{}:{}", bound.tier, bound.tokens.0);
+        let bound = |bound: &load::Bound| format!("{}:{}", bound.class, bound.tokens.0);
         let bounds: Vec<_> = bounds.iter().map(bound).collect();
         event!(self.board.log, LessUrgentBound, "service" => %service,
             "bounds" => bounds.join(" "));
@@ -219,9 +219,9 @@
     board.dispatchers.each(|shard| {
         for (service, dispatcher) in shard.iter_mut() {
             let rows = dispatcher.take_refused().into_iter();
-            all.extend(rows.map(|(tier, tally)| load::Refused {
+            all.extend(rows.map(|(class, tally)| load::Refused {
                 service: service.clone(),
-                tier,
+                class,
                 tally,
             }));
         }
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -101,9 +101,9 @@
     fn exchange(&mut self, place: usize, now: Duration) {
         let dispatcher = &mut self.dispatchers[place];
         let told = dispatcher.take_refused().into_iter();
-        let told = told.map(|(tier, tally)| Refused {
+        let told = told.map(|(class, tally)| Refused {
             service: service(),
-            tier,
+            class,
             tally,
         });
         let told = News {
@@ -244,6 +244,7 @@
     let mut boxes = Boxes::new(1);
     let bound = Bound {
         service: service(),
+        class: "short".parse().unwrap(),
         tier: unit::Tier(0),
         tokens: unit::Tokens(800),
     };
@@ -304,3 +305,26 @@
         "{orders:?}, with each slot free"
     );
 }
+
+/// Seen: as all boxes heard of refusals by tier, the requests of less urgent teams were refused for
+/// those of the same class of more urgent teams, and the class lost more, not less.
+#[test]
+fn less_urgent_teams_of_the_class_that_is_refused_are_not_held_back() {
+    let mut boxes = Boxes::new(2);
+    boxes.burden(0, 2000, START);
+    for step in 0..20 {
+        let now = START + PERIOD * step;
+        boxes.urgent(0, now);
+        boxes.exchange(0, now);
+        boxes.share(now);
+        boxes.exchange(1, now);
+        let team = |request| Ask {
+            tier: unit::Tier(1),
+            prompt: unit::Tokens(1600),
+            ..ask(request, "short", request)
+        };
+        boxes.requests += 1;
+        let ask = team(boxes.requests);
+        assert!(boxes.is_begun(1, ask, now), "held back at {now:?}");
+    }
+}
