--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -50,6 +50,7 @@
 pub use endpoint::{Spec, Standing, View};
 pub use message::{Ask, End, Held, Order, Placed, Prefix, Reason, Report};
 pub use placement::LONG_PROMPT;
+pub use precedence::{Met, Precedence};
 
 /// Settings of a dispatcher.
 #[derive(Clone, Debug)]
@@ -133,6 +134,8 @@
     /// The prompts of classes, as all boxes together have seen them; classes of other
     /// services are passed over.
     Prompts(Vec<load::Prompts>),
+    /// All bounds that refusals anywhere set to less urgent requests of this service.
+    Bounds(Vec<load::Bound>),
     /// Time has passed.
     Tick,
 }
@@ -237,6 +240,7 @@
                 prompts.retain(|seen| self.classes.contains_key(&seen.class));
                 self.placement.set_sizes(&prompts);
             }
+            Input::Bounds(bounds) => self.refusals.set_bounds(bounds, now),
             Input::Tick => self.tick(now),
         }
         self.grant(now);
@@ -260,6 +264,7 @@
         self.shares.configure(&shares.collect());
         self.placement.configure(classes);
         self.classes.retain(|name, _| classes.contains_key(name));
+        self.refusals.retain(|name| classes.contains_key(name));
         for (name, class) in classes {
             self.class(name, class.tier).configure(class);
         }
@@ -304,6 +309,9 @@
         if ask.placed.is_some() {
             self.placement.note(&ask);
         }
+        if attempt.number == 0 {
+            self.refusals.note_asked(&ask);
+        }
         let class = self.class(&ask.class, ask.tier);
         let hold = ask.hold.map_or(class.mean, |hold| hold.as_secs_f64());
         let lead = class.lead;
@@ -531,6 +539,18 @@
         self.placement.take_news()
     }
 
+    /// The requests that came here and those that were refused, by class, of which other boxes
+    /// should hear by now.
+    pub fn take_refused(&mut self) -> Vec<(name::Class, load::Tally)> {
+        self.refusals.take_news()
+    }
+
+    /// What came of less urgent requests while more urgent ones were refused, since it was
+    /// last taken.
+    pub fn take_precedence(&mut self) -> Vec<Precedence> {
+        self.refusals.take_met()
+    }
+
     /// What came of requests here since it was last taken.
     pub fn take_outcomes(&mut self) -> Vec<load::Outcome> {
         self.endpoints.take_outcomes()
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -126,8 +126,7 @@
         let Some(waiting) = self.queue.remove(attempt) else {
             return;
         };
-        let ask = &waiting.ask;
-        self.refusals.note(ask.tier, ask.prompt, overload.over, now);
+        self.refusals.note(&waiting.ask, overload.over, now);
         let reason = message::Reason::Overload;
         let retry = overload.first.clamp(MIN_RETRY, MAX_RETRY);
         self.outputs
@@ -147,6 +146,11 @@
             // A lower tier gives way before this one is given up on.
             return false;
         }
+        if self.queue.first() == Some(attempt) && self.endpoints.has_free() {
+            // Nothing goes before it. Refused for its own work and for what may come, it
+            // would never run, and what is known of its class would never get better.
+            return false;
+        }
         let wait = self.predicted_wait(tier, waiting.due, now);
         now.saturating_add(wait.saturating_sub(self.own_part(waiting))) > waiting.give_up
     }
@@ -174,7 +178,10 @@
         };
         let wait = match reason {
             message::Reason::NoEndpoint => MIN_RETRY,
-            _ => self.predicted_wait(waiting.ask.tier, now + waiting.ask.target, now),
+            _ => {
+                self.refusals.note_refused(&waiting.ask);
+                self.predicted_wait(waiting.ask.tier, now + waiting.ask.target, now)
+            }
         };
         let retry = wait.clamp(MIN_RETRY, MAX_RETRY);
         self.outputs
