The soak cordons and uncordons a zone at random

What an operator was told is what is read, whatever is done to voters; nothing new reaches a cordoned zone's endpoints 4 s after the acknowledgement while all is disturbed, 2 s after it once all is mended.

--- a/tests/testsuite/cordon.rs
+++ b/tests/testsuite/cordon.rs
@@ -475,7 +475,8 @@
         let held = cordons(&system).await;
         let history = system.operator().history().await.unwrap().records;
         let orders = history.iter().flat_map(|record| &record.differences);
-        let last = orders.filter(|d| d.item == "cordon z0").last();
+        let mut orders = orders.filter(|d| d.item == "cordon z0");
+        let last = orders.next_back();
         let is_cordoned = last.is_some_and(|last| last.after.is_some());
         assert_eq!(!held.is_empty(), is_cordoned);
     }
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -14,6 +14,8 @@
 //! - a planned stop or a reload drops no request that has been passed on;
 //! - a version that was acknowledged is never read back older;
 //! - requests that all configurations allow are never called unknown;
+//! - a cordon or its end that was acknowledged is never read back otherwise, outlives what is
+//!   done to voters, and keeps new requests off its zone's endpoints;
 //! - an endpoint that has left gets no more, and after all is mended all is served again.
 //!
 //! `SCALEWOOD_SEED` is the first seed, `SCALEWOOD_RUNS` how many follow each other, and
@@ -32,7 +34,7 @@
 
 use http_body_util::BodyExt as _;
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
-use scalewood::core::registry::State;
+use scalewood::{core::registry::State, ops::operate};
 
 use crate::support::{
     client, deploy,
@@ -97,6 +99,10 @@
     acknowledged: AtomicU64,
     /// Spans in which an entry box was killed or paused.
     rough: Mutex<Vec<(usize, Instant, Instant)>>,
+    /// Spans in which a cordon of `ZONE` had been acknowledged and not yet been taken back.
+    cordoned: Mutex<Vec<(Instant, Instant)>>,
+    /// How many orders were acknowledged.
+    orders: AtomicU64,
     broken: Mutex<Vec<String>>,
     stop: AtomicBool,
 }
@@ -270,6 +276,121 @@
     }
 }
 
+/// The zone that is cordoned: that of every second endpoint.
+const ZONE: &str = "z1";
+/// How long after its acknowledgement a cordon may be unknown to a box while voters are killed
+/// and paused: an election (2 s), a pause of a voter or box (0.9 s), the catching up (1.05 s).
+const UNKNOWN: Duration = Duration::from_secs(4);
+
+/// Asks voters in turn for something that they decide, until one does.
+async fn decided(
+    random: &mut SmallRng,
+    voters: &[SocketAddr],
+    method: &str,
+    account: &Account,
+) -> bool {
+    let path = format!("/v1/cordons/{ZONE}");
+    while !account.is_over() {
+        let voter = voters[random.random_range(0..voters.len())];
+        let asked = client::ask(voter, method, &path, &[], "");
+        match tokio::time::timeout(Duration::from_secs(2), asked).await {
+            Ok(Ok(answer)) if answer.status == 200 => {
+                account.orders.fetch_add(1, Ordering::Relaxed);
+                return true;
+            }
+            Ok(Ok(answer)) if answer.status != 503 => {
+                account.breaks(format!("{method} {path} is answered {}", answer.status));
+                return false;
+            }
+            _ => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+    false
+}
+
+/// The only operator that cordons a zone and takes that back, and looks whether it is so.
+async fn cordoner(
+    seed: u64,
+    voters: Vec<SocketAddr>,
+    admin: operate::Client,
+    account: Arc<Account>,
+) {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x00c0_4d04);
+    let mut held = 0.0;
+    while !account.is_over() {
+        for (method, expected) in [("POST", true), ("DELETE", false)] {
+            let sent = Instant::now();
+            if let Some(span) = account.cordoned.lock().unwrap().last_mut() {
+                // From here on it may be taken back at any time.
+                span.1 = span.1.min(sent);
+            }
+            if !decided(&mut random, &voters, method, &account).await {
+                return;
+            }
+            if expected {
+                let end = Instant::now() + Duration::from_secs(3600);
+                account.cordoned.lock().unwrap().push((Instant::now(), end));
+            }
+            held = if held < 3.0 { 6.0 } else { 0.3 };
+            let until = Instant::now() + Duration::from_secs_f64(random.random_range(0.1..held));
+            while Instant::now() < until && !account.is_over() {
+                check_cordons(&admin, expected, &account).await;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+/// What is read is what was acknowledged last.
+async fn check_cordons(admin: &operate::Client, expected: bool, account: &Account) {
+    if let Ok(read) = admin.cordons().await {
+        if read.cordoned.iter().any(|zone| zone.as_str() == ZONE) != expected {
+            account.breaks(format!(
+                "{read:?} is read, cordoned {expected} was acknowledged"
+            ));
+        }
+    }
+}
+
+/// Nothing new reached a cordoned zone's endpoints, but from boxes that were killed or paused.
+fn check_cordoned(account: &Account, back: &Back) {
+    let requests = account.requests.lock().unwrap();
+    let rough: BTreeSet<_> = requests
+        .iter()
+        .filter(|request| account.was_rough(request))
+        .map(|request| request.id.as_str())
+        .collect();
+    let spans = account.cordoned.lock().unwrap().clone();
+    for (number, (endpoint, ..)) in back.endpoints.iter().enumerate() {
+        if zone_of(number) != ZONE {
+            continue;
+        }
+        for seen in endpoint.seen() {
+            let id = seen.header("scalewood-id").unwrap_or_default().to_owned();
+            let within =
+                |(from, to): &&(Instant, Instant)| seen.at > *from + UNKNOWN && seen.at < *to;
+            if let Some((from, _)) = spans.iter().find(within) {
+                if !rough.contains(id.as_str()) {
+                    let after = seen.at - *from;
+                    account.breaks(format!(
+                        "{id} reached {} {after:?} after its zone's cordon",
+                        endpoint.name
+                    ));
+                }
+            }
+        }
+    }
+}
+
+/// The zone of an endpoint by its number.
+fn zone_of(number: usize) -> &'static str {
+    if number % 2 == 0 {
+        "z0"
+    } else {
+        ZONE
+    }
+}
+
 /// The endpoints, and the links in front of them.
 struct Back {
     host: std::net::IpAddr,
@@ -293,6 +414,7 @@
         self.sequence += 1;
         for (number, (endpoint, _, state)) in self.endpoints.iter().enumerate() {
             let mut record = endpoint.record(self.sequence, *state);
+            record.zone = zone_of(number).parse().unwrap();
             record
                 .address
                 .set_port(u16::try_from(LINKS + number).unwrap());
@@ -540,6 +662,8 @@
         let caller = caller(seed, number, addresses.clone(), account.clone());
         asking.push(tokio::spawn(caller));
     }
+    let cordoner = cordoner(seed, voters.clone(), system.operator(), account.clone());
+    asking.push(tokio::spawn(cordoner));
     asking.push(tokio::spawn(operator(seed, voters, account.clone())));
     let starter = Starter(System {
         dir: system.dir.clone(),
@@ -560,6 +684,12 @@
     for asked in asking {
         asked.await.unwrap();
     }
+    let mended = Instant::now();
+    for span in account.cordoned.lock().unwrap().iter_mut() {
+        span.1 = span.1.min(mended);
+    }
+    check_cordoned(&account, &back);
+    check_calm_cordon(&system, &mut back, &account).await;
     check_mended(&system, &mut back, &account).await;
     check(&account, &runs(&back));
     print_account(seed, &account);
@@ -572,6 +702,39 @@
     broken
 }
 
+/// After all is mended, a cordon holds within the time in which boxes hear of changes, and all
+/// is served elsewhere; then it is taken back.
+async fn check_calm_cordon(system: &System, back: &mut Back, account: &Account) {
+    // An endpoint of each zone: those that were there may have left.
+    back.add().await;
+    back.add().await;
+    system.wait_served().await;
+    system.ordered("POST", ZONE).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let of_zone = |back: &Back| -> usize {
+        let endpoints = back.endpoints.iter().enumerate();
+        let there = endpoints.filter(|(number, _)| zone_of(*number) == ZONE);
+        there.map(|(_, (endpoint, ..))| endpoint.seen().len()).sum()
+    };
+    let before = of_zone(back);
+    for count in 0..20 {
+        let id = format!("calm-{count}");
+        let answer = system.call("POST", "/unsafe/", &id).await;
+        let status = answer.map(|answer| answer.status);
+        if !matches!(status, Ok(200)) {
+            account.breaks(format!("{id}: {status:?} beside a cordoned zone"));
+        }
+    }
+    let after = of_zone(back);
+    if after != before {
+        account.breaks(format!(
+            "{} requests reached a cordoned zone",
+            after - before
+        ));
+    }
+    system.ordered("DELETE", ZONE).await;
+}
+
 /// After all is mended, all is served, by endpoints that have not left, under the version
 /// that was acknowledged last or a later one.
 async fn check_mended(system: &System, back: &mut Back, account: &Account) {
@@ -614,7 +777,8 @@
         *counts.entry(request.seen).or_default() += 1;
     }
     let version = account.acknowledged.load(Ordering::SeqCst);
-    println!("seed {seed}: {counts:?}, version {version}");
+    let orders = account.orders.load(Ordering::Relaxed);
+    println!("seed {seed}: {counts:?}, version {version}, {orders} cordons and uncordons");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -67,6 +67,8 @@
     pub(crate) body: Bytes,
     /// Whether it ran the request.
     pub(crate) ran: bool,
+    /// When it had it whole.
+    pub(crate) at: std::time::Instant,
 }
 
 impl Seen {
@@ -184,6 +186,7 @@
         headers: parts.headers,
         body,
         ran: !matches!(act, Some(Act::Refuse | Act::Mistaken)),
+        at: std::time::Instant::now(),
     });
     let mut response = match act {
         Some(Act::Hang) => std::future::pending().await,
