--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -22,6 +22,7 @@
 
 mod admin;
 mod collect;
+mod cordon;
 mod guarded;
 mod link;
 mod membership;
@@ -355,6 +356,8 @@
         server,
         endpoints: endpoints.clone(),
         metrics: metrics.clone(),
+        zones: settings.zones.clone(),
+        clock,
         log: log.clone(),
     };
     admin::serve(settings.admin, settings.operators.clone(), admin)
@@ -367,6 +370,7 @@
             endpoints,
             metrics,
             refusals: Arc::default(),
+            zones: settings.zones.clone(),
             clock,
             log: log.clone(),
         };
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -334,6 +334,7 @@
         // back that it has not begun to write.
         let pool = &self.context.pool;
         while let Some(mut sender) = pool.take(&at.endpoint, at.start, self.now()) {
+            self.check_cordon(&at.endpoint)?;
             match pool::send(&mut sender, request).await {
                 Ok(response) => return Ok((sender, response)),
                 Err(pool::Unsent::Untouched(untouched)) => request = *untouched,
@@ -341,6 +342,8 @@
             }
         }
         let requests = upstream::dial(at.address, self.context.limits.connect).await?;
+        // A connection takes a while, and the process may have been frozen meanwhile.
+        self.check_cordon(&at.endpoint)?;
         let mut sender = pool::Sender::new(at.start, requests);
         match pool::send(&mut sender, request).await {
             Ok(response) => Ok((sender, response)),
@@ -349,6 +352,15 @@
         }
     }
 
+    /// Fails if the endpoint's zone was cordoned since the slot was granted.
+    fn check_cordon(&self, endpoint: &name::Endpoint) -> Result<(), Failure> {
+        if self.context.board.is_cordoned(endpoint) {
+            self.context.board.metrics.cordon_declined.inc();
+            return Err(Failure::CORDONED);
+        }
+        Ok(())
+    }
+
     /// Decides whether an answer's head is one to this request.
     async fn judge(
         &self,
@@ -465,6 +477,8 @@
         match failure.end {
             // Nothing has arrived, so nothing is sent a second time.
             dispatch::End::Unreachable => Some(Duration::ZERO),
+            // By then the dispatcher here knows of the cordon.
+            dispatch::End::Unused => Some(desk::TICK),
             // What an endpoint turned away arrived there; it costs this request no try.
             dispatch::End::Mistaken => self.pay(0).map(|_| Duration::ZERO),
             _ => self.pay(self.reached()),
