Residency: a request goes only where the configuration in force allows it

Cause: routes and teams carry allowed regions and the dispatcher applies them, but nobody filled them in, and a request kept the answer of the configuration that it met.

Change: the platform's `allowed_regions` of routes and tenants are read; the product's own classes and teams have a list too. What says where a request may be served (route and team, or class and team) goes with the request, and each attempt asks it by the configuration in force: as a slot is asked for, as a configuration comes in force while it waits, as a grant is taken, and once more after a connection was opened. What a configuration no longer holds binds as it did last. None eligible: 503, not run, at once, with the code `residency`. The queue has a lane for each list, so that requests whose regions are full hold up nobody who may go elsewhere, and a run is preempted only where its slot is of use. Another zone's dispatcher is asked only where its region is allowed. An empty list is refused with the configuration; unknown regions are told (2007) and served nowhere.

Ruled out: asking only where requests are sent (one path would forget it), searching the queue past blocked requests (20,000 places in each step).

--- a/benches/capacity/config.rs
+++ b/benches/capacity/config.rs
@@ -63,6 +63,7 @@
                 .expect("a class")],
             requests: None,
             tokens: None,
+            allowed: Default::default(),
         };
         document
             .teams
--- a/benches/decisions/load.rs
+++ b/benches/decisions/load.rs
@@ -80,6 +80,7 @@
         preemptible: tier >= 2,
         repeatable: true,
         gap: None,
+        allowed: Default::default(),
     };
     Class {
         name,
--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -15,8 +15,8 @@
 use crate::{
     board::{feed, view},
     core::{
-        attempt, catchup, claim, dispatch, limit, member, name, pace, region, registry, retry,
-        unit, usage, wall,
+        attempt, catchup, claim, config, dispatch, limit, member, name, pace, region, registry,
+        residency, retry, unit, usage, wall,
     },
     util::{
         clock::Clock,
@@ -50,6 +50,8 @@
     pub dispatcher: Option<name::Box>,
     /// What was asked for; its age counts from `asked_at`.
     pub ask: dispatch::Ask,
+    /// What says where it may be served.
+    pub source: residency::Source,
     /// When it was asked for.
     pub asked_at: Duration,
     /// The endpoint that it runs at, and since when.
@@ -61,6 +63,26 @@
 }
 
 impl Ticket {
+    /// Brings it up to where a configuration allows it to be served, if it waits; what its
+    /// dispatcher has to be told, if that changed.
+    ///
+    /// The dispatcher forgets the attempt, also if it has just granted it, and is asked under
+    /// the next number: no grant by the configuration before is used.
+    pub fn renew_residency(
+        &mut self,
+        document: &config::Document,
+        now: Duration,
+    ) -> Option<[dispatch::Report; 2]> {
+        let allowed = self.source.in_force(document, &self.ask.allowed);
+        if self.held.is_some() || allowed == self.ask.allowed {
+            return None;
+        }
+        let unused = dispatch::End::Unused;
+        let end = dispatch::Report::End(self.ask.attempt, unused, unit::Tokens(0));
+        self.ask.allowed = allowed;
+        Some([end, self.tell_anew(now)])
+    }
+
     /// What a dispatcher that knows nothing of it has to be told.
     ///
     /// A request that waits is asked for under the next number: a grant for the last one
--- a/src/scalewood/core/config.rs
+++ b/src/scalewood/core/config.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{name, policy, route, secret, unit};
+use crate::core::{name, policy, residency, route, secret, unit};
 
 /// What a service runs on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,6 +58,9 @@
     /// The longest pause between two events of a stream that is in time, in milliseconds.
     #[serde(rename = "gap_ms", skip_serializing_if = "Option::is_none")]
     pub gap: Option<u64>,
+    /// Where its requests may be served.
+    #[serde(skip_serializing_if = "residency::Allowed::is_everywhere")]
+    pub allowed: residency::Allowed,
 }
 
 impl Class {
@@ -77,6 +80,7 @@
             preemptible: false,
             repeatable: true,
             gap: None,
+            allowed: residency::Allowed::default(),
         }
     }
 }
@@ -139,6 +143,9 @@
     /// Tokens, asked and answered, that it may use each second; absent for no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tokens: Option<unit::Rate>,
+    /// Where its requests may be served.
+    #[serde(default, skip_serializing_if = "residency::Allowed::is_everywhere")]
+    pub allowed: residency::Allowed,
 }
 
 /// An endpoint of a service.
@@ -341,6 +348,9 @@
             if plain && class.preemptible {
                 problem("a call of a plain service is never preempted; leave `preemptible` out");
             }
+            if class.allowed.is_nowhere() {
+                problem(residency::NOWHERE);
+            }
             if class.preemptible && !class.repeatable {
                 problem("a class that may not be repeated can't be preempted");
             }
@@ -368,6 +378,9 @@
                     "it has the same token as team {other}; make a new one"
                 ));
             }
+            if team.allowed.is_nowhere() {
+                problem(residency::NOWHERE.into());
+            }
             if team.classes.is_empty() {
                 problem("it may use no class; name at least one in `classes`".into());
             }
--- a/src/scalewood/core/dispatch/endpoint/eligible.rs
+++ b/src/scalewood/core/dispatch/endpoint/eligible.rs
@@ -61,6 +61,20 @@
         free.filter(|free| self.endpoints[free.index.0].is_eligible(allowed))
     }
 
+    /// Whether an endpoint with a free slot is there that a request may be sent to.
+    pub(in crate::core::dispatch) fn has_free_in(&self, allowed: &residency::Allowed) -> bool {
+        self.eligible(allowed).next().is_some()
+    }
+
+    /// Whether a request may be sent to an endpoint.
+    pub(in crate::core::dispatch) fn permits(
+        &self,
+        index: Index,
+        allowed: &residency::Allowed,
+    ) -> bool {
+        self.endpoints[index.0].is_eligible(allowed)
+    }
+
     /// Whether a request may be sent to any endpoint, now or once a slot comes free there.
     pub(in crate::core::dispatch) fn is_hopeless(&self, allowed: &residency::Allowed) -> bool {
         let serving = |e: &&Endpoint| e.configured && e.leaving.is_none();
--- a/src/scalewood/core/dispatch/grant.rs
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -5,7 +5,7 @@
 use crate::core::{
     attempt,
     dispatch::{class, endpoint, message, queue, run, Dispatcher},
-    name, unit,
+    name, residency, unit,
 };
 
 impl Dispatcher {
@@ -14,8 +14,11 @@
         if !self.is_settled(now) {
             return;
         }
+        // Where requests may be served that found no free slot in this step: those that may
+        // be served elsewhere don't wait for them.
+        let mut full = Vec::new();
         while self.endpoints.has_free() {
-            let Some(attempt) = self.next(now) else {
+            let Some(attempt) = self.next(&full, now) else {
                 break;
             };
             let Some(waiting) = self.queue.get(attempt) else {
@@ -24,7 +27,11 @@
             let ask = waiting.ask.clone();
             let choice = match self.choose(&ask, now) {
                 Ok(choice) => choice,
-                Err(endpoint::Unplaced::NoSlot) => break,
+                Err(endpoint::Unplaced::NoSlot) if ask.allowed.is_everywhere() => break,
+                Err(endpoint::Unplaced::NoSlot) => {
+                    full.push(ask.allowed);
+                    continue;
+                }
                 Err(endpoint::Unplaced::Overload(overload)) => {
                     self.shed_overload(attempt, overload, now);
                     continue;
@@ -108,9 +115,9 @@
         self.classes.get(class).map(|class| class.tier) == first
     }
 
-    /// The request that gets the next free slot.
-    fn next(&self, now: Duration) -> Option<attempt::Attempt> {
-        let first = self.queue.first()?;
+    /// The request that gets the next free slot, where some residencies have none.
+    fn next(&self, full: &[residency::Allowed], now: Duration) -> Option<attempt::Attempt> {
+        let first = self.queue.first_but(full)?;
         // A slot that a preemption freed goes to the request that it was freed for.
         if self.freed > 0 || self.runs.preempting() > 0 {
             return Some(first);
@@ -118,6 +125,11 @@
         let waits = |class: &name::Class| self.queue.count(class) > 0;
         let owed = self.shares.owed(waits, |class| self.mean_hold(class));
         let owed = owed.and_then(|class| self.queue.first_of(class));
+        let has_room = |attempt: &attempt::Attempt| {
+            let waiting = self.queue.get(*attempt);
+            waiting.is_some_and(|waiting| !full.contains(&waiting.ask.allowed))
+        };
+        let owed = owed.filter(has_room);
         if let Some(owed) = owed.filter(|attempt| self.may_go_first(*attempt, now)) {
             return Some(owed);
         }
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -134,6 +134,8 @@
     Full,
     /// The service has no endpoint here.
     NoEndpoint,
+    /// The service's endpoints are all outside the regions in which it may be served.
+    Residency,
     /// All endpoints have so much to read that its caller would leave before the first
     /// token.
     Overload,
@@ -146,6 +148,7 @@
             Reason::Deadline => "deadline",
             Reason::Full => "full",
             Reason::NoEndpoint => "no-endpoint",
+            Reason::Residency => "residency",
             Reason::Overload => "overload",
         }
     }
--- a/src/scalewood/core/dispatch/preempt.rs
+++ b/src/scalewood/core/dispatch/preempt.rs
@@ -9,8 +9,8 @@
 
 use crate::core::{
     attempt,
-    dispatch::{message, Dispatcher},
-    invariant, unit,
+    dispatch::{message, run, Dispatcher},
+    invariant, residency, unit,
 };
 
 /// Requests that one step preempts for at most, so that it stays short.
@@ -19,12 +19,20 @@
 impl Dispatcher {
     /// Preempts for the requests that have to start now.
     pub(super) fn preempt(&mut self, now: Duration) {
-        if self.queue.is_empty() || !self.is_settled(now) || self.endpoints.has_free() {
+        if self.queue.is_empty() || !self.is_settled(now) {
             return;
         }
-        for tier in self.urgent_tiers(now) {
-            let Some(victim) = self.runs.victim_for(tier) else {
-                break;
+        for (tier, allowed) in self.urgent(now) {
+            if self.endpoints.has_free_in(&allowed) {
+                continue;
+            }
+            // A slot where the request may not be served is of no use to it.
+            let fits = |run: &run::Run| self.endpoints.permits(run.endpoint, &allowed);
+            let Some(victim) = self.runs.victim_where(tier, fits) else {
+                if allowed.is_everywhere() {
+                    break;
+                }
+                continue;
             };
             let (attempt, origin) = (victim.ask.attempt, victim.origin.clone());
             self.check_preempt(attempt, tier);
@@ -34,15 +42,16 @@
         }
     }
 
-    /// The tiers of the requests that need a slot now and have none on its way.
-    fn urgent_tiers(&self, now: Duration) -> Vec<unit::Tier> {
+    /// The requests that need a slot now and have none on its way: the tier of each, and
+    /// where it may be served.
+    fn urgent(&self, now: Duration) -> Vec<(unit::Tier, residency::Allowed)> {
         let until: Duration = now + self.settings.preempt_lead;
         let on_their_way = self.runs.preempting();
         let urgent = self.queue.urgent(until, MAX_URGENT + on_their_way);
         urgent
             .into_iter()
             .skip(on_their_way)
-            .map(|waiting| waiting.ask.tier)
+            .map(|waiting| (waiting.ask.tier, waiting.ask.allowed.clone()))
             .collect()
     }
 
--- a/src/scalewood/core/dispatch/queue.rs
+++ b/src/scalewood/core/dispatch/queue.rs
@@ -13,12 +13,15 @@
 use crate::core::{
     attempt,
     dispatch::{message, work},
-    name, unit,
+    name, residency, unit,
 };
 
 /// A position in a queue: due time, then arrival.
 pub(super) type Position = (Duration, u64, attempt::Attempt);
 
+/// A place in the order over all tiers: tier, whether it is late, position.
+type Place = (unit::Tier, bool, Position);
+
 /// A request that waits.
 #[derive(Clone, Debug)]
 pub(super) struct Waiting {
@@ -39,6 +42,10 @@
     fn position(&self) -> Position {
         (self.due, self.serial, self.ask.attempt)
     }
+
+    fn place(&self) -> Place {
+        (self.ask.tier, self.bucket.is_none(), self.position())
+    }
 }
 
 /// The requests of one tier.
@@ -81,6 +88,8 @@
     waiting: HashMap<attempt::Attempt, Waiting>,
     tiers: BTreeMap<unit::Tier, Band>,
     classes: HashMap<name::Class, BTreeSet<Position>>,
+    /// The requests of each residency, in the order in which they get a slot.
+    lanes: BTreeMap<residency::Allowed, BTreeSet<Place>>,
     serial: u64,
 }
 
@@ -153,6 +162,8 @@
             .entry(waiting.ask.class.clone())
             .or_default()
             .insert(waiting.position());
+        let lane = self.lanes.entry(waiting.ask.allowed.clone()).or_default();
+        lane.insert(waiting.place());
         self.waiting.insert(waiting.ask.attempt, waiting);
     }
 
@@ -163,6 +174,12 @@
         if let Some(class) = self.classes.get_mut(&waiting.ask.class) {
             class.remove(&position);
         }
+        if let Some(lane) = self.lanes.get_mut(&waiting.ask.allowed) {
+            lane.remove(&waiting.place());
+            if lane.is_empty() {
+                self.lanes.remove(&waiting.ask.allowed);
+            }
+        }
         if let Some(band) = self.tiers.get_mut(&waiting.ask.tier) {
             band.give_up.remove(&(waiting.give_up, attempt));
             match waiting.bucket {
@@ -190,9 +207,14 @@
                 let Some(waiting) = self.waiting.get_mut(&position.2) else {
                     continue;
                 };
+                let before = waiting.place();
                 if let Some(bucket) = waiting.bucket.take() {
                     band.work.remove(bucket, waiting.hold);
                 }
+                if let Some(lane) = self.lanes.get_mut(&waiting.ask.allowed) {
+                    lane.remove(&before);
+                    lane.insert(waiting.place());
+                }
                 band.late_work += waiting.hold;
                 band.late.insert(position);
             }
@@ -216,6 +238,18 @@
             .map(|position| position.2)
     }
 
+    /// The request that is next by tier and slack, of those that may be served elsewhere
+    /// than in some regions which have no free slot.
+    pub(super) fn first_but(&self, full: &[residency::Allowed]) -> Option<attempt::Attempt> {
+        if full.is_empty() {
+            return self.first();
+        }
+        let lanes = self.lanes.iter();
+        let open = lanes.filter(|(allowed, _)| !full.contains(allowed));
+        let first = open.filter_map(|(_, lane)| lane.first()).min()?;
+        Some(first.2 .2)
+    }
+
     /// The request of a class that is next.
     pub(super) fn first_of(&self, class: &name::Class) -> Option<attempt::Attempt> {
         self.classes.get(class)?.first().map(|position| position.2)
--- a/src/scalewood/core/dispatch/run.rs
+++ b/src/scalewood/core/dispatch/run.rs
@@ -169,6 +169,18 @@
         self.runs.get(attempt)
     }
 
+    /// The run to preempt for a tier, of those that fit.
+    pub(super) fn victim_where(
+        &self,
+        tier: unit::Tier,
+        fits: impl Fn(&Run) -> bool,
+    ) -> Option<&Run> {
+        let below = self.victims.iter();
+        let below = below.take_while(|(Reverse(lowest), ..)| tier.outranks(*lowest));
+        let mut runs = below.filter_map(|(_, _, attempt)| self.runs.get(attempt));
+        runs.find(|run| fits(run))
+    }
+
     /// How many runs of lower tiers may be preempted for a tier, as far as it matters.
     pub(super) fn victims_below(&self, tier: unit::Tier) -> u32 {
         /// More than this are not counted.
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -11,7 +11,7 @@
 use crate::core::{
     attempt,
     dispatch::{endpoint, message, queue, Dispatcher},
-    invariant, unit,
+    invariant, residency, unit,
 };
 
 /// The part of the slots that a tier can count on at least.
@@ -64,8 +64,8 @@
     /// Sheds what an arrival makes hopeless: the arrival itself, if it would wait
     /// past its deadline, or the last of the lowest tier, if the queue is full.
     pub(super) fn shed_on_arrival(&mut self, attempt: attempt::Attempt, now: Duration) {
-        if self.is_hopeless(attempt) {
-            return self.shed(attempt, message::Reason::NoEndpoint, now);
+        if let Some(reason) = self.hopeless(attempt) {
+            return self.shed(attempt, reason, now);
         }
         if self.queue.len() > self.settings.max_waiting {
             if let Some(last) = self.queue.last() {
@@ -102,17 +102,25 @@
     /// Sheds the requests that no endpoint is left for.
     pub(super) fn shed_hopeless(&mut self) {
         let waiting = self.queue.all().map(|waiting| waiting.ask.attempt);
-        let hopeless = waiting.filter(|attempt| self.is_hopeless(*attempt));
+        let hopeless = waiting.filter_map(|attempt| Some((attempt, self.hopeless(attempt)?)));
         let hopeless: Vec<_> = hopeless.collect();
-        for attempt in hopeless {
-            self.shed(attempt, message::Reason::NoEndpoint, Duration::ZERO);
+        for (attempt, reason) in hopeless {
+            self.shed(attempt, reason, Duration::ZERO);
         }
     }
 
-    /// Whether no endpoint is left that a request may be sent to.
-    fn is_hopeless(&self, attempt: attempt::Attempt) -> bool {
-        let waiting = self.queue.get(attempt);
-        waiting.is_some_and(|waiting| self.endpoints.is_hopeless(&waiting.ask.allowed))
+    /// Why no endpoint is left that a request may be sent to, if none is.
+    fn hopeless(&self, attempt: attempt::Attempt) -> Option<message::Reason> {
+        let allowed = &self.queue.get(attempt)?.ask.allowed;
+        if !self.endpoints.is_hopeless(allowed) {
+            return None;
+        }
+        let everywhere = residency::Allowed::default();
+        if self.endpoints.is_hopeless(&everywhere) {
+            Some(message::Reason::NoEndpoint)
+        } else {
+            Some(message::Reason::Residency)
+        }
     }
 
     /// Sheds a request whose caller would leave before endpoints come to read it; it may
@@ -173,7 +181,7 @@
             return;
         };
         let wait = match reason {
-            message::Reason::NoEndpoint => MIN_RETRY,
+            message::Reason::NoEndpoint | message::Reason::Residency => MIN_RETRY,
             _ => self.predicted_wait(waiting.ask.tier, now + waiting.ask.target, now),
         };
         let retry = wait.clamp(MIN_RETRY, MAX_RETRY);
--- a/src/scalewood/core/route.rs
+++ b/src/scalewood/core/route.rs
@@ -131,6 +131,7 @@
             preemptible: false,
             repeatable: self.kind.is_repeatable(),
             gap: self.gap_ms,
+            allowed: self.allowed.clone(),
         }
     }
 }
@@ -240,6 +241,9 @@
             if route.shares.iter().all(|share| share.weight == 0) {
                 problem("its weights sum to 0; give one service a weight".into());
             }
+            if route.allowed.is_nowhere() {
+                problem(residency::NOWHERE.into());
+            }
             if route.timeout_ms == 0 {
                 problem("its timeout is 0; give it one".into());
             }
@@ -249,6 +253,12 @@
     fn check_teams(&self, found: &mut Vec<config::Problem>) {
         let mut owner: HashMap<&secret::Hash, &name::Team> = HashMap::new();
         for (name, team) in &self.teams {
+            if team.allowed.is_nowhere() {
+                found.push(config::Problem {
+                    item: format!("team {name}"),
+                    why: residency::NOWHERE.into(),
+                });
+            }
             for key in &team.keys {
                 let other = owner.insert(key, name);
                 if let Some(other) = other.filter(|other| *other != name) {
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -33,8 +33,10 @@
     pub(super) prompt: unit::Tokens,
     pub(super) prefix: Option<dispatch::Prefix>,
     pub(super) placed: Option<dispatch::Placed>,
-    /// Where it may be served.
+    /// Where it may be served, by the configuration as it arrived.
     pub(super) allowed: residency::Allowed,
+    /// What says where it may be served, by the configuration in force later.
+    pub(super) source: residency::Source,
     /// How long the caller waits for the first token, where that is known.
     pub(super) patience: Option<Duration>,
     /// Whether the caller was likely refused before and has come back.
@@ -88,8 +90,14 @@
         .offered
         .get_or_create(&metric::ClassLabel::from(&key))
         .inc();
+    let source = residency::Source::Class {
+        class: key.clone(),
+        team: team.clone(),
+    };
     let call = Call {
         request: desk::new_request(),
+        allowed: class.allowed.and(&rights.allowed),
+        source,
         team,
         is_known: true,
         key,
@@ -99,7 +107,6 @@
         prompt: size.prompt,
         prefix,
         placed: None,
-        allowed: residency::Allowed::default(),
         patience: None,
         returned: false,
     };
@@ -267,7 +274,14 @@
     /// The zone whose dispatcher is asked.
     pub(super) fn zone(&self, board: &Shared) -> name::Zone {
         if self.spill {
-            desk::zone_for(board, &self.key.service, self.class.tier, self.class.target)
+            let document = &board.view.load().document;
+            let allowed = self.source.in_force(document, &self.allowed);
+            let wanted = desk::Wanted {
+                allowed: &allowed,
+                tier: self.class.tier,
+                target: self.class.target,
+            };
+            desk::zone_for(board, &self.key.service, wanted)
         } else {
             board.own.zone.clone()
         }
@@ -282,6 +296,9 @@
             dispatch::Reason::Full => "too many requests wait; come back later",
             dispatch::Reason::Overload => "all endpoints have too much to read; come back later",
             dispatch::Reason::NoEndpoint => "the service has no endpoint here; come back later",
+            dispatch::Reason::Residency => {
+                "no endpoint is in a region where it may be served; come back later"
+            }
         };
         Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason.as_str(), why).after(retry)
     }
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -16,7 +16,7 @@
         entry::Told,
         view::{self, View},
     },
-    core::{attempt, dispatch, name, rendezvous, unit},
+    core::{attempt, config, dispatch, name, rendezvous, residency, unit},
     event,
     ops::entry::{member, now, Shared},
     util::{lock::lock, metric::ServiceLabel},
@@ -24,9 +24,11 @@
 };
 
 /// How often dispatchers are told that time has passed.
-const TICK: Duration = Duration::from_millis(20);
+pub(super) const TICK: Duration = Duration::from_millis(20);
 /// How often requests are checked to be with the right dispatcher.
 const RECONCILE: Duration = Duration::from_millis(200);
+/// Items whose regions are unknown that are named in the log, for each configuration.
+const MAX_DOUBTS: usize = 16;
 
 /// Which box dispatches a service in a zone, as far as is known here.
 pub(super) fn dispatcher_of(
@@ -274,6 +276,34 @@
             .set(i64::try_from(state.revision.0).unwrap_or(i64::MAX));
         lock(&self.board.claims).configure(view.box_zones(), now(&self.board));
         self.configure(&view);
+        self.renew_residency(&view);
+        self.doubt_regions(&view);
+    }
+
+    /// Brings the requests that wait up to where the configuration allows them to be served.
+    fn renew_residency(&self, view: &View) {
+        let now = now(&self.board);
+        let mut renewed = Vec::new();
+        self.board.tickets.each(|shard| {
+            for ticket in shard.values_mut() {
+                let reports = ticket.renew_residency(&view.document, now);
+                let to = ticket.dispatcher.clone().zip(reports);
+                renewed.extend(to.map(|(to, reports)| (to, ticket.service.clone(), reports)));
+            }
+        });
+        for (to, service, reports) in renewed {
+            for report in reports {
+                tell(&self.board, &to, &service, report);
+            }
+        }
+    }
+
+    /// Says which items of the configuration can be served nowhere that is known here.
+    fn doubt_regions(&self, view: &View) {
+        let unknown = residency::unknown(&view.document, &self.board.own.regions, MAX_DOUBTS);
+        for item in unknown {
+            event!(self.board.log, RegionUnknown, "item" => item, "revision" => %view.revision);
+        }
     }
 
     /// Brings the dispatchers up to the endpoints that announced themselves.
@@ -461,27 +491,33 @@
     tell(board, home, service, dispatch::Report::Announced);
 }
 
+/// What the zone of a request is chosen by.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted<'a> {
+    /// Where it may be served.
+    pub(super) allowed: &'a residency::Allowed,
+    /// Its tier.
+    pub(super) tier: unit::Tier,
+    /// The time within which its first token or answer is due.
+    pub(super) target: Duration,
+}
+
 /// Which zone's dispatcher a request asks: this box's own, unless the wait there
-/// would miss the target and another zone's would not.
-pub(super) fn zone_for(
-    board: &Shared,
-    service: &name::Service,
-    tier: unit::Tier,
-    target: Duration,
-) -> name::Zone {
+/// would miss the target and another zone's would not, or nothing there may serve it.
+pub(super) fn zone_for(board: &Shared, service: &name::Service, wanted: Wanted<'_>) -> name::Zone {
     let own = &board.own.zone;
-    let served = board
-        .view
-        .load()
-        .endpoints(service, own)
-        .any(|(_, e)| !e.leaving);
+    let permits = |zone: &name::Zone| wanted.allowed.permits(board.own.regions.region_of(zone));
+    let serves = |(_, e): (_, &config::Endpoint)| !e.leaving;
+    let served = permits(own) && board.view.load().endpoints(service, own).any(serves);
     let here = member::load_here(board, service).map(|load| load.summary());
     let abroad = member::loads_abroad(board, service);
     let abroad: Vec<_> = abroad
         .into_iter()
+        .filter(|load| permits(&load.zone))
         .map(|load| (load.summary(), load.zone))
         .collect();
     let abroad = abroad.iter().map(|(summary, zone)| (zone, summary));
+    let (tier, target) = (wanted.tier, wanted.target);
     let chosen = dispatch::spill::choose(here.as_ref(), served, abroad, tier, target);
     chosen.unwrap_or(own).clone()
 }
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -180,7 +180,13 @@
         };
         loop {
             let zone = self.call.zone(&board);
-            let mut turn = Turn::ask(&board, &self.call.key.service, &zone, ask.clone());
+            let mut turn = Turn::ask(
+                &board,
+                &self.call.key.service,
+                &zone,
+                &self.call.source,
+                ask.clone(),
+            );
             let endpoint = match turn.wait().await {
                 Got::Granted(endpoint) => endpoint,
                 Got::Shed(reason, retry) => {
@@ -306,8 +312,9 @@
         let body = self.prompt.body(&self.call, &self.chain);
         let outgoing = self.prompt.request(self.path, body);
         self.chain.attempt = Some(turn.attempt());
+        let permitted = turn.permission(endpoint);
         let opened = tokio::select! {
-            opened = self.open(address, &outgoing) => opened,
+            opened = self.open(address, &outgoing, &permitted) => opened,
             () = turn.preempted() => return Ended::Preempted,
         };
         let response = match opened {
@@ -329,13 +336,16 @@
         &self,
         address: SocketAddr,
         outgoing: &Outgoing,
+        is_permitted: impl Fn() -> bool,
     ) -> Result<Response<hyper::body::Incoming>, Failure> {
         let request = outgoing.request(address, &self.call)?;
         let limits = &self.context.limits;
-        let sent = self
-            .context
-            .pool
-            .send(address, request, limits.connect, limits.silence);
+        let sent = self.context.pool.send(
+            address,
+            request,
+            (limits.connect, limits.silence),
+            is_permitted,
+        );
         // The connection is not used again: a stream is seldom read to its last byte.
         let (_, response) = sent.await?;
         if plain::refused_unread(&response) {
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -185,7 +185,13 @@
     let mut observer = Observer::new(board, call);
     let mut sofar = verdict::Verdict::NotRun;
     loop {
-        let mut turn = Turn::ask(board, &call.key.service, &call.zone(board), ask.clone());
+        let mut turn = Turn::ask(
+            board,
+            &call.key.service,
+            &call.zone(board),
+            &call.source,
+            ask.clone(),
+        );
         let endpoint = match turn.wait().await {
             Got::Granted(endpoint) => endpoint,
             Got::Shed(reason, retry) => {
@@ -212,7 +218,7 @@
             invariant::Rule::KeyOnce,
             || format!("{attempt} sends a keyed call that may have run"),
         );
-        match exchange(context, call, outgoing, &endpoint).await {
+        match exchange(context, call, outgoing, (&turn, &endpoint)).await {
             Ok(answer) => {
                 turn.first();
                 observer.first();
@@ -339,7 +345,7 @@
     context: &Context,
     call: &Call,
     outgoing: &Outgoing,
-    endpoint: &name::Endpoint,
+    (turn, endpoint): (&Turn, &name::Endpoint),
 ) -> Result<Whole, Failure> {
     let address = address(&context.board, endpoint)?;
     let request = outgoing.request(address, call)?;
@@ -351,7 +357,9 @@
     } = context.limits;
     let (sender, response) = context
         .pool
-        .send(address, request, connect, silence)
+        .send(address, request, (connect, silence), || {
+            turn.permits(endpoint)
+        })
         .await?;
     if refused_unread(&response) {
         return Err(Failure::REFUSED);
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -205,7 +205,7 @@
     pub(super) async fn open(&mut self, after: Option<&str>) -> Result<Opened, Response<Answer>> {
         loop {
             let (turn, endpoint) = self.turn().await?;
-            match self.exchange(&endpoint, after).await {
+            match self.exchange(&turn, &endpoint, after).await {
                 Ok((sender, response)) => {
                     let (parts, body) = response.into_parts();
                     return Ok(Opened {
@@ -226,7 +226,13 @@
         let board = self.context.board.clone();
         let zone = board.own.zone.clone();
         let service = &self.routed.call.key.service;
-        let mut turn = Turn::ask(&board, service, &zone, self.ask.clone());
+        let mut turn = Turn::ask(
+            &board,
+            service,
+            &zone,
+            &self.routed.call.source,
+            self.ask.clone(),
+        );
         match self.in_time(turn.wait()).await {
             Some(Got::Granted(endpoint)) => {
                 let basis = desk::basis(&board, service, turn.attempt());
@@ -246,6 +252,7 @@
     /// Sends the request to an endpoint and takes its answer's head.
     async fn exchange(
         &mut self,
+        turn: &Turn,
         endpoint: &name::Endpoint,
         after: Option<&str>,
     ) -> Result<(pool::Sender, Response<Incoming>), Failed> {
@@ -264,7 +271,7 @@
         };
         let request = self.routed.outgoing.request::<D>(&instruction)?;
         let sent_at = self.now();
-        let sent = self.send(endpoint, address, request);
+        let sent = self.send((turn, endpoint), address, request);
         let sent = self.unless_silent(endpoint, self.patience(), sent).await;
         let sent = sent.unwrap_or(Err(Failure::SILENT));
         let silent = self.now() >= sent_at + SILENT;
@@ -312,7 +319,7 @@
 
     async fn send(
         &self,
-        endpoint: &name::Endpoint,
+        (turn, endpoint): (&Turn, &name::Endpoint),
         address: std::net::SocketAddr,
         request: hyper::Request<Full<Bytes>>,
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
@@ -320,6 +327,9 @@
         // An idle connection may have been closed meanwhile; hyper gives a request
         // back that it has not begun to write.
         while let Some(mut sender) = self.context.pool.take(endpoint, self.now()) {
+            if !turn.permits(endpoint) {
+                return Err(Failure::BARRED);
+            }
             match pool::send(&mut sender, request).await {
                 Ok(response) => return Ok((sender, response)),
                 Err(pool::Unsent::Untouched(untouched)) => request = *untouched,
@@ -327,6 +337,10 @@
             }
         }
         let mut sender = upstream::dial(address, self.context.limits.connect).await?;
+        // While the connection was opened a configuration may have taken the region away.
+        if !turn.permits(endpoint) {
+            return Err(Failure::BARRED);
+        }
         match pool::send(&mut sender, request).await {
             Ok(response) => Ok((sender, response)),
             Err(pool::Unsent::Untouched(_)) => Err(Failure::UNREACHABLE),
@@ -448,7 +462,7 @@
         }
         match failure.end {
             // Nothing has arrived, so nothing is sent a second time.
-            dispatch::End::Unreachable => Some(Duration::ZERO),
+            dispatch::End::Unreachable | dispatch::End::Unused => Some(Duration::ZERO),
             // What an endpoint turned away arrived there; it costs this request no try.
             dispatch::End::Mistaken => self.pay(0).map(|_| Duration::ZERO),
             _ => self.pay(self.reached()),
@@ -470,6 +484,12 @@
         reply::refusal::<D>(refusal, self.routed.head.id.as_deref())
     }
 
+    /// Where the last attempt might be served, unless that is everywhere.
+    fn allowed(&self) -> Option<String> {
+        let allowed = &self.ask.allowed;
+        (!allowed.is_everywhere()).then(|| allowed.to_string())
+    }
+
     /// Logs the final answer with what decided it.
     pub(super) fn log_end(&self, status: StatusCode, code: &str, verdict: verdict::Verdict) {
         let routed = &self.routed;
@@ -477,6 +497,7 @@
         let behind = lock(&self.context.board.catchup).behind(self.now());
         event!(self.context.board.log, RequestEnded, "id" => routed.head.id.as_deref(),
             "route" => %routed.call.key, "team" => %routed.call.team, "rank" => %routed.rank,
+            "allowed" => self.allowed(),
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
             "prompt" => routed.call.prompt.0, "unread" => self.basis.unread.0,
             "ahead" => self.basis.ahead.0, "later" => self.basis.later.0, "kept" => self.basis.kept, "returned" => routed.call.returned,
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -157,14 +157,14 @@
             let why = "the route is gone";
             Refusal::not_run(StatusCode::NOT_FOUND, "unknown-route", why)
         })?;
-        let (team, team_tier) = authenticate(&view, &routing, route, head.key.as_deref())?;
+        let (team, rights) = authenticate(&view, &routing, route, head.key.as_deref())?;
         let body = read(body, routing.limits.body_bytes, self.limits.arrival).await?;
         let service = route.pick(rand::random()).ok_or_else(|| {
             let why = "the route leads to no service";
             Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-service", why)
         })?;
         let held = head.deadline.unwrap_or(Duration::MAX).min(route.timeout());
-        let rank = view.table.rank(route.tier, team_tier);
+        let rank = view.table.rank(route.tier, rights.tier);
         let mut call = call(
             &head,
             team.as_ref(),
@@ -173,6 +173,7 @@
             arrived,
             held,
         );
+        call.allowed = route.allowed.and(&rights.allowed);
         call.returned = self.longest.is_return(name, head.deadline);
         Ok(Routed {
             route: Arc::new(route.clone()),
@@ -194,19 +195,30 @@
     header.or_else(|| parts.uri.host())
 }
 
-/// The team whose key a request carries, and its tier.
+/// What a team lends its requests.
+#[derive(Clone, Debug, Default)]
+struct Rights {
+    tier: unit::Tier,
+    allowed: residency::Allowed,
+}
+
+/// The team whose key a request carries, and what that lends it.
 fn authenticate(
     view: &View,
     routing: &route::Routing,
     route: &route::Route,
     key: Option<&str>,
-) -> Result<(Option<name::Team>, unit::Tier), Refusal> {
+) -> Result<(Option<name::Team>, Rights), Refusal> {
     let name = key.and_then(|key| view.table.team(key));
     if let Some((name, team)) = name.and_then(|name| routing.teams.get_key_value(name)) {
-        return Ok((Some(name.clone()), team.tier));
+        let rights = Rights {
+            tier: team.tier,
+            allowed: team.allowed.clone(),
+        };
+        return Ok((Some(name.clone()), rights));
     }
     if route.public || routing.teams.is_empty() {
-        return Ok((None, unit::Tier::default()));
+        return Ok((None, Rights::default()));
     }
     let why = "the key is missing or belongs to no team";
     Err(Refusal::not_run(
@@ -250,6 +262,10 @@
         prefix: None,
         placed: outgoing::placed(head),
         allowed: residency::Allowed::default(),
+        source: residency::Source::Route {
+            route: name.clone(),
+            team: team.cloned(),
+        },
         patience: Some(route.patience().min(held)),
         returned: false,
     }
--- a/src/scalewood/ops/entry/routed/reply.rs
+++ b/src/scalewood/ops/entry/routed/reply.rs
@@ -88,6 +88,9 @@
         dispatch::Reason::Full => "too many requests wait; come back later",
         dispatch::Reason::Overload => "all endpoints have too much to read; come back later",
         dispatch::Reason::NoEndpoint => "the service has no endpoint here; come back later",
+        dispatch::Reason::Residency => {
+            "no endpoint is in a region where it may be served; come back later"
+        }
     };
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason.as_str(), message).after(retry)
 }
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -9,8 +9,10 @@
 
 use crate::{
     board::entry::Ticket,
-    core::{attempt, dispatch, name, unit},
+    core::{attempt, dispatch, name, residency, unit},
+    event,
     ops::entry::{desk, now, Shared},
+    util::lock::lock,
 };
 
 /// What a request got.
@@ -52,9 +54,13 @@
         board: &Shared,
         service: &name::Service,
         zone: &name::Zone,
+        source: &residency::Source,
         ask: dispatch::Ask,
     ) -> Self {
         let now = now(board);
+        // The configuration in force binds each attempt, not the one that the request met.
+        let allowed = source.in_force(&board.view.load().document, &ask.allowed);
+        let ask = dispatch::Ask { allowed, ..ask };
         let attempt = ask.attempt;
         let (sender, orders) = mpsc::unbounded_channel();
         let until = (now + ask.deadline + PATIENCE).saturating_sub(ask.age);
@@ -69,6 +75,7 @@
             tokens: unit::Tokens(0),
             orders: sender,
             ask: ask.clone(),
+            source: source.clone(),
         };
         board
             .tickets
@@ -102,7 +109,9 @@
             match order {
                 dispatch::Order::Grant(..) if self.board.may_be_stale() => self.decline(),
                 dispatch::Order::Grant(attempt, endpoint) => {
-                    if self.start(attempt, &endpoint) {
+                    if !self.permits(&endpoint) {
+                        self.turn_down(&endpoint).await;
+                    } else if self.start(attempt, &endpoint) {
                         return Got::Granted(endpoint);
                     }
                 }
@@ -116,6 +125,33 @@
         }
     }
 
+    /// Whether the request may be sent to an endpoint by the configuration in force.
+    pub(super) fn permits(&self, endpoint: &name::Endpoint) -> bool {
+        permits(&self.board, self.attempt, endpoint)
+    }
+
+    /// Asks the same later on, while the turn itself is in use.
+    pub(super) fn permission(&self, endpoint: &name::Endpoint) -> impl Fn() -> bool + use<> {
+        let (board, attempt, endpoint) = (self.board.clone(), self.attempt, endpoint.clone());
+        move || permits(&board, attempt, &endpoint)
+    }
+
+    /// Gives back a grant at an endpoint that the request may not be sent to: since it was
+    /// chosen, the configuration or the endpoint's zone has changed.
+    async fn turn_down(&mut self, endpoint: &name::Endpoint) {
+        event!(self.board.log, ResidencyRenewed, "attempt" => %self.attempt,
+            "endpoint" => %endpoint);
+        // The dispatcher is about to hear of the change; until then it would choose the same.
+        tokio::time::sleep(desk::TICK).await;
+        let now = now(&self.board);
+        let document = self.board.view.load().document.clone();
+        let renewed = self.with_ticket(|ticket| ticket.renew_residency(&document, now));
+        match renewed.flatten() {
+            Some(reports) => reports.into_iter().for_each(|report| self.tell(report)),
+            None => self.decline(),
+        }
+    }
+
     /// Gives back a grant that may have expired while this process was frozen.
     fn decline(&mut self) {
         self.tell(dispatch::Report::End(
@@ -240,6 +276,31 @@
     }
 }
 
+/// Whether an open request may be sent to an endpoint by the configuration in force.
+fn permits(board: &Shared, attempt: attempt::Attempt, endpoint: &name::Endpoint) -> bool {
+    let view = board.view.load();
+    let allowed = {
+        let shard = board.tickets.shard(&attempt.request);
+        let ticket = shard.get(&attempt.request);
+        ticket.map(|ticket| ticket.source.in_force(&view.document, &ticket.ask.allowed))
+    };
+    // Without a ticket there is no request to be sent.
+    allowed.is_some_and(|allowed| {
+        allowed.is_everywhere() || allowed.permits(region_of(board, endpoint).as_ref())
+    })
+}
+
+/// The region of an endpoint, as far as this box knows.
+fn region_of(board: &Shared, endpoint: &name::Endpoint) -> Option<name::Region> {
+    let registered = lock(&board.registry).get(endpoint).map(|r| r.zone.clone());
+    let zone = registered.or_else(|| {
+        let view = board.view.load();
+        let configured = view.document.endpoints.get(endpoint);
+        configured.map(|endpoint| endpoint.zone.clone())
+    })?;
+    board.own.regions.region_of(&zone).cloned()
+}
+
 impl Drop for Turn {
     fn drop(&mut self) {
         match self.state {
--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -56,6 +56,12 @@
         verdict: verdict::Verdict::MayHaveRun,
     };
 
+    /// It may not be sent there any more; nothing of it was.
+    pub(super) const BARRED: Failure = Failure {
+        end: dispatch::End::Unused,
+        verdict: verdict::Verdict::NotRun,
+    };
+
     /// The caller took nothing of the answer until its time was over.
     pub(super) const UNREAD: Failure = Failure {
         end: dispatch::End::Cancelled,
@@ -66,7 +72,7 @@
     pub(super) fn is_miss(self) -> bool {
         matches!(
             self.end,
-            dispatch::End::Unreachable | dispatch::End::Mistaken
+            dispatch::End::Unreachable | dispatch::End::Mistaken | dispatch::End::Unused
         )
     }
 }
@@ -126,18 +132,22 @@
         }
     }
 
-    /// Sends a request and waits for the answer's head.
+    /// Sends a request and waits for the answer's head. Whether it still may be sent is
+    /// asked once more after a connection was opened.
     pub(super) async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        connect: Duration,
-        silence: Duration,
+        (connect, silence): (Duration, Duration),
+        is_permitted: impl Fn() -> bool,
     ) -> Result<(Sender, Response<Incoming>), Failure> {
         let mut request = request;
         // An idle connection may have been closed meanwhile; hyper gives a request
         // back that it has not begun to write.
         while let Some(sender) = self.take(address) {
+            if !is_permitted() {
+                return Err(Failure::BARRED);
+            }
             match attempt(sender, request, silence).await {
                 Ok(answered) => return Ok(answered),
                 Err(Unsent::Untouched(untouched)) => request = *untouched,
@@ -145,6 +155,9 @@
             }
         }
         let sender = dial(address, connect).await?;
+        if !is_permitted() {
+            return Err(Failure::BARRED);
+        }
         attempt(sender, request, silence)
             .await
             .map_err(|unsent| match unsent {
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -56,6 +56,8 @@
     DocumentUnreadable = 2004, Error, "a configuration that was fetched can't be read";
     RevisionNotFetched = 2005, Warning, "a newer configuration could not be fetched from a voter";
     RevisionBehind = 2006, Warning, "voters have had a newer configuration for long";
+    RegionUnknown = 2007, Warning, "something may be served only in regions that have no known zone";
+    ResidencyRenewed = 2008, Info, "a request that waited or was about to be sent asks anew, since where it may be served has changed";
     ChangeAccepted = 2101, Info, "a change was accepted";
     ChangeRefused = 2102, Info, "a change was not applied";
     TokenRefused = 2103, Warning, "a request with a wrong or missing token was refused";
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -299,6 +299,7 @@
         classes: vec!["lm/counter".parse().unwrap()],
         requests: Some(unit::Rate::try_from(0.5).unwrap()),
         tokens: None,
+        allowed: Default::default(),
     };
     deployment
         .apply(
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod random;
 mod registry;
 mod report;
+mod residency;
 mod route;
 mod routed;
 mod scaling;
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -546,6 +546,7 @@
         host: system.host,
         voters: (0..VOTERS).map(|_| None).collect(),
         entry: None,
+        more: String::new(),
     });
     let clock = async {
         tokio::time::sleep(length).await;
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -629,6 +629,7 @@
         preemptible: true,
         repeatable: true,
         gap: None,
+        allowed: Default::default(),
     };
     let record = config::Class {
         repeatable: false,
@@ -646,6 +647,7 @@
         classes: classes.map(|key| key.parse().expect("a class")).to_vec(),
         requests: None,
         tokens: None,
+        allowed: Default::default(),
     };
     vec![
         service("lm", config::Kind::Model, &[MODEL]),
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -252,16 +252,28 @@
     pub(crate) host: std::net::IpAddr,
     pub(crate) voters: Vec<Option<deploy::Process>>,
     pub(crate) entry: Option<deploy::Process>,
+    /// More settings of entry boxes.
+    pub(crate) more: String,
 }
 
 impl System {
     /// Starts so many voters, the last one first, and an entry box.
     pub(crate) fn start(voters: usize, dir: &Path) -> Self {
+        Self::start_with(voters, dir, "")
+    }
+
+    /// The same, with more settings of the entry box.
+    pub(crate) fn start_with(voters: usize, dir: &Path, more: &str) -> Self {
         let mut system = Self {
             dir: dir.to_owned(),
             host: deploy::own_host(),
             voters: (0..voters).map(|_| None).collect(),
             entry: None,
+            more: if more.is_empty() {
+                String::new()
+            } else {
+                format!(",\n  {more}")
+            },
         };
         for i in (0..voters).rev() {
             system.start_voter(i, true);
@@ -347,11 +359,12 @@
         let text = format!(
             "{{ \"box\": \"{name}\", \"zone\": \"z0\", \"callers\": \"{}\", \"listen\": \"{}\",\n  \
              \"health\": \"{}\", \"voters\": [{}], \"stop_grace\": \"200ms\",\n  \
-             \"stop_within\": \"4s\" }}",
+             \"stop_within\": \"4s\"{} }}",
             self.callers_at(i),
             self.address(8001 + 10 * i),
             self.address(8002 + 10 * i),
             self.seeds(),
+            self.more,
         );
         self.start_process(&name, "scalewood-entry", &[], &text)
     }
