--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -136,6 +136,8 @@
     NoEndpoint,
     /// All its endpoints stand in cordoned zones.
     Cordoned,
+    /// The service's endpoints are all outside the regions in which it may be served.
+    Residency,
     /// All endpoints have so much to read that its caller would leave before the first
     /// token.
     Overload,
@@ -149,6 +151,7 @@
             Reason::Full => "full",
             Reason::NoEndpoint => "no-endpoint",
             Reason::Cordoned => "cordoned",
+            Reason::Residency => "residency",
             Reason::Overload => "overload",
         }
     }
--- a/src/scalewood/core/dispatch/preempt.rs
+++ b/src/scalewood/core/dispatch/preempt.rs
@@ -10,7 +10,7 @@
 use crate::core::{
     attempt,
     dispatch::{message, run, Dispatcher},
-    invariant, unit,
+    invariant, residency, unit,
 };
 
 /// Requests that one step preempts for at most, so that it stays short.
@@ -19,12 +19,18 @@
 impl Dispatcher {
     /// Preempts for the requests that have to start now.
     pub(super) fn preempt(&mut self, now: Duration) {
-        if self.queue.is_empty() || !self.is_settled(now) || self.endpoints.has_free() {
+        if self.queue.is_empty() || !self.is_settled(now) {
             return;
         }
-        for tier in self.urgent_tiers(now) {
-            let Some(victim) = self.victim_for(tier) else {
-                break;
+        for (tier, allowed) in self.urgent(now) {
+            if self.endpoints.has_free_in(&allowed) {
+                continue;
+            }
+            let Some(victim) = self.victim_for(tier, &allowed) else {
+                if allowed.is_everywhere() {
+                    break;
+                }
+                continue;
             };
             let (attempt, origin) = (victim.ask.attempt, victim.origin.clone());
             self.check_preempt(attempt, tier);
@@ -34,22 +40,27 @@
         }
     }
 
-    /// The run that gives way to a request of a tier. One in a cordoned zone would give
-    /// nothing: its slot stays empty.
-    pub(super) fn victim_for(&self, tier: unit::Tier) -> Option<&run::Run> {
-        let gives_slot = |index| !self.endpoints.is_cordoned(index);
-        self.runs.victim_for(tier, gives_slot)
+    /// The run that gives way to a request of a tier. A slot where the request may not be sent
+    /// is of no use to it.
+    pub(super) fn victim_for(
+        &self,
+        tier: unit::Tier,
+        allowed: &residency::Allowed,
+    ) -> Option<&run::Run> {
+        let fits = |run: &run::Run| self.endpoints.permits(run.endpoint, allowed);
+        self.runs.victim_where(tier, fits)
     }
 
-    /// The tiers of the requests that need a slot now and have none on its way.
-    fn urgent_tiers(&self, now: Duration) -> Vec<unit::Tier> {
+    /// The requests that need a slot now and have none on its way: the tier of each, and
+    /// where it may be served.
+    fn urgent(&self, now: Duration) -> Vec<(unit::Tier, residency::Allowed)> {
         let until: Duration = now + self.settings.preempt_lead;
         let on_their_way = self.runs.preempting();
         let urgent = self.queue.urgent(until, MAX_URGENT + on_their_way);
         urgent
             .into_iter()
             .skip(on_their_way)
-            .map(|waiting| waiting.ask.tier)
+            .map(|waiting| (waiting.ask.tier, waiting.ask.allowed.clone()))
             .collect()
     }
 
--- a/src/scalewood/core/dispatch/run.rs
+++ b/src/scalewood/core/dispatch/run.rs
@@ -160,19 +160,16 @@
         }
     }
 
-    /// The run to preempt for a tier: of a lower one, with the least loss, among those whose
-    /// slot another request may get.
-    pub(super) fn victim_for(
+    /// The run to preempt for a tier: of a lower one, with the least loss, of those that fit.
+    pub(super) fn victim_where(
         &self,
         tier: unit::Tier,
-        gives_slot: impl Fn(endpoint::Index) -> bool,
+        fits: impl Fn(&Run) -> bool,
     ) -> Option<&Run> {
-        let below = self
-            .victims
-            .iter()
-            .take_while(|(Reverse(lowest), _, _)| tier.outranks(*lowest));
+        let below = self.victims.iter();
+        let below = below.take_while(|(Reverse(lowest), ..)| tier.outranks(*lowest));
         let mut runs = below.filter_map(|(_, _, attempt)| self.runs.get(attempt));
-        runs.find(|run| gives_slot(run.endpoint))
+        runs.find(|run| fits(run))
     }
 
     /// How many runs of lower tiers may be preempted for a tier, as far as it matters.
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -11,7 +11,7 @@
 use crate::core::{
     attempt,
     dispatch::{endpoint, message, queue, Dispatcher},
-    invariant, unit,
+    invariant, residency, unit,
 };
 
 /// The part of the slots that a tier can count on at least.
@@ -109,16 +109,20 @@
         }
     }
 
-    /// Why a request can be sent nowhere, if no endpoint is left that it may be sent to.
+    /// Why no endpoint is left that a request may be sent to, if none is.
     fn hopeless(&self, attempt: attempt::Attempt) -> Option<message::Reason> {
         let allowed = &self.queue.get(attempt)?.ask.allowed;
         if !self.endpoints.is_hopeless(allowed) {
             return None;
         }
+        let everywhere = residency::Allowed::default();
         if self.endpoints.has_cordoned(allowed) {
-            return Some(message::Reason::Cordoned);
+            Some(message::Reason::Cordoned)
+        } else if self.endpoints.is_hopeless(&everywhere) {
+            Some(message::Reason::NoEndpoint)
+        } else {
+            Some(message::Reason::Residency)
         }
-        Some(message::Reason::NoEndpoint)
     }
 
     /// Sheds a request whose caller would leave before endpoints come to read it; it may
@@ -147,12 +151,12 @@
             // Endpoints that are ejected may come back before the deadline.
             return false;
         }
-        let tier = waiting.ask.tier;
-        if self.victim_for(tier).is_some() {
+        let (tier, allowed) = (waiting.ask.tier, &waiting.ask.allowed);
+        if self.victim_for(tier, allowed).is_some() {
             // A lower tier gives way before this one is given up on.
             return false;
         }
-        if self.queue.first() == Some(attempt) && self.endpoints.has_free() {
+        if self.queue.first() == Some(attempt) && self.endpoints.has_free_in(allowed) {
             // Nothing goes before it. Refused for its own work and for what may come, it
             // would never run, and what is known of its class would never get better.
             return false;
@@ -184,7 +188,9 @@
         };
         let wait = match reason {
             // An uncordon is in force within that time, like an endpoint that starts.
-            message::Reason::NoEndpoint | message::Reason::Cordoned => MIN_RETRY,
+            message::Reason::NoEndpoint
+            | message::Reason::Cordoned
+            | message::Reason::Residency => MIN_RETRY,
             _ => {
                 self.refusals.note_refused(&waiting.ask);
                 self.predicted_wait(waiting.ask.tier, now + waiting.ask.target, now)
@@ -202,7 +208,7 @@
             return;
         };
         let over = waiting.give_up <= now;
-        let victim = self.victim_for(waiting.ask.tier);
+        let victim = self.victim_for(waiting.ask.tier, &waiting.ask.allowed);
         invariant::check(over || victim.is_none(), invariant::Rule::ShedOrder, || {
             format!(
                 "{attempt} is shed while {:?} runs",
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -215,7 +215,7 @@
     pub(super) async fn open(&mut self, after: Option<&str>) -> Result<Opened, Response<Answer>> {
         loop {
             let (turn, endpoint) = self.turn().await?;
-            match self.exchange(&endpoint, after).await {
+            match self.exchange(&turn, &endpoint, after).await {
                 Ok((sender, response)) => {
                     let (parts, body) = response.into_parts();
                     return Ok(Opened {
@@ -236,7 +236,13 @@
         let board = self.context.board.clone();
         let zone = board.own.zone.clone();
         let service = &self.routed.call.key.service;
-        let mut turn = Turn::ask(&board, service, &zone, self.ask.clone());
+        let mut turn = Turn::ask(
+            &board,
+            service,
+            &zone,
+            &self.routed.call.source,
+            self.ask.clone(),
+        );
         match self.in_time(turn.wait()).await {
             Some(Got::Granted(endpoint)) => {
                 let basis = desk::basis(&board, service, turn.attempt());
@@ -256,6 +262,7 @@
     /// Sends the request to an endpoint and takes its answer's head.
     async fn exchange(
         &mut self,
+        turn: &Turn,
         endpoint: &name::Endpoint,
         after: Option<&str>,
     ) -> Result<(pool::Sender, Response<Incoming>), Failed> {
@@ -278,7 +285,7 @@
         };
         let request = self.routed.outgoing.request::<D>(&instruction)?;
         let sent_at = self.now();
-        let sent = self.send(&at, request);
+        let sent = self.send(turn, &at, request);
         let sent = self.unless_silent(endpoint, self.patience(), sent).await;
         let sent = sent.unwrap_or(Err(Failure::SILENT));
         let silent = self.now() >= sent_at + SILENT;
@@ -326,6 +333,7 @@
 
     async fn send(
         &self,
+        turn: &Turn,
         at: &At,
         request: hyper::Request<Full<Bytes>>,
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
@@ -334,7 +342,9 @@
         // back that it has not begun to write.
         let pool = &self.context.pool;
         while let Some(mut sender) = pool.take(&at.endpoint, at.start, self.now()) {
-            self.check_cordon(&at.endpoint)?;
+            if !turn.permits(&at.endpoint) {
+                return Err(Failure::BARRED);
+            }
             match pool::send(&mut sender, request).await {
                 Ok(response) => return Ok((sender, response)),
                 Err(pool::Unsent::Untouched(untouched)) => request = *untouched,
@@ -343,7 +353,9 @@
         }
         let requests = upstream::dial(at.address, self.context.limits.connect).await?;
         // A connection takes a while, and the process may have been frozen meanwhile.
-        self.check_cordon(&at.endpoint)?;
+        if !turn.permits(&at.endpoint) {
+            return Err(Failure::BARRED);
+        }
         let mut sender = pool::Sender::new(at.start, requests);
         match pool::send(&mut sender, request).await {
             Ok(response) => Ok((sender, response)),
@@ -352,15 +364,6 @@
         }
     }
 
-    /// Fails if the endpoint's zone was cordoned since the slot was granted.
-    fn check_cordon(&self, endpoint: &name::Endpoint) -> Result<(), Failure> {
-        if self.context.board.is_cordoned(endpoint) {
-            self.context.board.metrics.cordon_declined.inc();
-            return Err(Failure::CORDONED);
-        }
-        Ok(())
-    }
-
     /// Decides whether an answer's head is one to this request.
     async fn judge(
         &self,
@@ -477,7 +480,7 @@
         match failure.end {
             // Nothing has arrived, so nothing is sent a second time.
             dispatch::End::Unreachable => Some(Duration::ZERO),
-            // By then the dispatcher here knows of the cordon.
+            // By then the dispatcher here knows what bars it.
             dispatch::End::Unused => Some(desk::TICK),
             // What an endpoint turned away arrived there; it costs this request no try.
             dispatch::End::Mistaken => self.pay(0).map(|_| Duration::ZERO),
@@ -500,6 +503,12 @@
         reply::refusal::<D>(refusal, self.routed.head.id.as_deref())
     }
 
+    /// Where the last attempt might be served, unless that is everywhere.
+    fn allowed(&self) -> Option<String> {
+        let allowed = &self.ask.allowed;
+        (!allowed.is_everywhere()).then(|| allowed.to_string())
+    }
+
     /// Logs the final answer with what decided it.
     pub(super) fn log_end(&self, status: StatusCode, code: &str, verdict: verdict::Verdict) {
         let routed = &self.routed;
@@ -507,6 +516,7 @@
         let behind = lock(&self.context.board.catchup).behind(self.now());
         event!(self.context.board.log, RequestEnded, "id" => routed.head.id.as_deref(),
             "route" => %routed.call.key, "team" => %routed.call.team, "rank" => %routed.rank,
+            "allowed" => self.allowed(),
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
             "prompt" => routed.call.prompt.0, "unread" => self.basis.unread.0,
             "ahead" => self.basis.ahead.0, "later" => self.basis.later.0, "kept" => self.basis.kept, "returned" => routed.call.returned,
--- a/src/scalewood/ops/entry/routed/reply.rs
+++ b/src/scalewood/ops/entry/routed/reply.rs
@@ -50,7 +50,10 @@
     let (code, message) = match end {
         dispatch::End::Silent => ("endpoint-silent", "the endpoint did not answer in time"),
         dispatch::End::Unreachable => ("endpoint-unreachable", "no endpoint could be reached"),
-        dispatch::End::Unused => ("cordoned", "its endpoint's zone was cordoned"),
+        dispatch::End::Unused => (
+            "endpoint-barred",
+            "it may not be sent to its endpoint any more",
+        ),
         dispatch::End::Refused => ("endpoint-full", "the endpoint took no more requests"),
         _ => ("endpoint-broke", "the endpoint's answer was broken off"),
     };
@@ -90,6 +93,9 @@
         dispatch::Reason::Overload => "all endpoints have too much to read; come back later",
         dispatch::Reason::NoEndpoint => "the service has no endpoint here; come back later",
         dispatch::Reason::Cordoned => "its endpoints are in cordoned zones; come back later",
+        dispatch::Reason::Residency => {
+            "no endpoint is in a region where it may be served; come back later"
+        }
     };
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason.as_str(), message).after(retry)
 }
--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -39,11 +39,6 @@
         end: dispatch::End::Unreachable,
         verdict: verdict::Verdict::NotRun,
     };
-    /// Its zone was cordoned after the slot was granted.
-    pub(super) const CORDONED: Failure = Failure {
-        end: dispatch::End::Unused,
-        verdict: verdict::Verdict::NotRun,
-    };
     pub(super) const REFUSED: Failure = Failure {
         end: dispatch::End::Refused,
         verdict: verdict::Verdict::NotRun,
@@ -61,6 +56,13 @@
         verdict: verdict::Verdict::MayHaveRun,
     };
 
+    /// It may not be sent there any more: the zone was cordoned, or where it may be served has
+    /// changed. Nothing of it was sent.
+    pub(super) const BARRED: Failure = Failure {
+        end: dispatch::End::Unused,
+        verdict: verdict::Verdict::NotRun,
+    };
+
     /// The caller took nothing of the answer until its time was over.
     pub(super) const UNREAD: Failure = Failure {
         end: dispatch::End::Cancelled,
@@ -131,18 +133,22 @@
         }
     }
 
-    /// Sends a request and waits for the answer's head.
+    /// Sends a request and waits for the answer's head. Whether it still may be sent is
+    /// asked once more after a connection was opened.
     pub(super) async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        connect: Duration,
-        silence: Duration,
+        (connect, silence): (Duration, Duration),
+        is_permitted: impl Fn() -> bool,
     ) -> Result<(Sender, Response<Incoming>), Failure> {
         let mut request = request;
         // An idle connection may have been closed meanwhile; hyper gives a request
         // back that it has not begun to write.
         while let Some(sender) = self.take(address) {
+            if !is_permitted() {
+                return Err(Failure::BARRED);
+            }
             match attempt(sender, request, silence).await {
                 Ok(answered) => return Ok(answered),
                 Err(Unsent::Untouched(untouched)) => request = *untouched,
@@ -150,6 +156,9 @@
             }
         }
         let sender = dial(address, connect).await?;
+        if !is_permitted() {
+            return Err(Failure::BARRED);
+        }
         attempt(sender, request, silence)
             .await
             .map_err(|unsent| match unsent {
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -398,7 +398,7 @@
 
 /// The zone of an endpoint by its number.
 fn zone_of(number: usize) -> &'static str {
-    if number % 2 == 0 {
+    if number.is_multiple_of(2) {
         "z0"
     } else {
         ZONE
@@ -710,6 +710,7 @@
         host: system.host,
         voters: (0..VOTERS).map(|_| None).collect(),
         entry: None,
+        more: String::new(),
     });
     let clock = async {
         tokio::time::sleep(length).await;
