--- a/tests/testsuite/routed.rs
+++ b/tests/testsuite/routed.rs
@@ -366,6 +366,25 @@
         let short: String = body.chars().take(200).collect();
         assert_eq!(answer.await.unwrap().status, status, "{short}");
     }
+    let figures = client::ask(system.admin_address(0), "GET", "/metrics", &[], "").await;
+    let figures = String::from_utf8(figures.unwrap().body.to_vec()).unwrap();
+    for (reason, count) in [
+        ("unreadable", 2),
+        ("mistyped", 4),
+        ("out-of-range", 2),
+        ("too-long", 1),
+        ("unknown", 1),
+    ] {
+        let line = format!("scalewood_refused_heartbeats_total{{reason=\"{reason}\"}} {count}");
+        assert!(figures.lines().any(|l| l == line), "{line}: {figures}");
+    }
+    // A line for each of five reasons, and no more, however many there are.
+    let lines = || {
+        let log = std::fs::read_to_string(dir.path().join("c0.log")).unwrap();
+        log.matches("\"event\":2323").count()
+    };
+    deploy::wait("the lines are written", || async { lines() >= 5 }).await;
+    assert_eq!(lines(), 5);
     for i in 0..10 {
         let call = system.call("POST", "/unsafe/on", &format!("o{i}")).await;
         assert_eq!(call.unwrap().status, 200);
