--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -384,7 +384,7 @@
 
 /// The zone of an endpoint by its number.
 fn zone_of(number: usize) -> &'static str {
-    if number % 2 == 0 {
+    if number.is_multiple_of(2) {
         "z0"
     } else {
         ZONE
