--- a/src/scalewood/core/route.rs
+++ b/src/scalewood/core/route.rs
@@ -213,6 +213,7 @@
     pub fn check(&self) -> Vec<config::Problem> {
         let mut found = Vec::new();
         self.check_routes(&mut found);
+        self.check_services(&mut found);
         self.check_teams(&mut found);
         found
     }
@@ -246,6 +247,17 @@
         }
     }
 
+    fn check_services(&self, found: &mut Vec<config::Problem>) {
+        for (name, service) in &self.services {
+            if service.warm_up.is_some_and(|rate| !rate.is_usable()) {
+                found.push(config::Problem {
+                    item: format!("service {name}"),
+                    why: "its warm-up takes no time or bears no requests; leave it out".into(),
+                });
+            }
+        }
+    }
+
     fn check_teams(&self, found: &mut Vec<config::Problem>) {
         let mut owner: HashMap<&secret::Hash, &name::Team> = HashMap::new();
         for (name, team) in &self.teams {
--- a/tests/testsuite/scaling.rs
+++ b/tests/testsuite/scaling.rs
@@ -318,3 +318,39 @@
         assert!(order.count > 10, "{order:?}");
     }
 }
+
+/// Endpoints that have come and are cold bear too little to stand in for others: these stay
+/// until they are warm. They are not ordered again meanwhile.
+#[test]
+fn ordinary_endpoints_are_kept_until_those_that_replace_them_are_warm() {
+    let seen = |warming| {
+        let zones = ZONES.iter().map(|zone| {
+            let serving = Serving {
+                ordinary: 10,
+                interruptible: 20,
+                warming,
+                ..Serving::default()
+            };
+            (zone.parse().unwrap(), serving)
+        });
+        Seen {
+            in_use: 140,
+            slots: SLOTS,
+            zones: zones.collect(),
+        }
+    };
+    let given_up = |warming| {
+        let mut scaler = Scaler::new(Settings::default(), Duration::ZERO);
+        scaler.step(&offer(), &seen(warming), Duration::ZERO);
+        let orders = scaler.step(&offer(), &seen(warming), Duration::from_secs(5));
+        let more = |order: &&Order| order.kind == Kind::Interruptible && order.count > 20;
+        let again: Vec<_> = orders.iter().filter(more).cloned().collect();
+        let fewer = |order: &&Order| order.kind == Kind::Ordinary && order.count < 10;
+        let fewer: u32 = orders.iter().filter(fewer).map(|o| 10 - o.count).sum();
+        (fewer, again)
+    };
+    let (warm, again) = given_up(0);
+    let (cold, again_cold) = given_up(20);
+    assert!(cold < warm, "{cold} are given up, and {warm} for warm ones");
+    assert_eq!(again, again_cold);
+}
