--- a/src/scalewood/core/scaling.rs
+++ b/src/scalewood/core/scaling.rs
@@ -98,8 +98,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The part of the slots that is to be in use at the highest demand of late. Where reading
-    /// prompts binds before slots do, endpoints are full at a fifth of their slots; interruptible
-    /// ones to spare cost little. 0.15 in place of 0.3 bought 0.03 and 0.04 of a day's worth on two
+    /// prompts binds, endpoints are full long before their slots are.
+    /// 0.15 in place of 0.3 bought 0.03 and 0.04 of a day's worth on two
     /// days of endpoints with 64 slots, and nothing either way on two with 12.
     pub utilisation: f64,
     /// The part of the slots that may be in use while interruptible endpoints are missing,
