A request under which three endpoints have ended is held back by all boxes

Cause: nothing remembered a request past its own attempts at its own box. Attempts were bounded within one arrival, retries as a sum, and ends were blamed on endpoints alone. Class: state that belongs to a thing which outlives the process, kept in the process that met it.

Change: each process keeps a book of the requests under which endpoints ended, by fingerprint. An end is a broken answer whose endpoint refuses connections afterwards; ends of one request are joined over boxes by way of the voters, with the loads. From the third on each box answers 429 (502 if it ran in the same arrival), at once, also to what waits, and asks once more right before the first byte. A run to its end anywhere clears it. Ruled out: blaming by break alone (a garbled answer of a living endpoint is no end); agreeing on it in the voters' log (an fsync and a leader for each, no faster).

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -15,8 +15,8 @@
 use crate::{
     board::{feed, view},
     core::{
-        attempt, catchup, claim, config, dispatch, limit, member, name, pace, region, registry,
-        residency, retry, unit, usage, wall, warm_up,
+        attempt, catchup, claim, config, crash, dispatch, limit, member, name, pace, region,
+        registry, residency, retry, unit, usage, wall, warm_up,
     },
     util::{
         clock::Clock,
@@ -164,6 +164,10 @@
     pub warming: Mutex<BTreeMap<name::Endpoint, Duration>>,
     /// How fast endpoints go, as this box measures it.
     pub paces: Mutex<pace::Meters>,
+    /// The requests under which endpoints have ended.
+    pub crashes: Mutex<crash::Book>,
+    /// Wakes requests that wait when others than before are held back.
+    pub held_back: watch::Sender<usize>,
     /// The requests that endpoints have begun for this box, by team and window.
     pub usage: Mutex<usage::Tally>,
     /// The time of day that the voters agree on.
@@ -235,6 +239,8 @@
             uncordoned: Mutex::default(),
             warming: Mutex::default(),
             paces: Mutex::default(),
+            crashes: Mutex::default(),
+            held_back: watch::Sender::new(0),
             usage: Mutex::new(usage::Tally::new(usage_window)),
             wall: Mutex::default(),
             start: rand::random(),
--- /dev/null
+++ b/src/scalewood/core/crash/book.rs
@@ -0,0 +1,330 @@
+//! What one process knows of requests under which endpoints ended.
+//!
+//! Books are brought together by merging rows, in any order and any number of times: the ends are
+//! joined, less those that anybody knows to be void. Each change gets a stamp,
+//! so that who was told up to a stamp is told the rest.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use super::{End, Id, Row, Standing, APART, MOST_ENDS};
+use crate::core::fingerprint::{Fingerprint, HeadHash};
+
+/// How long a request is remembered after it last came or an endpoint last ended under it. One
+/// that comes again later may end three endpoints more.
+pub const REMEMBERED: Duration = Duration::from_secs(600);
+/// How often it is told at most that a request keeps coming.
+const HEARD: Duration = Duration::from_secs(30);
+/// The most requests that are remembered and not held back: those that were at hand as some
+/// seventy full endpoints ended. Some 200 bytes each.
+const MOST_OPEN: usize = 4096;
+/// The most that are held back. Each has ended three endpoints.
+const MOST_HELD_BACK: usize = 1024;
+/// The most ends that are remembered of a request.
+const MOST_KEPT: usize = MOST_ENDS + 1;
+/// The most ends that are remembered as void.
+const MOST_VOID: usize = 2 * MOST_KEPT;
+/// How often what is old is looked for.
+const SWEEP: Duration = Duration::from_secs(1);
+/// The most rows that are told at once, some 150 bytes each.
+const MOST_TOLD: usize = 256;
+
+/// What is known of a request.
+#[derive(Clone, Debug)]
+struct Case {
+    ends: Vec<End>,
+    /// Ends that count no more, the oldest first.
+    void: VecDeque<Id>,
+    heard: u32,
+    heard_at: Duration,
+    /// When it last came, changed or was told of.
+    touched: Duration,
+    /// When it last changed.
+    changed: u64,
+    /// When it last changed by what was seen here or told by those who tell this book alone.
+    changed_here: u64,
+    /// Whether it was ever one that all have to know of.
+    is_wide: bool,
+}
+
+impl Case {
+    fn new(now: Duration) -> Self {
+        Self {
+            ends: Vec::new(),
+            void: VecDeque::new(),
+            heard: 0,
+            heard_at: Duration::ZERO,
+            touched: now,
+            changed: 0,
+            changed_here: 0,
+            is_wide: false,
+        }
+    }
+
+    fn standing(&self) -> Standing {
+        Standing::of(self.ends.len())
+    }
+
+    fn is_held_back(&self) -> bool {
+        self.standing() == Standing::HeldBack
+    }
+
+    fn add(&mut self, end: End) -> bool {
+        let is_known = self.ends.iter().any(|known| known.id == end.id);
+        if is_known || self.ends.len() >= MOST_KEPT || self.void.contains(&end.id) {
+            return false;
+        }
+        self.ends.push(end);
+        self.is_wide |= self.ends.len() >= APART;
+        true
+    }
+
+    fn make_void(&mut self, id: Id) -> bool {
+        if self.void.contains(&id) {
+            return false;
+        }
+        self.ends.retain(|end| end.id != id);
+        self.void.push_back(id);
+        if self.void.len() > MOST_VOID {
+            self.void.pop_front();
+        }
+        true
+    }
+
+    fn clear(&mut self) {
+        for end in std::mem::take(&mut self.ends) {
+            self.make_void(end.id);
+        }
+    }
+
+    /// Takes what a row says beyond what is known.
+    fn merge(&mut self, row: Row) -> bool {
+        let mut is_news = false;
+        for id in row.void {
+            is_news |= self.make_void(id);
+        }
+        for end in row.ends {
+            is_news |= self.add(end);
+        }
+        if row.heard > self.heard {
+            self.heard = row.heard;
+            is_news = true;
+        }
+        is_news
+    }
+}
+
+/// Which changes are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// What was seen here or told by those who tell this book alone; all that is known to one
+    /// who starts anew.
+    Own,
+    /// What all have to know, whoever told it.
+    Wide,
+}
+
+/// Up to where someone has been told; the default is the beginning.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    stamp: u64,
+    /// Whether all that was known at the beginning has been told.
+    is_begun: bool,
+}
+
+/// What one process knows of requests under which endpoints ended.
+#[derive(Debug, Default)]
+pub struct Book {
+    cases: BTreeMap<Fingerprint, Case>,
+    held_back: usize,
+    stamp: u64,
+    swept: Duration,
+}
+
+impl Book {
+    /// Whether nothing is known at all.
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    /// Whether anything is known of requests with a head, so that the body matters.
+    pub fn knows(&self, head: HeadHash) -> bool {
+        self.cases.range(Fingerprint::all_of(head)).next().is_some()
+    }
+
+    /// How a request stands.
+    pub fn standing(&self, fingerprint: &Fingerprint) -> Standing {
+        let case = self.cases.get(fingerprint);
+        case.map_or(Standing::Clear, Case::standing)
+    }
+
+    /// The endpoints that have ended under a request.
+    pub fn ends(&self, fingerprint: &Fingerprint) -> &[End] {
+        let case = self.cases.get(fingerprint);
+        case.map_or(&[], |case| &case.ends)
+    }
+
+    /// How many requests are known, and how many of them are held back.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.cases.len(), self.held_back)
+    }
+
+    /// The requests that are held back, with the endpoints that ended under them.
+    pub fn held_back(&self) -> impl Iterator<Item = (&Fingerprint, &[End])> {
+        let cases = self.cases.iter().filter(|(_, case)| case.is_held_back());
+        cases.map(|(fingerprint, case)| (fingerprint, &case.ends[..]))
+    }
+
+    /// Notes that an endpoint ended under a request; how the request stands then.
+    pub fn ended(&mut self, fingerprint: Fingerprint, end: End, now: Duration) -> Standing {
+        self.sweep(now);
+        self.change(fingerprint, now, |case| case.add(end));
+        self.standing(&fingerprint)
+    }
+
+    /// Notes that a request was run to its end, or is taken back into service by an operator;
+    /// whether anything was known of it.
+    pub fn clear(&mut self, fingerprint: &Fingerprint, now: Duration) -> bool {
+        let is_open = |case: &Case| !case.ends.is_empty();
+        if !self.cases.get(fingerprint).is_some_and(is_open) {
+            return false;
+        }
+        self.change(*fingerprint, now, |case| {
+            case.clear();
+            true
+        });
+        true
+    }
+
+    /// Notes that a request came though it is held back.
+    pub fn came(&mut self, fingerprint: &Fingerprint, now: Duration) {
+        let Some(case) = self.cases.get_mut(fingerprint) else {
+            return;
+        };
+        case.touched = now;
+        if now < case.heard_at + HEARD {
+            return;
+        }
+        case.heard_at = now;
+        self.change(*fingerprint, now, |case| {
+            case.heard += 1;
+            true
+        });
+    }
+
+    /// Takes a row that was told; `own` if its teller tells this book alone, so that others have
+    /// to hear of it from here. Tells whether it was news.
+    pub fn merge(&mut self, row: Row, own: bool, now: Duration) -> bool {
+        self.sweep(now);
+        let fingerprint = row.fingerprint;
+        let before = self.stamp;
+        let here = self.cases.get(&fingerprint).map(|case| case.changed_here);
+        self.change(fingerprint, now, |case| case.merge(row));
+        let is_news = self.stamp > before;
+        if is_news && !own {
+            if let Some(case) = self.cases.get_mut(&fingerprint) {
+                case.changed_here = here.unwrap_or(0);
+            }
+        }
+        is_news
+    }
+
+    /// What one has to hear who was told so far, the oldest first; notes that it was told.
+    pub fn news(&self, told: &mut Told, part: Part) -> Vec<Row> {
+        let stamp = |case: &Case| match part {
+            Part::Own if told.is_begun => case.changed_here,
+            Part::Own | Part::Wide => case.changed,
+        };
+        let is_meant = |case: &Case| part == Part::Own || case.is_wide;
+        let cases = self.cases.iter();
+        let cases = cases.filter(|(_, case)| stamp(case) > told.stamp && is_meant(case));
+        let mut cases: Vec<_> = cases.collect();
+        cases.sort_unstable_by_key(|(_, case)| stamp(case));
+        let is_whole = cases.len() <= MOST_TOLD;
+        cases.truncate(MOST_TOLD);
+        let last = cases.last().map_or(told.stamp, |(_, case)| stamp(case));
+        *told = Told {
+            stamp: if is_whole { self.stamp } else { last },
+            is_begun: told.is_begun || is_whole,
+        };
+        let rows = cases.into_iter();
+        rows.map(|(fingerprint, case)| row(fingerprint, case))
+            .collect()
+    }
+
+    /// Changes a case, and notes when if it says that it did.
+    fn change(
+        &mut self,
+        fingerprint: Fingerprint,
+        now: Duration,
+        act: impl FnOnce(&mut Case) -> bool,
+    ) {
+        let known = self.cases.get(&fingerprint).cloned();
+        let was_held_back = known.as_ref().is_some_and(Case::is_held_back);
+        let mut case = known.unwrap_or_else(|| Case::new(now));
+        if !act(&mut case) {
+            return;
+        }
+        self.stamp += 1;
+        case.touched = now;
+        case.changed = self.stamp;
+        case.changed_here = self.stamp;
+        self.held_back += usize::from(case.is_held_back());
+        self.held_back -= usize::from(was_held_back);
+        self.cases.insert(fingerprint, case);
+        self.shrink();
+    }
+
+    /// Forgets what was not heard of for long.
+    fn sweep(&mut self, now: Duration) {
+        if now < self.swept + SWEEP {
+            return;
+        }
+        self.swept = now;
+        self.cases.retain(|_, case| now < case.touched + REMEMBERED);
+        self.count_held_back();
+    }
+
+    /// Keeps the book within its bounds. What is not held back makes no room for what is, nor
+    /// the other way round, so that no flood of either has a request forgotten that keeps coming.
+    fn shrink(&mut self) {
+        if self.cases.len() - self.held_back > MOST_OPEN {
+            self.forget_least(false, MOST_OPEN);
+        }
+        if self.held_back > MOST_HELD_BACK {
+            self.forget_least(true, MOST_HELD_BACK);
+        }
+    }
+
+    /// Forgets an eighth of those of a kind: the ones with the fewest ends, and of these the ones
+    /// that have not come for longest.
+    fn forget_least(&mut self, held_back: bool, most: usize) {
+        let cases = self.cases.iter();
+        let cases = cases.filter(|(_, case)| case.is_held_back() == held_back);
+        let rank = |(fingerprint, case): (&Fingerprint, &Case)| {
+            (case.ends.len(), case.touched, *fingerprint)
+        };
+        let mut ranked: Vec<_> = cases.map(rank).collect();
+        ranked.sort_unstable();
+        for (.., fingerprint) in ranked.into_iter().take(most / 8) {
+            self.cases.remove(&fingerprint);
+        }
+        self.count_held_back();
+    }
+
+    fn count_held_back(&mut self) {
+        let held_back = self.cases.values().filter(|case| case.is_held_back());
+        self.held_back = held_back.count();
+    }
+}
+
+fn row(fingerprint: &Fingerprint, case: &Case) -> Row {
+    Row {
+        fingerprint: *fingerprint,
+        ends: case.ends.clone(),
+        void: case.void.iter().copied().collect(),
+        heard: case.heard,
+    }
+}
--- /dev/null
+++ b/src/scalewood/core/crash/mod.rs
@@ -0,0 +1,96 @@
+//! Requests that end the endpoints that run them.
+//!
+//! Such a request comes again, at any box, and ends one endpoint after the other. What is known of
+//! it has to outlive its attempts and its box: each process keeps a [`Book`] of the requests under
+//! which endpoints ended, boxes tell their voters with the loads, voters tell each other and the
+//! boxes. A request under which [`MOST_ENDS`] endpoints have ended is held back by all boxes.
+//!
+//! Harmless requests run beside it and break with it. A request that was run to its end anywhere
+//! is cleared; one under which two endpoints have ended is tried apart from the others. Only what
+//! was there each time and never came to an end is held back.
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{fingerprint::Fingerprint, name, registry, rendezvous};
+
+mod book;
+
+pub use book::{Book, Part, Told, REMEMBERED};
+
+/// The ends of endpoints after which a request is held back. The third tells it apart: of those
+/// that ran beside it at two ends, few are at the third as well, since they are tried apart.
+pub const MOST_ENDS: usize = 3;
+/// The ends after which a request is tried apart from others.
+pub const APART: usize = 2;
+
+/// Names the end of one start of an endpoint, the same at all boxes that saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Id(u64);
+
+impl Id {
+    /// The end of a start, seen at a time of day that all agree on. The time tells ends apart of
+    /// an endpoint that tells no starts and has one name for all of them; boxes that see the same
+    /// end see it in the same second, but for one that falls on the border of two.
+    pub fn new(endpoint: &name::Endpoint, start: registry::Start, unix_ms: u64) -> Self {
+        const SECOND_MS: u64 = 1000;
+        let which = match start {
+            Some(start) => format!("start {}", start.0),
+            None => format!("second {}", unix_ms / SECOND_MS),
+        };
+        Self(rendezvous::hash(&[endpoint.as_str(), &which]))
+    }
+}
+
+/// An endpoint that ended under a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// Which end it was.
+    #[serde(rename = "i")]
+    pub id: Id,
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: name::Endpoint,
+    /// When, in milliseconds since the Unix epoch, for people.
+    #[serde(rename = "t")]
+    pub at_unix_ms: u64,
+}
+
+/// What is told of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The request.
+    #[serde(rename = "f")]
+    pub fingerprint: Fingerprint,
+    /// Ends that count no more, since it was run to its end after them.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub void: Vec<Id>,
+    /// The endpoints that have ended under it.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub ends: Vec<End>,
+    /// Rises while it keeps coming though it is held back.
+    #[serde(rename = "h", default)]
+    pub heard: u32,
+}
+
+/// How a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Fewer than two endpoints have ended under it.
+    Clear,
+    /// It is tried apart from others.
+    Apart,
+    /// It is sent to no endpoint.
+    HeldBack,
+}
+
+impl Standing {
+    /// How a request stands under which so many endpoints have ended.
+    pub fn of(ends: usize) -> Self {
+        match ends {
+            0..APART => Self::Clear,
+            APART..MOST_ENDS => Self::Apart,
+            _ => Self::HeldBack,
+        }
+    }
+}
--- a/src/scalewood/core/fingerprint.rs
+++ b/src/scalewood/core/fingerprint.rs
@@ -5,7 +5,7 @@
 //! the same at each arrival, at each box. The caller is a part of it, so nobody can send what
 //! counts as another team's request.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, ops::RangeInclusive, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
@@ -62,9 +62,12 @@
         }
     }
 
-    /// The hash of its head.
-    pub fn head(&self) -> HeadHash {
-        self.head
+    /// All fingerprints of requests with a head.
+    pub fn all_of(head: HeadHash) -> RangeInclusive<Self> {
+        Self { head, body: 0 }..=Self {
+            head,
+            body: u64::MAX,
+        }
     }
 
     /// A number that is the same for it in every process.
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -19,7 +19,7 @@
     Answer, Count, Load, Loaded, Loads, News, Outcome, Placement, Prompts, Risk,
 };
 use crate::core::{
-    name,
+    crash, name,
     risk::{self, Chance},
     warm_up,
 };
@@ -51,6 +51,8 @@
     sizes: BTreeMap<name::Class, u64>,
     /// The serial number of the next placement that it has to hear of.
     next: u64,
+    /// Up to where it has heard of requests under which endpoints have ended.
+    crashes: crash::Told,
     /// Its requests of late, fading.
     answered: f64,
     failed: f64,
@@ -65,6 +67,7 @@
             risks: BTreeMap::new(),
             sizes: BTreeMap::new(),
             next: 0,
+            crashes: crash::Told::default(),
             answered: 0.0,
             failed: 0.0,
         }
@@ -105,6 +108,8 @@
     prompts: Sizes,
     /// Requests that came and were refused, of which it has not heard.
     refused: Unheard,
+    /// Up to where it has heard of requests under which endpoints have ended.
+    crashes: crash::Told,
 }
 
 /// Where a shared beginning was placed, and who told.
@@ -141,6 +146,8 @@
     dropped: u64,
     /// Who may send to endpoints that warm up.
     leases: warm_up::Leases,
+    /// The requests under which endpoints have ended.
+    crashes: crash::Book,
 }
 
 impl Hub {
@@ -172,6 +179,7 @@
             link.refused.add(&told.refused);
         }
         self.note_stalled(now);
+        self.take_crashes(told.crashes, true, now);
         let news = News {
             loads: self.loads_for(from),
             placements: self.placements_for(from),
@@ -181,6 +189,7 @@
             refused: Vec::new(),
             bounds: self.refused.bounds(now),
             wanted: Vec::new(),
+            crashes: self.crashes_for(from),
         };
         let leased = self
             .leases
@@ -244,6 +253,7 @@
         self.note_outcomes(&told.outcomes, 1.0, now);
         self.sizes.add(&told.prompts);
         self.refused.add(&told.refused, now);
+        self.take_crashes(told.crashes, false, now);
         true
     }
 
@@ -275,10 +285,34 @@
             outcomes: outcomes.into_iter().map(outcome).collect(),
             prompts: link.prompts.take(),
             refused: link.refused.take(),
+            crashes: self.crashes.news(&mut link.crashes, crash::Part::Own),
             ..News::default()
         }
     }
 
+    /// The requests under which endpoints have ended.
+    pub fn crashes(&self) -> &crash::Book {
+        &self.crashes
+    }
+
+    /// The same, to change what is known of one.
+    pub fn crashes_mut(&mut self) -> &mut crash::Book {
+        &mut self.crashes
+    }
+
+    fn take_crashes(&mut self, rows: Vec<crash::Row>, own: bool, now: Duration) {
+        for row in rows {
+            self.crashes.merge(row, own, now);
+        }
+    }
+
+    fn crashes_for(&mut self, name: &name::Box) -> Vec<crash::Row> {
+        let Some(member) = self.members.get_mut(name) else {
+            return Vec::new();
+        };
+        self.crashes.news(&mut member.crashes, crash::Part::Wide)
+    }
+
     /// Forgets what another hub was told, since it can't be reached.
     pub fn unlink(&mut self, peer: &name::Box) {
         self.links.remove(peer);
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{name, prompt::Prefix, risk};
+use crate::core::{crash, name, prompt::Prefix, risk};
 
 mod hub;
 mod later;
@@ -250,6 +250,9 @@
     /// hubs.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub wanted: Vec<name::Endpoint>,
+    /// Requests under which endpoints have ended, as far as that has changed.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<crash::Row>,
 }
 
 impl News {
--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod claim;
 pub mod config;
 pub mod cordon;
+pub mod crash;
 pub mod difference;
 pub mod dispatch;
 pub mod estimate;
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -1,6 +1,7 @@
-//! Endpoints that end under requests: which of them, and under what content.
+//! Requests under which endpoints end: finding out, holding them back, and hearing of them.
 
 use std::{
+    collections::BTreeSet,
     io,
     net::SocketAddr,
     sync::{Arc, OnceLock},
@@ -13,12 +14,13 @@
 
 use crate::{
     core::{
-        attempt,
+        attempt, crash,
         fingerprint::{Fingerprint, Head, HeadHash},
         name, registry,
     },
     event,
-    ops::entry::Shared,
+    ops::entry::{now, Shared},
+    util::{clock::Clock as _, lock::lock},
 };
 
 /// How long an endpoint is waited for that broke off an answer: a port that nobody listens on
@@ -36,7 +38,8 @@
     host: String,
     target: String,
     body: Bytes,
-    /// Read from the body only once it is asked for.
+    /// Reckoned only once they are asked for.
+    head: OnceLock<HeadHash>,
     fingerprint: OnceLock<Fingerprint>,
 }
 
@@ -53,19 +56,23 @@
             host: host.to_owned(),
             target: target.to_owned(),
             body,
+            head: OnceLock::new(),
             fingerprint: OnceLock::new(),
         }))
     }
 
     fn head(&self) -> HeadHash {
         let sent = &self.0;
-        let head = Head {
-            team: sent.team.as_str(),
-            method: sent.method.as_str(),
-            host: &sent.host,
-            target: &sent.target,
+        let hash = || {
+            let head = Head {
+                team: sent.team.as_str(),
+                method: sent.method.as_str(),
+                host: &sent.host,
+                target: &sent.target,
+            };
+            HeadHash::of(&head, sent.body.len())
         };
-        HeadHash::of(&head, sent.body.len())
+        *sent.head.get_or_init(hash)
     }
 
     pub(super) fn fingerprint(&self) -> Fingerprint {
@@ -82,14 +89,98 @@
     pub(super) address: SocketAddr,
 }
 
-/// Finds out whether an endpoint that broke off a request has ended.
+/// Finds out whether an endpoint that broke off a request has ended, and notes it if so.
 pub(super) async fn note(board: &Shared, content: &Content, request: attempt::Request, at: &At) {
     if !has_ended(at.address).await {
         return;
     }
+    let fingerprint = content.fingerprint();
     event!(board.log, EndpointEnded, "endpoint" => %at.endpoint, "request" => %request,
-        "incarnation" => at.start.map(|start| start.0),
-        "fingerprint" => %content.fingerprint());
+        "incarnation" => at.start.map(|start| start.0), "fingerprint" => %fingerprint);
+    let now = now(board);
+    let unix_ms = lock(&board.wall).unix_ms(board.clock.unix_ms(), now);
+    let end = crash::End {
+        id: crash::Id::new(&at.endpoint, at.start, unix_ms),
+        endpoint: at.endpoint.clone(),
+        at_unix_ms: unix_ms,
+    };
+    change(board, |book| book.ended(fingerprint, end, now));
+}
+
+/// Takes what a voter tells of requests under which endpoints have ended.
+pub(super) fn take(board: &Shared, rows: Vec<crash::Row>) {
+    if rows.is_empty() {
+        return;
+    }
+    let now = now(board);
+    change(board, |book| {
+        for row in rows {
+            book.merge(row, false, now);
+        }
+    });
+}
+
+/// Notes that a request was run to its end. Most are never known of.
+pub(super) fn finished(board: &Shared, content: &Content) {
+    if is_known(board, content) {
+        let fingerprint = content.fingerprint();
+        let now = now(board);
+        change(board, |book| book.clear(&fingerprint, now));
+    }
+}
+
+/// How a request stands now.
+pub(super) fn standing(board: &Shared, content: &Content) -> crash::Standing {
+    if !is_known(board, content) {
+        return crash::Standing::Clear;
+    }
+    let fingerprint = content.fingerprint();
+    lock(&board.crashes).standing(&fingerprint)
+}
+
+/// Whether a request is held back; notes that it came if so.
+pub(super) fn is_held_back(board: &Shared, content: &Content) -> bool {
+    let is_held_back = standing(board, content) == crash::Standing::HeldBack;
+    if is_held_back {
+        let now = now(board);
+        lock(&board.crashes).came(&content.fingerprint(), now);
+    }
+    is_held_back
+}
+
+/// Whether anything may be known of a request. Its body is read only then: reading one of 4 MiB
+/// takes some 10 ms of a core, and nothing is known of almost all.
+fn is_known(board: &Shared, content: &Content) -> bool {
+    if lock(&board.crashes).is_empty() {
+        return false;
+    }
+    let head = content.head();
+    lock(&board.crashes).knows(head)
+}
+
+/// Changes what is known; logs the requests that are held back from then on, and wakes those that
+/// wait if there are any.
+fn change<T>(board: &Shared, act: impl FnOnce(&mut crash::Book) -> T) {
+    let mut book = lock(&board.crashes);
+    let before: BTreeSet<_> = book.held_back().map(|(known, _)| *known).collect();
+    act(&mut book);
+    let news = book
+        .held_back()
+        .filter(|(known, _)| !before.contains(known));
+    let news: Vec<_> = news.map(|(known, ends)| (*known, ends.to_vec())).collect();
+    let (_, count) = book.counts();
+    drop(book);
+    let metric = i64::try_from(count).unwrap_or(i64::MAX);
+    board.metrics.held_back.set(metric);
+    for (fingerprint, ends) in &news {
+        let end = |end: &crash::End| format!("{}@{}", end.endpoint, end.at_unix_ms);
+        let ends: Vec<_> = ends.iter().map(end).collect();
+        event!(board.log, RequestHeldBack, "fingerprint" => %fingerprint,
+            "ends" => ends.join(" "));
+    }
+    if !news.is_empty() {
+        board.held_back.send_modify(|changes| *changes += 1);
+    }
 }
 
 /// Whether nobody listens at an address. An endpoint that broke off one answer and goes on
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -9,10 +9,10 @@
 use jsonrpsee::ws_client::WsClient;
 
 use crate::{
-    core::{dispatch, load, name, usage, warm_up},
+    core::{crash::Part, crash::Told, dispatch, load, name, usage, warm_up},
     event,
     ops::entry::{
-        desk,
+        crash, desk,
         directory::{Followed, Voter},
         now, Shared,
     },
@@ -56,6 +56,8 @@
     bounds: Vec<load::Bound>,
     /// What the voter knows of this box's usage.
     counted: BTreeMap<usage::Window, usage::Counts>,
+    /// Up to where the voter knows of requests under which endpoints have ended.
+    crashes: Told,
 }
 
 impl Partner {
@@ -69,6 +71,7 @@
             others: load::Loads::new(),
             bounds: Vec::new(),
             counted: BTreeMap::new(),
+            crashes: Told::default(),
         }
     }
 
@@ -119,6 +122,7 @@
         let anew = self.voter.is_none();
         count_precedence(&self.board);
         let own = own_loads(&self.board);
+        let mut crashes = self.crashes;
         let told = load::News {
             loads: load::difference(&self.told, &own),
             placements: taken(&self.board, dispatch::Dispatcher::take_placements),
@@ -130,6 +134,7 @@
             } else {
                 Vec::new()
             },
+            crashes: lock(&self.board.crashes).news(&mut crashes, Part::Own),
             ..load::News::default()
         };
         let counted = lock(&self.board.usage).windows().clone();
@@ -147,6 +152,7 @@
                 self.voter = Some(voter);
                 self.told = own;
                 self.counted = counted;
+                self.crashes = crashes;
                 self.boxes = answer.load.boxes;
                 let answered = now(&self.board);
                 lock(&self.board.wall).note(answer.unix_ms, asked, answered);
@@ -179,6 +185,7 @@
             self.tell(&dispatch::Input::Risks(news.risks));
         }
         self.bound(news.bounds);
+        crash::take(&self.board, news.crashes);
         if news.loads.is_empty() && !anew {
             return;
         }
@@ -223,6 +230,7 @@
         self.told.clear();
         self.others.clear();
         self.counted.clear();
+        self.crashes = Told::default();
     }
 
     fn tell(&self, input: &dispatch::Input) {
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -186,6 +186,7 @@
                 &zone,
                 &self.call.source,
                 ask.clone(),
+                &self.call.content,
             );
             let endpoint = match turn.wait().await {
                 Got::Granted(endpoint) => endpoint,
@@ -198,6 +199,7 @@
                         })
                         .await;
                 }
+                Got::HeldBack => return self.fail(Refusal::held_back(past.verdict)).await,
             };
             let attempt = turn.attempt();
             let ended = self.attempt(&mut turn, &endpoint).await;
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -191,6 +191,7 @@
             &call.zone(board),
             &call.source,
             ask.clone(),
+            &call.content,
         );
         let endpoint = match turn.wait().await {
             Got::Granted(endpoint) => endpoint,
@@ -202,6 +203,11 @@
                 observer.refused(&refusal);
                 return Err(refusal);
             }
+            Got::HeldBack => {
+                let refusal = Refusal::held_back(sofar);
+                observer.refused(&refusal);
+                return Err(refusal);
+            }
         };
         let attempt = turn.attempt();
         if claimed.is_some_and(|claim| !claim.is_fresh()) {
--- a/src/scalewood/ops/entry/reply.rs
+++ b/src/scalewood/ops/entry/reply.rs
@@ -8,7 +8,10 @@
 use hyper::{header, Response, StatusCode};
 use serde::Serialize;
 
-use crate::{core::verdict, ops::entry::body::Answer};
+use crate::{
+    core::{crash, verdict},
+    ops::entry::body::Answer,
+};
 
 /// The header that carries the verdict.
 pub(super) const VERDICT: &str = "scalewood-verdict";
@@ -67,6 +70,25 @@
         }
     }
 
+    /// The answer to a request under which endpoints end. 429 says that it is this caller's
+    /// request that has used up what it may, not that the system is busy, and most clients leave it
+    /// alone until the time named. What ran before can't be refused as not run.
+    pub(super) fn held_back(verdict: verdict::Verdict) -> Self {
+        let status = match verdict {
+            verdict::Verdict::NotRun => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::BAD_GATEWAY,
+        };
+        Self {
+            status,
+            code: "ends-endpoints",
+            message: "several endpoints have ended under this request; do not send it again, or \
+                      ask an operator to take it back into service"
+                .into(),
+            verdict,
+            retry_after: Some(crash::REMEMBERED),
+        }
+    }
+
     /// Whole seconds to come back after, rounded up, at least one.
     fn seconds(&self) -> Option<u64> {
         self.retry_after
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -237,6 +237,7 @@
             &zone,
             &self.routed.call.source,
             self.ask.clone(),
+            &self.routed.call.content,
         );
         match self.in_time(turn.wait()).await {
             Some(Got::Granted(endpoint)) => {
@@ -247,6 +248,7 @@
             Some(Got::Shed(reason, retry)) => {
                 Err(self.refuse(&reply::shed(reason, retry, self.verdict)))
             }
+            Some(Got::HeldBack) => Err(self.refuse(&Refusal::held_back(self.verdict))),
             None => {
                 let shed = reply::shed(dispatch::Reason::Deadline, MIN_PATIENCE, self.verdict);
                 Err(self.refuse(&shed))
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -11,7 +11,7 @@
     board::entry::Ticket,
     core::{attempt, dispatch, name, residency, unit},
     event,
-    ops::entry::{desk, now, Shared},
+    ops::entry::{crash, desk, now, Shared},
     util::lock::lock,
 };
 
@@ -22,6 +22,8 @@
     Granted(name::Endpoint),
     /// It is shed, and may come back after the time given.
     Shed(dispatch::Reason, Duration),
+    /// Endpoints end under it, so it is sent to none.
+    HeldBack,
 }
 
 /// How long after its deadline a request waits for a dispatcher to say so.
@@ -33,6 +35,7 @@
     board: Shared,
     attempt: attempt::Attempt,
     orders: mpsc::UnboundedReceiver<dispatch::Order>,
+    content: crash::Content,
     /// When it is given up on here, if no dispatcher answers.
     until: Duration,
     state: State,
@@ -56,6 +59,7 @@
         zone: &name::Zone,
         source: &residency::Source,
         ask: dispatch::Ask,
+        content: &crash::Content,
     ) -> Self {
         let now = now(board);
         // The configuration in force binds each attempt, not the one that the request met.
@@ -89,6 +93,7 @@
             board,
             attempt,
             orders,
+            content: content.clone(),
             until,
             state: State::Waiting,
             tokens: unit::Tokens(0),
@@ -98,9 +103,17 @@
 
     /// Waits for a slot, or for being shed.
     pub(super) async fn wait(&mut self) -> Got {
+        let mut held_back = self.board.held_back.subscribe();
         loop {
+            if crash::is_held_back(&self.board, &self.content) {
+                self.leave(|attempt, _| dispatch::Report::Withdraw(attempt));
+                return Got::HeldBack;
+            }
             let left = self.until.saturating_sub(now(&self.board));
-            let order = tokio::time::timeout(left, self.orders.recv()).await;
+            let order = tokio::select! {
+                order = tokio::time::timeout(left, self.orders.recv()) => order,
+                _ = held_back.changed() => continue,
+            };
             let Ok(Some(order)) = order else {
                 // No dispatcher was reached in time.
                 self.leave(|attempt, _| dispatch::Report::Withdraw(attempt));
@@ -128,15 +141,17 @@
         }
     }
 
-    /// Whether the request may be sent to an endpoint by the configuration in force.
+    /// Whether the request may be sent to an endpoint now, by the configuration in force and by
+    /// what is known of it.
     pub(super) fn permits(&self, endpoint: &name::Endpoint) -> bool {
-        permits(&self.board, self.attempt, endpoint)
+        self.permission(endpoint)()
     }
 
     /// Asks the same later on, while the turn itself is in use.
     pub(super) fn permission(&self, endpoint: &name::Endpoint) -> impl Fn() -> bool + use<> {
         let (board, attempt, endpoint) = (self.board.clone(), self.attempt, endpoint.clone());
-        move || permits(&board, attempt, &endpoint)
+        let content = self.content.clone();
+        move || permits(&board, attempt, &endpoint) && !crash::is_held_back(&board, &content)
     }
 
     /// Gives back a grant at an endpoint that the request may not be sent to: since it was
@@ -257,6 +272,9 @@
 
     /// Gives the slot back.
     pub(super) fn end(mut self, end: dispatch::End) {
+        if end == dispatch::End::Done {
+            crash::finished(&self.board, &self.content);
+        }
         self.leave(|attempt, tokens| dispatch::Report::End(attempt, end, tokens));
     }
 
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -137,6 +137,8 @@
     pub cordoned: Gauge,
     /// Grants that were not used since their endpoint's zone was cordoned meanwhile.
     pub cordon_declined: Counter,
+    /// Requests that are held back, since endpoints end under them.
+    pub held_back: Gauge,
     /// Whether this process takes new work.
     pub ready: Gauge,
     breaches: Family<RuleLabel, Gauge<f64, AtomicU64>>,
@@ -165,6 +167,7 @@
             behind: Gauge::default(),
             cordoned: Gauge::default(),
             cordon_declined: Counter::default(),
+            held_back: Gauge::default(),
             ready: Gauge::default(),
             breaches: Family::default(),
         };
@@ -252,6 +255,11 @@
             "Grants not used since their zone was cordoned meanwhile",
             self.cordon_declined.clone(),
         );
+        r.register(
+            "held_back_requests",
+            "Requests held back since endpoints end under them",
+            self.held_back.clone(),
+        );
         r.register("ready", "Whether new work is taken", self.ready.clone());
         r.register(
             "invariant_breaches",
--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -98,19 +98,30 @@
     tokio::time::timeout(within, exchange).await.ok().flatten()
 }
 
-/// Sends harmless requests, twenty a second, each with a body of its own; how many were answered
-/// whole, of how many.
-async fn send_harmless(boxes: Vec<std::net::SocketAddr>, until: Instant) -> (usize, usize) {
+/// Harmless requests: by turns to these paths, so many a second.
+#[derive(Clone, Copy)]
+struct Load {
+    paths: &'static [&'static str],
+    a_second: u32,
+}
+
+/// Sends harmless requests, each with a body of its own; how many were answered whole, of how
+/// many.
+async fn send_harmless(
+    boxes: Vec<std::net::SocketAddr>,
+    load: Load,
+    until: Instant,
+) -> (usize, usize) {
     let mut rng = SmallRng::seed_from_u64(5);
     let mut sent = Vec::new();
     while Instant::now() < until {
         let callers = boxes[rng.random_range(0..boxes.len())];
         let number = sent.len();
         sent.push(tokio::spawn(async move {
-            let path = ["/safe/h", "/sresume/h"][number % 2];
+            let path = load.paths[number % load.paths.len()];
             send(callers, path, &format!("harmless {number}")).await
         }));
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::time::sleep(Duration::from_secs(1) / load.a_second).await;
     }
     let mut served = 0;
     let count = sent.len();
@@ -138,6 +149,20 @@
     found.map(|(fingerprint, _)| fingerprint).collect()
 }
 
+/// The fingerprints that any box holds back, by its log.
+fn held_back(dir: &std::path::Path) -> BTreeSet<String> {
+    let mut all = BTreeSet::new();
+    for i in 1..=BOXES {
+        let log = std::fs::read_to_string(dir.join(format!("e{i}.log"))).unwrap();
+        let lines = log.lines().filter(|line| line.contains("\"event\":3314"));
+        for line in lines {
+            let line: serde_json::Value = serde_json::from_str(line).unwrap();
+            all.insert(line["fingerprint"].as_str().unwrap().to_owned());
+        }
+    }
+    all
+}
+
 /// Endpoints of one service ended in groups, some hundred milliseconds apart, while nothing else
 /// was disturbed: thirty-five within twenty seconds, of nine. Each came back after some seconds, and
 /// what it had run broke off, at all boxes.
@@ -155,7 +180,11 @@
     let site = Site::start(3, 12, Duration::from_secs(2), dir.path()).await;
     let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
     let until = Instant::now() + Duration::from_secs(20);
-    let harmless = tokio::spawn(send_harmless(callers.clone(), until));
+    let load = Load {
+        paths: &["/safe/h", "/sresume/h"],
+        a_second: 20,
+    };
+    let harmless = tokio::spawn(send_harmless(callers.clone(), load, until));
     let mut rng = SmallRng::seed_from_u64(1);
     let mut sent = Vec::new();
     while Instant::now() < until {
@@ -182,3 +211,37 @@
     assert!(late <= MOST_LATE, "{told}");
     assert!(served * 100 >= count * 99, "{told}");
 }
+
+/// Where endpoints are busy, dozens of harmless requests break with each end, are tried again side
+/// by side with the one that ends them, and may break once more. They are not taken for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn harmless_requests_that_break_with_it_again_and_again_are_not_held_back() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(1, 9, Duration::from_secs(3), dir.path()).await;
+    let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
+    let until = Instant::now() + Duration::from_secs(12);
+    let load = Load {
+        paths: &["/sresume/long"],
+        a_second: 50,
+    };
+    let harmless = tokio::spawn(send_harmless(callers.clone(), load, until));
+    let mut rng = SmallRng::seed_from_u64(2);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let mut sent = Vec::new();
+    while Instant::now() < until {
+        let callers = callers[rng.random_range(0..BOXES)];
+        sent.push(tokio::spawn(async move {
+            send(callers, "/sresume/crash", "crash always").await
+        }));
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+    for task in sent {
+        assert_ne!(task.await.unwrap(), Some(200));
+    }
+    let (served, count) = harmless.await.unwrap();
+    let ended = site.seen.ended("crash always");
+    let told = format!("{ended} endpoints ended, {served} of {count} harmless requests served");
+    println!("{told}");
+    assert_eq!(ended, 3, "{told}");
+    assert_eq!(held_back(dir.path()).len(), 1, "{told}");
+}
--- /dev/null
+++ b/tests/testsuite/crash_book.rs
@@ -0,0 +1,308 @@
+//! What is known of requests under which endpoints end, over boxes and voters, without a network.
+
+use std::time::Duration;
+
+use scalewood::core::{
+    crash::{Book, End, Id, Part, Row, Standing, Told, MOST_ENDS, REMEMBERED},
+    fingerprint::{Fingerprint, Head, HeadHash},
+    load::{Hub, News},
+    name,
+};
+
+const NOW: Duration = Duration::from_secs(1000);
+
+fn fingerprint(team: &str, body: &str) -> Fingerprint {
+    let head = Head {
+        team,
+        method: "POST",
+        host: "a.example",
+        target: "/p/",
+    };
+    Fingerprint::of(HeadHash::of(&head, body.len()), body.as_bytes())
+}
+
+fn end(endpoint: &str) -> End {
+    let endpoint: name::Endpoint = endpoint.parse().unwrap();
+    End {
+        id: Id::new(&endpoint, None, 5_000),
+        endpoint,
+        at_unix_ms: 5_000,
+    }
+}
+
+/// A book that knows of so many ends under a request.
+fn book(fingerprint: Fingerprint, ends: usize) -> Book {
+    let mut book = Book::default();
+    for i in 0..ends {
+        book.ended(fingerprint, end(&format!("i-{i}")), NOW);
+    }
+    book
+}
+
+fn rows(book: &Book) -> Vec<Row> {
+    book.news(&mut Told::default(), Part::Own)
+}
+
+#[test]
+fn a_request_is_the_same_by_path_caller_and_body_alone() {
+    let one = fingerprint("shop", "body");
+    assert_eq!(one, fingerprint("shop", "body"));
+    assert_ne!(one, fingerprint("other", "body"));
+    assert_ne!(one, fingerprint("shop", "bodY"));
+    assert_eq!(one.to_string().parse(), Ok(one));
+    for wrong in ["", "0-0", "+000000000000000-0000000000000000"] {
+        assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
+    }
+    // No part of a head runs over into the next.
+    let head = |team, method| Head {
+        team,
+        method,
+        host: "",
+        target: "",
+    };
+    assert_ne!(
+        HeadHash::of(&head("ab", "c"), 0),
+        HeadHash::of(&head("a", "bc"), 0)
+    );
+}
+
+#[test]
+fn the_third_end_holds_a_request_back_and_the_second_sets_it_apart() {
+    let one = fingerprint("shop", "body");
+    let standings: Vec<_> = (0..=MOST_ENDS)
+        .map(|n| book(one, n).standing(&one))
+        .collect();
+    let (clear, apart) = (Standing::Clear, Standing::Apart);
+    assert_eq!(standings, [clear, clear, apart, Standing::HeldBack]);
+    // The same end, told twice, counts once.
+    let mut twice = book(one, 2);
+    assert_eq!(twice.ended(one, end("i-1"), NOW), apart);
+}
+
+#[test]
+fn books_agree_in_whatever_order_and_however_often_rows_are_merged() {
+    let one = fingerprint("shop", "body");
+    let mut left = book(one, 2);
+    let mut right = Book::default();
+    right.ended(one, end("i-7"), NOW);
+    for _ in 0..2 {
+        for row in rows(&left) {
+            right.merge(row, true, NOW);
+        }
+        for row in rows(&right) {
+            left.merge(row, true, NOW);
+        }
+    }
+    assert_eq!(left.standing(&one), Standing::HeldBack);
+    assert_eq!(right.standing(&one), Standing::HeldBack);
+    // What comes round again is no news.
+    for row in rows(&left) {
+        assert!(!right.merge(row, true, NOW));
+    }
+}
+
+#[test]
+fn a_finished_run_clears_a_request_everywhere_also_against_rows_that_come_late() {
+    let one = fingerprint("shop", "body");
+    let late = rows(&book(one, 2));
+    let mut book = book(one, 2);
+    assert!(book.clear(&one, NOW));
+    assert!(!book.clear(&one, NOW), "nothing is left to be cleared");
+    let mut other = Book::default();
+    for row in late.iter().chain(&rows(&book)).chain(&late) {
+        other.merge(row.clone(), true, NOW);
+    }
+    assert_eq!(other.standing(&one), Standing::Clear);
+    // What ends after that counts anew.
+    for name in ["i-7", "i-8", "i-9"] {
+        other.ended(one, end(name), NOW);
+    }
+    assert_eq!(other.standing(&one), Standing::HeldBack);
+}
+
+#[test]
+fn a_request_that_keeps_coming_stays_held_back_everywhere_and_one_that_does_not_is_forgotten() {
+    let one = fingerprint("shop", "body");
+    let mut here = book(one, 3);
+    let mut there = Book::default();
+    let mut told = Told::default();
+    let mut now = NOW;
+    for _ in 0..100 {
+        now += Duration::from_secs(20);
+        here.came(&one, now);
+        for row in here.news(&mut told, Part::Own) {
+            there.merge(row, false, now);
+        }
+        // Another request, so that old ones are looked for.
+        there.ended(fingerprint("shop", "other"), end("i-1"), now);
+        assert_eq!(there.standing(&one), Standing::HeldBack);
+    }
+    now += REMEMBERED;
+    there.ended(fingerprint("shop", "other"), end("i-2"), now);
+    assert_eq!(there.standing(&one), Standing::Clear);
+}
+
+#[test]
+fn a_flood_of_either_kind_neither_fills_memory_nor_has_one_forgotten_that_keeps_coming() {
+    let one = fingerprint("shop", "body");
+    let mut book = book(one, 3);
+    for i in 0..6000 {
+        let now = NOW + Duration::from_millis(i);
+        let flood = fingerprint("attacker", &i.to_string());
+        for n in 0..=(i % 3) {
+            book.ended(flood, end(&format!("f-{i}-{n}")), now);
+        }
+        book.came(&one, now);
+    }
+    let (known, held_back) = book.counts();
+    assert!(known <= 4096 + 1024, "{known}");
+    assert!(held_back <= 1024, "{held_back}");
+    assert_eq!(book.standing(&one), Standing::HeldBack);
+}
+
+/// Three zones with a hub each, and a box at each hub.
+struct Zones {
+    hubs: Vec<Hub>,
+    boxes: Vec<(Book, Told, bool)>,
+    now: Duration,
+}
+
+impl Zones {
+    fn new() -> Self {
+        Self {
+            hubs: (0..3).map(|_| Hub::default()).collect(),
+            boxes: (0..3)
+                .map(|_| (Book::default(), Told::default(), true))
+                .collect(),
+            now: NOW,
+        }
+    }
+
+    fn hub_name(i: usize) -> name::Box {
+        format!("c{i}").parse().unwrap()
+    }
+
+    /// One round of exchanges over links that are up: boxes with hubs, then hubs with each other.
+    fn round(&mut self, up: impl Fn(usize, usize) -> bool) {
+        self.now += Duration::from_millis(100);
+        let now = self.now;
+        for (i, (book, told, anew)) in self.boxes.iter_mut().enumerate() {
+            let name = format!("e{i}").parse().unwrap();
+            let news = News {
+                crashes: book.news(told, Part::Own),
+                ..News::default()
+            };
+            let answer = self.hubs[i].exchange(&name, *anew, news, now);
+            *anew = false;
+            for row in answer.news.crashes {
+                book.merge(row, false, now);
+            }
+        }
+        for from in 0..3 {
+            for to in (0..3).filter(|to| *to != from) {
+                let (a, b) = (Self::hub_name(from), Self::hub_name(to));
+                if !up(from, to) {
+                    self.hubs[from].unlink(&b);
+                    continue;
+                }
+                let mut news = self.hubs[from].news_for(&b, false, now);
+                if !self.hubs[to].take(&a, false, news, now) {
+                    news = self.hubs[from].news_for(&b, true, now);
+                    self.hubs[to].take(&a, true, news, now);
+                }
+            }
+        }
+    }
+
+    fn standings(&self, one: &Fingerprint) -> Vec<Standing> {
+        let boxes = self.boxes.iter();
+        boxes.map(|(book, ..)| book.standing(one)).collect()
+    }
+}
+
+#[test]
+fn ends_that_three_boxes_saw_one_each_hold_a_request_back_at_all_of_them() {
+    let one = fingerprint("shop", "body");
+    let mut zones = Zones::new();
+    zones.round(|_, _| true);
+    for i in 0..3 {
+        let now = zones.now;
+        zones.boxes[i].0.ended(one, end(&format!("i-{i}")), now);
+    }
+    // Told, passed on and heard: three rounds of a tenth of a second.
+    for _ in 0..3 {
+        zones.round(|_, _| true);
+    }
+    assert_eq!(zones.standings(&one), [Standing::HeldBack; 3]);
+}
+
+#[test]
+fn what_was_learnt_during_a_cut_is_known_everywhere_after_it_and_to_a_box_that_starts() {
+    let one = fingerprint("shop", "body");
+    let mut zones = Zones::new();
+    zones.round(|_, _| true);
+    let cut = |from: usize, to: usize| from != 2 && to != 2;
+    for i in 0..3 {
+        let now = zones.now;
+        zones.boxes[0].0.ended(one, end(&format!("i-{i}")), now);
+    }
+    for _ in 0..5 {
+        zones.round(cut);
+    }
+    let standings = zones.standings(&one);
+    assert_eq!(standings[..2], [Standing::HeldBack; 2]);
+    assert_eq!(standings[2], Standing::Clear, "it is cut off");
+    zones.boxes[1] = (Book::default(), Told::default(), true);
+    // Behind the cut a voter has lost all that it knew, and its box with it.
+    zones.hubs[2] = Hub::default();
+    zones.boxes[2] = (Book::default(), Told::default(), true);
+    for _ in 0..3 {
+        zones.round(|_, _| true);
+    }
+    assert_eq!(zones.standings(&one), [Standing::HeldBack; 3]);
+}
+
+#[test]
+fn a_voter_that_lost_all_learns_it_again_from_its_boxes() {
+    let one = fingerprint("shop", "body");
+    let mut zones = Zones::new();
+    for i in 0..3 {
+        let now = zones.now;
+        zones.boxes[0].0.ended(one, end(&format!("i-{i}")), now);
+    }
+    for _ in 0..3 {
+        zones.round(|_, _| true);
+    }
+    for hub in &mut zones.hubs {
+        *hub = Hub::default();
+    }
+    for (_, told, anew) in &mut zones.boxes {
+        (*told, *anew) = (Told::default(), true);
+    }
+    zones.boxes[1].0 = Book::default();
+    for _ in 0..3 {
+        zones.round(|_, _| true);
+    }
+    assert_eq!(zones.standings(&one), [Standing::HeldBack; 3]);
+}
+
+/// A zone's loss ends many endpoints at once, each under many requests. Nothing of it holds a
+/// request back, and boxes hear of none of these.
+#[test]
+fn a_whole_group_of_endpoints_that_is_lost_convicts_nobody() {
+    let mut zones = Zones::new();
+    zones.round(|_, _| true);
+    for i in 0..900 {
+        let now = zones.now;
+        let lost = fingerprint("shop", &i.to_string());
+        let endpoint = end(&format!("i-{}", i / 30));
+        zones.boxes[i % 3].0.ended(lost, endpoint, now);
+    }
+    for _ in 0..10 {
+        zones.round(|_, _| true);
+    }
+    for (book, ..) in &zones.boxes {
+        assert_eq!(book.counts(), (300, 0), "only its own, and none held back");
+    }
+    assert_eq!(zones.hubs[0].crashes().counts(), (900, 0));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod control;
 mod cordon;
 mod crash;
+mod crash_book;
 mod events;
 mod explain;
 mod failure;
--- a/tests/testsuite/support/crashing.rs
+++ b/tests/testsuite/support/crashing.rs
@@ -32,6 +32,8 @@
 const CRASH_AFTER: Duration = Duration::from_millis(60);
 /// Events of a stream, and the time between two.
 pub(crate) const EVENTS: usize = 6;
+/// Events of a stream whose path says that it is long.
+const EVENTS_OF_LONG: usize = 100;
 const PAUSE: Duration = Duration::from_millis(10);
 /// How often an endpoint announces itself.
 const HEARTBEAT: Duration = Duration::from_millis(500);
@@ -182,7 +184,7 @@
     let after = parts.headers.get("last-event-id").cloned();
     let mut response = if parts.uri.path().starts_with("/sresume") {
         let first = after.map_or(0, |id| id.to_str().unwrap().parse::<usize>().unwrap() + 1);
-        events(first)
+        events(first, parts.uri.path())
     } else {
         tokio::time::sleep(PAUSE * u32::try_from(EVENTS).unwrap()).await;
         let whole = Full::new(Bytes::from("well")).map_err(|never| match never {});
@@ -194,9 +196,14 @@
     response
 }
 
-fn events(first: usize) -> Response<Body> {
-    let pieces = futures_util::stream::unfold(first, |number| async move {
-        if number >= EVENTS {
+fn events(first: usize, path: &str) -> Response<Body> {
+    let count = if path.ends_with("/long") {
+        EVENTS_OF_LONG
+    } else {
+        EVENTS
+    };
+    let pieces = futures_util::stream::unfold(first, move |number| async move {
+        if number >= count {
             return None;
         }
         tokio::time::sleep(PAUSE).await;
