--- a/src/scalewood/util/clock.rs
+++ b/src/scalewood/util/clock.rs
@@ -20,7 +20,7 @@
 impl System {
     /// How far the time lies ahead of the process's start. A request's age may be
     /// more than the process's, and its arrival must still be a valid time.
-    const HEAD_START: Duration = Duration::from_secs(24 * 3600);
+    pub const HEAD_START: Duration = Duration::from_secs(24 * 3600);
 }
 
 impl Default for System {
--- /dev/null
+++ b/tests/testsuite/clock.rs
@@ -0,0 +1,26 @@
+//! The machine's clock.
+
+use std::time::Duration;
+
+use scalewood::util::clock::{Clock as _, System};
+
+/// A machine that was suspended wakes with leases, beliefs and deadlines that are as old as they
+/// are, by the time of the others. The clock that all of them are reckoned by therefore counts the
+/// time of a suspension, as the kernel's own account of the time since boot does.
+#[test]
+fn the_machines_clock_counts_the_time_that_it_was_suspended() {
+    let uptime = || {
+        let text = std::fs::read_to_string("/proc/uptime").unwrap();
+        let seconds = text.split_whitespace().next().unwrap();
+        Duration::from_secs_f64(seconds.parse().unwrap())
+    };
+    let clock = System::default();
+    let (before, now, after) = (uptime(), clock.now(), uptime());
+    let since_boot = now.checked_sub(System::HEAD_START).unwrap();
+    // The kernel tells whole hundredths of a second.
+    let slack = Duration::from_millis(20);
+    assert!(
+        before <= since_boot + slack && since_boot <= after + slack,
+        "{since_boot:?} is not between {before:?} and {after:?}"
+    );
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod chaos;
 mod ci;
+mod clock;
 mod control;
 mod cordon;
 mod crash;
