The machine's clock counts suspensions

Cause: `clock::System` stood on the steady clock, which stands still while a machine is suspended. Class: an age or a lease that is reckoned by a clock which others don't share. A woken process finds the gap as one that was stopped does. clippy refuses the steady clock in the library from now on.

Ruled out: a wall clock (it jumps).

--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -3,6 +3,9 @@
 //! `cargo bench --bench capacity`. Each slope is a fit (least squares) over several
 //! sizes in one run; names as arguments pick some of the parts.
 
+// Nothing here outlasts a suspension of the machine.
+#![allow(clippy::disallowed_methods)]
+
 #[path = "../../tests/testsuite/support/mod.rs"]
 #[expect(
     dead_code,
--- a/benches/decisions/main.rs
+++ b/benches/decisions/main.rs
@@ -5,6 +5,9 @@
 //! reports, our dispatchers, and the same with known output lengths. All four see
 //! the same requests and faults. Names of services as arguments pick some.
 
+// Nothing here outlasts a suspension of the machine.
+#![allow(clippy::disallowed_methods)]
+
 use std::time::Duration;
 
 use scalewood::core::dispatch;
--- a/benches/entry/main.rs
+++ b/benches/entry/main.rs
@@ -4,6 +4,9 @@
 //! `cargo bench --bench entry`. Only the ratios and differences within a run mean
 //! something; the machine is shared.
 
+// Nothing here outlasts a suspension of the machine.
+#![allow(clippy::disallowed_methods)]
+
 #[path = "../../tests/testsuite/support/mod.rs"]
 #[expect(
     dead_code,
--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -4,6 +4,9 @@
 //! It sends real requests and prints the streamed answer, a plain service's answer,
 //! the audit trail and the status; then it stops all processes cleanly.
 
+// Nothing here outlasts a suspension of the machine.
+#![allow(clippy::disallowed_methods)]
+
 #[path = "../../tests/testsuite/support/mod.rs"]
 #[expect(
     dead_code,
--- a/src/bin/scalewood-standin/main.rs
+++ b/src/bin/scalewood-standin/main.rs
@@ -5,6 +5,9 @@
 //! cancellation, a lagging load report, and faults on demand under `/standin/`.
 //! Answers follow from the prompt alone, so that a caller can check every piece.
 
+// Nothing here outlasts a suspension of the machine.
+#![allow(clippy::disallowed_methods)]
+
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
 
 use clap::{builder::PossibleValuesParser, value_parser, Arg, ArgMatches, Command};
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -295,7 +295,7 @@
     if settings.unattended {
         initialise_unattended(&settings, &log)?;
     }
-    let clock = clock::System::default();
+    let clock = clock::System;
     let folder = open_folder(&settings)?;
     let node = identity::read(&folder, &settings.name).change_context(Error)?;
     let opened = journal::Journal::open(folder).change_context(Error)?;
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -299,7 +299,7 @@
         // jumps, back too, so it can't tell one start from another.
         incarnation: unit::Incarnation::default(),
     };
-    let clock = clock::System::default();
+    let clock = clock::System;
     let board = Board::new(
         own,
         clock,
--- a/src/scalewood/util/clock.rs
+++ b/src/scalewood/util/clock.rs
@@ -1,10 +1,13 @@
 //! The clock, as an interface, so that tests and benchmarks can pass their own.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use nix::time::ClockId;
 
 /// Tells the time.
 pub trait Clock: Clone + Send + Sync + 'static {
-    /// The time since some fixed point of this process; never goes back.
+    /// The time since some fixed point. It never goes back, is not set by anybody, and counts the
+    /// time for which the process was stopped or its machine suspended.
     fn now(&self) -> Duration;
 
     /// Milliseconds since the Unix epoch; may jump.
@@ -12,28 +15,26 @@
 }
 
 /// The machine's clock.
-#[derive(Clone, Copy, Debug)]
-pub struct System {
-    start: Instant,
-}
+///
+/// It counts from the machine's boot. The usual steady clock stands still while the machine is
+/// suspended: a lease would then outlast its time by the others' clocks, and what was heard before
+/// would be taken for fresh. Timers go by the steady clock and ring late after a suspension, as
+/// they do in a process that was stopped; so what has expired is told by this clock, never by a
+/// timer that has not rung yet.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct System;
 
 impl System {
-    /// How far the time lies ahead of the process's start. A request's age may be
-    /// more than the process's, and its arrival must still be a valid time.
+    /// How far the time lies ahead of the machine's boot. A request's age may be more than that
+    /// of the machine, and its arrival must still be a valid time.
     pub const HEAD_START: Duration = Duration::from_secs(24 * 3600);
 }
 
-impl Default for System {
-    fn default() -> Self {
-        Self {
-            start: Instant::now(),
-        }
-    }
-}
-
 impl Clock for System {
     fn now(&self) -> Duration {
-        Self::HEAD_START + self.start.elapsed()
+        let since_boot = ClockId::CLOCK_BOOTTIME.now();
+        let since_boot = since_boot.expect("Linux has had this clock since 2.6.39");
+        Self::HEAD_START + Duration::from(since_boot)
     }
 
     fn unix_ms(&self) -> u64 {
--- a/tests/testsuite/clock.rs
+++ b/tests/testsuite/clock.rs
@@ -14,7 +14,7 @@
         let seconds = text.split_whitespace().next().unwrap();
         Duration::from_secs_f64(seconds.parse().unwrap())
     };
-    let clock = System::default();
+    let clock = System;
     let (before, now, after) = (uptime(), clock.now(), uptime());
     let since_boot = now.checked_sub(System::HEAD_START).unwrap();
     // The kernel tells whole hundredths of a second.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,8 @@
 //! The tests: a module for each feature, and a small support module.
 
+// Nothing here outlasts a suspension of the machine.
+#![allow(clippy::disallowed_methods)]
+
 mod admin;
 mod callers;
 mod chaos;
