Tests: a disk lost as all others lose power, by the machines and by real processes

Both terms stood apart so far. A randomised run has disks lost only while all other nodes lose power and nothing that is under way arrives, right after proposals (400 seeds each, three voters with an operator, four that repair themselves); real voters lose each disk in turn, with all voters and the box killed at the same moment right after an acknowledgement. Neither failed on the code as it was: an answer is given once a majority has synced.

--- a/tests/testsuite/random/agree.rs
+++ b/tests/testsuite/random/agree.rs
@@ -52,6 +52,9 @@
     Replace(usize),
     /// A leader hands its lead on.
     Leave(usize),
+    /// A node's folder is lost, and at the same moment all others lose power: nothing that is
+    /// under way arrives.
+    LosePower(usize),
 }
 
 const NODES: usize = 3;
@@ -354,6 +357,7 @@
             Step::Cut(..) => {}
             Step::Heal => self.cut.clear(),
             Step::Replace(i) => self.replace(i),
+            Step::LosePower(i) => self.lose_power(i),
             Step::Leave(i) => {
                 if !self.members[i].frozen {
                     self.step(i, Input::Leave);
@@ -384,6 +388,15 @@
         self.restart(i);
     }
 
+    fn lose_power(&mut self, disk: usize) {
+        self.flying.clear();
+        for member in &mut self.members {
+            member.voter = None;
+        }
+        self.replace(disk);
+        self.members[disk].voter = None;
+    }
+
     fn check(&mut self, i: usize) {
         let Some(voter) = &self.members[i].voter else {
             return;
@@ -490,6 +503,58 @@
     });
 }
 
+/// A schedule in which disks are lost only while all others lose power, most often right after
+/// something was proposed; everyone is back some time later.
+fn schedule_of_losses(seed: u64, nodes: usize) -> Vec<Step> {
+    let mut random = random(seed ^ 0x10ad);
+    let mut steps = Vec::new();
+    for step in schedule_of(seed, nodes) {
+        let Step::Replace(disk) = step else {
+            steps.push(step);
+            continue;
+        };
+        steps.extend((0..nodes).map(Step::Propose));
+        steps.push(Step::Pass(random.random_range(1..200)));
+        steps.push(Step::LosePower(disk));
+        for node in 0..nodes {
+            steps.push(Step::Pass(random.random_range(1..300)));
+            steps.push(Step::Restart(node));
+        }
+    }
+    steps
+}
+
+#[test]
+fn what_was_answered_outlives_a_disk_that_is_lost_as_all_others_lose_power() {
+    runs(
+        400,
+        |seed| schedule_of_losses(seed, NODES),
+        |seed, steps| {
+            let mut cluster = Cluster::new(seed);
+            for step in steps {
+                cluster.take(*step);
+            }
+            cluster.settle();
+        },
+    );
+}
+
+#[test]
+fn voters_that_repair_themselves_survive_the_same() {
+    const MANY: usize = 4;
+    runs(
+        400,
+        |seed| schedule_of_losses(seed, MANY),
+        |seed, steps| {
+            let mut cluster = Cluster::with_repair(seed, MANY, Some(Repair::default()));
+            for step in steps {
+                cluster.take(*step);
+            }
+            cluster.settle();
+        },
+    );
+}
+
 #[test]
 fn a_second_loss_during_a_repair_stops_changes_but_loses_none() {
     let mut cluster = Cluster::new(1);
--- a/tests/testsuite/routed.rs
+++ b/tests/testsuite/routed.rs
@@ -630,3 +630,52 @@
     let asked = client::ask(system.publish_address(0), "PUT", "/v1/routing", &[], newer);
     assert_eq!(asked.await.unwrap().status, 503, "nothing is decided alone");
 }
+
+/// A voter's disk is lost, and all other voters and the boxes lose power at the same moment, right
+/// after a routing was acknowledged. Two of three voters have it on their disks by then, whoever
+/// acknowledged it, so one that is left has it, and no majority can be had without that one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_routing_outlives_a_disk_that_is_lost_as_all_others_lose_power() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut system = System::start(3, dir.path());
+    for lost in 0..3 {
+        let newest = text(&routing(7 + u64::try_from(lost).unwrap()));
+        assert_eq!(system.publish(&newest).await, 200);
+        let name = system.voter_listen(lost).ip().to_string();
+        let identity = || async {
+            let status = system.operator().status().await.ok()?;
+            let members = status.voter.members;
+            let node = members.voters().find(|node| node.name.as_str() == name);
+            node.cloned()
+        };
+        let before = identity().await.unwrap();
+        system.entry.take().unwrap().kill();
+        (0..3).for_each(|i| system.voters[i].take().unwrap().kill());
+        std::fs::remove_dir_all(system.data(lost)).unwrap();
+        (0..3).for_each(|i| system.start_voter(i, false));
+        system.start_entry();
+        assert_eq!(system.read().await, newest);
+        let port = 9000 + u16::try_from(lost).unwrap();
+        let endpoint = Endpoint::start(&format!("i-{lost}"), (system.host, port).into()).await;
+        for voter in 0..3 {
+            let record = endpoint.record(1, State::Ready);
+            let path = format!("/v1/endpoints/{}", record.name);
+            let body = serde_json::to_string(&record).unwrap();
+            // One that has lost its disk may not take part yet.
+            let at = system.publish_address(voter);
+            let _ = client::ask(at, "PUT", &path, &[], body).await;
+        }
+        system.wait_served().await;
+        // Whoever lost its disk counts again before the next one is lost.
+        deploy::wait("it counts under a new identity", || async {
+            let status = system.operator().status().await;
+            status.is_ok_and(|status| {
+                let members = &status.voter.members;
+                let mut voters = members.voters();
+                voters.any(|node| node.name.as_str() == name && *node != before)
+                    && members.voters().count() == 3
+            })
+        })
+        .await;
+    }
+}
