Own interface: boxes that dispatch nothing hear of requests that are held back; the host is no part of a request

Found by a test of models and plain calls (failed first: 7 endpoints ended at two boxes, 3 each). A box that dispatches no service left the exchange with its voter out, so it neither told nor heard; it takes part now, and starts anew once it dispatches. And callers that name a box send another Host to each, so the same request had a fingerprint a box. Standing is yes or no: trying a request apart after two ends was designed and left out, since no harmless request was held back without it.

--- a/src/bin/scalewood-standin/serve.rs
+++ b/src/bin/scalewood-standin/serve.rs
@@ -32,6 +32,11 @@
     Settings,
 };
 
+/// A request whose text has this in it ends the process once it has begun to run.
+const END: &str = "end the endpoint";
+/// The exit code of a process that was ended so.
+const END_CODE: i32 = 3;
+
 /// A stand-in.
 #[derive(Debug)]
 pub(crate) struct Standin {
@@ -244,7 +249,7 @@
     standin.record.note(Run {
         request: id,
         key: None,
-        what: prompt,
+        what: prompt.clone(),
         resumed_at: resumed_at as u64,
     });
     let stream = body.get("stream").and_then(Value::as_bool) == Some(true);
@@ -253,6 +258,7 @@
     let (sender, receiver) = mpsc::channel(4);
     let run = Generation {
         standin,
+        prompt,
         tokens,
         priority,
         chat,
@@ -287,9 +293,17 @@
     Some(count)
 }
 
+/// Ends the process if a request's text asks for it: all that runs here breaks off.
+fn end_if_asked(text: &str) {
+    if text.contains(END) {
+        std::process::exit(END_CODE);
+    }
+}
+
 /// An answer that is being generated.
 struct Generation {
     standin: Arc<Standin>,
+    prompt: String,
     tokens: Vec<String>,
     priority: i64,
     chat: bool,
@@ -317,6 +331,7 @@
                     .await;
                 return;
             }
+            end_if_asked(&self.prompt);
             if self.stream && !self.send(sender, Some(token)).await {
                 return;
             }
@@ -387,6 +402,7 @@
     });
     tokio::time::sleep(faults.slowed(standin.settings.first)).await;
     let echo = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    end_if_asked(&echo);
     if faults.cut_after_run {
         return cut();
     }
--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use super::{End, Id, Row, Standing, APART, MOST_ENDS};
+use super::{End, Id, Row, MOST_ENDS, TOLD_ALL};
 use crate::core::fingerprint::{Fingerprint, HeadHash};
 
 /// How long a request is remembered after it last came or an endpoint last ended under it. One
@@ -63,12 +63,8 @@
         }
     }
 
-    fn standing(&self) -> Standing {
-        Standing::of(self.ends.len())
-    }
-
     fn is_held_back(&self) -> bool {
-        self.standing() == Standing::HeldBack
+        self.ends.len() >= MOST_ENDS
     }
 
     fn add(&mut self, end: End) -> bool {
@@ -77,7 +73,7 @@
             return false;
         }
         self.ends.push(end);
-        self.is_wide |= self.ends.len() >= APART;
+        self.is_wide |= self.ends.len() >= TOLD_ALL;
         true
     }
 
@@ -154,16 +150,10 @@
         self.cases.range(Fingerprint::all_of(head)).next().is_some()
     }
 
-    /// How a request stands.
-    pub fn standing(&self, fingerprint: &Fingerprint) -> Standing {
-        let case = self.cases.get(fingerprint);
-        case.map_or(Standing::Clear, Case::standing)
-    }
-
-    /// The endpoints that have ended under a request.
-    pub fn ends(&self, fingerprint: &Fingerprint) -> &[End] {
+    /// Whether a request is sent to no endpoint.
+    pub fn is_held_back(&self, fingerprint: &Fingerprint) -> bool {
         let case = self.cases.get(fingerprint);
-        case.map_or(&[], |case| &case.ends)
+        case.is_some_and(Case::is_held_back)
     }
 
     /// How many requests are known, and how many of them are held back.
@@ -177,11 +167,10 @@
         cases.map(|(fingerprint, case)| (fingerprint, &case.ends[..]))
     }
 
-    /// Notes that an endpoint ended under a request; how the request stands then.
-    pub fn ended(&mut self, fingerprint: Fingerprint, end: End, now: Duration) -> Standing {
+    /// Notes that an endpoint ended under a request.
+    pub fn ended(&mut self, fingerprint: Fingerprint, end: End, now: Duration) {
         self.sweep(now);
         self.change(fingerprint, now, |case| case.add(end));
-        self.standing(&fingerprint)
     }
 
     /// Notes that a request was run to its end, or is taken back into service by an operator;
--- a/src/scalewood/core/crash/mod.rs
+++ b/src/scalewood/core/crash/mod.rs
@@ -6,8 +6,7 @@
 //! boxes. A request under which [`MOST_ENDS`] endpoints have ended is held back by all boxes.
 //!
 //! Harmless requests run beside it and break with it. A request that was run to its end anywhere
-//! is cleared; one under which two endpoints have ended is tried apart from the others. Only what
-//! was there each time and never came to an end is held back.
+//! is cleared. Only what was there each time, and never came to its end, is held back.
 
 use serde::{Deserialize, Serialize};
 
@@ -17,11 +16,13 @@
 
 pub use book::{Book, Part, Told, REMEMBERED};
 
-/// The ends of endpoints after which a request is held back. The third tells it apart: of those
-/// that ran beside it at two ends, few are at the third as well, since they are tried apart.
+/// The ends of endpoints after which a request is held back. Of the harmless ones that were there at
+/// two ends, few are at the third as well: with 50 long streams at work beside it on nine endpoints,
+/// none in three runs.
 pub const MOST_ENDS: usize = 3;
-/// The ends after which a request is tried apart from others.
-pub const APART: usize = 2;
+/// The ends from which on all boxes hear of a request. Below it only voters do: each end brings as
+/// many requests with a first end as the endpoint had.
+const TOLD_ALL: usize = MOST_ENDS - 1;
 
 /// Names the end of one start of an endpoint, the same at all boxes that saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -72,25 +73,3 @@
     #[serde(rename = "h", default)]
     pub heard: u32,
 }
-
-/// How a request stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Standing {
-    /// Fewer than two endpoints have ended under it.
-    Clear,
-    /// It is tried apart from others.
-    Apart,
-    /// It is sent to no endpoint.
-    HeldBack,
-}
-
-impl Standing {
-    /// How a request stands under which so many endpoints have ended.
-    pub fn of(ends: usize) -> Self {
-        match ends {
-            0..APART => Self::Clear,
-            APART..MOST_ENDS => Self::Apart,
-            _ => Self::HeldBack,
-        }
-    }
-}
--- a/src/scalewood/core/fingerprint.rs
+++ b/src/scalewood/core/fingerprint.rs
@@ -13,15 +13,14 @@
 /// Hexadecimal digits of each part.
 const DIGITS: usize = 16;
 
-/// What a request is sent under, without its body.
+/// What a request is sent under, without its body. The host is left out: callers that name a box
+/// send another one to each.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Head<'a> {
     /// The team that asks.
     pub team: &'a str,
     /// The HTTP method.
     pub method: &'a str,
-    /// The host, where routes are chosen by it.
-    pub host: &'a str,
     /// The path with its query.
     pub target: &'a str,
 }
@@ -35,7 +34,7 @@
     /// The hash of a head with a body of so many bytes.
     pub fn of(head: &Head<'_>, length: usize) -> Self {
         let mut hash = sha2::Sha256::new();
-        for part in [head.team, head.method, head.host, head.target] {
+        for part in [head.team, head.method, head.target] {
             // Each part with its length, so that none can run over into the next.
             hash.update((part.len() as u64).to_be_bytes());
             hash.update(part);
@@ -69,11 +68,6 @@
             body: u64::MAX,
         }
     }
-
-    /// A number that is the same for it in every process.
-    pub fn seed(&self) -> u64 {
-        self.head.0 ^ self.body
-    }
 }
 
 /// The first 64 bits of a hash.
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{header, http::request, Method};
+use hyper::{http::request, Method};
 use tokio::net::TcpStream;
 
 use crate::{
@@ -35,7 +35,6 @@
 struct Sent {
     team: name::Team,
     method: Method,
-    host: String,
     target: String,
     body: Bytes,
     /// Reckoned only once they are asked for.
@@ -45,15 +44,11 @@
 
 impl Content {
     pub(super) fn new(team: &name::Team, head: &request::Parts, body: Bytes) -> Self {
-        let host = head.headers.get(header::HOST);
-        let host = host.and_then(|value| value.to_str().ok());
-        let host = host.or_else(|| head.uri.host()).unwrap_or_default();
         let target = head.uri.path_and_query();
         let target = target.map_or("/", |target| target.as_str());
         Self(Arc::new(Sent {
             team: team.clone(),
             method: head.method.clone(),
-            host: host.to_owned(),
             target: target.to_owned(),
             body,
             head: OnceLock::new(),
@@ -67,7 +62,6 @@
             let head = Head {
                 team: sent.team.as_str(),
                 method: sent.method.as_str(),
-                host: &sent.host,
                 target: &sent.target,
             };
             HeadHash::of(&head, sent.body.len())
@@ -129,21 +123,17 @@
     }
 }
 
-/// How a request stands now.
-pub(super) fn standing(board: &Shared, content: &Content) -> crash::Standing {
+/// Whether a request is held back; notes that it came if so.
+pub(super) fn is_held_back(board: &Shared, content: &Content) -> bool {
     if !is_known(board, content) {
-        return crash::Standing::Clear;
+        return false;
     }
     let fingerprint = content.fingerprint();
-    lock(&board.crashes).standing(&fingerprint)
-}
-
-/// Whether a request is held back; notes that it came if so.
-pub(super) fn is_held_back(board: &Shared, content: &Content) -> bool {
-    let is_held_back = standing(board, content) == crash::Standing::HeldBack;
+    let now = now(board);
+    let mut book = lock(&board.crashes);
+    let is_held_back = book.is_held_back(&fingerprint);
     if is_held_back {
-        let now = now(board);
-        lock(&board.crashes).came(&content.fingerprint(), now);
+        book.came(&fingerprint, now);
     }
     is_held_back
 }
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -46,6 +46,8 @@
     voter: Option<SocketAddr>,
     /// A voter that did not answer, and until when it is left alone.
     left_alone: Option<(SocketAddr, Duration)>,
+    /// Whether any service is dispatched here.
+    dispatches: bool,
     /// How many boxes use that voter.
     boxes: u32,
     /// What the voter knows of this box.
@@ -66,6 +68,7 @@
             board,
             voter: None,
             left_alone: None,
+            dispatches: false,
             boxes: 0,
             told: load::Loads::new(),
             others: load::Loads::new(),
@@ -107,18 +110,17 @@
     }
 
     async fn exchange(&mut self, followed: &Followed) {
-        if desk::held(&self.board).is_empty() {
-            // What is heard once, such as placements, would be lost on nobody.
-            return;
-        }
         let Some((voter, client)) = self.choose(followed) else {
             return self.lose();
         };
         let hubs = self.hubs(followed);
         let near = self.is_near(followed, voter);
-        if self.voter != Some(voter) {
+        let dispatches = !desk::held(&self.board).is_empty();
+        if self.voter != Some(voter) || dispatches != self.dispatches {
+            // What is heard once, such as placements, was lost on nobody until now.
             self.lose();
         }
+        self.dispatches = dispatches;
         let anew = self.voter.is_none();
         count_precedence(&self.board);
         let own = own_loads(&self.board);
--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -245,3 +245,60 @@
     assert_eq!(ended, 3, "{told}");
     assert_eq!(held_back(dir.path()).len(), 1, "{told}");
 }
+
+/// Models and plain services of the product's own interface, behind two boxes of which one
+/// dispatches each service: the other one has to hear of it too.
+#[tokio::test(flavor = "multi_thread")]
+async fn models_and_plain_calls_that_end_their_endpoints_are_held_back_too() {
+    const ROUNDS: usize = 16;
+    let dir = tempfile::tempdir().unwrap();
+    let plan = deploy::Plan {
+        boxes: vec![2],
+        engines: 4,
+        replicas: 4,
+        ..deploy::Plan::default()
+    };
+    let mut deployment = deploy::Deployment::start(plan, dir.path()).await;
+    for (path, body) in [
+        (
+            "/v1/chat/completions",
+            client::chat(deploy::MODEL, "end the endpoint", true),
+        ),
+        (
+            "/v1/chat/completions",
+            client::chat(deploy::MODEL, "end the endpoint len=3", false),
+        ),
+        ("/services/stock/look", "end the endpoint".to_owned()),
+    ] {
+        let mut ended = 0;
+        let mut last = None;
+        for round in 0..ROUNDS {
+            let callers = deployment.entries[round % 2].callers;
+            let bearer = client::bearer(deploy::TEAM);
+            let headers = [("authorization", bearer.as_str())];
+            let answer = client::ask(callers, "POST", path, &headers, body.clone()).await;
+            last = answer.ok().map(|answer| (answer.status, answer.json()));
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            ended += restart_ended(&mut deployment);
+        }
+        assert!((3..=6).contains(&ended), "{path}: {ended} endpoints ended");
+        let (status, told) = last.unwrap();
+        assert_eq!(status, 429, "{path}: {told}");
+        assert_eq!(told["error"]["code"], "ends-endpoints");
+        assert_eq!(told["error"]["verdict"], "not-run");
+    }
+    deployment.wait_ready().await;
+}
+
+/// Starts the stand-ins again that have ended; how many.
+fn restart_ended(deployment: &mut deploy::Deployment) -> usize {
+    let mut ended = 0;
+    for i in 0..deployment.standins.len() {
+        let process = deployment.standins[i].process.as_mut().unwrap();
+        if !process.is_running() {
+            deployment.start_standin(i);
+            ended += 1;
+        }
+    }
+    ended
+}
