Requests that are held back: operators list and pardon them, explain tells of them, a starting box hears first

`scalewood held-back list|pardon` (JSON too), with a line in the voter's log that says who and why; `scalewood explain FINGERPRINT` tells of all arrivals. A box says that it is ready once a voter has told it, or a second after it has a configuration: without any voter it serves all the same.

--- a/src/bin/scalewood/commands/explain.rs
+++ b/src/bin/scalewood/commands/explain.rs
@@ -15,7 +15,7 @@
             Arg::new("id")
                 .value_name("ID")
                 .required(true)
-                .help("The request's id, as its caller or the log names it"),
+                .help("The request's id, as its caller or the log names it, or a fingerprint"),
         )
         .arg(
             Arg::new("file")
--- a/src/bin/scalewood/commands/mod.rs
+++ b/src/bin/scalewood/commands/mod.rs
@@ -13,6 +13,7 @@
 mod check;
 mod config;
 mod explain;
+mod held_back;
 mod item;
 mod policy;
 mod provider;
@@ -27,6 +28,7 @@
         check::cli(),
         config::cli(),
         explain::cli(),
+        held_back::cli(),
         provider::cli(),
         status::cli(),
         token::cli(),
@@ -46,6 +48,7 @@
         "check" => check::exec(matches),
         "config" => config::exec(matches).await,
         "explain" => explain::exec(matches),
+        "held-back" => held_back::exec(matches).await,
         "provider" => provider::exec(matches).await,
         "status" => status::exec(matches).await,
         "token" => token::exec(matches),
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -19,7 +19,9 @@
     Answer, Count, Load, Loaded, Loads, News, Outcome, Placement, Prompts, Risk,
 };
 use crate::core::{
-    crash, name,
+    crash,
+    fingerprint::Fingerprint,
+    name,
     risk::{self, Chance},
     warm_up,
 };
@@ -295,9 +297,9 @@
         &self.crashes
     }
 
-    /// The same, to change what is known of one.
-    pub fn crashes_mut(&mut self) -> &mut crash::Book {
-        &mut self.crashes
+    /// Takes a request back into service by an operator's word; whether anything was known of it.
+    pub fn pardon(&mut self, fingerprint: &Fingerprint, now: Duration) -> bool {
+        self.crashes.clear(fingerprint, now)
     }
 
     fn take_crashes(&mut self, rows: Vec<crash::Row>, own: bool, now: Duration) {
--- a/src/scalewood/ops/control/admin.rs
+++ b/src/scalewood/ops/control/admin.rs
@@ -112,6 +112,15 @@
         .and(with.clone())
         .and(body)
         .then(|operator, admin: Admin, bytes| async move { admin.cordon(operator, bytes).await });
+    let held_back = get("held-back")
+        .and(known.clone())
+        .and(with.clone())
+        .map(|_, a: Admin| a.held_back());
+    let pardon = post("held-back")
+        .and(known.clone())
+        .and(with.clone())
+        .and(body)
+        .map(|operator, admin: Admin, bytes| admin.pardon(&operator, &bytes));
     let changes = post("changes")
         .and(known.clone())
         .and(with.clone())
@@ -129,6 +138,8 @@
         .or(provider)
         .or(cordons)
         .or(cordon)
+        .or(held_back)
+        .or(pardon)
         .or(changes)
         .or(voters)
         .recover(|rejection| async move { Ok::<_, std::convert::Infallible>(refusal(&rejection)) })
--- /dev/null
+++ b/src/scalewood/ops/control/crash.rs
@@ -0,0 +1,56 @@
+//! Requests that are held back, as operators see them.
+
+use warp::{http::StatusCode, Reply as _};
+
+use crate::{
+    core::{crash, name, verdict},
+    event,
+    ops::control::admin,
+    util::{clock::Clock as _, lock::lock},
+    wire::admin::{Ended, HeldBack, HeldBackRequest, Pardon},
+};
+
+impl admin::Admin {
+    /// The requests that are held back, as this voter knows them: it hears of all within some
+    /// tenths of a second.
+    pub(super) fn held_back(&self) -> warp::reply::Response {
+        let hub = lock(self.endpoints.hub());
+        let known = hub.crashes().held_back();
+        let held_back = known.map(|(fingerprint, ends)| HeldBackRequest {
+            fingerprint: *fingerprint,
+            ends: ends.iter().map(ended).collect(),
+        });
+        let held_back = held_back.collect();
+        warp::reply::json(&HeldBack { held_back }).into_response()
+    }
+
+    /// Takes a request back into service. The other voters and the boxes hear of it as they hear
+    /// of a run to its end.
+    pub(super) fn pardon(
+        &self,
+        operator: &name::Operator,
+        bytes: &bytes::Bytes,
+    ) -> warp::reply::Response {
+        let Pardon { fingerprint, why } = match serde_json::from_slice(bytes) {
+            Ok(pardon) => pardon,
+            Err(error) => return admin::malformed(&error),
+        };
+        let now = self.clock.now();
+        let is_known = lock(self.endpoints.hub()).pardon(&fingerprint, now);
+        event!(self.log, RequestPardoned, "fingerprint" => %fingerprint,
+            "operator" => %operator, "why" => &why, "known" => is_known);
+        if !is_known {
+            let why = format!("this voter knows of no endpoint that ended under {fingerprint}");
+            return admin::failure(StatusCode::NOT_FOUND, why, verdict::Verdict::NotRun);
+        }
+        let done = serde_json::json!({ "outcome": "pardoned" });
+        warp::reply::json(&done).into_response()
+    }
+}
+
+fn ended(end: &crash::End) -> Ended {
+    Ended {
+        endpoint: end.endpoint.clone(),
+        at_unix_ms: end.at_unix_ms,
+    }
+}
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -23,6 +23,7 @@
 mod admin;
 mod collect;
 mod cordon;
+mod crash;
 mod guarded;
 mod link;
 mod membership;
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     core::{
-        attempt, crash,
+        crash,
         fingerprint::{Fingerprint, Head, HeadHash},
         name, registry,
     },
@@ -84,12 +84,12 @@
 }
 
 /// Finds out whether an endpoint that broke off a request has ended, and notes it if so.
-pub(super) async fn note(board: &Shared, content: &Content, request: attempt::Request, at: &At) {
+pub(super) async fn note(board: &Shared, content: &Content, request: &str, at: &At) {
     if !has_ended(at.address).await {
         return;
     }
     let fingerprint = content.fingerprint();
-    event!(board.log, EndpointEnded, "endpoint" => %at.endpoint, "request" => %request,
+    event!(board.log, EndpointEnded, "endpoint" => %at.endpoint, "request" => request,
         "incarnation" => at.start.map(|start| start.0), "fingerprint" => %fingerprint);
     let now = now(board);
     let unix_ms = lock(&board.wall).unix_ms(board.clock.unix_ms(), now);
@@ -138,6 +138,11 @@
     is_held_back
 }
 
+/// The fingerprint of a request of which something is known, for the log.
+pub(super) fn known_fingerprint(board: &Shared, content: &Content) -> Option<String> {
+    is_known(board, content).then(|| content.fingerprint().to_string())
+}
+
 /// Whether anything may be known of a request. Its body is read only then: reading one of 4 MiB
 /// takes some 10 ms of a core, and nothing is known of almost all.
 fn is_known(board: &Shared, content: &Content) -> bool {
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -27,6 +27,9 @@
 pub(super) const TICK: Duration = Duration::from_millis(20);
 /// How often requests are checked to be with the right dispatcher.
 const RECONCILE: Duration = Duration::from_millis(200);
+/// How long a box that has just started waits at most, before it says that it is ready, to hear
+/// which requests are held back: an exchange with a voter takes a tenth of that.
+const BRIEFING: Duration = Duration::from_secs(1);
 /// Items whose regions are unknown that are named in the log, for each configuration.
 const MAX_DOUBTS: usize = 16;
 
@@ -221,6 +224,7 @@
     let mut desk = Desk {
         board,
         homes: HashMap::new(),
+        configured_at: None,
         alive: Arc::default(),
         reconciled: Duration::ZERO,
         freezes: 0,
@@ -240,6 +244,8 @@
     board: Shared,
     /// The dispatcher of each service of the zone, as last told everything.
     homes: HashMap<name::Service, name::Box>,
+    /// Since when there has been a configuration.
+    configured_at: Option<Duration>,
     alive: Arc<Vec<name::Box>>,
     reconciled: Duration,
     /// How often the process had been frozen when the dispatchers were opened.
@@ -368,11 +374,21 @@
         }
         self.drop_foreign(&view);
         let accepts = self.board.accepts.load(Ordering::Relaxed);
-        let ready = !view.is_unconfigured() && accepts && !self.board.is_draining();
+        let is_configured = !view.is_unconfigured();
+        let is_briefed = is_configured && self.is_briefed();
+        let ready = is_briefed && accepts && !self.board.is_draining();
         self.board.ready.store(ready, Ordering::Relaxed);
         self.board.metrics.ready.set(i64::from(ready));
     }
 
+    /// Whether a voter has told which requests are held back, or has had the time to: without any
+    /// voter a box serves all the same.
+    fn is_briefed(&mut self) -> bool {
+        let now = now(&self.board);
+        let since = *self.configured_at.get_or_insert(now);
+        self.board.briefed.load(Ordering::Relaxed) || now >= since + BRIEFING
+    }
+
     /// Whether each peer of the zone has answered or is known to be dead, so that
     /// this box does not take itself for the only one.
     fn is_joined(&self) -> bool {
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -4,7 +4,13 @@
 //! Voters tell each other of their boxes. While no voter answers, the dispatchers guess from
 //! what this box has.
 
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{atomic::Ordering, Arc},
+    time::Duration,
+};
 
 use jsonrpsee::ws_client::WsClient;
 
@@ -159,6 +165,7 @@
                 let answered = now(&self.board);
                 lock(&self.board.wall).note(answer.unix_ms, asked, answered);
                 self.take(answer.load.news, anew);
+                self.board.briefed.store(true, Ordering::Relaxed);
                 if !answer.load.leased.is_empty() {
                     let until = asked + warm_up::LEASE;
                     let leased = answer.load.leased;
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -275,7 +275,7 @@
         start: None,
         address: known.address,
     };
-    crash::note(board, &call.content, call.request, &at).await;
+    crash::note(board, &call.content, &call.request.to_string(), &at).await;
 }
 
 /// Waits for the next attempt if there may be one, else says how the request failed.
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -437,7 +437,8 @@
     async fn note_end(&self) {
         let Some(at) = &self.sent_to else { return };
         let call = &self.routed.call;
-        crash::note(&self.context.board, &call.content, call.request, at).await;
+        let id = self.routed.head.id.as_deref().unwrap_or_default();
+        crash::note(&self.context.board, &call.content, id, at).await;
     }
 
     /// Counts the caller's patience anew: it has got events, and waits for the next one.
@@ -525,6 +526,7 @@
         event!(self.context.board.log, RequestEnded, "id" => routed.head.id.as_deref(),
             "route" => %routed.call.key, "team" => %routed.call.team, "rank" => %routed.rank,
             "allowed" => self.allowed(),
+            "fingerprint" => crash::known_fingerprint(&self.context.board, &routed.call.content),
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
             "prompt" => routed.call.prompt.0, "unread" => self.basis.unread.0,
             "ahead" => self.basis.ahead.0, "later" => self.basis.later.0, "kept" => self.basis.kept, "returned" => routed.call.returned,
--- a/src/scalewood/ops/explain.rs
+++ b/src/scalewood/ops/explain.rs
@@ -24,7 +24,8 @@
 
 /// The lines about a request, the earliest first.
 ///
-/// `id` is the caller's own id or the one that the system gave. Text before a line's
+/// `id` is the caller's own id or the one that the system gave, or the fingerprint of a request
+/// under which endpoints ended: it tells of all its arrivals. Text before a line's
 /// object is passed over, and so are lines that are none of this system's.
 pub fn explain<'a>(id: &str, logs: impl Iterator<Item = &'a str>) -> Vec<Line> {
     let mut lines: Vec<_> = logs.filter_map(|line| read(id, line)).collect();
@@ -36,7 +37,7 @@
     let object = &line[line.find('{')?..];
     let fields: Map<String, Value> = serde_json::from_str(object).ok()?;
     let is_id = |name: &str| fields.get(name).and_then(Value::as_str) == Some(id);
-    if !is_id("id") && !is_id("request") {
+    if !["id", "request", "fingerprint"].into_iter().any(is_id) {
         return None;
     }
     let field = |name: &str| word(&fields, name);
--- a/src/scalewood/ops/operate.rs
+++ b/src/scalewood/ops/operate.rs
@@ -12,7 +12,9 @@
 
 use crate::{
     core::{agree, change, config, unit},
-    wire::admin::{Config, Cordon, Cordons, Failure, History, Provider, Status, PREFIX},
+    wire::admin::{
+        Config, Cordon, Cordons, Failure, HeldBack, History, Pardon, Provider, Status, PREFIX,
+    },
 };
 
 /// How long a call may take.
@@ -131,6 +133,28 @@
         self.get("cordons").await
     }
 
+    /// The requests that are held back.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no voter answers or the token is refused.
+    pub async fn held_back(&self) -> Result<HeldBack, Report<Error>> {
+        self.get("held-back").await
+    }
+
+    /// Takes a request back into service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no voter answers, the token is refused, or nothing is known of the request.
+    pub async fn pardon(&self, pardon: &Pardon) -> Result<(), Report<Error>> {
+        let answer = self.call(Method::POST, "held-back", Some(pardon)).await?;
+        if answer.status == StatusCode::OK {
+            return Ok(());
+        }
+        Err(failed(&answer))
+    }
+
     /// Cordons or uncordons a zone.
     ///
     /// # Errors
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -62,6 +62,7 @@
     ChangeAccepted = 2101, Info, "a change was accepted";
     ChangeRefused = 2102, Info, "a change was not applied";
     TokenRefused = 2103, Warning, "a request with a wrong or missing token was refused";
+    RequestPardoned = 2104, Warning, "an operator takes a request back into service that was held back";
     StoreOpened = 2201, Info, "the data folder was opened";
     StoreRepaired = 2202, Warning, "an unfinished record at the log's end was dropped";
     StoreCompacted = 2203, Info, "the log was compacted";
--- a/src/scalewood/wire/admin.rs
+++ b/src/scalewood/wire/admin.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{agree, audit, change, config, cordon, name, tenure, unit, usage, verdict};
+use crate::core::{
+    agree, audit, change, config, cordon, fingerprint, name, tenure, unit, usage, verdict,
+};
 
 /// The prefix of all paths.
 pub const PREFIX: &str = "/admin/v1";
@@ -81,6 +83,41 @@
     pub why: String,
 }
 
+/// The requests that are held back, as one voter knows them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldBack {
+    /// Each with the endpoints that ended under it.
+    pub held_back: Vec<HeldBackRequest>,
+}
+
+/// A request that is held back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldBackRequest {
+    /// The request, by path, caller and body.
+    pub fingerprint: fingerprint::Fingerprint,
+    /// The endpoints that ended under it.
+    pub ends: Vec<Ended>,
+}
+
+/// An endpoint that ended under a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The endpoint.
+    pub endpoint: name::Endpoint,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+}
+
+/// What an operator sends to take a request back into service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pardon {
+    /// The request.
+    pub fingerprint: fingerprint::Fingerprint,
+    /// Why; goes into the log.
+    pub why: String,
+}
+
 /// What an operator sends to change the configuration.
 pub type Change = change::Change;
 
--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -7,6 +7,7 @@
 
 use http_body_util::BodyExt as _;
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use scalewood::wire::admin;
 
 use crate::support::{
     client,
@@ -25,7 +26,7 @@
 /// A system whose endpoints end under some requests.
 struct Site {
     system: System,
-    _boxes: Vec<Option<deploy::Process>>,
+    boxes: Vec<Option<deploy::Process>>,
     endpoints: Vec<tokio::task::JoinHandle<()>>,
     seen: Seen,
 }
@@ -54,7 +55,7 @@
         boxes.extend((1..BOXES).map(|i| Some(system.start_entry_at(i))));
         let site = Self {
             system,
-            _boxes: boxes,
+            boxes,
             endpoints,
             seen,
         };
@@ -288,6 +289,29 @@
         assert_eq!(told["error"]["verdict"], "not-run");
     }
     deployment.wait_ready().await;
+    let operator = deployment.operator();
+    let held_back = operator.held_back().await.unwrap().held_back;
+    assert_eq!(held_back.len(), 3, "{held_back:?}");
+    for request in held_back {
+        assert!(request.ends.len() >= 3, "{request:?}");
+        let pardon = admin::Pardon {
+            fingerprint: request.fingerprint,
+            why: "a test".into(),
+        };
+        operator.pardon(&pardon).await.unwrap();
+        let again = operator.pardon(&pardon).await;
+        assert!(again.is_err(), "nothing is left to be pardoned");
+    }
+    assert!(operator.held_back().await.unwrap().held_back.is_empty());
+    // Each box sends it again once it has heard.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let callers = deployment.entries[1].callers;
+    let bearer = client::bearer(deploy::TEAM);
+    let headers = [("authorization", bearer.as_str())];
+    let body = "end the endpoint";
+    let answer = client::ask(callers, "POST", "/services/stock/look", &headers, body).await;
+    assert_ne!(answer.unwrap().status, 429);
+    assert!(restart_ended(&mut deployment) > 0);
 }
 
 /// Starts the stand-ins again that have ended; how many.
@@ -302,3 +326,62 @@
     }
     ended
 }
+
+/// While a request keeps coming, boxes are killed and started, a voter is killed and comes back,
+/// another one is frozen, and a box is frozen across the ends. A box that has just started knows
+/// before it says that it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn it_stays_held_back_while_boxes_and_voters_come_and_go() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut site = Site::start(3, 9, Duration::from_secs(1), dir.path()).await;
+    let boxes: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
+    let until = Instant::now() + Duration::from_secs(16);
+    let poison = tokio::spawn(async move {
+        let mut round = 0;
+        while Instant::now() < until {
+            let callers = boxes[round % BOXES];
+            tokio::spawn(async move { send(callers, "/sresume/crash", "crash always").await });
+            round += 1;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    let pause = |millis| tokio::time::sleep(Duration::from_millis(millis));
+    site.boxes[2].as_ref().unwrap().signal("STOP");
+    pause(2000).await;
+    site.boxes[2].as_ref().unwrap().signal("CONT");
+    for i in 0..BOXES {
+        site.boxes[i].take().unwrap().kill();
+        site.boxes[i] = Some(site.system.start_entry_at(i));
+        pause(800).await;
+    }
+    site.system.voters[1].as_ref().unwrap().signal("STOP");
+    site.system.voters[0].take().unwrap().kill();
+    pause(500).await;
+    site.system.start_voter(0, false);
+    site.system.voters[1].as_ref().unwrap().signal("CONT");
+    pause(1500).await;
+    // All boxes at once: the voters remember.
+    for i in 0..BOXES {
+        site.boxes[i].take().unwrap().kill();
+    }
+    for i in 0..BOXES {
+        site.boxes[i] = Some(site.system.start_entry_at(i));
+    }
+    pause(2000).await;
+    // All voters at once: the boxes remember.
+    for i in 0..3 {
+        site.system.voters[i].take().unwrap().kill();
+    }
+    for i in 0..3 {
+        site.system.start_voter(i, false);
+    }
+    pause(3000).await;
+    site.boxes[1].take().unwrap().kill();
+    site.boxes[1] = Some(site.system.start_entry_at(1));
+    poison.await.unwrap();
+    let late = site.seen.late_arrivals("crash always", WORD);
+    let ended = site.seen.ended("crash always");
+    println!("{ended} endpoints ended, {late} late arrivals");
+    assert!(ended >= 3, "{ended}");
+    assert!(late <= MOST_LATE, "{late} late arrivals, {ended} ended");
+}
