Ends of one moment count as one: a group that is lost at once convicts nobody

Found by reading, test first: a team that sends the same content again and again has it on each endpoint of a group; the group's loss alone would have held it back for ten minutes.

--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -23,7 +23,11 @@
 /// The most that are held back. Each has ended three endpoints.
 const MOST_HELD_BACK: usize = 1024;
 /// The most ends that are remembered of a request.
-const MOST_KEPT: usize = MOST_ENDS + 1;
+const MOST_KEPT: usize = 2 * MOST_ENDS;
+/// Ends that are closer than this have one cause: a group of endpoints is lost at once, under
+/// requests that many callers send alike. A request ends endpoints one after the other, each after
+/// it was sent there and begun.
+const MOMENT_MS: u64 = 40;
 /// The most ends that are remembered as void.
 const MOST_VOID: usize = 2 * MOST_KEPT;
 /// How often what is old is looked for.
@@ -63,20 +67,45 @@
         }
     }
 
+    /// How many ends there were one after the other: those of one moment count as one.
+    fn moments(&self) -> usize {
+        let mut times: Vec<_> = self.ends.iter().map(|end| end.at_unix_ms).collect();
+        times.sort_unstable();
+        let later = times
+            .windows(2)
+            .filter(|pair| pair[1] - pair[0] >= MOMENT_MS);
+        later.count() + usize::from(!times.is_empty())
+    }
+
     fn is_held_back(&self) -> bool {
-        self.ends.len() >= MOST_ENDS
+        self.moments() >= MOST_ENDS
     }
 
     fn add(&mut self, end: End) -> bool {
         let is_known = self.ends.iter().any(|known| known.id == end.id);
-        if is_known || self.ends.len() >= MOST_KEPT || self.void.contains(&end.id) {
+        if is_known || self.void.contains(&end.id) {
             return false;
         }
         self.ends.push(end);
-        self.is_wide |= self.ends.len() >= TOLD_ALL;
+        if self.ends.len() > MOST_KEPT {
+            self.drop_one();
+        }
+        self.is_wide |= self.moments() >= TOLD_ALL;
         true
     }
 
+    /// Drops an end that adds least: the one that is closest to the one before it.
+    fn drop_one(&mut self) {
+        self.ends
+            .sort_unstable_by_key(|end| (end.at_unix_ms, end.id));
+        let ends = self.ends.windows(2);
+        let gaps = ends.map(|pair| pair[1].at_unix_ms - pair[0].at_unix_ms);
+        let least = gaps.enumerate().min_by_key(|(_, gap)| *gap);
+        if let Some((at, _)) = least {
+            self.ends.remove(at + 1);
+        }
+    }
+
     fn make_void(&mut self, id: Id) -> bool {
         if self.void.contains(&id) {
             return false;
