Soak: a request that ends each endpoint which runs it, endpoints that refuse connections and start again

Checked: once three endpoints have ended under a request, no more than three arrivals reach endpoints later than 3 s after, and one more for each box that was started since. Links have a state in which nobody listens, as after an endpoint's end.

--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -3,7 +3,8 @@
 //! Real voters and entry boxes run as processes; endpoints and the links to them are in
 //! this process. Three drivers disturb them at the same time: voters are killed, paused,
 //! wiped, told to reload; entry boxes are killed, paused, stopped as planned, told to
-//! reload; endpoints fail in all their ways, leave, start again under their names, and sit behind links that are cut,
+//! reload; endpoints fail in all their ways, leave, end under a request that comes again and again, start
+//! again under their names, and sit behind links that are cut,
 //! silent, one-way or late. Meanwhile callers ask over kept and new connections, and
 //! an operator publishes one routing after the other. Checked, from what callers, the
 //! operator and endpoints see:
@@ -16,6 +17,7 @@
 //! - requests that all configurations allow are never called unknown;
 //! - a cordon or its end that was acknowledged is never read back otherwise, outlives what is
 //!   done to voters, and keeps new requests off its zone's endpoints;
+//! - a request that ends each endpoint which runs it reaches few more once three have ended;
 //! - an endpoint that has left gets no more, and after all is mended all is served again.
 //!
 //! `SCALEWOOD_SEED` is the first seed, `SCALEWOOD_RUNS` how many follow each other, and
@@ -24,6 +26,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    future::Future,
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -42,7 +45,7 @@
 use crate::support::{
     client, deploy,
     forwarder::{Forwarder, Mode},
-    routed::{routing, text, Act, Endpoint, System, EVENTS, HOST, KEY},
+    routed::{self, routing, text, Act, Endpoint, System, ENDS, EVENTS, HOST, KEY},
 };
 
 /// Seeds that failed once. 45 and 54: a box that was asked to stop within ten seconds of
@@ -104,6 +107,10 @@
     rough: Mutex<Vec<(usize, Instant, Instant)>>,
     /// Spans in which a cordon of `ZONE` had been acknowledged and not yet been taken back.
     cordoned: Mutex<Vec<(Instant, Instant)>>,
+    /// When entry boxes were started: one knows nothing until a voter has told it.
+    started: Mutex<Vec<Instant>>,
+    /// Under which request endpoints ended, and when.
+    ends: Mutex<Vec<(String, Instant)>>,
     /// How many orders were acknowledged.
     orders: AtomicU64,
     broken: Mutex<Vec<String>>,
@@ -236,6 +243,65 @@
     }
 }
 
+/// A caller whose request ends each endpoint that runs it; it sends another one after some time.
+async fn ender(seed: u64, entries: Vec<SocketAddr>, account: Arc<Account>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x000e_2d5e);
+    let mut count = 0;
+    while !account.is_over() {
+        tokio::time::sleep(Duration::from_millis(random.random_range(50..400))).await;
+        let entry = entries[random.random_range(0..entries.len())];
+        let id = format!("ends-{count}");
+        let body = format!("{ENDS}{}", count / ENDER_TIMES);
+        count += 1;
+        tokio::spawn(async move {
+            let bearer = format!("Bearer {KEY}");
+            let headers = [
+                ("authorization", bearer.as_str()),
+                ("scalewood-id", id.as_str()),
+                ("scalewood-deadline-ms", "2000"),
+            ];
+            let Ok(mut connection) = client::Connection::open(entry).await else {
+                return;
+            };
+            let _ = connection
+                .send_to(HOST, "POST", "/sresume/", &headers, body)
+                .await;
+        });
+    }
+}
+
+/// How often a request that ends endpoints is sent before another one is.
+const ENDER_TIMES: usize = 40;
+/// How long after a third end word of it may be on its way.
+const WORD: Duration = Duration::from_secs(3);
+/// The most that may reach endpoints after that.
+const MOST_LATE: usize = 3;
+
+/// No request that ends endpoints reached many after three had ended. Each box that starts may let
+/// one more pass before it has heard.
+fn check_ends(account: &Account, back: &Back) {
+    let ends = account.ends.lock().unwrap().clone();
+    let started = account.started.lock().unwrap().clone();
+    let bodies: BTreeSet<_> = ends.iter().map(|(body, _)| body.clone()).collect();
+    for body in bodies {
+        let mut times: Vec<_> = ends.iter().filter(|(b, _)| *b == body).collect();
+        times.sort_by_key(|(_, at)| *at);
+        let Some((_, third)) = times.get(2) else {
+            continue;
+        };
+        let seen = back.endpoints.iter().flat_map(|b| b.endpoint.seen());
+        let late = seen.filter(|seen| seen.body == body && seen.at > *third + WORD);
+        let late = late.count();
+        let starts = started.iter().filter(|at| **at > *third).count();
+        if late > MOST_LATE + starts {
+            account.breaks(format!(
+                "`{body}` reached endpoints {late} times late, {} ended, {starts} boxes started",
+                times.len()
+            ));
+        }
+    }
+}
+
 /// An operator that publishes one routing after the other, and reads them back.
 async fn operator(seed: u64, voters: Vec<SocketAddr>, account: Arc<Account>) {
     let mut random = SmallRng::seed_from_u64(seed ^ 0x0b5e_55ed);
@@ -282,13 +348,19 @@
 /// An endpoint with the link in front of it, and what its heartbeats say.
 struct Behind {
     endpoint: Endpoint,
-    link: Forwarder,
+    link: Arc<Forwarder>,
     state: State,
     /// Which start of it this is, and the number of its last heartbeat.
-    start: u64,
+    start: Arc<AtomicU64>,
     sequence: u64,
 }
 
+impl Behind {
+    fn start_anew(&self) {
+        self.start.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// The zone that is cordoned: that of every second endpoint.
 const ZONE: &str = "z1";
 /// How long after its acknowledgement a cordon may be unknown to a box while voters are killed
@@ -410,6 +482,42 @@
     host: std::net::IpAddr,
     voters: Vec<SocketAddr>,
     endpoints: Vec<Behind>,
+    account: Arc<Account>,
+    /// What ends endpoints under requests; it ends with this.
+    endings: tokio::task::JoinSet<()>,
+}
+
+/// The body of a request that ends endpoints.
+fn ending_body(seen: &routed::Seen) -> Option<String> {
+    let body = seen.body.starts_with(ENDS.as_bytes());
+    body.then(|| String::from_utf8_lossy(&seen.body).into_owned())
+}
+
+/// Has an endpoint end each time that it has begun a request which asks for it, and start again
+/// some time later.
+fn end_under_requests(
+    endpoint: &Endpoint,
+    link: &Arc<Forwarder>,
+    start: &Arc<AtomicU64>,
+    account: &Arc<Account>,
+) -> impl Future<Output = ()> {
+    let ending = endpoint.ending();
+    let seen = endpoint.all_seen();
+    let (link, start, account) = (link.clone(), start.clone(), account.clone());
+    async move {
+        loop {
+            ending.notified().await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let body = seen.lock().unwrap().iter().rev().find_map(ending_body);
+            if let Some(body) = body {
+                account.ends.lock().unwrap().push((body, Instant::now()));
+            }
+            link.set_down(true);
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            start.fetch_add(1, Ordering::Relaxed);
+            link.set_down(false);
+        }
+    }
 }
 
 impl Back {
@@ -418,11 +526,14 @@
         let address = |port: usize| (self.host, u16::try_from(port).unwrap()).into();
         let endpoint = Endpoint::start(&format!("i-{number}"), address(PORTS + number)).await;
         let link = Forwarder::start(address(LINKS + number), endpoint.address).await;
+        let (link, start) = (Arc::new(link), Arc::new(AtomicU64::new(1)));
+        let ending = end_under_requests(&endpoint, &link, &start, &self.account);
+        self.endings.spawn(ending);
         self.endpoints.push(Behind {
             endpoint,
             link,
             state: State::Ready,
-            start: 1,
+            start,
             sequence: 0,
         });
         self.beat().await;
@@ -434,7 +545,8 @@
             behind.sequence += 1;
             let (endpoint, state) = (&behind.endpoint, behind.state);
             let mut record = endpoint.record(behind.sequence, state);
-            record.incarnation = Some(unit::Incarnation(behind.start));
+            let start = behind.start.load(Ordering::Relaxed);
+            record.incarnation = Some(unit::Incarnation(start));
             record.zone = zone_of(number).parse().unwrap();
             record
                 .address
@@ -511,7 +623,7 @@
         let behind = &mut self.endpoints[chosen];
         behind.link.set(Mode::Cut);
         tokio::time::sleep(pause / 2).await;
-        behind.start += 1;
+        behind.start_anew();
         behind.sequence = 0;
         behind.link.set_whole(true);
     }
@@ -521,7 +633,7 @@
     async fn replace(&mut self, chosen: usize) {
         match self.endpoints.iter_mut().find(|b| b.state == State::Gone) {
             Some(gone) => {
-                gone.start += 1;
+                gone.start_anew();
                 gone.sequence = 0;
                 gone.state = State::Ready;
                 self.beat().await;
@@ -600,6 +712,7 @@
             0 | 1 => {
                 entries[chosen].take().unwrap().kill();
                 entries[chosen] = Some(system.start_entry_at(chosen));
+                account.started.lock().unwrap().push(Instant::now());
             }
             2 | 3 => {
                 rough = false;
@@ -608,6 +721,7 @@
                     account.breaks(format!("entry box {chosen} does not stop"));
                 }
                 entries[chosen] = Some(system.start_entry_at(chosen));
+                account.started.lock().unwrap().push(Instant::now());
             }
             4 => {
                 rough = false;
@@ -687,21 +801,25 @@
     assert_eq!(system.publish(&text(&routing(1))).await, 200);
     let voters: Vec<_> = (0..VOTERS).map(|i| system.publish_address(i)).collect();
     let addresses: Vec<_> = (0..ENTRIES).map(|i| system.callers_at(i)).collect();
+    let account = Arc::new(Account::default());
     let mut back = Back {
         host: system.host,
         voters: voters.clone(),
         endpoints: Vec::new(),
+        account: account.clone(),
+        endings: tokio::task::JoinSet::new(),
     };
     for _ in 0..ENDPOINTS {
         back.add().await;
     }
     system.wait_served().await;
-    let account = Arc::new(Account::default());
     let mut asking = Vec::new();
     for number in 0..CALLERS {
         let caller = caller(seed, number, addresses.clone(), account.clone());
         asking.push(tokio::spawn(caller));
     }
+    let ender = ender(seed, addresses.clone(), account.clone());
+    asking.push(tokio::spawn(ender));
     let cordoner = cordoner(seed, voters.clone(), system.operator(), account.clone());
     asking.push(tokio::spawn(cordoner));
     asking.push(tokio::spawn(operator(seed, voters, account.clone())));
@@ -730,6 +848,7 @@
         span.1 = span.1.min(mended);
     }
     check_cordoned(&account, &back);
+    check_ends(&account, &back);
     check_calm_cordon(&system, &mut back, &account).await;
     check_mended(&system, &mut back, &account).await;
     check(&account, &runs(&back));
@@ -819,7 +938,11 @@
     }
     let version = account.acknowledged.load(Ordering::SeqCst);
     let orders = account.orders.load(Ordering::Relaxed);
-    println!("seed {seed}: {counts:?}, version {version}, {orders} cordons and uncordons");
+    let ends = account.ends.lock().unwrap().len();
+    println!(
+        "seed {seed}: {counts:?}, version {version}, {orders} cordons and uncordons, \
+         {ends} endpoints ended"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/support/forwarder.rs
+++ b/tests/testsuite/support/forwarder.rs
@@ -31,6 +31,7 @@
 pub(crate) struct Forwarder {
     mode: Arc<watch::Sender<Mode>>,
     hushed: Arc<watch::Sender<u64>>,
+    down: Arc<watch::Sender<bool>>,
 }
 
 impl Forwarder {
@@ -41,18 +42,29 @@
         let state = mode.clone();
         let hushed = Arc::new(watch::Sender::new(0));
         let hush = hushed.clone();
+        let down = Arc::new(watch::Sender::new(false));
+        let mut is_down = down.subscribe();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                if *state.borrow() != Mode::Cut {
-                    let hush = Hush {
-                        hushed: hush.subscribe(),
-                        opened: *hush.borrow(),
-                    };
-                    tokio::spawn(carry(stream, to, state.subscribe(), hush));
+            let mut listener = listener;
+            loop {
+                tokio::select! {
+                    () = accept(&listener, to, &state, &hush) => return,
+                    () = until(&mut is_down, true) => {}
                 }
+                // Nobody listens: who connects is refused.
+                drop(listener);
+                until(&mut is_down, false).await;
+                listener = bind_again(from).await;
             }
         });
-        Self { mode, hushed }
+        Self { mode, hushed, down }
+    }
+
+    /// Ends what is behind the link, or has it back: all that runs over it breaks, and meanwhile
+    /// who connects is refused, as by a port that nobody listens on.
+    pub(crate) fn set_down(&self, down: bool) {
+        self.down.send_replace(down);
+        self.set_whole(!down);
     }
 
     /// Silences what runs over it now, for good: it stays open and carries nothing. What is
@@ -72,6 +84,41 @@
     }
 }
 
+/// Listens at an address once more. What was taken there before may still hold it for a moment.
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    const TRIES: u32 = 400;
+    for _ in 0..TRIES {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("{address} can't be listened on again");
+}
+
+/// Waits until a switch stands so.
+async fn until(switch: &mut watch::Receiver<bool>, stands: bool) {
+    // The link's end ends this task, too.
+    let _ = switch.wait_for(|now| *now == stands).await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    to: SocketAddr,
+    state: &watch::Sender<Mode>,
+    hush: &watch::Sender<u64>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if *state.borrow() != Mode::Cut {
+            let hush = Hush {
+                hushed: hush.subscribe(),
+                opened: *hush.borrow(),
+            };
+            tokio::spawn(carry(stream, to, state.subscribe(), hush));
+        }
+    }
+}
+
 /// How often the link's connections were silenced, now and when one was opened.
 #[derive(Clone, Debug)]
 struct Hush {
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -31,7 +31,7 @@
     },
     ops::operate,
 };
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::Notify};
 
 use super::{client, deploy};
 
@@ -85,8 +85,13 @@
     acts: Arc<Mutex<VecDeque<Act>>>,
     seen: Arc<Mutex<Vec<Seen>>>,
     running: Arc<AtomicUsize>,
+    /// Rings when a request has begun that ends endpoints.
+    ending: Arc<Notify>,
 }
 
+/// What a body begins with that ends the endpoint which runs it, where the test sees to that.
+pub(crate) const ENDS: &str = "ends ";
+
 /// A request that an endpoint is at work on, until its answer or connection ends.
 struct Run(Arc<AtomicUsize>);
 
@@ -117,16 +122,22 @@
             acts: Arc::default(),
             seen: Arc::default(),
             running: Arc::default(),
+            ending: Arc::default(),
         };
         let (acts, seen) = (endpoint.acts.clone(), endpoint.seen.clone());
         let running = endpoint.running.clone();
+        let ending = endpoint.ending.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (acts, seen, running) = (acts.clone(), seen.clone(), running.clone());
+                let ending = ending.clone();
                 let service = service_fn(move |request| {
-                    let (acts, seen) = (acts.clone(), seen.clone());
+                    let (acts, seen, ending) = (acts.clone(), seen.clone(), ending.clone());
                     let run = Run::begin(&running);
-                    async move { Ok::<_, Infallible>(answer(request, &acts, &seen, run).await) }
+                    async move {
+                        let answer = answer(request, &acts, &seen, &ending, run);
+                        Ok::<_, Infallible>(answer.await)
+                    }
                 });
                 let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                 tokio::spawn(async move { drop(served.await) });
@@ -139,6 +150,16 @@
         self.acts.lock().unwrap().push_back(act);
     }
 
+    /// All that it was sent, as that grows.
+    pub(crate) fn all_seen(&self) -> Arc<Mutex<Vec<Seen>>> {
+        self.seen.clone()
+    }
+
+    /// Waits until a request has begun that ends endpoints.
+    pub(crate) fn ending(&self) -> Arc<Notify> {
+        self.ending.clone()
+    }
+
     /// It answers well from now on.
     pub(crate) fn calm(&self) {
         self.acts.lock().unwrap().clear();
@@ -173,10 +194,22 @@
     request: Request<Incoming>,
     acts: &Mutex<VecDeque<Act>>,
     seen: &Mutex<Vec<Seen>>,
+    ending: &Notify,
     run: Run,
 ) -> Response<Body> {
     let (parts, body) = request.into_parts();
     let body = body.collect().await.unwrap().to_bytes();
+    if body.starts_with(ENDS.as_bytes()) {
+        seen.lock().unwrap().push(Seen {
+            path: parts.uri.path().to_owned(),
+            headers: parts.headers,
+            body,
+            ran: true,
+            at: std::time::Instant::now(),
+        });
+        ending.notify_one();
+        return std::future::pending().await;
+    }
     let act = acts.lock().unwrap().pop_front();
     let path = parts.uri.path().to_owned();
     let after = parts.headers.get("last-event-id").cloned();
