--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -385,3 +385,38 @@
     assert!(ended >= 3, "{ended}");
     assert!(late <= MOST_LATE, "{late} late arrivals, {ended} ended");
 }
+
+/// All boxes and voters are lost at the same moment while a request keeps coming that is held
+/// back. It is known afterwards: voters keep it beside their journal.
+#[tokio::test(flavor = "multi_thread")]
+async fn it_stays_held_back_when_all_boxes_and_voters_are_lost_at_once() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut site = Site::start(3, 9, Duration::from_secs(1), dir.path()).await;
+    let boxes: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
+    let until = Instant::now() + Duration::from_secs(14);
+    let poison = tokio::spawn(async move {
+        let mut round = 0;
+        while Instant::now() < until {
+            let callers = boxes[round % BOXES];
+            tokio::spawn(async move { send(callers, "/sresume/crash", "crash always").await });
+            round += 1;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let before = site.seen.ended("crash always");
+    for i in 0..3 {
+        site.boxes[i].take().unwrap().kill();
+        site.system.voters[i].take().unwrap().kill();
+    }
+    for i in 0..3 {
+        site.system.start_voter(i, false);
+        site.boxes[i] = Some(site.system.start_entry_at(i));
+    }
+    poison.await.unwrap();
+    let late = site.seen.late_arrivals("crash always", WORD);
+    let ended = site.seen.ended("crash always");
+    println!("{before} endpoints ended before, {ended} in all, {late} late arrivals");
+    assert!(before >= 3, "{before}");
+    assert!(late <= MOST_LATE, "{late} late arrivals, {ended} ended");
+}
--- a/tests/testsuite/crash_book.rs
+++ b/tests/testsuite/crash_book.rs
@@ -329,3 +329,65 @@
     book.ended(one, end_at("i-41", 9_000), NOW);
     assert!(book.is_held_back(&one), "three times");
 }
+
+/// What each end costs the exchange, where it is dearest: an endpoint with sixty requests of many
+/// boxes ends each second, and a third of them was at the end before.
+#[test]
+fn what_ends_cost_in_bytes_does_not_grow_with_the_boxes_but_at_voters() {
+    const VOTERS: usize = 3;
+    const RUNNING: usize = 60;
+    const ENDS: usize = 20;
+    for boxes in [30, 100, 300] {
+        let mut hubs: Vec<_> = (0..VOTERS).map(|_| Hub::default()).collect();
+        let mut books: Vec<_> = (0..boxes)
+            .map(|_| (Book::default(), Told::default()))
+            .collect();
+        let (mut box_bytes, mut voter_bytes) = (vec![0; boxes], [0; VOTERS]);
+        let size = |rows: &Vec<Row>| serde_json::to_string(rows).unwrap().len();
+        for round in 0..ENDS {
+            let now = NOW + Duration::from_secs(round as u64);
+            let at = 10_000 + 1000 * round as u64;
+            for i in 0..RUNNING {
+                // The first third ran at the endpoint before, too.
+                let again = if i < RUNNING / 3 { RUNNING / 3 } else { 0 };
+                let number = RUNNING * (round + 1) + i - again;
+                let one = fingerprint("shop", &number.to_string());
+                let book = &mut books[number % boxes].0;
+                book.ended(one, end_at(&format!("i-{round}"), at), now);
+            }
+            // Boxes tell, voters tell each other, boxes hear.
+            for step in 0..2 {
+                for (i, (book, told)) in books.iter_mut().enumerate() {
+                    let crashes = book.news(told, Part::Own);
+                    box_bytes[i] += size(&crashes);
+                    let news = News {
+                        crashes,
+                        ..News::default()
+                    };
+                    let name = format!("e{i}").parse().unwrap();
+                    let anew = round == 0 && step == 0;
+                    let hub = i % VOTERS;
+                    let answer = hubs[hub].exchange(&name, anew, news, now);
+                    voter_bytes[hub] += size(&answer.news.crashes);
+                    for row in answer.news.crashes {
+                        book.merge(row, false, now);
+                    }
+                }
+                for from in 0..VOTERS {
+                    for to in (0..VOTERS).filter(|to| *to != from) {
+                        let (a, b) = (Zones::hub_name(from), Zones::hub_name(to));
+                        let anew = round == 0 && step == 0;
+                        let news = hubs[from].news_for(&b, anew, now);
+                        voter_bytes[from] += size(&news.crashes);
+                        hubs[to].take(&a, anew, news, now);
+                    }
+                }
+            }
+        }
+        let most = |bytes: &[usize]| bytes.iter().max().unwrap() / ENDS;
+        let (box_most, voter_most) = (most(&box_bytes), most(&voter_bytes));
+        println!("{boxes} boxes: a box {box_most} B, a voter {voter_most} B an end");
+        assert!(box_most < 2_000, "{boxes} boxes: {box_most} B an end");
+        assert!(voter_most < 40_000 + 2_500 * boxes, "{boxes}: {voter_most}");
+    }
+}
