What is held back outlives the loss of all boxes and voters; ends count in turn

(2) The span of 40 ms that was to tell a group's loss apart made ends of endpoints that end within some milliseconds count as one: 7 ended in place of 3 (the test of models, which caught it). An end now counts if the request was sent to its endpoint after the one before had ended; what a lost group had was sent before.

--- a/benches/decisions/main.rs
+++ b/benches/decisions/main.rs
@@ -14,6 +14,7 @@
 
 mod baseline;
 mod cost;
+mod fingerprint;
 mod load;
 mod ours;
 mod score;
@@ -57,6 +58,7 @@
     }
     if picked.is_empty() || picked.iter().any(|name| name == "cost") {
         cost::measure();
+        fingerprint::measure();
     }
 }
 
--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use super::{End, Id, Row, MOST_ENDS, TOLD_ALL};
+use super::{in_turn, End, Id, Row, MOST_ENDS, TOLD_ALL};
 use crate::core::fingerprint::{Fingerprint, HeadHash};
 
 /// How long a request is remembered after it last came or an endpoint last ended under it. One
@@ -24,10 +24,6 @@
 const MOST_HELD_BACK: usize = 1024;
 /// The most ends that are remembered of a request.
 const MOST_KEPT: usize = 2 * MOST_ENDS;
-/// Ends that are closer than this have one cause: a group of endpoints is lost at once, under
-/// requests that many callers send alike. A request ends endpoints one after the other, each after
-/// it was sent there and begun.
-const MOMENT_MS: u64 = 40;
 /// The most ends that are remembered as void.
 const MOST_VOID: usize = 2 * MOST_KEPT;
 /// How often what is old is looked for.
@@ -67,18 +63,8 @@
         }
     }
 
-    /// How many ends there were one after the other: those of one moment count as one.
-    fn moments(&self) -> usize {
-        let mut times: Vec<_> = self.ends.iter().map(|end| end.at_unix_ms).collect();
-        times.sort_unstable();
-        let later = times
-            .windows(2)
-            .filter(|pair| pair[1] - pair[0] >= MOMENT_MS);
-        later.count() + usize::from(!times.is_empty())
-    }
-
     fn is_held_back(&self) -> bool {
-        self.moments() >= MOST_ENDS
+        in_turn(&self.ends) >= MOST_ENDS
     }
 
     fn add(&mut self, end: End) -> bool {
@@ -90,20 +76,20 @@
         if self.ends.len() > MOST_KEPT {
             self.drop_one();
         }
-        self.is_wide |= self.moments() >= TOLD_ALL;
+        self.is_wide |= in_turn(&self.ends) >= TOLD_ALL;
         true
     }
 
-    /// Drops an end that adds least: the one that is closest to the one before it.
+    /// Drops an end without which as many have ended in turn, or else the first.
     fn drop_one(&mut self) {
-        self.ends
-            .sort_unstable_by_key(|end| (end.at_unix_ms, end.id));
-        let ends = self.ends.windows(2);
-        let gaps = ends.map(|pair| pair[1].at_unix_ms - pair[0].at_unix_ms);
-        let least = gaps.enumerate().min_by_key(|(_, gap)| *gap);
-        if let Some((at, _)) = least {
-            self.ends.remove(at + 1);
-        }
+        let count = in_turn(&self.ends);
+        let without = |at: &usize| {
+            let mut rest = self.ends.clone();
+            rest.remove(*at);
+            in_turn(&rest) == count
+        };
+        let spare = (0..self.ends.len()).find(without);
+        self.ends.remove(spare.unwrap_or(0));
     }
 
     fn make_void(&mut self, id: Id) -> bool {
@@ -196,6 +182,14 @@
         cases.map(|(fingerprint, case)| (fingerprint, &case.ends[..]))
     }
 
+    /// The same as rows, to be kept over a restart.
+    pub fn held_back_rows(&self) -> Vec<Row> {
+        let cases = self.cases.iter().filter(|(_, case)| case.is_held_back());
+        cases
+            .map(|(fingerprint, case)| row(fingerprint, case))
+            .collect()
+    }
+
     /// Notes that an endpoint ended under a request.
     pub fn ended(&mut self, fingerprint: Fingerprint, end: End, now: Duration) {
         self.sweep(now);
--- a/src/scalewood/core/crash/mod.rs
+++ b/src/scalewood/core/crash/mod.rs
@@ -52,9 +52,40 @@
     /// The endpoint.
     #[serde(rename = "e")]
     pub endpoint: name::Endpoint,
-    /// When, in milliseconds since the Unix epoch, for people.
+    /// When, in milliseconds since the Unix epoch as all agree on it.
     #[serde(rename = "t")]
     pub at_unix_ms: u64,
+    /// How long before that the request was sent there, in milliseconds.
+    #[serde(rename = "r")]
+    pub ran_ms: u64,
+}
+
+impl End {
+    /// When the request was sent there, in milliseconds since the Unix epoch.
+    fn sent_unix_ms(&self) -> u64 {
+        self.at_unix_ms.saturating_sub(self.ran_ms)
+    }
+}
+
+/// How many endpoints ended one after the other: each had the request sent to it after the one
+/// before had ended.
+///
+/// A group of endpoints that is lost at once counts as one, also under a request that many callers
+/// send alike and that each of them had: all of it was sent before. A request that ends endpoints
+/// goes on to the next after each end.
+fn in_turn(ends: &[End]) -> usize {
+    let mut ends: Vec<_> = ends.iter().collect();
+    // Of spans that don't overlap the most are found by taking the one that ends first.
+    ends.sort_unstable_by_key(|end| end.at_unix_ms);
+    let mut last = None;
+    let mut count = 0;
+    for end in ends {
+        if last.is_none_or(|last| end.sent_unix_ms() >= last) {
+            last = Some(end.at_unix_ms);
+            count += 1;
+        }
+    }
+    count
 }
 
 /// What is told of a request.
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -297,6 +297,11 @@
         &self.crashes
     }
 
+    /// Takes over the requests that were held back before this process started.
+    pub fn restore(&mut self, held_back: &[crash::Row], now: Duration) {
+        self.take_crashes(held_back.to_vec(), true, now);
+    }
+
     /// Takes a request back into service by an operator's word; whether anything was known of it.
     pub fn pardon(&mut self, fingerprint: &Fingerprint, now: Duration) -> bool {
         self.crashes.clear(fingerprint, now)
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -182,6 +182,7 @@
     }
 
     fn hints(&self, committed: agree::Index) -> hints::Hints {
+        let held_back = lock(&self.hub).crashes().held_back_rows();
         let registry = lock(&self.registry);
         let since = self.clock.now().saturating_sub(ALIVE_OF_LATE);
         let alive = registry.heard_since(since);
@@ -195,12 +196,14 @@
         hints::Hints {
             paces: registry.paces_since(0),
             endpoints: endpoints.collect(),
+            held_back,
             committed,
         }
     }
 
     /// Takes over what was known before this process started.
     pub(super) fn take_hints(&self, hints: &hints::Hints) {
+        lock(&self.hub).restore(&hints.held_back, self.clock.now());
         let mut registry = lock(&self.registry);
         for paced in &hints.paces {
             registry.set_pace(&paced.endpoint, paced.pace);
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -81,24 +81,28 @@
     pub(super) endpoint: name::Endpoint,
     pub(super) start: registry::Start,
     pub(super) address: SocketAddr,
+    /// When it was sent there.
+    pub(super) sent_at: Duration,
 }
 
 /// Finds out whether an endpoint that broke off a request has ended, and notes it if so.
 pub(super) async fn note(board: &Shared, content: &Content, request: &str, at: &At) {
+    let broke_at = now(board);
     if !has_ended(at.address).await {
         return;
     }
     let fingerprint = content.fingerprint();
     event!(board.log, EndpointEnded, "endpoint" => %at.endpoint, "request" => request,
         "incarnation" => at.start.map(|start| start.0), "fingerprint" => %fingerprint);
-    let now = now(board);
-    let unix_ms = lock(&board.wall).unix_ms(board.clock.unix_ms(), now);
+    let unix_ms = lock(&board.wall).unix_ms(board.clock.unix_ms(), broke_at);
+    let ran = broke_at.saturating_sub(at.sent_at);
     let end = crash::End {
         id: crash::Id::new(&at.endpoint, at.start, unix_ms),
         endpoint: at.endpoint.clone(),
         at_unix_ms: unix_ms,
+        ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
     };
-    change(board, |book| book.ended(fingerprint, end, now));
+    change(board, |book| book.ended(fingerprint, end, broke_at));
 }
 
 /// Takes what a voter tells of requests under which endpoints have ended.
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -202,8 +202,12 @@
                 Got::HeldBack => return self.fail(Refusal::held_back(past.verdict)).await,
             };
             let attempt = turn.attempt();
+            let sent_at = now(&board);
             let ended = self.attempt(&mut turn, &endpoint).await;
-            if !self.goes_on(turn, endpoint, ended, &mut past).await {
+            if !self
+                .goes_on(turn, (endpoint, sent_at), ended, &mut past)
+                .await
+            {
                 return;
             }
             ask = dispatch::Ask {
@@ -223,7 +227,7 @@
     async fn goes_on(
         &mut self,
         turn: Turn,
-        endpoint: name::Endpoint,
+        (endpoint, sent_at): (name::Endpoint, Duration),
         ended: Ended,
         past: &mut Past,
     ) -> bool {
@@ -251,7 +255,8 @@
                 event!(self.context.board.log, EndpointFailed, "endpoint" => %endpoint,
                     "attempt" => %turn.attempt(), "how" => ?failure.end);
                 turn.end(failure.end);
-                plain::note_end(&self.context.board, &self.call, &endpoint, failure).await;
+                let to = (&endpoint, sent_at);
+                plain::note_end(&self.context.board, &self.call, to, failure).await;
                 past.failures += 1;
                 past.verdict = past.verdict.and(failure.verdict);
                 past.avoid = Some(endpoint);
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -210,6 +210,7 @@
             }
         };
         let attempt = turn.attempt();
+        let sent_at = now(board);
         if claimed.is_some_and(|claim| !claim.is_fresh()) {
             turn.end(dispatch::End::Unused);
             let refusal = Refusal {
@@ -237,7 +238,7 @@
                 turn.end(failure.end);
                 event!(board.log, EndpointFailed, "endpoint" => %endpoint, "attempt" => %attempt,
                     "how" => ?failure.end);
-                note_end(board, call, &endpoint, failure).await;
+                note_end(board, call, (&endpoint, sent_at), failure).await;
                 sofar = sofar.and(failure.verdict);
                 if let Err(refusal) =
                     may_retry(board, call, failure, sofar, attempt.number + 1).await
@@ -260,7 +261,7 @@
 pub(super) async fn note_end(
     board: &Shared,
     call: &Call,
-    endpoint: &name::Endpoint,
+    (endpoint, sent_at): (&name::Endpoint, Duration),
     failure: Failure,
 ) {
     if failure.end != dispatch::End::Broken {
@@ -274,6 +275,7 @@
         endpoint: endpoint.clone(),
         start: None,
         address: known.address,
+        sent_at,
     };
     crash::note(board, &call.content, &call.request.to_string(), &at).await;
 }
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -271,6 +271,7 @@
                 endpoint: record.name.clone(),
                 start: record.incarnation,
                 address: record.address,
+                sent_at: self.now(),
             })
             .ok_or(Failure::UNREACHABLE)?;
         self.sent_to = Some(at.clone());
--- a/src/scalewood/store/hints.rs
+++ b/src/scalewood/store/hints.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{agree, pace, registry};
+use crate::core::{agree, crash, pace, registry};
 
 /// The file's name.
 const NAME: &str = "hints.json";
@@ -25,6 +25,9 @@
     pub paces: Vec<pace::Paced>,
     /// The endpoints that were heard of a moment before, and take work.
     pub endpoints: Vec<registry::Record>,
+    /// The requests that were held back. Three endpoints more would end under each after a loss
+    /// of all power.
+    pub held_back: Vec<crash::Row>,
     /// The last entry of the journal that was known to be committed.
     pub committed: agree::Index,
 }
--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -72,6 +72,21 @@
         .await;
     }
 
+    /// Sends the request that ends endpoints to the boxes by turns, ten times a second for so long.
+    fn keep_sending(&self, length: Duration) -> tokio::task::JoinHandle<()> {
+        let boxes: Vec<_> = (0..BOXES).map(|i| self.system.callers_at(i)).collect();
+        let until = Instant::now() + length;
+        tokio::spawn(async move {
+            let mut round = 0;
+            while Instant::now() < until {
+                let callers = boxes[round % BOXES];
+                tokio::spawn(async move { send(callers, "/sresume/crash", "crash always").await });
+                round += 1;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        })
+    }
+
     /// Sends a request to a box; the status of the answer, if it came whole.
     async fn send(&self, i: usize, path: &str, body: &str) -> Option<u16> {
         send(self.system.callers_at(i), path, body).await
@@ -334,17 +349,7 @@
 async fn it_stays_held_back_while_boxes_and_voters_come_and_go() {
     let dir = tempfile::tempdir().unwrap();
     let mut site = Site::start(3, 9, Duration::from_secs(1), dir.path()).await;
-    let boxes: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
-    let until = Instant::now() + Duration::from_secs(16);
-    let poison = tokio::spawn(async move {
-        let mut round = 0;
-        while Instant::now() < until {
-            let callers = boxes[round % BOXES];
-            tokio::spawn(async move { send(callers, "/sresume/crash", "crash always").await });
-            round += 1;
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
-    });
+    let keeps_coming = site.keep_sending(Duration::from_secs(16));
     let pause = |millis| tokio::time::sleep(Duration::from_millis(millis));
     site.boxes[2].as_ref().unwrap().signal("STOP");
     pause(2000).await;
@@ -378,7 +383,7 @@
     pause(3000).await;
     site.boxes[1].take().unwrap().kill();
     site.boxes[1] = Some(site.system.start_entry_at(1));
-    poison.await.unwrap();
+    keeps_coming.await.unwrap();
     let late = site.seen.late_arrivals("crash always", WORD);
     let ended = site.seen.ended("crash always");
     println!("{ended} endpoints ended, {late} late arrivals");
@@ -392,17 +397,7 @@
 async fn it_stays_held_back_when_all_boxes_and_voters_are_lost_at_once() {
     let dir = tempfile::tempdir().unwrap();
     let mut site = Site::start(3, 9, Duration::from_secs(1), dir.path()).await;
-    let boxes: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
-    let until = Instant::now() + Duration::from_secs(14);
-    let poison = tokio::spawn(async move {
-        let mut round = 0;
-        while Instant::now() < until {
-            let callers = boxes[round % BOXES];
-            tokio::spawn(async move { send(callers, "/sresume/crash", "crash always").await });
-            round += 1;
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
-    });
+    let keeps_coming = site.keep_sending(Duration::from_secs(14));
     tokio::time::sleep(Duration::from_secs(6)).await;
     let before = site.seen.ended("crash always");
     for i in 0..3 {
@@ -413,7 +408,7 @@
         site.system.start_voter(i, false);
         site.boxes[i] = Some(site.system.start_entry_at(i));
     }
-    poison.await.unwrap();
+    keeps_coming.await.unwrap();
     let late = site.seen.late_arrivals("crash always", WORD);
     let ended = site.seen.ended("crash always");
     println!("{before} endpoints ended before, {ended} in all, {late} late arrivals");
--- a/tests/testsuite/crash_book.rs
+++ b/tests/testsuite/crash_book.rs
@@ -35,6 +35,7 @@
         id: Id::new(&endpoint, None, at_unix_ms),
         endpoint,
         at_unix_ms,
+        ran_ms: 50,
     }
 }
 
@@ -315,19 +316,39 @@
 }
 
 /// The same content may be sent by a whole team, so that it is at hand on each endpoint of a group
-/// that is lost at once. One moment is one end, however many endpoints it took.
+/// that is lost at once, or within a moment: all of it was sent before the first end.
 #[test]
 fn a_group_that_is_lost_at_once_under_alike_requests_counts_once() {
     let one = fingerprint("shop", "alike");
     let mut book = Book::default();
+    let long = |name: &str, at| End {
+        ran_ms: 3_000,
+        ..end_at(name, at)
+    };
     for i in 0..30 {
-        book.ended(one, end_at(&format!("i-{i}"), 7_000 + i % 20), NOW);
+        book.ended(one, long(&format!("i-{i}"), 7_000 + 20 * i), NOW);
     }
     assert!(!book.is_held_back(&one));
-    book.ended(one, end_at("i-40", 8_000), NOW);
+    book.ended(one, long("i-40", 11_000), NOW);
     assert!(!book.is_held_back(&one), "twice");
-    book.ended(one, end_at("i-41", 9_000), NOW);
-    assert!(book.is_held_back(&one), "three times");
+    book.ended(one, long("i-41", 15_000), NOW);
+    assert!(book.is_held_back(&one), "three times, one after the other");
+}
+
+/// However fast endpoints end under it: what counts is that each had it after the one before ended.
+#[test]
+fn ends_in_turn_count_each_however_close_they_are() {
+    let one = fingerprint("shop", "fast");
+    let mut book = Book::default();
+    for i in 0..3 {
+        let end = End {
+            ran_ms: 2,
+            ..end_at(&format!("i-{i}"), 7_000 + 3 * i)
+        };
+        assert!(!book.is_held_back(&one));
+        book.ended(one, end, NOW);
+    }
+    assert!(book.is_held_back(&one));
 }
 
 /// What each end costs the exchange, where it is dearest: an endpoint with sixty requests of many
