--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod registry;
 mod report;
 mod residency;
+mod rest;
 mod route;
 mod routed;
 mod scaling;
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -57,8 +57,22 @@
     Mistaken,
     /// It runs the request and never answers.
     Hang,
+    /// It turns the request away and wants nothing from its box for so long.
+    Rest(Duration),
+    /// It says that it leaves, and serves well.
+    Leave,
 }
 
+impl Act {
+    /// Whether it runs the request that it treats so.
+    fn runs(self) -> bool {
+        !matches!(self, Act::Refuse | Act::Mistaken | Act::Rest(_))
+    }
+}
+
+/// The header by which a caller names the box that it asks, so that endpoints can tell.
+pub(crate) const BOX: &str = "x-box";
+
 /// What an endpoint was sent.
 #[derive(Clone, Debug)]
 pub(crate) struct Seen {
@@ -69,6 +83,8 @@
     pub(crate) ran: bool,
     /// When it had it whole.
     pub(crate) at: std::time::Instant,
+    /// How it was treated, if not well.
+    pub(crate) act: Option<Act>,
 }
 
 impl Seen {
@@ -83,6 +99,8 @@
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
     acts: Arc<Mutex<VecDeque<Act>>>,
+    /// How it treats requests for which it was told nothing.
+    usual: Arc<Mutex<Option<Act>>>,
     seen: Arc<Mutex<Vec<Seen>>>,
     running: Arc<AtomicUsize>,
     /// Rings when a request has begun that ends endpoints.
@@ -120,22 +138,25 @@
             name: name.to_owned(),
             address,
             acts: Arc::default(),
+            usual: Arc::default(),
             seen: Arc::default(),
             running: Arc::default(),
             ending: Arc::default(),
         };
         let (acts, seen) = (endpoint.acts.clone(), endpoint.seen.clone());
         let running = endpoint.running.clone();
-        let ending = endpoint.ending.clone();
+        let (ending, usual) = (endpoint.ending.clone(), endpoint.usual.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (acts, seen, running) = (acts.clone(), seen.clone(), running.clone());
-                let ending = ending.clone();
+                let (ending, usual) = (ending.clone(), usual.clone());
                 let service = service_fn(move |request| {
                     let (acts, seen, ending) = (acts.clone(), seen.clone(), ending.clone());
                     let run = Run::begin(&running);
+                    let next = acts.lock().unwrap().pop_front();
+                    let act = next.or(*usual.lock().unwrap());
                     async move {
-                        let answer = answer(request, &acts, &seen, &ending, run);
+                        let answer = answer(request, act, &seen, &ending, run);
                         Ok::<_, Infallible>(answer.await)
                     }
                 });
@@ -150,6 +171,11 @@
         self.acts.lock().unwrap().push_back(act);
     }
 
+    /// It treats all requests so from now on, or well.
+    pub(crate) fn always(&self, act: Option<Act>) {
+        *self.usual.lock().unwrap() = act;
+    }
+
     /// All that it was sent, as that grows.
     pub(crate) fn all_seen(&self) -> Arc<Mutex<Vec<Seen>>> {
         self.seen.clone()
@@ -163,6 +189,7 @@
     /// It answers well from now on.
     pub(crate) fn calm(&self) {
         self.acts.lock().unwrap().clear();
+        self.always(None);
     }
 
     /// How many requests it is at work on.
@@ -192,7 +219,7 @@
 
 async fn answer(
     request: Request<Incoming>,
-    acts: &Mutex<VecDeque<Act>>,
+    act: Option<Act>,
     seen: &Mutex<Vec<Seen>>,
     ending: &Notify,
     run: Run,
@@ -206,11 +233,11 @@
             body,
             ran: true,
             at: std::time::Instant::now(),
+            act: None,
         });
         ending.notify_one();
         return std::future::pending().await;
     }
-    let act = acts.lock().unwrap().pop_front();
     let path = parts.uri.path().to_owned();
     let after = parts.headers.get("last-event-id").cloned();
     let id = parts.headers.get("scalewood-id").cloned();
@@ -218,17 +245,14 @@
         path: path.clone(),
         headers: parts.headers,
         body,
-        ran: !matches!(act, Some(Act::Refuse | Act::Mistaken)),
+        ran: act.is_none_or(Act::runs),
         at: std::time::Instant::now(),
+        act,
     });
     let mut response = match act {
         Some(Act::Hang) => std::future::pending().await,
-        Some(Act::Refuse) => {
-            let mut response = plain(503, "full");
-            let not_run = "not-run".parse().unwrap();
-            response.headers_mut().insert("scalewood-verdict", not_run);
-            response
-        }
+        Some(Act::Refuse) => full(None),
+        Some(Act::Rest(rest)) => full(Some(&rest.as_secs_f64().to_string())),
         Some(Act::Fail) => plain(500, "failed"),
         Some(Act::Mistaken) => plain(421, "another"),
         _ if path.starts_with("/s") => {
@@ -244,6 +268,21 @@
     if let Some(id) = id {
         response.headers_mut().insert("scalewood-id", id);
     }
+    if act == Some(Act::Leave) {
+        let leaves = "1".parse().unwrap();
+        response.headers_mut().insert("scalewood-leaving", leaves);
+    }
+    response
+}
+
+/// The answer of an endpoint that has no room, and wants nothing for a while.
+fn full(rest: Option<&str>) -> Response<Body> {
+    let mut response = plain(503, "full");
+    let headers = response.headers_mut();
+    headers.insert("scalewood-verdict", "not-run".parse().unwrap());
+    if let Some(rest) = rest {
+        headers.insert("retry-after", rest.parse().unwrap());
+    }
     response
 }
 
@@ -619,6 +658,31 @@
     (system, started)
 }
 
+/// After which time requests that were under way when an endpoint asked for rest have arrived.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+
+/// The rests that endpoints asked for: how many, and the most requests that one got from the box
+/// that it had asked. Each request names its box.
+pub(crate) fn rests(endpoints: &[Endpoint]) -> (usize, usize) {
+    let (mut count, mut most) = (0, 0);
+    for endpoint in endpoints {
+        let seen = endpoint.seen();
+        for asked in &seen {
+            let Some(Act::Rest(rest)) = asked.act else {
+                continue;
+            };
+            let (from, until) = (asked.at + UNDER_WAY, asked.at + rest);
+            let of_box = seen
+                .iter()
+                .filter(|seen| seen.header(BOX) == asked.header(BOX));
+            let within = of_box.filter(|seen| seen.at > from && seen.at < until);
+            count += 1;
+            most = most.max(within.count());
+        }
+    }
+    (count, most)
+}
+
 /// How many requests for a path have reached endpoints.
 pub(crate) fn seen(endpoints: &[Endpoint], path: &str) -> usize {
     let all = endpoints.iter().flat_map(Endpoint::seen);
