--- a/benches/decisions/ours.rs
+++ b/benches/decisions/ours.rs
@@ -197,6 +197,7 @@
                 .and_then(|p| p.avoid)
                 .map(endpoint_name),
             hold: self.known_lengths.then(|| world.hold(request)),
+            rests: Vec::new(),
         }
     }
 
--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -304,6 +304,21 @@
         registered.is_some_and(|record| document.cordoned.contains(&record.zone))
     }
 
+    /// How much longer an endpoint rests from this box, if it does.
+    pub fn rest_left(&self, endpoint: &name::Endpoint) -> Option<Duration> {
+        let start = lock(&self.registry)
+            .get(endpoint)
+            .and_then(|record| record.incarnation);
+        lock(&self.rests).left(endpoint, start, self.clock.now())
+    }
+
+    /// Whether an endpoint that announced itself is known here to leave.
+    pub fn is_leaving(&self, endpoint: &name::Endpoint) -> bool {
+        let registry = lock(&self.registry);
+        let known = registry.get(endpoint);
+        known.is_some_and(|record| record.state == registry::State::Leaving)
+    }
+
     /// Counts a request that an endpoint has begun.
     pub fn count_usage(&self, team: &name::Team) {
         let now = self.clock.now();
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -10,7 +10,7 @@
 //! is ejected at once: if more than that fails, the fault is likely elsewhere.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -25,9 +25,11 @@
 mod eligible;
 mod health;
 mod home;
+mod rest;
 mod restart;
 mod slots;
 
+pub(super) use eligible::Seeker;
 pub use eligible::Standing;
 pub(super) use {
     cost::{Model, Prompt},
@@ -133,6 +135,8 @@
     standing: Standing,
     /// Which start of it this is, once it was configured.
     start: Option<registry::Start>,
+    /// The boxes that it wants nothing from, and until when.
+    rests: BTreeMap<name::Box, Duration>,
     /// This box's right to send to it while it warms up.
     pass: warm_up::Pass,
     /// Requests that belonged to it of late and went elsewhere for want of that right.
@@ -253,6 +257,8 @@
     kept_back: u32,
     /// The region of this box, if it is known.
     region: Option<name::Region>,
+    /// Whether any endpoint may rest from any box.
+    resting: bool,
 }
 
 /// How much fuller, in thousandths, an endpoint of this zone may be than one of
@@ -348,6 +354,7 @@
             zone: own_zone(),
             standing: Standing::default(),
             start: None,
+            rests: BTreeMap::new(),
             pass: warm_up::Pass::default(),
             kept_from: 0,
             slow: false,
--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -8,10 +8,10 @@
 
 use std::time::Duration;
 
-use super::{Endpoint, Set};
+use super::{Endpoint, Seeker, Set};
 use crate::core::{
     dispatch::{message, pauses, reading},
-    name, residency, unit,
+    name, unit,
 };
 
 /// A cost, in microseconds that a first token is put off.
@@ -62,8 +62,8 @@
 /// A prompt that is to be placed.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::core::dispatch) struct Prompt<'a> {
-    /// Where it may be served.
-    pub(in crate::core::dispatch) allowed: &'a residency::Allowed,
+    /// Who asks.
+    pub(in crate::core::dispatch) seeker: Seeker<'a>,
     /// What it shares with others.
     pub(in crate::core::dispatch) placed: message::Placed,
     /// All its tokens.
--- a/src/scalewood/core/dispatch/endpoint/eligible.rs
+++ b/src/scalewood/core/dispatch/endpoint/eligible.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use super::{Endpoint, Index, Score, Set, Tokens};
-use crate::core::{dispatch::Settings, invariant, name, registry, residency, warm_up};
+use crate::core::{
+    dispatch::{queue, Settings},
+    invariant, name, registry, residency, warm_up,
+};
 
 /// How long after the first sign a leaving endpoint may still get work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
@@ -25,6 +28,21 @@
     pub warming: Option<warm_up::Warming>,
 }
 
+/// Who a slot is for, as far as that rules endpoints out.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::core::dispatch) struct Seeker<'a> {
+    /// Where the request may be served.
+    pub(in crate::core::dispatch) allowed: &'a residency::Allowed,
+    /// The box that would send it.
+    pub(in crate::core::dispatch) origin: &'a name::Box,
+}
+
+impl<'a> From<&'a queue::Lane> for Seeker<'a> {
+    fn from((allowed, origin): &'a queue::Lane) -> Self {
+        Self { allowed, origin }
+    }
+}
+
 /// An endpoint with a free slot that a request may be sent to.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Eligible {
@@ -45,11 +63,16 @@
 }
 
 impl Endpoint {
-    /// Whether a request that may be served in some regions may be sent there.
-    fn is_eligible(&self, allowed: &residency::Allowed) -> bool {
+    /// Whether a request that may be served in some regions may be sent there, in the end.
+    pub(super) fn may_serve(&self, allowed: &residency::Allowed) -> bool {
         !self.standing.cordoned && allowed.permits(self.standing.region.as_ref())
     }
 
+    /// Whether a request may be sent there now.
+    fn is_eligible(&self, seeker: Seeker<'_>) -> bool {
+        self.may_serve(seeker.allowed) && !self.rests.contains_key(seeker.origin)
+    }
+
     /// Its warm-up, while it lasts.
     pub(super) fn warming(&self, now: Duration) -> Option<warm_up::Warming> {
         self.standing.warming.filter(|warming| warming.lasts(now))
@@ -66,7 +89,7 @@
     /// The endpoints with a free slot that a request may be sent to, in the order of choice.
     pub(super) fn eligible<'a>(
         &'a self,
-        allowed: &'a residency::Allowed,
+        seeker: Seeker<'a>,
         now: Duration,
     ) -> impl Iterator<Item = Eligible> + 'a {
         let ready = self.ready.iter();
@@ -76,7 +99,7 @@
         });
         free.filter(move |free| {
             let endpoint = &self.endpoints[free.index.0];
-            endpoint.is_eligible(allowed) && endpoint.bears(now)
+            endpoint.is_eligible(seeker) && endpoint.bears(now)
         })
     }
 
@@ -128,28 +151,24 @@
     }
 
     /// Whether an endpoint with a free slot is there that a request may be sent to.
-    pub(in crate::core::dispatch) fn has_free_in(
+    pub(in crate::core::dispatch) fn has_free_for(
         &self,
-        allowed: &residency::Allowed,
+        seeker: Seeker<'_>,
         now: Duration,
     ) -> bool {
-        self.eligible(allowed, now).next().is_some()
+        self.eligible(seeker, now).next().is_some()
     }
 
     /// Whether a request may be sent to an endpoint.
-    pub(in crate::core::dispatch) fn permits(
-        &self,
-        index: Index,
-        allowed: &residency::Allowed,
-    ) -> bool {
-        self.endpoints[index.0].is_eligible(allowed)
+    pub(in crate::core::dispatch) fn permits(&self, index: Index, seeker: Seeker<'_>) -> bool {
+        self.endpoints[index.0].is_eligible(seeker)
     }
 
     /// Whether a request may be sent to any endpoint, now or once a slot comes free there.
     pub(in crate::core::dispatch) fn is_hopeless(&self, allowed: &residency::Allowed) -> bool {
         let serving = |e: &&Endpoint| e.configured && e.leaving.is_none();
         let mut serving = self.endpoints.iter().filter(serving);
-        !serving.any(|endpoint| endpoint.is_eligible(allowed))
+        !serving.any(|endpoint| endpoint.may_serve(allowed))
     }
 
     /// Whether it could be sent to an endpoint that serves, but for a cordon.
--- a/src/scalewood/core/dispatch/endpoint/health.rs
+++ b/src/scalewood/core/dispatch/endpoint/health.rs
@@ -19,7 +19,7 @@
 const MIN_SPEED: f64 = 0.1;
 impl Endpoint {
     /// Notes that a request failed, with a weight from 0 to 1.
-    fn raise_risk(&mut self, weight: f64, now: Duration) {
+    pub(super) fn raise_risk(&mut self, weight: f64, now: Duration) {
         self.risk.raise(weight, now);
         self.outcomes.failed += 1;
         self.refresh_doubt(now);
@@ -159,6 +159,7 @@
 
     /// Moves on what depends on time.
     pub(in crate::core::dispatch) fn tick(&mut self, now: Duration) {
+        self.end_rests(now);
         for i in 0..self.endpoints.len() {
             let endpoint = &mut self.endpoints[i];
             if matches!(endpoint.state, State::Ejected(until) if until <= now) {
--- a/src/scalewood/core/dispatch/endpoint/home.rs
+++ b/src/scalewood/core/dispatch/endpoint/home.rs
@@ -87,7 +87,7 @@
         now: Duration,
     ) -> Result<Choice, Unplaced> {
         let mut candidates: Vec<_> = self
-            .eligible(prompt.allowed, now)
+            .eligible(prompt.seeker, now)
             .map(|eligible| (self.weight(eligible.index(), prompt), eligible))
             .collect();
         candidates.sort_unstable_by_key(|(weight, eligible)| Reverse((*weight, eligible.index())));
--- a/src/scalewood/core/dispatch/endpoint/slots.rs
+++ b/src/scalewood/core/dispatch/endpoint/slots.rs
@@ -3,12 +3,11 @@
 
 use std::time::Duration;
 
-use super::{eligible::Eligible, Choice, Index, Set, Tokens};
+use super::{eligible::Eligible, Choice, Index, Seeker, Set, Tokens};
 use crate::core::{
     dispatch::{reading, Settings},
     name,
     prompt::Prefix,
-    residency,
 };
 
 /// Where a prefix is likely cached.
@@ -24,8 +23,8 @@
 /// A request that is to get the least used endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::core::dispatch) struct Wanted<'a> {
-    /// Where it may be served.
-    pub(in crate::core::dispatch) allowed: &'a residency::Allowed,
+    /// Who asks.
+    pub(in crate::core::dispatch) seeker: Seeker<'a>,
     /// The prompt's prefix, if an engine's cache is worth something to it.
     pub(in crate::core::dispatch) prefix: Option<Prefix>,
     /// The endpoint that it goes to last.
@@ -40,7 +39,7 @@
         now: Duration,
         settings: &Settings,
     ) -> Option<Choice> {
-        let mut candidates = self.eligible(wanted.allowed, now).take(2);
+        let mut candidates = self.eligible(wanted.seeker, now).take(2);
         let mut best = candidates.next()?;
         if self.is_avoided(best.index(), &wanted) {
             best = candidates.next().unwrap_or(best);
@@ -78,7 +77,7 @@
         let hint = self.hints.get(&wanted.prefix?);
         let index = hint.filter(|hint| hint.until > now)?.index;
         let most = best.score() + settings.hint_slack;
-        let mut near = self.eligible(wanted.allowed, now);
+        let mut near = self.eligible(wanted.seeker, now);
         let hinted = near.find(|eligible| eligible.index() == index)?;
         (!self.is_avoided(index, wanted) && hinted.score() <= most).then_some(hinted)
     }
--- a/src/scalewood/core/dispatch/grant.rs
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -5,7 +5,7 @@
 use crate::core::{
     attempt,
     dispatch::{class, endpoint, message, queue, run, Dispatcher},
-    invariant, name, residency, unit,
+    invariant, name, unit,
 };
 
 impl Dispatcher {
@@ -14,8 +14,7 @@
         if !self.is_settled(now) {
             return;
         }
-        // Where requests may be served that found no free slot in this step: those that may
-        // be served elsewhere don't wait for them.
+        // The lanes that found no free slot in this step: the others don't wait for them.
         let mut full = Vec::new();
         while self.endpoints.has_free(now) {
             let Some(attempt) = self.next(&full, now) else {
@@ -24,12 +23,12 @@
             let Some(waiting) = self.queue.get(attempt) else {
                 break;
             };
-            let ask = waiting.ask.clone();
-            let choice = match self.choose(&ask, now) {
+            let (ask, lane) = (waiting.ask.clone(), waiting.lane());
+            let choice = match self.choose(&ask, &lane.1, now) {
                 Ok(choice) => choice,
-                Err(endpoint::Unplaced::NoSlot) if ask.allowed.is_everywhere() => break,
+                Err(endpoint::Unplaced::NoSlot) if self.is_wide(&lane) => break,
                 Err(endpoint::Unplaced::NoSlot) => {
-                    full.push(ask.allowed);
+                    full.push(lane);
                     continue;
                 }
                 Err(endpoint::Unplaced::Overload(overload)) => {
@@ -48,6 +47,7 @@
     fn choose(
         &mut self,
         ask: &message::Ask,
+        origin: &name::Box,
         now: Duration,
     ) -> Result<endpoint::Choice, endpoint::Unplaced> {
         let avoid = ask.avoid.as_ref();
@@ -59,9 +59,13 @@
                 over,
             }));
         }
+        let seeker = endpoint::Seeker {
+            allowed: &ask.allowed,
+            origin,
+        };
         let Some(placed) = ask.placed else {
             let wanted = endpoint::Wanted {
-                allowed: &ask.allowed,
+                seeker,
                 prefix: ask.prefix,
                 avoid,
             };
@@ -76,7 +80,7 @@
         let hold = class.map_or(class::MIN_HOLD, |class| class.mean);
         let left = |limit: Duration| limit.saturating_sub(ask.age);
         let prompt = endpoint::Prompt {
-            allowed: &ask.allowed,
+            seeker,
             placed,
             tokens: ask.prompt.0,
             tier: ask.tier,
@@ -97,6 +101,11 @@
         self.endpoints.choose_home(&prompt, &model, avoid, now)
     }
 
+    /// Whether a lane may use each endpoint that any other may use.
+    pub(super) fn is_wide(&self, (allowed, _): &queue::Lane) -> bool {
+        allowed.is_everywhere() && !self.endpoints.has_rests()
+    }
+
     /// How long a request must not begin, since more urgent ones are refused. One that was
     /// sent to an endpoint before goes on: what it has begun is not taken away.
     fn held_back(&self, ask: &message::Ask, now: Duration) -> Option<Duration> {
@@ -116,8 +125,8 @@
         self.classes.get(class).map(|class| class.tier) == first
     }
 
-    /// The request that gets the next free slot, where some residencies have none.
-    fn next(&self, full: &[residency::Allowed], now: Duration) -> Option<attempt::Attempt> {
+    /// The request that gets the next free slot, where some lanes have none.
+    fn next(&self, full: &[queue::Lane], now: Duration) -> Option<attempt::Attempt> {
         let first = self.queue.first_but(full)?;
         // A slot that a preemption freed goes to the request that it was freed for.
         if self.freed > 0 || self.runs.preempting() > 0 {
@@ -128,7 +137,7 @@
         let owed = owed.and_then(|class| self.queue.first_of(class));
         let has_room = |attempt: &attempt::Attempt| {
             let waiting = self.queue.get(*attempt);
-            waiting.is_some_and(|waiting| !full.contains(&waiting.ask.allowed))
+            waiting.is_some_and(|waiting| !full.contains(&waiting.lane()))
         };
         let owed = owed.filter(has_room);
         if let Some(owed) = owed.filter(|attempt| self.may_go_first(*attempt, now)) {
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{attempt, name, residency, unit};
+use crate::core::{attempt, name, residency, rest, unit};
 
 pub use crate::core::prompt::{Placed, Prefix};
 
@@ -50,6 +50,10 @@
     pub avoid: Option<name::Endpoint>,
     /// How long the run will hold its slot, where that is known beforehand.
     pub hold: Option<Duration>,
+    /// Endpoints that rest from the box, as far as the dispatcher has not heard of them. It only
+    /// spares grants that the box would give back: a dispatcher may pass it over.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rests: Vec<rest::Told>,
 }
 
 /// A run that an entry box holds, told to a new dispatcher.
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -316,6 +316,7 @@
         if self.queue.contains(attempt) || self.runs.get(attempt).is_some() {
             return;
         }
+        self.endpoints.note_rests(&origin, &ask.rests, now);
         if ask.placed.is_some() {
             self.placement.note(&ask);
         }
@@ -376,7 +377,8 @@
                     self.pauses.observe(place, true, now);
                 }
             }
-            End::Cancelled | End::Preempted | End::Refused | End::Unused => {}
+            End::Refused => self.endpoints.refused(run.endpoint, now),
+            End::Cancelled | End::Preempted | End::Unused => {}
         }
     }
 
@@ -458,6 +460,7 @@
     }
 
     fn lose(&mut self, origin: &name::Box) {
+        self.endpoints.forget_rests(origin);
         let waiting = self.queue.all().filter(|w| w.origin == *origin);
         let waiting: Vec<_> = waiting.map(|w| w.ask.attempt).collect();
         for attempt in waiting {
@@ -476,6 +479,7 @@
         self.expire_grants(now);
         self.shed_expired(now);
         self.shed_late(now);
+        self.shed_all_resting(now);
     }
 
     fn expire_grants(&mut self, now: Duration) {
--- a/src/scalewood/core/dispatch/preempt.rs
+++ b/src/scalewood/core/dispatch/preempt.rs
@@ -9,8 +9,8 @@
 
 use crate::core::{
     attempt,
-    dispatch::{message, run, Dispatcher},
-    invariant, residency, unit,
+    dispatch::{endpoint, message, queue, run, Dispatcher},
+    invariant, unit,
 };
 
 /// Requests that one step preempts for at most, so that it stays short.
@@ -22,12 +22,13 @@
         if self.queue.is_empty() || !self.is_settled(now) {
             return;
         }
-        for (tier, allowed) in self.urgent(now) {
-            if self.endpoints.has_free_in(&allowed, now) {
+        for (tier, lane) in self.urgent(now) {
+            let seeker = endpoint::Seeker::from(&lane);
+            if self.endpoints.has_free_for(seeker, now) {
                 continue;
             }
-            let Some(victim) = self.victim_for(tier, &allowed) else {
-                if allowed.is_everywhere() {
+            let Some(victim) = self.victim_for(tier, seeker) else {
+                if self.is_wide(&lane) {
                     break;
                 }
                 continue;
@@ -45,22 +46,21 @@
     pub(super) fn victim_for(
         &self,
         tier: unit::Tier,
-        allowed: &residency::Allowed,
+        seeker: endpoint::Seeker<'_>,
     ) -> Option<&run::Run> {
-        let fits = |run: &run::Run| self.endpoints.permits(run.endpoint, allowed);
+        let fits = |run: &run::Run| self.endpoints.permits(run.endpoint, seeker);
         self.runs.victim_where(tier, fits)
     }
 
-    /// The requests that need a slot now and have none on its way: the tier of each, and
-    /// where it may be served.
-    fn urgent(&self, now: Duration) -> Vec<(unit::Tier, residency::Allowed)> {
+    /// The requests that need a slot now and have none on its way: the tier and lane of each.
+    fn urgent(&self, now: Duration) -> Vec<(unit::Tier, queue::Lane)> {
         let until: Duration = now + self.settings.preempt_lead;
         let on_their_way = self.runs.preempting();
         let urgent = self.queue.urgent(until, MAX_URGENT + on_their_way);
         urgent
             .into_iter()
             .skip(on_their_way)
-            .map(|waiting| (waiting.ask.tier, waiting.ask.allowed.clone()))
+            .map(|waiting| (waiting.ask.tier, waiting.lane()))
             .collect()
     }
 
--- a/src/scalewood/core/dispatch/queue.rs
+++ b/src/scalewood/core/dispatch/queue.rs
@@ -22,6 +22,9 @@
 /// A place in the order over all tiers: tier, whether it is late, position.
 type Place = (unit::Tier, bool, Position);
 
+/// What rules out endpoints for a request: where it may be served, and which box would send it.
+pub(super) type Lane = (residency::Allowed, name::Box);
+
 /// A request that waits.
 #[derive(Clone, Debug)]
 pub(super) struct Waiting {
@@ -43,6 +46,20 @@
         (self.due, self.serial, self.ask.attempt)
     }
 
+    /// When its caller leaves or it is shed.
+    pub(super) fn leaves_at(&self) -> Duration {
+        let shorter = self.ask.patience.map(|patience| {
+            // Both count from the arrival.
+            self.ask.deadline.saturating_sub(patience)
+        });
+        self.give_up.saturating_sub(shorter.unwrap_or_default())
+    }
+
+    /// Its lane.
+    pub(super) fn lane(&self) -> Lane {
+        (self.ask.allowed.clone(), self.origin.clone())
+    }
+
     fn place(&self) -> Place {
         (self.ask.tier, self.bucket.is_none(), self.position())
     }
@@ -88,8 +105,8 @@
     waiting: HashMap<attempt::Attempt, Waiting>,
     tiers: BTreeMap<unit::Tier, Band>,
     classes: HashMap<name::Class, BTreeSet<Position>>,
-    /// The requests of each residency, in the order in which they get a slot.
-    lanes: BTreeMap<residency::Allowed, BTreeSet<Place>>,
+    /// The requests of each lane, in the order in which they get a slot.
+    lanes: BTreeMap<Lane, BTreeSet<Place>>,
     serial: u64,
 }
 
@@ -162,7 +179,7 @@
             .entry(waiting.ask.class.clone())
             .or_default()
             .insert(waiting.position());
-        let lane = self.lanes.entry(waiting.ask.allowed.clone()).or_default();
+        let lane = self.lanes.entry(waiting.lane()).or_default();
         lane.insert(waiting.place());
         self.waiting.insert(waiting.ask.attempt, waiting);
     }
@@ -174,10 +191,11 @@
         if let Some(class) = self.classes.get_mut(&waiting.ask.class) {
             class.remove(&position);
         }
-        if let Some(lane) = self.lanes.get_mut(&waiting.ask.allowed) {
+        let key = waiting.lane();
+        if let Some(lane) = self.lanes.get_mut(&key) {
             lane.remove(&waiting.place());
             if lane.is_empty() {
-                self.lanes.remove(&waiting.ask.allowed);
+                self.lanes.remove(&key);
             }
         }
         if let Some(band) = self.tiers.get_mut(&waiting.ask.tier) {
@@ -211,7 +229,7 @@
                 if let Some(bucket) = waiting.bucket.take() {
                     band.work.remove(bucket, waiting.hold);
                 }
-                if let Some(lane) = self.lanes.get_mut(&waiting.ask.allowed) {
+                if let Some(lane) = self.lanes.get_mut(&waiting.lane()) {
                     lane.remove(&before);
                     lane.insert(waiting.place());
                 }
@@ -238,18 +256,30 @@
             .map(|position| position.2)
     }
 
-    /// The request that is next by tier and slack, of those that may be served elsewhere
-    /// than in some regions which have no free slot.
-    pub(super) fn first_but(&self, full: &[residency::Allowed]) -> Option<attempt::Attempt> {
+    /// The request that is next by tier and slack, but for lanes which have no free slot.
+    pub(super) fn first_but(&self, full: &[Lane]) -> Option<attempt::Attempt> {
         if full.is_empty() {
             return self.first();
         }
         let lanes = self.lanes.iter();
-        let open = lanes.filter(|(allowed, _)| !full.contains(allowed));
+        let open = lanes.filter(|(lane, _)| !full.contains(lane));
         let first = open.filter_map(|(_, lane)| lane.first()).min()?;
         Some(first.2 .2)
     }
 
+    /// The lanes in which requests wait.
+    pub(super) fn lanes(&self) -> impl Iterator<Item = &Lane> {
+        self.lanes.keys()
+    }
+
+    /// The requests of a lane that are shed until a time at the latest.
+    pub(super) fn given_up_by(&self, lane: &Lane, until: Duration) -> Vec<attempt::Attempt> {
+        let places = self.lanes.get(lane).into_iter().flatten();
+        let waiting = places.filter_map(|(_, _, position)| self.waiting.get(&position.2));
+        let over = waiting.filter(|waiting| waiting.leaves_at() <= until);
+        over.map(|waiting| waiting.ask.attempt).collect()
+    }
+
     /// The request of a class that is next.
     pub(super) fn first_of(&self, class: &name::Class) -> Option<attempt::Attempt> {
         self.classes.get(class)?.first().map(|position| position.2)
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -74,8 +74,47 @@
             }
         }
         if self.is_predicted_late(attempt, now) {
-            self.shed(attempt, message::Reason::Deadline, now);
+            return self.shed(attempt, message::Reason::Deadline, now);
+        }
+        if let Some(until) = self.rests_too_long(attempt) {
+            self.shed_resting(attempt, until, now);
+        }
+    }
+
+    /// Until when all endpoints rest that may serve a request, if its caller leaves before.
+    fn rests_too_long(&self, attempt: attempt::Attempt) -> Option<Duration> {
+        let waiting = self.queue.get(attempt)?;
+        let lane = waiting.lane();
+        let until = self.endpoints.rest_until((&lane).into())?;
+        (waiting.leaves_at() <= until).then_some(until)
+    }
+
+    /// Sheds the requests for which all endpoints rest until their callers have left.
+    pub(super) fn shed_all_resting(&mut self, now: Duration) {
+        if !self.endpoints.has_rests() {
+            return;
         }
+        let lanes: Vec<_> = self.queue.lanes().cloned().collect();
+        for lane in lanes {
+            let Some(until) = self.endpoints.rest_until((&lane).into()) else {
+                continue;
+            };
+            for attempt in self.queue.given_up_by(&lane, until) {
+                self.shed_resting(attempt, until, now);
+            }
+        }
+    }
+
+    /// Sheds a request for which all endpoints rest; it may come back once the first has ended
+    /// its rest.
+    fn shed_resting(&mut self, attempt: attempt::Attempt, until: Duration, now: Duration) {
+        let Some(waiting) = self.queue.remove(attempt) else {
+            return;
+        };
+        self.refusals.note_refused(&waiting.ask);
+        let retry = until.saturating_sub(now).min(MAX_RETRY);
+        let shed = message::Order::Shed(attempt, message::Reason::Deadline, retry);
+        self.outputs.push((waiting.origin, shed));
     }
 
     /// Sheds the requests whose time is over.
@@ -151,12 +190,13 @@
             // Endpoints that are ejected may come back before the deadline.
             return false;
         }
-        let (tier, allowed) = (waiting.ask.tier, &waiting.ask.allowed);
-        if self.victim_for(tier, allowed).is_some() {
+        let (tier, lane) = (waiting.ask.tier, waiting.lane());
+        let seeker = endpoint::Seeker::from(&lane);
+        if self.victim_for(tier, seeker).is_some() {
             // A lower tier gives way before this one is given up on.
             return false;
         }
-        if self.queue.first() == Some(attempt) && self.endpoints.has_free_in(allowed, now) {
+        if self.queue.first() == Some(attempt) && self.endpoints.has_free_for(seeker, now) {
             // Nothing goes before it. Refused for its own work and for what may come, it
             // would never run, and what is known of its class would never get better.
             return false;
@@ -208,7 +248,8 @@
             return;
         };
         let over = waiting.give_up <= now;
-        let victim = self.victim_for(waiting.ask.tier, &waiting.ask.allowed);
+        let lane = waiting.lane();
+        let victim = self.victim_for(waiting.ask.tier, (&lane).into());
         invariant::check(over || victim.is_none(), invariant::Rule::ShedOrder, || {
             format!(
                 "{attempt} is shed while {:?} runs",
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -192,6 +192,7 @@
             bounds: self.refused.bounds(now),
             wanted: Vec::new(),
             crashes: self.crashes_for(from),
+            leaving: Vec::new(),
         };
         let leased = self
             .leases
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{crash, name, prompt::Prefix, risk};
+use crate::core::{crash, name, prompt::Prefix, registry, risk};
 
 mod hub;
 mod later;
@@ -253,6 +253,9 @@
     /// Requests under which endpoints have ended, as far as that has changed.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<crash::Row>,
+    /// Endpoints that said in an answer that they leave; told to voters, whose registries pass it on.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<registry::Leaving>,
 }
 
 impl News {
--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -22,7 +22,7 @@
 mod refusal;
 
 pub use ended::{Ended, Start};
-pub use record::{Record, State};
+pub use record::{Leaving, Record, State};
 pub use refusal::{Reason, Refusal};
 
 /// What a merge changed.
@@ -58,6 +58,8 @@
     /// When it started, as its heartbeats tell: in milliseconds of this process's clock,
     /// before its zero as well. Heartbeats come late, so the earliest that was told counts.
     started: i64,
+    /// The registry's stamp when it was heard that it said in an answer that it leaves.
+    leaves: Option<u64>,
     /// Its warm-up; the record itself tells none, since what is left falls with time.
     warm_up: warm_up::Belief,
 }
@@ -70,6 +72,7 @@
             slow: false,
             restored: false,
             started: started(record.sequence, now),
+            leaves: None,
             warm_up,
             record,
         }
@@ -168,6 +171,10 @@
         entry.restored = false;
         entry.started = entry.started.min(started(record.sequence, now));
         let warms = entry.warm_up.hear(record.warm_up.take(), now);
+        if entry.leaves.is_some() {
+            // The heartbeat may have been sent before the answer.
+            record.state = record.state.max(State::Leaving);
+        }
         let same = !warms && record.says_the_same(&entry.record);
         entry.record = record;
         if same {
@@ -179,6 +186,34 @@
         Merged::Changed
     }
 
+    /// Notes that a start of an endpoint said in an answer that it leaves. No heartbeat of this start
+    /// takes it back.
+    pub fn note_leaving(&mut self, name: &name::Endpoint, start: Start) -> Merged {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return Merged::Nothing;
+        };
+        if entry.record.incarnation != start || entry.leaves.is_some() {
+            return Merged::Nothing;
+        }
+        self.stamp += 1;
+        self.layout = self.stamp;
+        entry.leaves = Some(self.stamp);
+        entry.stamp = self.stamp;
+        entry.record.state = State::Leaving;
+        Merged::Changed
+    }
+
+    /// The starts of which it was heard after a stamp that they said in an answer that they leave.
+    pub fn leaving_since(&self, stamp: u64) -> Vec<Leaving> {
+        let entries = self.entries.values();
+        let leaving = entries.filter(|entry| entry.leaves.is_some_and(|at| at > stamp));
+        let leaving = leaving.map(|entry| Leaving {
+            name: entry.record.name.clone(),
+            start: entry.record.incarnation,
+        });
+        leaving.collect()
+    }
+
     /// Takes an endpoint that served before a loss of power: it is used until it should have
     /// been heard of again. Every endpoint's next heartbeat takes more than a second.
     pub fn restore(&mut self, record: Record, now: Duration) -> Merged {
--- a/src/scalewood/core/registry/record.rs
+++ b/src/scalewood/core/registry/record.rs
@@ -6,7 +6,7 @@
 
 use crate::core::{
     name,
-    registry::{Reason, Refusal},
+    registry::{self, Reason, Refusal},
     unit, warm_up,
 };
 
@@ -22,6 +22,17 @@
     Gone,
 }
 
+/// A start of an endpoint that said in an answer that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leaving {
+    /// The endpoint.
+    #[serde(rename = "n")]
+    pub name: name::Endpoint,
+    /// Which start of it.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub start: registry::Start,
+}
+
 /// What an endpoint says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
--- a/src/scalewood/core/rest.rs
+++ b/src/scalewood/core/rest.rs
@@ -4,9 +4,14 @@
 //! that sent it (`Retry-After`, RFC 9110). What it said holds for this box and for that start of
 //! the endpoint: other boxes have their own answers, and a later start knows nothing of it.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
-use crate::core::{name, registry, rendezvous};
+use serde::{Deserialize, Serialize};
+
+use crate::core::{name, registry, rendezvous, unit};
 
 /// The longest rest that is believed. An endpoint that wants more is expected to leave, or to
 /// have said a wrong number: within a day an operator has seen it in the log.
@@ -17,6 +22,9 @@
 /// The most that this adds.
 const LONGEST_SPREAD: Duration = Duration::from_secs(1);
 
+/// The most rests that one message tells: 4 KB. Those that were asked for first go first.
+const MOST_TOLD: usize = 64;
+
 /// What an answer says of rest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Asked {
@@ -81,11 +89,45 @@
     pub number: u64,
 }
 
+/// What a dispatcher is told of an endpoint that rests from a box; written as a row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Row", into = "Row")]
+pub struct Told {
+    /// The endpoint.
+    pub endpoint: name::Endpoint,
+    /// Which start of it asked.
+    pub start: registry::Start,
+    /// How much longer it rests. Clocks differ, so no time is told.
+    pub left: Duration,
+}
+
+/// Endpoint, start, milliseconds left.
+type Row = (name::Endpoint, Option<unit::Incarnation>, u64);
+
+impl From<Row> for Told {
+    fn from((endpoint, start, left_ms): Row) -> Self {
+        Self {
+            endpoint,
+            start,
+            left: Duration::from_millis(left_ms),
+        }
+    }
+}
+
+impl From<Told> for Row {
+    fn from(told: Told) -> Self {
+        let left_ms = u64::try_from(told.left.as_millis()).unwrap_or(u64::MAX);
+        (told.endpoint, told.start, left_ms)
+    }
+}
+
 /// The endpoints that rest from this box.
 #[derive(Debug)]
 pub struct Book {
     own: name::Box,
     rests: BTreeMap<name::Endpoint, Rest>,
+    /// The number of the last rest that each dispatcher of a service has heard of.
+    told: HashMap<(name::Box, name::Service), u64>,
     numbers: u64,
 }
 
@@ -95,6 +137,7 @@
         Self {
             own,
             rests: BTreeMap::new(),
+            told: HashMap::new(),
             numbers: 0,
         }
     }
@@ -147,6 +190,44 @@
         (rest.start == start && !left.is_zero()).then_some(left)
     }
 
+    /// What a dispatcher has not heard of the endpoints of its service, and in any case what it
+    /// has to know of one that it chose in vain: it may have lost what it was told.
+    pub fn news(
+        &mut self,
+        to: &name::Box,
+        service: &name::Service,
+        in_vain: Option<&name::Endpoint>,
+        now: Duration,
+    ) -> Vec<Told> {
+        if self.rests.is_empty() {
+            return Vec::new();
+        }
+        let key = (to.clone(), service.clone());
+        let heard = self.told.get(&key).copied().unwrap_or_default();
+        let is_new =
+            |(name, rest): &(&name::Endpoint, &Rest)| rest.number > heard || in_vain == Some(*name);
+        let of_service = self.all(now).filter(|(_, rest)| rest.service == *service);
+        let mut news: Vec<_> = of_service.filter(is_new).collect();
+        news.sort_unstable_by_key(|(_, rest)| rest.number);
+        news.truncate(MOST_TOLD);
+        let last = news.last().map(|(_, rest)| rest.number);
+        let told = |(name, rest): (&name::Endpoint, &Rest)| Told {
+            endpoint: name.clone(),
+            start: rest.start,
+            left: rest.until.saturating_sub(now),
+        };
+        let news = news.into_iter().map(told).collect();
+        if let Some(last) = last {
+            self.told.insert(key, last.max(heard));
+        }
+        news
+    }
+
+    /// Notes that a dispatcher of a service knows nothing yet.
+    pub fn tell_anew(&mut self, to: &name::Box, service: &name::Service) {
+        self.told.remove(&(to.clone(), service.clone()));
+    }
+
     /// All rests that have not ended.
     pub fn all(&self, now: Duration) -> impl Iterator<Item = (&name::Endpoint, &Rest)> {
         self.rests.iter().filter(move |(_, rest)| rest.until > now)
--- a/src/scalewood/ops/control/collect.rs
+++ b/src/scalewood/ops/control/collect.rs
@@ -113,6 +113,9 @@
         for record in gathered.changed {
             registry.merge(record, now);
         }
+        for told in &gathered.leaving {
+            registry.note_leaving(&told.name, told.start);
+        }
         registry.take_ends(&gathered.gone, &gathered.ended, &gathered.left);
         for name in gathered.heard {
             registry.hear(&name, now);
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -132,6 +132,18 @@
         }
     }
 
+    /// Takes what a box heard in answers of endpoints that leave.
+    fn take_leaving(&self, from: &name::Box, leaving: &[registry::Leaving]) {
+        for told in leaving {
+            let noted = lock(&self.registry).note_leaving(&told.name, told.start);
+            if noted.is_news() {
+                event!(self.log, EndpointLeaving, "endpoint" => %told.name, "by" => %from,
+                    "incarnation" => told.start.map(|start| start.0));
+                self.tell();
+            }
+        }
+    }
+
     /// Takes what a box measured. Followers hear of it with the next news, and at once if
     /// other endpoints than before count as slow.
     fn take_paces(&self, from: &name::Box, paces: Vec<pace::Paced>) {
@@ -247,6 +259,7 @@
             gone: registry.gone_since(after.registry),
             ended: registry.ended_since(after.registry),
             left: just_left(&registry, after.registry),
+            leaving: registry.leaving_since(after.registry),
             heard: registry.heard_since(lately),
         }
     }
@@ -350,6 +363,7 @@
         usage: usage::Told,
     ) -> RpcResult<Option<Exchanged>> {
         let now = self.endpoints.clock.now();
+        self.endpoints.take_leaving(&who, &told.leaving);
         let load = {
             let mut hub = lock(&self.endpoints.hub);
             let known = anew || hub.knows(&who);
@@ -457,6 +471,7 @@
         news.gone = registry.gone_since(stamp);
         news.ended = registry.ended_since(stamp);
         news.left = just_left(&registry, stamp);
+        news.leaving = registry.leaving_since(stamp);
         news.paces = registry.paces_since(stamp);
         news.revision = self.feed.current().revision;
         news.followers = self.endpoints.follower_count();
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -283,6 +283,7 @@
             preempted: 0,
             avoid: None,
             hold: None,
+            rests: Vec::new(),
         }
     }
 
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -55,8 +55,12 @@
     board: &Shared,
     to: &name::Box,
     service: &name::Service,
-    report: dispatch::Report,
+    mut report: dispatch::Report,
 ) {
+    if let dispatch::Report::Ask(ask) = &mut report {
+        let in_vain = ask.avoid.as_ref();
+        ask.rests = lock(&board.rests).news(to, service, in_vain, now(board));
+    }
     if *to == board.own.name {
         take(board, &board.own.name.clone(), service, vec![report]);
     } else if let Some(link) = board.link(to) {
@@ -513,6 +517,7 @@
 /// Tells a dispatcher all that this box holds or waits for.
 pub(super) fn announce(board: &Shared, service: &name::Service, home: &name::Box) {
     let now = now(board);
+    lock(&board.rests).tell_anew(home, service);
     tell(board, home, service, dispatch::Report::Hello);
     let mut reports = Vec::new();
     board.tickets.each(|shard| {
--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -85,6 +85,9 @@
     /// What an endpoint's head says, to a request of this id.
     fn said(status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Said;
 
+    /// Whether an endpoint's head says that it leaves.
+    fn leaves(headers: &HeaderMap) -> bool;
+
     /// The id of an event, from one line of a stream.
     fn event_id(line: &[u8]) -> Option<&[u8]> {
         line.strip_prefix(b"id:").map(<[u8]>::trim_ascii)
@@ -117,6 +120,8 @@
 const VERDICT: &str = "scalewood-verdict";
 /// The last event that the caller has of a stream.
 const AFTER: &str = "last-event-id";
+/// Says that the endpoint leaves.
+const LEAVING: &str = "scalewood-leaving";
 
 impl Dialect for Native {
     const READY: &'static str = "/readyz";
@@ -171,6 +176,10 @@
         }
     }
 
+    fn leaves(headers: &HeaderMap) -> bool {
+        text(headers, LEAVING) == Some("1")
+    }
+
     fn mark(headers: &mut HeaderMap, id: Option<&str>, verdict: verdict::Verdict) {
         set(headers, VERDICT, Some(verdict.as_str()));
         set(headers, ID, id);
--- a/src/scalewood/ops/entry/directory.rs
+++ b/src/scalewood/ops/entry/directory.rs
@@ -222,6 +222,12 @@
     for record in news.changed {
         take_record(board, &mut registry, record, now);
     }
+    for told in news.leaving {
+        if registry.note_leaving(&told.name, told.start).is_news() {
+            event!(board.log, EndpointLeaving, "endpoint" => %told.name, "by" => "a voter",
+                "incarnation" => told.start.map(|start| start.0));
+        }
+    }
     for name in registry.take_ends(&news.gone, &news.ended, &news.left) {
         event!(board.log, EndpointGone, "endpoint" => %name);
     }
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -66,6 +66,8 @@
     counted: BTreeMap<usage::Window, usage::Counts>,
     /// Up to where the voter knows of requests under which endpoints have ended.
     crashes: Told,
+    /// The registry's stamp up to which the voter knows of endpoints that leave.
+    leaving: u64,
 }
 
 impl Partner {
@@ -81,6 +83,7 @@
             bounds: Vec::new(),
             counted: BTreeMap::new(),
             crashes: Told::default(),
+            leaving: 0,
         }
     }
 
@@ -131,6 +134,10 @@
         count_precedence(&self.board);
         let own = own_loads(&self.board);
         let mut crashes = self.crashes;
+        let (leaving, stamp) = {
+            let registry = lock(&self.board.registry);
+            (registry.leaving_since(self.leaving), registry.stamp())
+        };
         let told = load::News {
             loads: load::difference(&self.told, &own),
             placements: taken(&self.board, dispatch::Dispatcher::take_placements),
@@ -143,6 +150,7 @@
                 Vec::new()
             },
             crashes: lock(&self.board.crashes).news(&mut crashes, Part::Own),
+            leaving,
             ..load::News::default()
         };
         let counted = lock(&self.board.usage).windows().clone();
@@ -161,6 +169,7 @@
                 self.told = own;
                 self.counted = counted;
                 self.crashes = crashes;
+                self.leaving = stamp;
                 self.boxes = answer.load.boxes;
                 let answered = now(&self.board);
                 lock(&self.board.wall).note(answer.unix_ms, asked, answered);
@@ -240,6 +249,7 @@
         self.others.clear();
         self.counted.clear();
         self.crashes = Told::default();
+        self.leaving = 0;
     }
 
     fn tell(&self, input: &dispatch::Input) {
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -435,7 +435,7 @@
 
 /// Where an endpoint is, if it may be sent something.
 pub(super) fn address(board: &Shared, endpoint: &name::Endpoint) -> Result<SocketAddr, Failure> {
-    if board.is_cordoned(endpoint) {
+    if board.is_cordoned(endpoint) || board.rest_left(endpoint).is_some() {
         return Err(Failure::BARRED);
     }
     let view = board.view.load();
--- a/src/scalewood/ops/entry/poll.rs
+++ b/src/scalewood/ops/entry/poll.rs
@@ -9,13 +9,13 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Empty};
-use hyper::StatusCode;
+use hyper::{Response, StatusCode};
 use serde::Deserialize;
 
 use crate::{
     core::{dispatch, name},
     event,
-    ops::entry::{desk, upstream, Shared},
+    ops::entry::{crash::At, desk, plain, said, upstream, Shared},
 };
 
 /// How often an endpoint is asked.
@@ -55,8 +55,11 @@
     let view = board.view.load_full();
     let asked = view
         .endpoints(service, &board.own.zone)
+        // It wants nothing for now, and these are requests too.
+        .filter(|(name, _)| board.rest_left(name).is_none())
         .map(|(name, endpoint)| async move {
-            let state = tokio::time::timeout(ANSWER, ask(endpoint.address)).await;
+            let at = plain::at(board, name, endpoint.address);
+            let state = tokio::time::timeout(ANSWER, ask(board, service, &at)).await;
             (name, endpoint, state.ok().flatten())
         });
     for (name, endpoint, state) in futures_util::future::join_all(asked).await {
@@ -81,24 +84,26 @@
     }
 }
 
-async fn ask(address: SocketAddr) -> Option<State> {
-    let (status, _) = get(address, "/health").await?;
-    let (_, body) = get(address, "/load").await?;
-    let load: Option<Load> = serde_json::from_slice(&body).ok();
+async fn ask(board: &Shared, service: &name::Service, at: &At) -> Option<State> {
+    let health = get(at.address, "/health").await?;
+    said::hear_own(board, service, at, &health);
+    let load = get(at.address, "/load").await?;
+    said::hear_own(board, service, at, &load);
+    let read: Option<Load> = serde_json::from_slice(load.body()).ok();
     Some(State {
-        leaving: status == StatusCode::SERVICE_UNAVAILABLE,
-        load: load.map_or(0, |load| load.server_load),
+        leaving: health.status() == StatusCode::SERVICE_UNAVAILABLE,
+        load: read.map_or(0, |load| load.server_load),
     })
 }
 
-async fn get(address: SocketAddr, path: &str) -> Option<(StatusCode, Bytes)> {
+async fn get(address: SocketAddr, path: &str) -> Option<Response<Bytes>> {
     let mut sender = upstream::dial::<Empty<Bytes>>(address, ANSWER).await.ok()?;
     let request = hyper::Request::get(path).header("host", address.to_string());
     let response = sender
         .send_request(request.body(Empty::new()).ok()?)
         .await
         .ok()?;
-    let status = response.status();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    Some((status, body))
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    Some(Response::from_parts(head, body))
 }
--- a/src/scalewood/ops/entry/said.rs
+++ b/src/scalewood/ops/entry/said.rs
@@ -18,6 +18,9 @@
     util::{clock::Clock as _, lock::lock},
 };
 
+/// How long a configured endpoint gets nothing that says in an answer that it leaves. It announces
+/// nothing, so no new start of it is ever heard of: after that time one request finds out.
+const CONFIGURED_LEAVES: Duration = Duration::from_secs(10);
 /// Statuses with which an endpoint turns a request away for what it has to do already.
 const BUSY: [StatusCode; 2] = [
     StatusCode::SERVICE_UNAVAILABLE,
@@ -36,9 +39,15 @@
     let (status, headers) = (response.status(), response.headers());
     let said = D::said(status, headers, id);
     // Another endpoint speaks for itself.
-    if said != Said::Mistaken && BUSY.contains(&status) {
+    if said == Said::Mistaken {
+        return said;
+    }
+    if BUSY.contains(&status) {
         hear_rest(board, service, at, headers);
     }
+    if D::leaves(headers) {
+        hear_leaving(board, service, at);
+    }
     said
 }
 
@@ -100,3 +109,16 @@
         }
     }
 }
+
+fn hear_leaving(board: &Shared, service: &name::Service, at: &At) {
+    if lock(&board.registry).get(&at.endpoint).is_none() {
+        let now = now(board);
+        let length = CONFIGURED_LEAVES;
+        return lock(&board.rests).note(&at.endpoint, service, at.start, length, now);
+    }
+    let noted = lock(&board.registry).note_leaving(&at.endpoint, at.start);
+    if noted.is_news() {
+        event!(board.log, EndpointLeaving, "endpoint" => %at.endpoint, "by" => %board.own.name,
+            "incarnation" => at.start.map(|start| start.0));
+    }
+}
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -121,12 +121,10 @@
             };
             match order {
                 dispatch::Order::Grant(..) if self.board.may_be_stale() => self.decline(),
-                dispatch::Order::Grant(_, endpoint) if self.board.is_cordoned(&endpoint) => {
-                    self.decline_cordoned(&endpoint).await;
-                }
                 dispatch::Order::Grant(attempt, endpoint) => {
-                    if !self.permits(&endpoint) {
-                        self.turn_down(&endpoint).await;
+                    let bar = bar(&self.board, self.attempt, &endpoint);
+                    if let Some(bar) = bar {
+                        self.turn_down(&endpoint, bar).await;
                     } else if self.start(attempt, &endpoint) {
                         return Got::Granted(endpoint);
                     }
@@ -151,16 +149,44 @@
     pub(super) fn permission(&self, endpoint: &name::Endpoint) -> impl Fn() -> bool + use<> {
         let (board, attempt, endpoint) = (self.board.clone(), self.attempt, endpoint.clone());
         let content = self.content.clone();
-        move || permits(&board, attempt, &endpoint) && !crash::is_held_back(&board, &content)
+        move || bar(&board, attempt, &endpoint).is_none() && !crash::is_held_back(&board, &content)
     }
 
-    /// Gives back a grant at an endpoint that the request may not be sent to: since it was
-    /// chosen, the configuration or the endpoint's zone has changed.
-    async fn turn_down(&mut self, endpoint: &name::Endpoint) {
-        event!(self.board.log, ResidencyRenewed, "attempt" => %self.attempt,
-            "endpoint" => %endpoint);
-        // The dispatcher is about to hear of the change; until then it would choose the same.
+    /// Gives back a grant at an endpoint that the request may not be sent to, and asks again once
+    /// the dispatcher here must know why: until then it would choose the same.
+    async fn turn_down(&mut self, endpoint: &name::Endpoint, bar: Bar) {
+        self.log_bar(endpoint, bar);
+        if bar == Bar::Residency {
+            tokio::time::sleep(desk::TICK).await;
+            return self.renew_residency();
+        }
+        self.give_back();
+        // One that hears of no rests and no leaving goes by this alone.
+        self.with_ticket(|ticket| ticket.ask.avoid = Some(endpoint.clone()));
         tokio::time::sleep(desk::TICK).await;
+        self.ask_again();
+    }
+
+    fn log_bar(&self, endpoint: &name::Endpoint, bar: Bar) {
+        let board = &self.board;
+        match bar {
+            Bar::Cordon => {
+                event!(board.log, GrantDeclined, "request" => %self.attempt.request,
+                    "endpoint" => %endpoint, "revision" => %board.feed.current().revision);
+            }
+            Bar::Rest | Bar::Leaving => {
+                event!(board.log, GrantUnused, "request" => %self.attempt.request,
+                    "endpoint" => %endpoint, "why" => bar.as_str());
+            }
+            Bar::Residency => {
+                event!(board.log, ResidencyRenewed, "attempt" => %self.attempt,
+                    "endpoint" => %endpoint);
+            }
+        }
+    }
+
+    /// Asks by where the configuration allows the request to be served now.
+    fn renew_residency(&mut self) {
         let now = now(&self.board);
         let document = self.board.view.load().document.clone();
         let renewed = self.with_ticket(|ticket| ticket.renew_residency(&document, now));
@@ -172,27 +198,19 @@
 
     /// Gives back a grant that may have expired while this process was frozen.
     fn decline(&mut self) {
-        self.tell(dispatch::Report::End(
-            self.attempt,
-            dispatch::End::Unused,
-            self.tokens,
-        ));
+        self.give_back();
         self.ask_again();
     }
 
-    /// Gives back a grant in a zone that was cordoned since, and asks again once the
-    /// dispatcher here must know.
-    async fn decline_cordoned(&mut self, endpoint: &name::Endpoint) {
-        event!(self.board.log, GrantDeclined, "request" => %self.attempt.request,
-            "endpoint" => %endpoint, "revision" => %self.board.feed.current().revision);
-        self.board.metrics.cordon_declined.inc();
+    /// Gives the slot back of the grant that was asked for last.
+    fn give_back(&self) {
+        let asked = self.with_ticket(|ticket| ticket.ask.attempt);
+        let unused = dispatch::End::Unused;
         self.tell(dispatch::Report::End(
-            self.attempt,
-            dispatch::End::Unused,
+            asked.unwrap_or(self.attempt),
+            unused,
             self.tokens,
         ));
-        tokio::time::sleep(desk::TICK).await;
-        self.ask_again();
     }
 
     /// Asks once more, under the next number.
@@ -312,11 +330,43 @@
     }
 }
 
-/// Whether an open request may be sent to an endpoint by the configuration in force.
-fn permits(board: &Shared, attempt: attempt::Attempt, endpoint: &name::Endpoint) -> bool {
+/// Why an open request may not be sent to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Bar {
+    /// Its zone is cordoned.
+    Cordon,
+    /// It rests from this box.
+    Rest,
+    /// It leaves.
+    Leaving,
+    /// The request may not be served in its region.
+    Residency,
+}
+
+impl Bar {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Cordon => "cordon",
+            Self::Rest => "rest",
+            Self::Leaving => "leaving",
+            Self::Residency => "residency",
+        }
+    }
+}
+
+/// What bars an open request from an endpoint, by the configuration in force and by what this box
+/// has heard of the endpoint, if anything does.
+fn bar(board: &Shared, attempt: attempt::Attempt, endpoint: &name::Endpoint) -> Option<Bar> {
     if board.is_cordoned(endpoint) {
         board.metrics.cordon_declined.inc();
-        return false;
+        return Some(Bar::Cordon);
+    }
+    if board.rest_left(endpoint).is_some() {
+        board.metrics.rest_kept_back.inc();
+        return Some(Bar::Rest);
+    }
+    if board.is_leaving(endpoint) {
+        return Some(Bar::Leaving);
     }
     let view = board.view.load();
     let allowed = {
@@ -325,9 +375,10 @@
         ticket.map(|ticket| ticket.source.in_force(&view.document, &ticket.ask.allowed))
     };
     // Without a ticket there is no request to be sent.
-    allowed.is_some_and(|allowed| {
+    let permitted = allowed.is_some_and(|allowed| {
         allowed.is_everywhere() || allowed.permits(region_of(board, endpoint).as_ref())
-    })
+    });
+    (!permitted).then_some(Bar::Residency)
 }
 
 /// The region of an endpoint, as far as this box knows.
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -139,6 +139,8 @@
     pub cordon_declined: Counter,
     /// Answers in which an endpoint asked this box for rest.
     pub rests_asked: Counter,
+    /// Sends that were kept back since their endpoint rests.
+    pub rest_kept_back: Counter,
     /// Requests that are held back, since endpoints end under them.
     pub held_back: Gauge,
     /// Whether this process takes new work.
@@ -170,6 +172,7 @@
             cordoned: Gauge::default(),
             cordon_declined: Counter::default(),
             rests_asked: Counter::default(),
+            rest_kept_back: Counter::default(),
             held_back: Gauge::default(),
             ready: Gauge::default(),
             breaches: Family::default(),
@@ -263,6 +266,11 @@
             "Answers in which an endpoint asked this box for rest",
             self.rests_asked.clone(),
         );
+        r.register(
+            "rest_sends_kept_back",
+            "Sends kept back since their endpoint rests",
+            self.rest_kept_back.clone(),
+        );
         r.register(
             "held_back_requests",
             "Requests held back since endpoints end under them",
--- a/src/scalewood/wire/registry.rs
+++ b/src/scalewood/wire/registry.rs
@@ -30,6 +30,9 @@
     /// known to who hears this has gone.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub left: Vec<name::Endpoint>,
+    /// Endpoints that said in an answer that they leave, with their starts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<registry::Leaving>,
     /// Endpoints that were heard of since the last news.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub heard: Vec<name::Endpoint>,
@@ -111,6 +114,9 @@
     /// Endpoints that left since the last call, where the voter knew no start of them.
     #[serde(default)]
     pub left: Vec<name::Endpoint>,
+    /// Endpoints that said in an answer that they leave, with their starts.
+    #[serde(default)]
+    pub leaving: Vec<registry::Leaving>,
     /// Endpoints that were heard of lately.
     pub heard: Vec<name::Endpoint>,
 }
--- a/tests/testsuite/random/dispatch.rs
+++ b/tests/testsuite/random/dispatch.rs
@@ -102,6 +102,10 @@
 }
 
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "most messages are reports, and few are under way at once"
+)]
 enum Message {
     Report(usize, Report),
     Order(usize, Order),
@@ -523,6 +527,7 @@
             preemptible: tier > 1,
             preempted: 0,
             avoid: None,
+            rests: Vec::new(),
             hold: None,
         };
         let takes = Duration::from_millis(takes);
--- a/tests/testsuite/rest.rs
+++ b/tests/testsuite/rest.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt as _;
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
 
-use scalewood::core::registry::State;
+use scalewood::core::{name, registry::State, rest, unit};
 
 use crate::support::{
     client, deploy,
@@ -71,6 +71,9 @@
 #[derive(Clone, Debug, Default)]
 struct Outcome {
     status: u16,
+    verdict: Option<String>,
+    retry_after: Option<f64>,
+    took: Duration,
 }
 
 impl Outcome {
@@ -89,13 +92,18 @@
         ("scalewood-deadline-ms", deadline.as_str()),
         (BOX, number.as_str()),
     ];
+    let sent = Instant::now();
     let exchange = async {
         let mut connection = client::Connection::open(callers).await.ok()?;
         let response = connection.send_to(HOST, "POST", path, &headers, "a body");
         let (parts, body) = response.await.ok()?.into_parts();
         body.collect().await.ok()?;
+        let text = |name| Some(parts.headers.get(name)?.to_str().ok()?.to_owned());
         Some(Outcome {
             status: parts.status.as_u16(),
+            verdict: text("scalewood-verdict"),
+            retry_after: text("retry-after").and_then(|text| text.parse().ok()),
+            took: sent.elapsed(),
         })
     };
     exchange.await.unwrap_or_default()
@@ -198,3 +206,142 @@
     assert_eq!(late, 0, "{told}");
     assert_eq!(served, sent, "{told}");
 }
+
+/// Where all endpoints rest from a box, a request waits if its caller does until one has ended its
+/// rest; else it is refused at once, truly, with the time until then. Nothing is asked meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn where_all_endpoints_rest_requests_wait_or_are_refused_with_the_time() {
+    const REST: Duration = Duration::from_secs(2);
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(3, dir.path()).await;
+    for endpoint in &site.endpoints {
+        endpoint.next(Act::Rest(REST));
+    }
+    let began = Instant::now();
+    // Three tries, one at each; the box knows of all rests then.
+    let first = site.send(0, "/safe/", 4000).await;
+    let seen = || -> usize { site.endpoints.iter().map(|e| e.seen().len()).sum() };
+    let before = seen();
+    let (short, long) = tokio::join!(site.send(0, "/safe/", 800), site.send(0, "/safe/", 3900));
+    println!("{first:?} {short:?} {long:?}");
+    assert_eq!(short.status, 503, "{short:?}");
+    assert_eq!(short.verdict.as_deref(), Some("not-run"), "{short:?}");
+    assert!(short.took < Duration::from_millis(200), "{short:?}");
+    // In whole seconds, which callers of this interface read.
+    let told = Duration::from_secs_f64(short.retry_after.unwrap());
+    assert!(
+        told >= Duration::from_secs(1) && told <= Duration::from_secs(3),
+        "{short:?}"
+    );
+    assert!(long.is_served(), "{long:?}");
+    assert!(began.elapsed() >= REST, "served within the rests: {long:?}");
+    assert_eq!(seen(), before + 1, "something was asked within the rests");
+}
+
+/// What is said of rest in ways that nobody can follow bars no endpoint for good, and stops no box.
+#[tokio::test(flavor = "multi_thread")]
+async fn rests_that_cannot_be_read_bar_nobody() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(2, dir.path()).await;
+    for said in [
+        "-3",
+        "soon",
+        "",
+        "0",
+        "NaN",
+        "1e3",
+        "Thu, 01 Jan 1970 00:00:00 GMT",
+    ] {
+        for endpoint in &site.endpoints {
+            endpoint.next(Act::RestFor(said));
+        }
+        for _ in 0..2 {
+            site.send(0, "/safe/", 2000).await;
+        }
+        site.endpoints.iter().for_each(Endpoint::calm);
+        let outcome = site.send(0, "/safe/", 2000).await;
+        assert!(outcome.is_served(), "after {said:?}: {outcome:?}");
+    }
+}
+
+fn read(values: &[&str], date: Option<&str>) -> rest::Asked {
+    /// Some time of day here, which is off.
+    const HERE_MS: u64 = 1_000_000;
+    rest::read(values.iter().copied(), date, HERE_MS)
+}
+
+#[test]
+fn a_rest_is_read_in_all_its_forms() {
+    use rest::Asked::{For, Nothing, Unreadable};
+    let millis = |ms| For(Duration::from_millis(ms));
+    assert_eq!(read(&[], None), Nothing);
+    assert_eq!(read(&["0"], None), Nothing);
+    assert_eq!(read(&[" 3 "], None), millis(3000));
+    assert_eq!(read(&["0.25"], None), millis(250));
+    for unreadable in ["-1", "", "+3", "inf", "NaN", "1e3", "3s", ".", "3,soon"] {
+        assert_eq!(read(&[unreadable], None), Unreadable, "{unreadable}");
+    }
+    // Twice, or joined on the way: the longer one.
+    assert_eq!(read(&["2", "5"], None), millis(5000));
+    assert_eq!(read(&["soon", "5"], None), millis(5000));
+    assert_eq!(read(&["5", "soon"], None), millis(5000));
+    assert_eq!(read(&["2, 5"], None), millis(5000));
+    // Absurd ones are cut.
+    assert_eq!(read(&["31536000"], None), For(rest::LONGEST));
+    assert_eq!(read(&["9".repeat(400).as_str()], None), For(rest::LONGEST));
+    // A date counts from the answer's own, whatever the time of day is here.
+    let (sent, until) = (
+        "Sun, 06 Nov 1994 08:49:37 GMT",
+        "Sun, 06 Nov 1994 08:49:41 GMT",
+    );
+    assert_eq!(read(&[until], Some(sent)), millis(4000));
+    assert_eq!(read(&[sent], Some(until)), Nothing);
+    assert_eq!(read(&["Thu, 01 Jan 1970 00:16:45 GMT"], None), millis(5000));
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+#[test]
+fn a_rest_belongs_to_a_start_and_the_later_end_holds() {
+    let second = Duration::from_secs;
+    let (endpoint, service) = (name("i-1"), name("lm"));
+    let start = |number| Some(unit::Incarnation(number));
+    let mut book = rest::Book::new(name("e1"));
+    book.note(&endpoint, &service, start(1), second(10), second(0));
+    book.note(&endpoint, &service, start(1), second(1), second(1));
+    assert!(book.left(&endpoint, start(1), second(9)) >= Some(second(1)));
+    // It stays away a little longer, as boxes that hear it together would else return together.
+    assert!(book.left(&endpoint, start(1), second(11)).is_none());
+    assert!(book.left(&endpoint, start(2), second(5)).is_none());
+    book.note(&endpoint, &service, start(2), second(4), second(5));
+    assert!(book.left(&endpoint, start(2), second(8)).is_some());
+    // An answer of the start before comes late.
+    book.note(&endpoint, &service, start(1), second(100), second(6));
+    assert!(book.left(&endpoint, start(2), second(12)).is_none());
+}
+
+#[test]
+fn a_dispatcher_hears_of_each_rest_once_and_again_after_it_chose_in_vain() {
+    let second = Duration::from_secs;
+    let service: name::Service = name("lm");
+    let (here, other): (name::Box, name::Box) = (name("e1"), name("e2"));
+    let mut book = rest::Book::new(here.clone());
+    let endpoint: name::Endpoint = name("i-1");
+    book.note(&endpoint, &service, None, second(10), second(0));
+    let told = |book: &mut rest::Book, to, in_vain: Option<&name::Endpoint>| {
+        book.news(to, &service, in_vain, second(1)).len()
+    };
+    assert_eq!(told(&mut book, &other, None), 1);
+    assert_eq!(told(&mut book, &other, None), 0);
+    assert_eq!(told(&mut book, &other, Some(&endpoint)), 1);
+    assert_eq!(told(&mut book, &here, None), 1);
+    book.tell_anew(&other, &service);
+    assert_eq!(told(&mut book, &other, None), 1);
+    assert!(book
+        .news(&other, &name("another"), None, second(1))
+        .is_empty());
+    book.note(&endpoint, &service, None, second(20), second(2));
+    assert_eq!(told(&mut book, &other, None), 1);
+}
--- a/tests/testsuite/size.rs
+++ b/tests/testsuite/size.rs
@@ -240,6 +240,7 @@
             preempted: 0,
             avoid,
             hold: None,
+            rests: Vec::new(),
         }
     }
 
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -59,6 +59,8 @@
     Hang,
     /// It turns the request away and wants nothing from its box for so long.
     Rest(Duration),
+    /// It turns the request away and says this as the time for which it wants nothing.
+    RestFor(&'static str),
     /// It says that it leaves, and serves well.
     Leave,
 }
@@ -66,7 +68,10 @@
 impl Act {
     /// Whether it runs the request that it treats so.
     fn runs(self) -> bool {
-        !matches!(self, Act::Refuse | Act::Mistaken | Act::Rest(_))
+        !matches!(
+            self,
+            Act::Refuse | Act::Mistaken | Act::Rest(_) | Act::RestFor(_)
+        )
     }
 }
 
@@ -252,6 +257,7 @@
     let mut response = match act {
         Some(Act::Hang) => std::future::pending().await,
         Some(Act::Refuse) => full(None),
+        Some(Act::RestFor(said)) => full(Some(said)),
         Some(Act::Rest(rest)) => full(Some(&rest.as_secs_f64().to_string())),
         Some(Act::Fail) => plain(500, "failed"),
         Some(Act::Mistaken) => plain(421, "another"),
