--- a/tests/testsuite/crash_book.rs
+++ b/tests/testsuite/crash_book.rs
@@ -412,3 +412,44 @@
         assert!(voter_most < 40_000 + 2_500 * boxes, "{boxes}: {voter_most}");
     }
 }
+
+/// Endpoints ended under one request at four moments within a second. A request that many callers
+/// send alike was at hand at three of them, the last time two milliseconds before the end, and none
+/// of it was served in between, so all boxes refused it from then on: 20 of 20 calls.
+///
+/// Whatever ends an endpoint is there each time. A request that was only ever there together with
+/// one that was there once more is not held back, for as long as that one is.
+#[test]
+fn a_request_that_was_there_only_beside_one_that_ends_endpoints_is_not_held_back() {
+    let (ends_them, harmless) = (fingerprint("shop", "ends"), fingerprint("shop", "body"));
+    let at = |endpoint: &str, at_ms: u64, ran_ms: u64| End {
+        ran_ms,
+        ..end_at(endpoint, at_ms)
+    };
+    let mut book = Book::default();
+    for (endpoint, at_ms, ran_ms) in [
+        ("i-2", 10_669, 60),
+        ("i-0", 10_719, 50),
+        ("i-2", 11_508, 60),
+        ("i-0", 11_510, 60),
+    ] {
+        book.ended(ends_them, at(endpoint, at_ms, ran_ms), NOW);
+    }
+    for (endpoint, at_ms, ran_ms) in [("i-0", 10_719, 8), ("i-2", 11_508, 3), ("i-0", 11_510, 2)] {
+        book.ended(harmless, at(endpoint, at_ms, ran_ms), NOW);
+    }
+    assert!(book.is_held_back(&ends_them));
+    assert!(!book.is_held_back(&harmless));
+    assert_eq!(book.held_back().count(), 1);
+    assert_eq!(book.counts(), (2, 1));
+    // An end without the other one tells that it does it by itself.
+    book.ended(harmless, at("i-7", 20_000, 50), NOW);
+    assert!(book.is_held_back(&harmless));
+    // Two that were always there together can't be told apart, and both are held back.
+    let mut both = Book::default();
+    for endpoint in ["i-1", "i-2", "i-3"] {
+        both.ended(ends_them, end(endpoint), NOW);
+        both.ended(harmless, end(endpoint), NOW);
+    }
+    assert!(both.is_held_back(&ends_them) && both.is_held_back(&harmless));
+}
