A request that was only ever there beside one that ends endpoints is let through

Cause: three ends within a second, each of the culprit's, count against any request that was at hand; one that all callers send alike often is, and none of it may be served in between. Who was there at each of its ends and at one more explains them. What is always there together stays held back, both.

--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -5,7 +5,7 @@
 //! up to a stamp is told the rest.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -47,6 +47,8 @@
     changed_here: u64,
     /// Whether it was ever one that all have to know of.
     is_wide: bool,
+    /// One of the suspects that outdoes it, if any does.
+    outdone_by: Option<Fingerprint>,
 }
 
 impl Case {
@@ -60,13 +62,30 @@
             changed: 0,
             changed_here: 0,
             is_wide: false,
+            outdone_by: None,
         }
     }
 
-    fn is_held_back(&self) -> bool {
+    /// Whether enough endpoints ended under it.
+    fn is_suspect(&self) -> bool {
         in_turn(&self.ends) >= MOST_ENDS
     }
 
+    /// Whether it is sent to no endpoint.
+    ///
+    /// One that ends endpoints is there each time. One that callers send alike and often may be
+    /// beside it three times by chance: it was then there at no other end, and is let through while
+    /// the other is held back. Should it end one by itself, it is held back after all.
+    fn is_held_back(&self) -> bool {
+        self.is_suspect() && self.outdone_by.is_none()
+    }
+
+    /// Whether it was there at each end of another one, and at more.
+    fn outdoes(&self, other: &Self) -> bool {
+        let has = |end: &End| self.ends.iter().any(|own| own.id == end.id);
+        self.ends.len() > other.ends.len() && other.ends.iter().all(has)
+    }
+
     fn add(&mut self, end: End) -> bool {
         let is_known = self.ends.iter().any(|known| known.id == end.id);
         if is_known || self.void.contains(&end.id) {
@@ -149,6 +168,8 @@
 #[derive(Debug, Default)]
 pub struct Book {
     cases: BTreeMap<Fingerprint, Case>,
+    /// The requests under which enough endpoints ended.
+    suspects: BTreeSet<Fingerprint>,
     held_back: usize,
     stamp: u64,
     swept: Duration,
@@ -178,13 +199,15 @@
 
     /// The requests that are held back, with the endpoints that ended under them.
     pub fn held_back(&self) -> impl Iterator<Item = (&Fingerprint, &[End])> {
-        let cases = self.cases.iter().filter(|(_, case)| case.is_held_back());
+        let cases = self.cases.iter();
+        let cases = cases.filter(|(_, case)| case.is_held_back());
         cases.map(|(fingerprint, case)| (fingerprint, &case.ends[..]))
     }
 
     /// The same as rows, to be kept over a restart.
     pub fn held_back_rows(&self) -> Vec<Row> {
-        let cases = self.cases.iter().filter(|(_, case)| case.is_held_back());
+        let cases = self.cases.iter();
+        let cases = cases.filter(|(_, case)| case.is_held_back());
         cases
             .map(|(fingerprint, case)| row(fingerprint, case))
             .collect()
@@ -274,7 +297,7 @@
         act: impl FnOnce(&mut Case) -> bool,
     ) {
         let known = self.cases.get(&fingerprint).cloned();
-        let was_held_back = known.as_ref().is_some_and(Case::is_held_back);
+        let was_suspect = known.as_ref().is_some_and(Case::is_suspect);
         let mut case = known.unwrap_or_else(|| Case::new(now));
         if !act(&mut case) {
             return;
@@ -283,9 +306,11 @@
         case.touched = now;
         case.changed = self.stamp;
         case.changed_here = self.stamp;
-        self.held_back += usize::from(case.is_held_back());
-        self.held_back -= usize::from(was_held_back);
+        let is_suspect = case.is_suspect();
         self.cases.insert(fingerprint, case);
+        if was_suspect || is_suspect {
+            self.settle(fingerprint);
+        }
         self.shrink();
     }
 
@@ -295,8 +320,10 @@
             return;
         }
         self.swept = now;
-        self.cases.retain(|_, case| now < case.touched + REMEMBERED);
-        self.count_held_back();
+        let is_old = |case: &Case| now >= case.touched + REMEMBERED;
+        let old = self.cases.iter().filter(|(_, case)| is_old(case));
+        let old: Vec<_> = old.map(|(fingerprint, _)| *fingerprint).collect();
+        self.forget(&old);
     }
 
     /// Keeps the book within its bounds. What is not held back makes no room for what is, nor
@@ -320,15 +347,53 @@
         };
         let mut ranked: Vec<_> = cases.map(rank).collect();
         ranked.sort_unstable();
-        for (.., fingerprint) in ranked.into_iter().take(most / 8) {
-            self.cases.remove(&fingerprint);
+        let least = ranked.into_iter().take(most / 8);
+        let least: Vec<_> = least.map(|(.., fingerprint)| fingerprint).collect();
+        self.forget(&least);
+    }
+
+    fn forget(&mut self, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            self.cases.remove(fingerprint);
+            if self.suspects.contains(fingerprint) {
+                self.settle(*fingerprint);
+            }
+        }
+    }
+
+    /// Brings up to date which suspects are outdone, after a case has changed or gone.
+    fn settle(&mut self, changed: Fingerprint) {
+        let case = self.cases.get(&changed).filter(|case| case.is_suspect());
+        let concerns = |other: &Case| {
+            let by_it = other.outdone_by == Some(changed);
+            by_it || case.is_some_and(|case| case.outdoes(other))
+        };
+        let others = self.suspects.iter().filter(|other| **other != changed);
+        let concerned = others.filter(|other| self.cases.get(other).is_some_and(concerns));
+        let mut concerned: Vec<_> = concerned.copied().collect();
+        if case.is_some() {
+            self.suspects.insert(changed);
+            concerned.push(changed);
+        } else {
+            self.suspects.remove(&changed);
         }
-        self.count_held_back();
+        for fingerprint in concerned {
+            let by = self.outdone_by(&fingerprint);
+            if let Some(case) = self.cases.get_mut(&fingerprint) {
+                case.outdone_by = by;
+            }
+        }
+        let suspects = self.suspects.iter().filter_map(|one| self.cases.get(one));
+        self.held_back = suspects.filter(|case| case.is_held_back()).count();
     }
 
-    fn count_held_back(&mut self) {
-        let held_back = self.cases.values().filter(|case| case.is_held_back());
-        self.held_back = held_back.count();
+    fn outdone_by(&self, fingerprint: &Fingerprint) -> Option<Fingerprint> {
+        let case = self.cases.get(fingerprint)?;
+        let outdoes = |other: &&Fingerprint| {
+            let other = self.cases.get(*other);
+            other.is_some_and(|other| other.outdoes(case))
+        };
+        self.suspects.iter().find(outdoes).copied()
     }
 }
 
