--- a/src/scalewood/core/dispatch/endpoint/health.rs
+++ b/src/scalewood/core/dispatch/endpoint/health.rs
@@ -19,7 +19,7 @@
 const MIN_SPEED: f64 = 0.1;
 impl Endpoint {
     /// Notes that a request failed, with a weight from 0 to 1.
-    pub(super) fn raise_risk(&mut self, weight: f64, now: Duration) {
+    fn raise_risk(&mut self, weight: f64, now: Duration) {
         self.risk.raise(weight, now);
         self.outcomes.failed += 1;
         self.refresh_doubt(now);
--- a/src/scalewood/core/dispatch/endpoint/rest.rs
+++ b/src/scalewood/core/dispatch/endpoint/rest.rs
@@ -1,8 +1,11 @@
-//! Endpoints that want nothing from a box for a while, and endpoints that have turned a request away.
+//! Endpoints that want nothing from a box for a while.
+//!
+//! One that turns a request away and names no time is as good as before: where endpoints turned
+//! away a part of what they got, to avoid them served fewer requests than to try again.
 
 use std::time::Duration;
 
-use super::{Index, Seeker, Set};
+use super::{Seeker, Set};
 use crate::core::{name, rest};
 
 impl Set {
@@ -14,15 +17,20 @@
         now: Duration,
     ) {
         for told in rests {
-            let Some(index) = self.names.get(&told.endpoint) else {
+            let Some(index) = self.names.get(&told.endpoint).copied() else {
                 continue;
             };
             let endpoint = &mut self.endpoints[index.0];
             // Another start of it has not asked for anything.
-            if endpoint.start == Some(told.start) {
-                endpoint.rests.insert(origin.clone(), now + told.left);
-                self.resting = true;
+            if endpoint.start != Some(told.start) {
+                continue;
             }
+            endpoint.rests.insert(origin.clone(), now + told.left);
+            // What it has now is what it takes. As the rest ends it gets no more at first, and one
+            // more with each that it begins.
+            endpoint.ramp = endpoint.ramp.min(endpoint.running).max(1);
+            self.resting = true;
+            self.rescore(index);
         }
     }
 
@@ -59,17 +67,4 @@
         let until = serving.map(|e| e.rests.get(seeker.origin).copied());
         until.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
-
-    /// Notes that an endpoint has turned a request away: what it has now is what it takes.
-    ///
-    /// With nothing at work it would look the least used of all, and draw the next request. And as
-    /// its rest ends, it gets a few first: one more for each that it begins.
-    pub(in crate::core::dispatch) fn refused(&mut self, index: Index, now: Duration) {
-        /// What it counts beside a failure: nothing is lost by it but a try.
-        const PART: f64 = 0.75;
-        let endpoint = &mut self.endpoints[index.0];
-        endpoint.ramp = endpoint.ramp.min(endpoint.running).max(1);
-        endpoint.raise_risk(PART, now);
-        self.rescore(index);
-    }
 }
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -377,8 +377,8 @@
                     self.pauses.observe(place, true, now);
                 }
             }
-            End::Refused => self.endpoints.refused(run.endpoint, now),
-            End::Cancelled | End::Preempted | End::Unused => {}
+            // A rest that it asks for comes with the next request of that box.
+            End::Cancelled | End::Preempted | End::Refused | End::Unused => {}
         }
     }
 
