--- a/src/bin/scalewood-standin/faults.rs
+++ b/src/bin/scalewood-standin/faults.rs
@@ -20,6 +20,8 @@
     pub(crate) hang: bool,
     /// Whether plain calls run, and then the connection is cut.
     pub(crate) cut_after_run: bool,
+    /// Turns all away and asks for so many milliseconds of rest; 0 is none.
+    pub(crate) rest_ms: u32,
 }
 
 impl Faults {
--- a/src/bin/scalewood-standin/record.rs
+++ b/src/bin/scalewood-standin/record.rs
@@ -22,6 +22,19 @@
     pub(crate) resumed_at: u64,
 }
 
+/// A request that was turned away.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct TurnedAway {
+    /// When, in milliseconds since the process started.
+    pub(crate) at_ms: u64,
+    /// Its path.
+    pub(crate) path: String,
+    /// Its body.
+    pub(crate) body: String,
+    /// For how long it was asked for rest.
+    pub(crate) rest_ms: u32,
+}
+
 /// What ran here.
 #[derive(Debug, Default)]
 pub(crate) struct Record {
--- a/src/bin/scalewood-standin/serve.rs
+++ b/src/bin/scalewood-standin/serve.rs
@@ -28,7 +28,7 @@
     engine::Engine,
     faults::Faults,
     orders::{Order, Orders},
-    record::{Record, Run},
+    record::{Record, Run, TurnedAway},
     Settings,
 };
 
@@ -45,6 +45,8 @@
     faults: Mutex<Faults>,
     record: Record,
     orders: Orders,
+    turned_away: Mutex<Vec<TurnedAway>>,
+    started: Instant,
     lagging_load: AtomicU32,
 }
 
@@ -77,6 +79,8 @@
             faults: Mutex::default(),
             record: Record::new(settings.record.as_deref()),
             orders: Orders::default(),
+            turned_away: Mutex::default(),
+            started: Instant::now(),
             lagging_load: AtomicU32::new(0),
             settings,
         }
@@ -136,6 +140,9 @@
 
 async fn answer_to(standin: Arc<Standin>, request: Request<Incoming>) -> Response<Pieces> {
     let path = request.uri().path().to_owned();
+    if standin.faults().rest_ms > 0 && !path.starts_with("/standin/") {
+        return turn_away(&standin, request).await;
+    }
     match (request.method().clone(), path.as_str()) {
         (Method::GET, "/health") if standin.faults().leaving => whole(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -152,6 +159,11 @@
         (Method::GET, "/standin/orders") => {
             whole(StatusCode::OK, &json!({ "orders": standin.orders.taken() }))
         }
+        (Method::GET, "/standin/turned-away") => {
+            let turned_away = standin.turned_away.lock();
+            let turned_away = turned_away.unwrap_or_else(PoisonError::into_inner);
+            whole(StatusCode::OK, &json!({ "turned_away": *turned_away }))
+        }
         (Method::POST, "/standin/faults") => set_faults(&standin, request).await,
         (Method::POST, "/orders") => take_order(&standin, request).await,
         (Method::POST, "/v1/chat/completions" | "/v1/completions") if standin.settings.model => {
@@ -162,6 +174,39 @@
     }
 }
 
+/// Turns a request away, and asks for rest.
+async fn turn_away(standin: &Standin, request: Request<Incoming>) -> Response<Pieces> {
+    let rest_ms = standin.faults().rest_ms;
+    let path = request.uri().path().to_owned();
+    let Ok(body) = request.into_body().collect().await else {
+        return whole(StatusCode::BAD_REQUEST, &json!({ "error": "no body" }));
+    };
+    let at = standin.started.elapsed().as_millis();
+    let turned_away = TurnedAway {
+        at_ms: u64::try_from(at).unwrap_or(u64::MAX),
+        path,
+        body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+        rest_ms,
+    };
+    standin
+        .turned_away
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(turned_away);
+    let mut response = whole(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &json!({ "error": "no room" }),
+    );
+    let headers = response.headers_mut();
+    let not_run = header::HeaderValue::from_static("not-run");
+    headers.insert("scalewood-verdict", not_run);
+    let seconds = f64::from(rest_ms) / 1000.0;
+    if let Ok(rest) = header::HeaderValue::from_str(&seconds.to_string()) {
+        headers.insert(header::RETRY_AFTER, rest);
+    }
+    response
+}
+
 async fn read<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
     let body = request.into_body().collect().await.ok()?.to_bytes();
     serde_json::from_slice(&body).ok()
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -196,3 +196,31 @@
     let answer = deployment.apply(vec![remove], "too early").await;
     assert!(matches!(answer, Answer::NotApplied { .. }), "{answer:?}");
 }
+
+/// An endpoint that turns an order away says for how long it wants nothing. The leader gave the
+/// order again ten times a second: it read the status of the answer, and nothing else of its head.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_asks_for_rest_gets_no_orders_meanwhile() {
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        boxes: vec![],
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(plan, dir.path()).await;
+    add_standins(&mut deployment);
+    wait_started(&deployment).await;
+    for i in 0..deployment.standins.len() {
+        let faults = serde_json::json!({ "rest_ms": 2000 });
+        deployment.faults(i, faults).await;
+    }
+    accept(&deployment, services()).await;
+    accept(&deployment, loads(&deployment, "a")).await;
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    for (i, standin) in deployment.standins.iter().enumerate() {
+        let (rests, most) = deploy::rests(standin, |_, _| String::new()).await;
+        assert!(rests > 0, "{}: no order was given", standin.name);
+        assert!(most <= 2, "{}: {most} orders within a rest", standin.name);
+        deployment.faults(i, serde_json::json!({})).await;
+    }
+    wait_loaded(&deployment, "a").await;
+}
--- a/tests/testsuite/rest.rs
+++ b/tests/testsuite/rest.rs
@@ -345,3 +345,64 @@
     book.note(&endpoint, &service, None, second(20), second(2));
     assert_eq!(told(&mut book, &other, None), 1);
 }
+
+/// Streams, whole answers and plain calls of the product's own interface, behind two boxes of which
+/// one dispatches for both, and the questions how endpoints do: each goes by what any of them heard.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_of_the_own_interface_get_the_rest_that_they_ask_for() {
+    const REST_MS: u64 = 3000;
+    const ROUNDS: usize = 120;
+    let dir = tempfile::tempdir().unwrap();
+    let plan = deploy::Plan {
+        boxes: vec![2],
+        engines: 3,
+        replicas: 3,
+        ..deploy::Plan::default()
+    };
+    let deployment = deploy::Deployment::start(plan, dir.path()).await;
+    // The first of the models and of the plain endpoints.
+    let first = |model| deployment.standins.iter().position(|s| s.model == model);
+    let resting = [first(true).unwrap(), first(false).unwrap()];
+    for i in resting {
+        let faults = serde_json::json!({ "rest_ms": REST_MS });
+        deployment.faults(i, faults).await;
+    }
+    let mut sent = Vec::new();
+    for round in 0..ROUNDS {
+        let (i, number) = (round % 2, round / 2);
+        let callers = deployment.entries[i].callers;
+        let text = format!("from box {i}, {number}");
+        let chat = |stream| client::chat(deploy::MODEL, &text, stream);
+        let (path, body) = match number % 3 {
+            0 => ("/v1/chat/completions", chat(true)),
+            1 => ("/v1/chat/completions", chat(false)),
+            _ => ("/services/stock/look", text.clone()),
+        };
+        sent.push(tokio::spawn(async move {
+            let bearer = client::bearer(deploy::TEAM);
+            let headers = [("authorization", bearer.as_str())];
+            let answer = client::ask(callers, "POST", path, &headers, body).await;
+            answer.map(|answer| answer.status).unwrap_or_default()
+        }));
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    let mut served = 0;
+    for task in sent {
+        served += usize::from(task.await.unwrap() == 200);
+    }
+    let sender = |path: &str, body: &str| match path {
+        "/health" | "/load" => path.to_owned(),
+        _ => ["from box 0", "from box 1"]
+            .into_iter()
+            .find(|name| body.contains(name))
+            .unwrap_or_default()
+            .to_owned(),
+    };
+    for i in resting {
+        let (rests, most) = deploy::rests(&deployment.standins[i], sender).await;
+        println!("{rests} rests, at most {most} within one, {served} of {ROUNDS} served");
+        assert!(rests > 0, "nothing was brought about");
+        assert!(most <= MOST, "{most} within a rest");
+    }
+    assert_eq!(served, ROUNDS);
+}
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -696,3 +696,34 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// After which time requests that were under way when an endpoint asked for rest have arrived.
+const UNDER_WAY_MS: u64 = 500;
+
+/// The rests that a stand-in asked for: how many, and the most requests that it got within one from
+/// who it had asked, as `sender` reads it from path and body.
+pub(crate) async fn rests(
+    standin: &Standin,
+    sender: impl Fn(&str, &str) -> String,
+) -> (usize, usize) {
+    let path = "/standin/turned-away";
+    let answer = client::ask(standin.address, "GET", path, &[], "").await;
+    let answer = answer.unwrap().json();
+    let seen: Vec<_> = answer["turned_away"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|seen| {
+            let text = |key: &str| seen[key].as_str().unwrap();
+            let number = |key: &str| seen[key].as_u64().unwrap();
+            let sender = sender(text("path"), text("body"));
+            (sender, number("at_ms"), number("rest_ms"))
+        })
+        .collect();
+    let within = |(sender, at, rest): &(String, u64, u64)| {
+        let of_sender = seen.iter().filter(|(other, ..)| other == sender);
+        let within = of_sender.filter(|(_, t, _)| *t > at + UNDER_WAY_MS && *t < at + rest);
+        within.count()
+    };
+    (seen.len(), seen.iter().map(within).max().unwrap_or(0))
+}
