--- a/src/bin/scalewood/commands/status.rs
+++ b/src/bin/scalewood/commands/status.rs
@@ -55,5 +55,8 @@
             services.join(", "),
             one.age_ms
         );
+        for (endpoint, left_ms) in &beat.rests {
+            println!("  {endpoint} wants nothing from it for {left_ms} ms more");
+        }
     }
 }
--- a/src/scalewood/ops/control/guarded.rs
+++ b/src/scalewood/ops/control/guarded.rs
@@ -15,6 +15,8 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle};
 
+use crate::{core::rest, ops};
+
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_millis(500);
 /// How long a lease has to last for a call to be written under it: several times the way to
@@ -49,6 +51,15 @@
     }
 }
 
+/// What a call was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Answer {
+    /// Its status.
+    pub(super) status: StatusCode,
+    /// For how long the receiver wants no more, if it turned the call away.
+    pub(super) rest: rest::Asked,
+}
+
 /// A connection over which only the holder of a lease writes. Dropping it resets it.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -84,13 +95,15 @@
         !self.sender.is_closed()
     }
 
-    /// Makes a call while the lease lasts; `holds` tells whether it does for so long.
+    /// Makes a call while the lease lasts; `holds` tells whether it does for so long. The time of
+    /// day here is what a date in the answer is compared with where it names none of its own.
     pub(super) async fn call(
         &mut self,
         mut request: Request<Full<Bytes>>,
         holds: impl Fn(Duration) -> bool,
         within: Duration,
-    ) -> Result<StatusCode, Failure> {
+        unix_ms: u64,
+    ) -> Result<Answer, Failure> {
         let host = header::HeaderValue::from_str(&self.address.to_string());
         if let Ok(host) = host {
             request.headers_mut().insert(header::HOST, host);
@@ -102,11 +115,12 @@
         let answered = async {
             let response = sent.await.map_err(|_| Failure::Broken)?;
             let status = response.status();
+            let rest = ops::rest::asked(status, response.headers(), unix_ms);
             // Read to its end, the connection can be used again; else it is closed.
             let _ = Limited::new(response.into_body(), MAX_ANSWER)
                 .collect()
                 .await;
-            Ok(status)
+            Ok(Answer { status, rest })
         };
         let ended = tokio::time::timeout(within, while_held(answered, holds)).await;
         let answer = ended.ok().flatten().unwrap_or(Err(Failure::Cut));
--- a/src/scalewood/ops/control/order.rs
+++ b/src/scalewood/ops/control/order.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 
 use crate::{
-    core::{invariant, limit, name, unit},
+    core::{invariant, limit, name, rest, unit},
     event,
     ops::control::{guarded, Handle, Published},
     util::clock::Clock,
@@ -53,6 +53,16 @@
     taken: HashMap<name::Endpoint, name::Model>,
 }
 
+/// What became of an order.
+enum Given {
+    /// The endpoint took it.
+    Taken,
+    /// The endpoint turned it away, and wants nothing for so long.
+    Rests(Duration),
+    /// It may be given again.
+    Failed,
+}
+
 /// What is due: the endpoint, where it is, and what it is to load.
 type Due = (name::Endpoint, SocketAddr, name::Model);
 
@@ -61,6 +71,8 @@
     pub(super) async fn run(self) {
         let mut done = Done::default();
         let mut bucket = limit::Bucket::full(self.rate, self.clock.now());
+        let own = self.handle.published().status.node.name;
+        let mut rests = rest::Book::new(own);
         loop {
             tokio::time::sleep(PERIOD).await;
             let published = self.handle.published();
@@ -74,6 +86,10 @@
                 };
             }
             for (endpoint, address, load) in due(&published, &done) {
+                // Orders are requests too.
+                if rests.left(&endpoint, None, self.clock.now()).is_some() {
+                    continue;
+                }
                 if bucket.take(1.0, self.rate, self.clock.now()).is_err() {
                     break;
                 }
@@ -83,8 +99,16 @@
                     number: done.number,
                     load: load.clone(),
                 };
-                if self.give(&endpoint, address, &order).await {
-                    done.taken.insert(endpoint, load);
+                match self.give(&endpoint, address, &order).await {
+                    Given::Taken => drop(done.taken.insert(endpoint, load)),
+                    Given::Rests(length) => {
+                        let configured = published.ledger.document().endpoints.get(&endpoint);
+                        if let Some(configured) = configured {
+                            let now = self.clock.now();
+                            rests.note(&endpoint, &configured.service, None, length, now);
+                        }
+                    }
+                    Given::Failed => {}
                 }
             }
         }
@@ -97,9 +121,9 @@
             .is_some_and(|until| until > self.clock.now() + long)
     }
 
-    async fn give(&self, endpoint: &name::Endpoint, address: SocketAddr, order: &Order) -> bool {
+    async fn give(&self, endpoint: &name::Endpoint, address: SocketAddr, order: &Order) -> Given {
         let Some(request) = request(order) else {
-            return false;
+            return Given::Failed;
         };
         let holds = |long| {
             // What was read before may be long out of date by now.
@@ -114,25 +138,31 @@
         };
         let sent = async {
             let mut connection = guarded::Connection::open(address).await?;
-            connection.call(request, holds, ORDER).await
+            let unix_ms = self.clock.unix_ms();
+            connection.call(request, holds, ORDER, unix_ms).await
         };
         match sent.await {
-            Ok(StatusCode::OK) => {
+            Ok(answer) if answer.status == StatusCode::OK => {
                 event!(self.log, OrderSent, "endpoint" => %endpoint, "load" => %order.load,
                     "term" => order.term, "number" => order.number);
-                true
+                Given::Taken
             }
-            Ok(status) => {
-                event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => %status);
-                false
+            Ok(answer) => {
+                let rest = match answer.rest {
+                    rest::Asked::For(length) => Some(length),
+                    rest::Asked::Nothing | rest::Asked::Unreadable => None,
+                };
+                event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => %answer.status,
+                    "rest_ms" => rest.map(|rest| rest.as_millis()));
+                rest.map_or(Given::Failed, Given::Rests)
             }
             Err(guarded::Failure::NoLease) => {
                 event!(self.log, OrderHeldBack, "endpoint" => %endpoint, "term" => order.term);
-                false
+                Given::Failed
             }
             Err(failure) => {
                 event!(self.log, OrderFailed, "endpoint" => %endpoint, "why" => failure.as_str());
-                false
+                Given::Failed
             }
         }
     }
--- a/src/scalewood/ops/control/provider/client.rs
+++ b/src/scalewood/ops/control/provider/client.rs
@@ -9,7 +9,7 @@
 
 use super::{Authority, Hold, Said, Settings};
 use crate::{
-    core::{limit, unit},
+    core::{limit, rest, unit},
     event,
     ops::control::guarded,
     util::clock::{self, Clock as _},
@@ -20,6 +20,9 @@
 /// The wait after a call that failed, which doubles up to the longest one.
 const AGAIN: Duration = Duration::from_millis(250);
 const LONGEST_AGAIN: Duration = Duration::from_secs(1);
+/// The longest that the provider is left alone by its own word: what is due to it, reports of usage
+/// and orders, is late after some minutes.
+const LONGEST_REST: Duration = Duration::from_secs(60);
 /// How long a call is held back that goes beyond the rate.
 const BUSY: Duration = Duration::from_millis(100);
 
@@ -33,6 +36,8 @@
     bucket: limit::Bucket,
     connection: Option<guarded::Connection>,
     again: Duration,
+    /// Until when the provider wants no calls.
+    rests_until: Duration,
     clock: clock::System,
     log: slog::Logger,
 }
@@ -51,6 +56,7 @@
             bucket: limit::Bucket::full(settings.rate, clock.now()),
             connection: None,
             again: AGAIN,
+            rests_until: Duration::ZERO,
             clock,
             log: hold.log.clone(),
             hold,
@@ -79,14 +85,18 @@
         said: fn(StatusCode) -> Said,
         what: &str,
     ) -> Said {
-        if self.bucket.take(1.0, self.rate, self.clock.now()).is_err() {
+        let rests = self.clock.now() < self.rests_until;
+        if rests || self.bucket.take(1.0, self.rate, self.clock.now()).is_err() {
             tokio::time::sleep(BUSY).await;
             return Said::Busy;
         }
         let asked = self.clock.now();
         let answer = self.send(authority, request).await;
         let (outcome, why) = match answer {
-            Ok(status) => (said(status), status.as_str().to_owned()),
+            Ok(answer) => {
+                self.hear(answer.rest);
+                (said(answer.status), answer.status.as_str().to_owned())
+            }
             Err(failure) => (Said::Failed, failure.as_str().to_owned()),
         };
         let took = self.clock.now().saturating_sub(asked);
@@ -99,6 +109,13 @@
         outcome
     }
 
+    /// Notes for how long the provider wants no calls.
+    fn hear(&mut self, asked: rest::Asked) {
+        if let rest::Asked::For(length) = asked {
+            self.rests_until = self.clock.now() + length.min(LONGEST_REST);
+        }
+    }
+
     /// Waits before the next call, longer each time; others that failed with it wait otherwise.
     async fn pause(&mut self) {
         let wait = self.again.mul_f64(rand::rng().random_range(0.5..1.0));
@@ -110,15 +127,16 @@
         &mut self,
         authority: &Authority,
         request: Request<Full<Bytes>>,
-    ) -> Result<StatusCode, guarded::Failure> {
+    ) -> Result<guarded::Answer, guarded::Failure> {
         let kept = self.connection.take().filter(guarded::Connection::is_open);
         let mut connection = match kept {
             Some(connection) => connection,
             None => guarded::Connection::open(self.address).await?,
         };
         let holds = |long| self.hold.lasts(authority.token, long);
-        let status = connection.call(request, holds, ANSWER).await?;
+        let unix_ms = self.clock.unix_ms();
+        let answer = connection.call(request, holds, ANSWER, unix_ms).await?;
         self.connection = Some(connection);
-        Ok(status)
+        Ok(answer)
     }
 }
--- a/src/scalewood/ops/entry/beat.rs
+++ b/src/scalewood/ops/entry/beat.rs
@@ -3,10 +3,12 @@
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use crate::{
+    core::{name, rest},
     ops::{
-        entry::{desk, Shared},
+        entry::{desk, now, Shared},
         rpc,
     },
+    util::lock::lock,
     wire::control::{Beat, ControlClient as _},
 };
 
@@ -42,5 +44,18 @@
         revision: board.feed.current().revision,
         ready: board.ready.load(Ordering::Relaxed),
         dispatches,
+        rests: rests(board),
     }
 }
+
+fn rests(board: &Shared) -> Vec<(name::Endpoint, u64)> {
+    /// The most that are told: enough to see that there are many.
+    const MOST: usize = 16;
+    let now = now(board);
+    let rests = lock(&board.rests);
+    let left = |(name, rest): (&name::Endpoint, &rest::Rest)| {
+        let left = rest.until.saturating_sub(now).as_millis();
+        (name.clone(), u64::try_from(left).unwrap_or(u64::MAX))
+    };
+    rests.all(now).take(MOST).map(left).collect()
+}
--- a/src/scalewood/ops/explain.rs
+++ b/src/scalewood/ops/explain.rs
@@ -67,8 +67,12 @@
             Some(true) => "another attempt follows",
             _ => "no attempt follows",
         };
+        let rests = match fields.get("rest_ms").and_then(Value::as_u64) {
+            Some(rest_ms) => format!(", which wants nothing from this box for {rest_ms} ms"),
+            None => String::new(),
+        };
         return format!(
-            "attempt {} at {} came to nothing ({}); {follows}, {} ms are left",
+            "attempt {} at {}{rests} came to nothing ({}); {follows}, {} ms are left",
             field("tries"),
             field("endpoint"),
             field("how"),
--- a/src/scalewood/ops/mod.rs
+++ b/src/scalewood/ops/mod.rs
@@ -7,5 +7,6 @@
 
 pub mod operate;
 pub mod reload;
+mod rest;
 pub mod rpc;
 pub mod source;
--- a/src/scalewood/wire/control.rs
+++ b/src/scalewood/wire/control.rs
@@ -33,6 +33,10 @@
     pub ready: bool,
     /// The services that it dispatches.
     pub dispatches: Vec<name::Service>,
+    /// The endpoints that rest from it, some of them if there are many, each with how much longer in
+    /// milliseconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rests: Vec<(name::Endpoint, u64)>,
 }
 
 /// The answer to a proposal that was passed on to the leader.
--- a/tests/testsuite/rest.rs
+++ b/tests/testsuite/rest.rs
@@ -406,3 +406,35 @@
     }
     assert_eq!(served, ROUNDS);
 }
+
+/// Operators see which endpoints rest from which box, and why a request was turned away.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_see_who_rests_from_whom() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints) = routed::serving(1, dir.path()).await;
+    endpoints[0].next(Act::Rest(Duration::from_secs(20)));
+    assert_eq!(
+        system
+            .call("POST", "/unsafe/", "turned-away")
+            .await
+            .unwrap()
+            .status,
+        503
+    );
+    let operator = system.operator();
+    deploy::wait("the rest is shown", || async {
+        let status = operator.status().await.unwrap();
+        let rests = status.boxes.iter().flat_map(|one| &one.beat.rests);
+        rests
+            .into_iter()
+            .any(|(name, left)| name.as_str() == "i-0" && *left > 10_000)
+    })
+    .await;
+    let log = std::fs::read_to_string(dir.path().join("e1.log")).unwrap();
+    let lines = scalewood::ops::explain::explain("turned-away", log.lines());
+    let says = |what: &str| lines.iter().any(|line| line.text.contains(what));
+    assert!(
+        says("i-0, which wants nothing from this box for 20000 ms"),
+        "{lines:?}"
+    );
+}
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -4,8 +4,8 @@
 //! this process. Three drivers disturb them at the same time: voters are killed, paused,
 //! wiped, told to reload; entry boxes are killed, paused, stopped as planned, told to
 //! reload; endpoints fail in all their ways, leave, end under a request that comes again and again, start
-//! again under their names, and sit behind links that are cut,
-//! silent, one-way or late. Meanwhile callers ask over kept and new connections, and
+//! again under their names, ask for rest, say in their answers that they leave, and sit behind
+//! links that are cut, silent, one-way or late. Meanwhile callers ask over kept and new connections, and
 //! an operator publishes one routing after the other. Checked, from what callers, the
 //! operator and endpoints see:
 //!
@@ -18,6 +18,7 @@
 //! - a cordon or its end that was acknowledged is never read back otherwise, outlives what is
 //!   done to voters, and keeps new requests off its zone's endpoints;
 //! - a request that ends each endpoint which runs it reaches few more once three have ended;
+//! - an endpoint that asked a box for rest, or told it that it leaves, gets that;
 //! - an endpoint that has left gets no more, and after all is mended all is served again.
 //!
 //! `SCALEWOOD_SEED` is the first seed, `SCALEWOOD_RUNS` how many follow each other, and
@@ -45,9 +46,11 @@
 use crate::support::{
     client, deploy,
     forwarder::{Forwarder, Mode},
-    routed::{self, routing, text, Act, Endpoint, System, ENDS, EVENTS, HOST, KEY},
+    routed::{self, routing, text, Act, Endpoint, System, BOX, ENDS, EVENTS, HOST, KEY},
 };
 
+mod word;
+
 /// Seeds that failed once. 45 and 54: a box that was asked to stop within ten seconds of
 /// its start took itself for gone and granted nothing more, so what needed a second slot
 /// hung until the stop ended; also `routed::a_box_that_is_stopped_right_after_its_start...`.
@@ -109,6 +112,8 @@
     cordoned: Mutex<Vec<(Instant, Instant)>>,
     /// When entry boxes were started: one knows nothing until a voter has told it.
     started: Mutex<Vec<Instant>>,
+    /// Spans in which an entry box was killed, stopped, started or paused.
+    away: Mutex<Vec<(usize, Instant, Instant)>>,
     /// Under which request endpoints ended, and when.
     ends: Mutex<Vec<(String, Instant)>>,
     /// How many orders were acknowledged.
@@ -148,13 +153,16 @@
     connection: &mut client::Connection,
     path: &'static str,
     id: &str,
+    entry: usize,
     account: &Account,
 ) -> Seen {
     let bearer = format!("Bearer {KEY}");
+    let entry = entry.to_string();
     let headers = [
         ("authorization", bearer.as_str()),
         ("scalewood-id", id),
         ("scalewood-deadline-ms", "4000"),
+        (BOX, entry.as_str()),
     ];
     let sent = connection.send_to(HOST, "POST", path, &headers, "a body");
     let Ok(response) = sent.await else {
@@ -228,7 +236,7 @@
                 }
             }
         };
-        let seen = ask(&mut connection, path, &id, &account).await;
+        let seen = ask(&mut connection, path, &id, entry, &account).await;
         account.requests.lock().unwrap().push(Request {
             id,
             path,
@@ -249,16 +257,19 @@
     let mut count = 0;
     while !account.is_over() {
         tokio::time::sleep(Duration::from_millis(random.random_range(50..400))).await;
-        let entry = entries[random.random_range(0..entries.len())];
+        let number = random.random_range(0..entries.len());
+        let entry = entries[number];
         let id = format!("ends-{count}");
         let body = format!("{ENDS}{}", count / ENDER_TIMES);
         count += 1;
         tokio::spawn(async move {
             let bearer = format!("Bearer {KEY}");
+            let number = number.to_string();
             let headers = [
                 ("authorization", bearer.as_str()),
                 ("scalewood-id", id.as_str()),
                 ("scalewood-deadline-ms", "2000"),
+                (BOX, number.as_str()),
             ];
             let Ok(mut connection) = client::Connection::open(entry).await else {
                 return;
@@ -353,6 +364,8 @@
     /// Which start of it this is, and the number of its last heartbeat.
     start: Arc<AtomicU64>,
     sequence: u64,
+    /// Spans in which its link was disturbed or it was down.
+    cut: word::Spans,
 }
 
 impl Behind {
@@ -485,6 +498,8 @@
     account: Arc<Account>,
     /// What ends endpoints under requests; it ends with this.
     endings: tokio::task::JoinSet<()>,
+    /// The same endpoints, for who has them ask for rest and say that they leave.
+    speakers: word::Speakers,
 }
 
 /// The body of a request that ends endpoints.
@@ -500,7 +515,9 @@
     link: &Arc<Forwarder>,
     start: &Arc<AtomicU64>,
     account: &Arc<Account>,
+    cut: &word::Spans,
 ) -> impl Future<Output = ()> {
+    let cut = cut.clone();
     let ending = endpoint.ending();
     let seen = endpoint.all_seen();
     let (link, start, account) = (link.clone(), start.clone(), account.clone());
@@ -512,10 +529,12 @@
             if let Some(body) = body {
                 account.ends.lock().unwrap().push((body, Instant::now()));
             }
+            let from = Instant::now();
             link.set_down(true);
             tokio::time::sleep(Duration::from_millis(300)).await;
             start.fetch_add(1, Ordering::Relaxed);
             link.set_down(false);
+            cut.lock().unwrap().push((from, Instant::now()));
         }
     }
 }
@@ -527,14 +546,21 @@
         let endpoint = Endpoint::start(&format!("i-{number}"), address(PORTS + number)).await;
         let link = Forwarder::start(address(LINKS + number), endpoint.address).await;
         let (link, start) = (Arc::new(link), Arc::new(AtomicU64::new(1)));
-        let ending = end_under_requests(&endpoint, &link, &start, &self.account);
+        let cut = word::Spans::default();
+        let ending = end_under_requests(&endpoint, &link, &start, &self.account, &cut);
         self.endings.spawn(ending);
+        self.speakers.lock().unwrap().push(word::Speaker {
+            usual: endpoint.usual(),
+            start: start.clone(),
+            leaving: word::Spans::default(),
+        });
         self.endpoints.push(Behind {
             endpoint,
             link,
             state: State::Ready,
             start,
             sequence: 0,
+            cut,
         });
         self.beat().await;
     }
@@ -614,18 +640,23 @@
             2 => Mode::OneWay,
             _ => Mode::Delayed(Duration::from_millis(random.random_range(5..120))),
         });
+        let from = Instant::now();
         tokio::time::sleep(pause).await;
         link.set_whole(true);
+        let cut = &self.endpoints[chosen].cut;
+        cut.lock().unwrap().push((from, Instant::now()));
     }
 
     /// One crashes and starts again under its name.
     async fn restart(&mut self, chosen: usize, pause: Duration) {
         let behind = &mut self.endpoints[chosen];
+        let from = Instant::now();
         behind.link.set(Mode::Cut);
         tokio::time::sleep(pause / 2).await;
         behind.start_anew();
         behind.sequence = 0;
         behind.link.set_whole(true);
+        behind.cut.lock().unwrap().push((from, Instant::now()));
     }
 
     /// One leaves, and another takes its place: one that has gone before starts again under its
@@ -733,6 +764,8 @@
                 entries[chosen].as_ref().unwrap().signal("CONT");
             }
         }
+        let away = (chosen, began, Instant::now());
+        account.away.lock().unwrap().push(away);
         if rough {
             let mut spans = account.rough.lock().unwrap();
             spans.push((chosen, began, Instant::now()));
@@ -808,6 +841,7 @@
         endpoints: Vec::new(),
         account: account.clone(),
         endings: tokio::task::JoinSet::new(),
+        speakers: word::Speakers::default(),
     };
     for _ in 0..ENDPOINTS {
         back.add().await;
@@ -836,6 +870,7 @@
     };
     tokio::join!(
         clock,
+        word::disturb(back.speakers.clone(), seed, &account),
         back.disturb(seed, &account),
         disturb_voters(&mut system, seed, &account),
         disturb_entries(&starter, &mut entries, seed, &account),
@@ -849,6 +884,7 @@
     }
     check_cordoned(&account, &back);
     check_ends(&account, &back);
+    word::check(&account, &back);
     check_calm_cordon(&system, &mut back, &account).await;
     check_mended(&system, &mut back, &account).await;
     check(&account, &runs(&back));
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -181,6 +181,11 @@
         *self.usual.lock().unwrap() = act;
     }
 
+    /// How it treats all requests, so that others may change it.
+    pub(crate) fn usual(&self) -> Arc<Mutex<Option<Act>>> {
+        self.usual.clone()
+    }
+
     /// All that it was sent, as that grows.
     pub(crate) fn all_seen(&self) -> Arc<Mutex<Vec<Seen>>> {
         self.seen.clone()
