--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -1,13 +1,13 @@
 //! Attempts at endpoints, until one answers or none may follow.
 
-use std::{collections::HashMap, future::Future, sync::atomic::Ordering, time::Duration};
+use std::{future::Future, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{body::Incoming, header, http::response, Response, StatusCode};
 
 use crate::{
-    core::{dispatch, name, retry, unit, verdict},
+    core::{dispatch, name, unit, verdict},
     event,
     ops::entry::{
         body::Answer,
@@ -18,7 +18,7 @@
         now,
         observer::Observer,
         reply::Refusal,
-        routed::{pool, reply, Context, Routed},
+        routed::{again, pool, reply, Context, Routed},
         said,
         turn::{Got, Turn},
         upstream::{self, Failure},
@@ -26,18 +26,11 @@
     util::{lock::lock, metric},
 };
 
-/// The most tries at one request that reached an endpoint, also if it did not run there.
-const MAX_TRIES: u32 = 3;
-/// The most that did not: a zone that is cut off, or many endpoints that have gone at once,
-/// take a few of them before they are known to be.
-const MAX_MISSES: u32 = 7;
 /// How long a repeatable request waits for a silent endpoint at least, before another
 /// one is tried.
 const MIN_PATIENCE: Duration = Duration::from_millis(1000);
 /// How many targets it waits for a silent endpoint.
 const PATIENCE_TARGETS: u32 = 4;
-/// What is left of the time is too short for another attempt below this.
-const MIN_LEFT: Duration = Duration::from_millis(20);
 /// After how long a request that got nothing back met silence. An endpoint that refuses or
 /// resets does so within the round trip; sent bytes stay unacknowledged for 0.7 s.
 const SILENT: Duration = Duration::from_millis(500);
@@ -45,10 +38,6 @@
 const RECHECK: Duration = Duration::from_millis(100);
 /// How long the rest of a refusal may take, for its connection to be kept.
 const REST: Duration = Duration::from_millis(50);
-/// The longest wait before the first retry, and before any: requests are due within some
-/// hundred milliseconds.
-const WAIT: Duration = Duration::from_millis(10);
-const LONGEST_WAIT: Duration = Duration::from_millis(50);
 
 /// A request on its way to a final answer.
 #[derive(Debug)]
@@ -59,9 +48,9 @@
     ask: dispatch::Ask,
     /// Tries so far, those of them that did not reach the endpoint that was meant, and those
     /// that may have run.
-    tries: u32,
-    misses: u32,
-    runs: u32,
+    pub(super) tries: u32,
+    pub(super) misses: u32,
+    pub(super) runs: u32,
     pub(super) verdict: verdict::Verdict,
     last: Option<name::Endpoint>,
     /// Where the last attempt was sent.
@@ -104,14 +93,7 @@
         let observer = Observer::new(&board, &routed.call);
         let label = metric::ClassLabel::from(&routed.call.key);
         board.metrics.offered.get_or_create(&label).inc();
-        let service = &routed.call.key.service;
-        let part = context.retries.part(board.sharers.load(Ordering::Relaxed));
-        {
-            let mut shard = board.budgets.shard(service);
-            let budget = budget(&mut shard, service, part);
-            budget.set(part);
-            budget.earn();
-        }
+        again::earn(&context, &routed.call.key.service);
         Self {
             context,
             routed,
@@ -454,57 +436,6 @@
         self.ask.renew_patience(self.routed.call.patience);
     }
 
-    /// Whether the request may be sent once more after one that may have run.
-    fn may_run_again(&self) -> bool {
-        let route = &self.routed.route;
-        route.kind.is_repeatable() && self.runs + 1 < route.attempts && self.reached() < MAX_TRIES
-    }
-
-    /// Tries that reached the endpoint that was meant.
-    fn reached(&self) -> u32 {
-        self.tries - self.misses
-    }
-
-    fn has_budget(&self) -> bool {
-        let service = &self.routed.call.key.service;
-        let shard = self.context.board.budgets.shard(service);
-        shard.get(service).is_some_and(retry::Budget::has_any)
-    }
-
-    /// Has the service's budget pay for one more arrival, after so many tries of this request;
-    /// how long to wait before it.
-    fn pay(&self, tries: u32) -> Option<Duration> {
-        let service = &self.routed.call.key.service;
-        let mut shard = self.context.board.budgets.shard(service);
-        shard.get_mut(service)?.spend(tries, rand::random())
-    }
-
-    /// How long to wait before the next attempt, if there may be one.
-    fn next_wait(&self, failure: Failure) -> Option<Duration> {
-        let route = &self.routed.route;
-        let is_last = if failure.is_miss() {
-            self.misses > MAX_MISSES
-        } else {
-            self.reached() >= MAX_TRIES
-        };
-        if self.left() < MIN_LEFT || is_last {
-            return None;
-        }
-        let harmless = self.verdict == verdict::Verdict::NotRun;
-        if !harmless && (!route.kind.is_repeatable() || self.runs >= route.attempts) {
-            return None;
-        }
-        match failure.end {
-            // Nothing has arrived, so nothing is sent a second time.
-            dispatch::End::Unreachable => Some(Duration::ZERO),
-            // By then the dispatcher here knows what bars it.
-            dispatch::End::Unused => Some(desk::TICK),
-            // What an endpoint turned away arrived there; it costs this request no try.
-            dispatch::End::Mistaken => self.pay(0).map(|_| Duration::ZERO),
-            _ => self.pay(self.reached()),
-        }
-    }
-
     /// Passes an endpoint's own failure on.
     fn pass(&mut self, parts: response::Parts, body: Bytes) -> Response<Answer> {
         self.observer.done(unit::Tokens(0));
@@ -545,21 +476,3 @@
             "revision" => %routed.revision, "behind_ms" => behind.as_millis());
     }
 }
-
-/// A service's budget of retries, new ones with what a box may earn and save up.
-fn budget<'a>(
-    budgets: &'a mut HashMap<name::Service, retry::Budget>,
-    service: &name::Service,
-    (earned, most): (f64, f64),
-) -> &'a mut retry::Budget {
-    let settings = retry::Settings {
-        earned,
-        most,
-        base: WAIT,
-        cap: LONGEST_WAIT,
-        attempts: MAX_TRIES,
-    };
-    budgets
-        .entry(service.clone())
-        .or_insert_with(|| retry::Budget::new(settings))
-}
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -29,6 +29,7 @@
     util::{lock::lock, socket},
 };
 
+mod again;
 mod attempt;
 mod outgoing;
 mod pool;
