--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod report;
 mod residency;
 mod rest;
+mod rest_dispatch;
 mod route;
 mod routed;
 mod scaling;
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -183,3 +183,46 @@
     registry.expire(late + Duration::from_secs(1));
     assert_eq!(displaced(&registry, &["new"]), [false]);
 }
+
+/// An endpoint says in each answer that it leaves; its heartbeats are heard late, and in any order.
+#[test]
+fn what_an_endpoint_said_of_leaving_in_an_answer_is_taken_back_by_a_new_start_alone() {
+    let beat = |sequence, incarnation| Record {
+        incarnation: Some(unit::Incarnation(incarnation)),
+        ..record("i", sequence, State::Ready)
+    };
+    let start = |number| Some(unit::Incarnation(number));
+    let name = "i".parse().unwrap();
+    let state = |registry: &Registry| registry.get(&name).map(|record| record.state);
+    let mut registry = Registry::default();
+    // Nothing is known of it yet.
+    assert_eq!(registry.note_leaving(&name, start(1)), Merged::Nothing);
+    registry.merge(beat(5, 1), START);
+    let stamp = registry.stamp();
+    assert_eq!(registry.note_leaving(&name, start(1)), Merged::Changed);
+    assert_eq!(state(&registry), Some(State::Leaving));
+    assert_eq!(registry.leaving_since(stamp).len(), 1);
+    assert_eq!(registry.note_leaving(&name, start(1)), Merged::Nothing);
+    // From before, and from after.
+    for sequence in [4, 6, 60] {
+        assert!(!registry.merge(beat(sequence, 1), START).is_news());
+        assert_eq!(state(&registry), Some(State::Leaving));
+    }
+    // Told to another process, it holds there too, whatever that hears first.
+    let mut other = Registry::default();
+    other.merge(beat(61, 1), START);
+    for told in registry.leaving_since(0) {
+        assert_eq!(other.note_leaving(&told.name, told.start), Merged::Changed);
+    }
+    assert_eq!(state(&other), Some(State::Leaving));
+    // The next start has said nothing; what the one before said comes late.
+    assert_eq!(registry.merge(beat(1, 2), START), Merged::Restarted);
+    assert_eq!(state(&registry), Some(State::Ready));
+    assert_eq!(registry.note_leaving(&name, start(1)), Merged::Nothing);
+    assert_eq!(state(&registry), Some(State::Ready));
+    assert!(registry.leaving_since(0).is_empty());
+    // It goes all the same.
+    registry.note_leaving(&name, start(2));
+    registry.leave(&name);
+    assert_eq!(state(&registry), None);
+}
--- a/tests/testsuite/rest.rs
+++ b/tests/testsuite/rest.rs
@@ -178,6 +178,8 @@
     const LENGTH: Duration = Duration::from_secs(6);
     /// Requests that were under way when the first answer came.
     const UNDER_WAY: Duration = Duration::from_millis(500);
+    /// How long word to all boxes may take: an exchange of loads and the voters' news.
+    const WORD: Duration = Duration::from_secs(1);
     let dir = tempfile::tempdir().unwrap();
     let site = Site::start(6, dir.path()).await;
     let leaving = &site.endpoints[..2];
@@ -199,11 +201,23 @@
             late += of_box.filter(|s| s.at > first.at + UNDER_WAY).count();
         }
     }
+    // The other boxes hear it by way of the voters, before they ask by themselves.
+    let mut unheard = 0;
+    for endpoint in leaving {
+        let seen = endpoint.seen();
+        let mut left = seen.iter().filter(|s| s.act == Some(Act::Leave));
+        let Some(first) = left.next() else { continue };
+        unheard += left.filter(|s| s.at > first.at + WORD).count();
+    }
     let (served, sent) = (served(&outcomes), outcomes.len());
-    let told = format!("{told_boxes} told, {late} late, {served} of {sent} served");
+    let told = format!(
+        "{told_boxes} told, {late} late, {unheard} from boxes that had not heard, \
+         {served} of {sent} served"
+    );
     println!("{told}");
     assert!(told_boxes > 0, "nothing was brought about: {told}");
     assert_eq!(late, 0, "{told}");
+    assert_eq!(unheard, 0, "{told}");
     assert_eq!(served, sent, "{told}");
 }
 
