--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -226,3 +226,38 @@
     registry.leave(&name);
     assert_eq!(state(&registry), None);
 }
+
+/// Voters were stalled for 16 s, while endpoints told them nothing; then all was well, and each call was
+/// refused from then on: no endpoint. Boxes forget an endpoint after 7 s without word of it, voters
+/// after 30 s. A voter that heard of it in between found nothing new in that, told boxes that it had
+/// heard of the name alone, and they had nothing by that name.
+#[test]
+fn an_endpoint_that_was_silent_for_so_long_that_boxes_forgot_it_is_told_anew() {
+    const FORGET: Duration = Duration::from_secs(7);
+    let (mut voter, mut own) = (Registry::default(), Registry::default());
+    let name = "i".parse().unwrap();
+    voter.merge(record("i", 1, State::Ready), START);
+    let mut stamp = 0;
+    let mut tell = |voter: &Registry, own: &mut Registry, now| {
+        for record in voter.told_since(stamp, now) {
+            own.merge(record, now);
+        }
+        own.hear(&name, now);
+        stamp = voter.stamp();
+    };
+    tell(&voter, &mut own, START);
+    // Heartbeats that come as they should tell nothing new.
+    let before = voter.stamp();
+    let second = START + Duration::from_millis(1200);
+    assert_eq!(
+        voter.merge(record("i", 2, State::Ready), second),
+        Merged::Alive
+    );
+    assert_eq!(voter.stamp(), before);
+    tell(&voter, &mut own, second);
+    let later = second + FORGET + Duration::from_secs(1);
+    assert_eq!(own.expire(later.saturating_sub(FORGET)).len(), 1);
+    voter.merge(record("i", 3, State::Ready), later);
+    tell(&voter, &mut own, later);
+    assert!(own.get(&name).is_some(), "it is known again");
+}
--- a/tests/testsuite/rest.rs
+++ b/tests/testsuite/rest.rs
@@ -452,3 +452,19 @@
         "{lines:?}"
     );
 }
+
+/// An endpoint's own answer to one caller that asks too often is that caller's, and bars nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_one_caller_that_asks_too_often_bars_nobody() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(1, dir.path()).await;
+    site.endpoints[0].next(Act::Limit);
+    let limited = site.send(0, "/unsafe/", 2000).await;
+    assert_eq!(
+        (limited.status, limited.retry_after),
+        (429, Some(60.0)),
+        "{limited:?}"
+    );
+    let other = site.send(0, "/unsafe/", 2000).await;
+    assert!(other.is_served(), "{other:?}");
+}
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -61,6 +61,8 @@
     Rest(Duration),
     /// It turns the request away and says this as the time for which it wants nothing.
     RestFor(&'static str),
+    /// It runs the request, and answers that this caller has asked too often.
+    Limit,
     /// It says that it leaves, and serves well.
     Leave,
 }
@@ -265,6 +267,12 @@
         Some(Act::RestFor(said)) => full(Some(said)),
         Some(Act::Rest(rest)) => full(Some(&rest.as_secs_f64().to_string())),
         Some(Act::Fail) => plain(500, "failed"),
+        Some(Act::Limit) => {
+            let mut response = plain(429, "too often");
+            let headers = response.headers_mut();
+            headers.insert("retry-after", "60".parse().unwrap());
+            response
+        }
         Some(Act::Mistaken) => plain(421, "another"),
         _ if path.starts_with("/s") => {
             let first = after.map_or(0, |id| id.to_str().unwrap().parse::<usize>().unwrap() + 1);
