Endpoints that boxes forgot are told anew; a 429 of an application bars nobody

A voter takes a heartbeat after 4 s of silence for news, so that boxes that forgot the endpoint (7 s) hear its record and not its name alone. 503 speaks of all that a box may send; 429 only where the request was turned away unread.

--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -100,6 +100,10 @@
 /// The time between two heartbeats of an endpoint, about. It only tells which of two endpoints
 /// at one address started later, so the users' 1.2 s stand for all.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// After how long a silence an endpoint that is heard of again counts as news, though it says the same:
+/// boxes forget one after seven seconds without word of it, and what a voter hears they hear up to
+/// two and a half seconds later. Those that remember it lose nothing by hearing it twice.
+const TOLD_ANEW: Duration = Duration::from_secs(4);
 /// How long after the first endpoint was heard of others that are heard of count as having
 /// served before: some heartbeats.
 const FOUND: Duration = Duration::from_secs(5);
@@ -167,6 +171,7 @@
         let Some(entry) = self.entries.get_mut(&record.name) else {
             return Merged::Nothing;
         };
+        let was_silent = now >= entry.heard + TOLD_ANEW;
         entry.heard = now;
         entry.restored = false;
         entry.started = entry.started.min(started(record.sequence, now));
@@ -175,7 +180,7 @@
             // The heartbeat may have been sent before the answer.
             record.state = record.state.max(State::Leaving);
         }
-        let same = !warms && record.says_the_same(&entry.record);
+        let same = !warms && !was_silent && record.says_the_same(&entry.record);
         entry.record = record;
         if same {
             return Merged::Alive;
--- a/src/scalewood/ops/control/guarded.rs
+++ b/src/scalewood/ops/control/guarded.rs
@@ -115,7 +115,12 @@
         let answered = async {
             let response = sent.await.map_err(|_| Failure::Broken)?;
             let status = response.status();
-            let rest = ops::rest::asked(status, response.headers(), unix_ms);
+            // Its only caller is this voter.
+            let rest = if ops::rest::is_meant(status, true) {
+                ops::rest::asked(response.headers(), unix_ms)
+            } else {
+                rest::Asked::Nothing
+            };
             // Read to its end, the connection can be used again; else it is closed.
             let _ = Limited::new(response.into_body(), MAX_ANSWER)
                 .collect()
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -57,8 +57,6 @@
     sent_to: Option<At>,
     /// What the last endpoint was chosen by.
     basis: dispatch::Basis,
-    /// The rest that the last answer asked for.
-    rest: Option<Duration>,
     /// When the caller was told to come back.
     retry_after: Option<Duration>,
 }
@@ -106,7 +104,6 @@
             last: None,
             sent_to: None,
             basis: dispatch::Basis::default(),
-            rest: None,
             retry_after: None,
         }
     }
@@ -351,7 +348,7 @@
 
     /// Decides whether an answer's head is one to this request.
     async fn judge(
-        &mut self,
+        &self,
         at: &At,
         sender: pool::Sender,
         response: Response<Incoming>,
@@ -360,7 +357,6 @@
         let id = self.routed.head.id.as_deref();
         let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
         let board = &self.context.board;
-        self.rest = said::rest(board, &response);
         match said::hear::<D, _>(board, &self.routed.call.key.service, at, &response, id) {
             Said::Answer if !encoded => Ok((sender, response)),
             Said::Answer | Said::Foreign => Err(Failure::BROKEN.into()),
@@ -404,9 +400,10 @@
         }
         self.misses += u32::from(failure.is_miss());
         let wait = self.next_wait(failure);
+        let rest = self.context.board.rest_left(endpoint);
         event!(self.context.board.log, RequestRetried, "id" => self.routed.head.id.as_deref(),
             "endpoint" => %endpoint, "how" => ?failure.end, "tries" => self.tries,
-            "rest_ms" => self.rest.take().map(|rest| rest.as_millis()), "again" => wait.is_some(), "left_ms" => self.left().as_millis());
+            "rest_ms" => rest.map(|rest| rest.as_millis()), "again" => wait.is_some(), "left_ms" => self.left().as_millis());
         let Some(wait) = wait else {
             return Err(match own {
                 Some((parts, body)) => self.pass(parts, body),
--- a/src/scalewood/ops/entry/said.rs
+++ b/src/scalewood/ops/entry/said.rs
@@ -39,7 +39,9 @@
     if said == Said::Mistaken {
         return said;
     }
-    hear_rest(board, service, at, response);
+    if ops::rest::is_meant(status, said == Said::Refused) {
+        hear_rest(board, service, at, response);
+    }
     if D::leaves(headers) {
         hear_leaving(board, service, at);
     }
@@ -61,22 +63,10 @@
     }
 }
 
-/// The rest that an answer asks for, if it turns a request away.
-pub(super) fn rest<B>(board: &Shared, response: &Response<B>) -> Option<Duration> {
-    match asked(board, response) {
-        rest::Asked::For(length) => Some(length),
-        rest::Asked::Nothing | rest::Asked::Unreadable => None,
-    }
-}
-
-fn asked<B>(board: &Shared, response: &Response<B>) -> rest::Asked {
-    let unix_ms = lock(&board.wall).unix_ms(board.clock.unix_ms(), now(board));
-    ops::rest::asked(response.status(), response.headers(), unix_ms)
-}
-
 fn hear_rest<B>(board: &Shared, service: &name::Service, at: &At, response: &Response<B>) {
     let headers = response.headers();
-    match asked(board, response) {
+    let unix_ms = lock(&board.wall).unix_ms(board.clock.unix_ms(), now(board));
+    match ops::rest::asked(headers, unix_ms) {
         rest::Asked::Nothing => {}
         rest::Asked::Unreadable => {
             event!(board.log, RestUnreadable, "endpoint" => %at.endpoint,
--- a/src/scalewood/ops/rest.rs
+++ b/src/scalewood/ops/rest.rs
@@ -4,18 +4,9 @@
 
 use crate::core::rest;
 
-/// Statuses with which a request is turned away for what its receiver has to do already.
-const BUSY: [StatusCode; 2] = [
-    StatusCode::SERVICE_UNAVAILABLE,
-    StatusCode::TOO_MANY_REQUESTS,
-];
-
-/// The rest that an answer asks for, if it turns a request away; a date in it is compared with the
-/// answer's own, or else with the time of day here.
-pub(in crate::ops) fn asked(status: StatusCode, headers: &HeaderMap, unix_ms: u64) -> rest::Asked {
-    if !BUSY.contains(&status) {
-        return rest::Asked::Nothing;
-    }
+/// The rest that an answer asks for; a date in it is compared with the answer's own, or else with
+/// the time of day here.
+pub(in crate::ops) fn asked(headers: &HeaderMap, unix_ms: u64) -> rest::Asked {
     let values = headers.get_all(header::RETRY_AFTER).into_iter();
     // What is no text is no time either.
     let values = values.map(|value| value.to_str().unwrap_or("?"));
@@ -24,6 +15,13 @@
     rest::read(values, date, unix_ms)
 }
 
+/// Whether an answer of this status speaks of all that its receiver may send. 503 does; 429 speaks
+/// of one caller, unless it `turned_away` what was sent before that was looked at.
+pub(in crate::ops) fn is_meant(status: StatusCode, turned_away: bool) -> bool {
+    let is_busy = status == StatusCode::SERVICE_UNAVAILABLE;
+    is_busy || (turned_away && status == StatusCode::TOO_MANY_REQUESTS)
+}
+
 /// What it says of that, for the log.
 pub(in crate::ops) fn text(headers: &HeaderMap) -> String {
     let values = headers.get_all(header::RETRY_AFTER).into_iter();
