--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -592,6 +592,31 @@
         }
     }
 
+    /// Sends heartbeats before each fifth of some calls. Endpoints announce themselves for as long as
+    /// they run: one that is silent for 7 s is forgotten, which the checks may take on a busy machine.
+    async fn beat_now_and_then(&mut self, count: usize) {
+        if count.is_multiple_of(5) {
+            self.beat().await;
+        }
+    }
+
+    /// Waits until a call is served, while endpoints announce themselves.
+    async fn wait_served(&mut self, system: &System) {
+        let until = Instant::now() + Duration::from_secs(30);
+        loop {
+            self.beat().await;
+            let call = system.call("GET", "/safe/wait", "wait").await;
+            if call.is_ok_and(|answer| answer.status == 200) {
+                return;
+            }
+            assert!(
+                Instant::now() < until,
+                "waited in vain until a call is served"
+            );
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
     fn left(&self) -> impl Iterator<Item = &Endpoint> {
         let left = self.endpoints.iter().filter(|b| b.state == State::Gone);
         left.map(|behind| &behind.endpoint)
@@ -904,8 +929,9 @@
     // An endpoint of each zone: those that were there may have left.
     back.add().await;
     back.add().await;
-    system.wait_served().await;
+    back.wait_served(system).await;
     system.ordered("POST", ZONE).await;
+    back.beat().await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let of_zone = |back: &Back| -> usize {
         let endpoints = back.endpoints.iter().enumerate();
@@ -914,6 +940,7 @@
     };
     let before = of_zone(back);
     for count in 0..20 {
+        back.beat_now_and_then(count).await;
         let id = format!("calm-{count}");
         let answer = system.call("POST", "/unsafe/", &id).await;
         let status = answer.map(|answer| answer.status);
@@ -934,8 +961,7 @@
 /// After all is mended, all is served, by endpoints that have not left, under the version
 /// that was acknowledged last or a later one.
 async fn check_mended(system: &System, back: &mut Back, account: &Account) {
-    back.beat().await;
-    system.wait_served().await;
+    back.wait_served(system).await;
     let body = system.read().await;
     let read = serde_json::from_str::<serde_json::Value>(&body).unwrap();
     let acknowledged = account.acknowledged.load(Ordering::SeqCst);
@@ -944,11 +970,13 @@
     }
     // Boxes that have just started hear of all within a few seconds.
     tokio::time::sleep(Duration::from_secs(3)).await;
+    back.wait_served(system).await;
     let left: BTreeSet<_> = back
         .left()
         .map(|e| (e.name.clone(), e.seen().len()))
         .collect();
     for count in 0..30 {
+        back.beat_now_and_then(count).await;
         let id = format!("mended-{count}");
         let answer = system.call("POST", "/unsafe/", &id).await;
         let status = answer.map(|answer| answer.status);
