A rest holds for a start that is heard of after the answer

The box had just started and took the answer for an earlier start's, as a voter remembered it; the heartbeat of the start that had answered came 0.5 s later. For five seconds after the answer a rest holds for any later start; dispatchers are told by the start that is known.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -306,12 +306,28 @@
 
     /// How much longer an endpoint rests from this box, if it does.
     pub fn rest_left(&self, endpoint: &name::Endpoint) -> Option<Duration> {
-        let start = lock(&self.registry)
-            .get(endpoint)
-            .and_then(|record| record.incarnation);
+        let start = self.start_of(endpoint);
         lock(&self.rests).left(endpoint, start, self.clock.now())
     }
 
+    /// Brings what is told of a rest up to the start of its endpoint that is known now; whether that
+    /// rests.
+    pub fn renew_rest(&self, told: &mut rest::Told) -> bool {
+        let Some(left) = self.rest_left(&told.endpoint) else {
+            return false;
+        };
+        told.left = left;
+        told.start = self.start_of(&told.endpoint);
+        true
+    }
+
+    /// Which start of an endpoint is known; none where endpoints tell none.
+    fn start_of(&self, endpoint: &name::Endpoint) -> registry::Start {
+        lock(&self.registry)
+            .get(endpoint)
+            .and_then(|record| record.incarnation)
+    }
+
     /// Whether an endpoint that announced itself is known here to leave.
     pub fn is_leaving(&self, endpoint: &name::Endpoint) -> bool {
         let registry = lock(&self.registry);
--- a/src/scalewood/core/rest.rs
+++ b/src/scalewood/core/rest.rs
@@ -2,9 +2,11 @@
 //!
 //! An endpoint that turns a request away may say for how long it wants nothing more from the box
 //! that sent it (`Retry-After`, RFC 9110). What it said holds for this box and for that start of
-//! the endpoint: other boxes have their own answers, and a later start knows nothing of it.
+//! the endpoint: other boxes have their own answers, and a later start knows nothing of it, but for
+//! one that may have begun before the answer.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
@@ -22,6 +24,9 @@
 /// The most that this adds.
 const LONGEST_SPREAD: Duration = Duration::from_secs(1);
 
+/// For how long after an answer a rest holds for a later start too. The endpoint may have started anew
+/// before it answered, and its heartbeat come seconds late: then the answer was the later start's.
+const START_UNHEARD: Duration = Duration::from_secs(5);
 /// The most rests that one message tells: 4 KB. Those that were asked for first go first.
 const MOST_TOLD: usize = 64;
 
@@ -83,6 +88,8 @@
     pub service: name::Service,
     /// Which start of it asked.
     pub start: registry::Start,
+    /// When it asked last.
+    pub asked: Duration,
     /// When it ends.
     pub until: Duration,
     /// Rises with each rest that the box was asked for.
@@ -164,6 +171,7 @@
         let rest = Rest {
             service: service.clone(),
             start,
+            asked: now,
             until,
             number: self.numbers,
         };
@@ -186,8 +194,12 @@
         now: Duration,
     ) -> Option<Duration> {
         let rest = self.rests.get(endpoint)?;
-        let left = rest.until.saturating_sub(now);
-        (rest.start == start && !left.is_zero()).then_some(left)
+        let until = match rest.start.cmp(&start) {
+            Ordering::Equal => rest.until,
+            Ordering::Less => rest.until.min(rest.asked + START_UNHEARD),
+            Ordering::Greater => return None,
+        };
+        Some(until.saturating_sub(now)).filter(|left| !left.is_zero())
     }
 
     /// What a dispatcher has not heard of the endpoints of its service, and in any case what it
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -60,6 +60,8 @@
     if let dispatch::Report::Ask(ask) = &mut report {
         let in_vain = ask.avoid.as_ref();
         ask.rests = lock(&board.rests).news(to, service, in_vain, now(board));
+        // The dispatcher goes by the starts that are known now.
+        ask.rests.retain_mut(|told| board.renew_rest(told));
     }
     if *to == board.own.name {
         take(board, &board.own.name.clone(), service, vec![report]);
--- a/src/scalewood/ops/entry/said.rs
+++ b/src/scalewood/ops/entry/said.rs
@@ -24,6 +24,7 @@
 /// How long a configured endpoint gets nothing that says in an answer that it leaves. It announces
 /// nothing, so no new start of it is ever heard of: after that time one request finds out.
 const CONFIGURED_LEAVES: Duration = Duration::from_secs(10);
+
 /// Reads the head of an answer that a start of an endpoint gave to a request of a service, with
 /// the request's own id, and notes what concerns more than this request.
 pub(super) fn hear<D: Dialect, B>(
