--- a/src/scalewood/core/dispatch/grant.rs
+++ b/src/scalewood/core/dispatch/grant.rs
@@ -4,7 +4,7 @@
 
 use crate::core::{
     attempt,
-    dispatch::{class, endpoint, message, queue, run, Dispatcher},
+    dispatch::{class, endpoint, message, precedence, queue, run, Cause, Dispatcher},
     invariant, name, unit,
 };
 
@@ -24,6 +24,10 @@
                 break;
             };
             let (ask, lane) = (waiting.ask.clone(), waiting.lane());
+            if let Some(held) = self.held_back(&ask, now) {
+                self.shed_held_back(attempt, held, now);
+                continue;
+            }
             let choice = match self.choose(&ask, &lane.1, now) {
                 Ok(choice) => choice,
                 Err(endpoint::Unplaced::NoSlot) if self.is_wide(&lane) => break,
@@ -32,7 +36,7 @@
                     continue;
                 }
                 Err(endpoint::Unplaced::Overload(overload)) => {
-                    self.shed_overload(attempt, overload, now);
+                    self.shed_overload(attempt, overload, Cause::Itself, now);
                     continue;
                 }
             };
@@ -51,14 +55,6 @@
         now: Duration,
     ) -> Result<endpoint::Choice, endpoint::Unplaced> {
         let avoid = ask.avoid.as_ref();
-        if let Some(over) = self.held_back(ask, now) {
-            self.refusals.meet(ask, false, now);
-            let first = over;
-            return Err(endpoint::Unplaced::Overload(endpoint::Overload {
-                first,
-                over,
-            }));
-        }
         let seeker = endpoint::Seeker {
             allowed: &ask.allowed,
             origin,
@@ -106,9 +102,9 @@
         allowed.is_everywhere() && !self.endpoints.has_rests()
     }
 
-    /// How long a request must not begin, since more urgent ones are refused. One that was
-    /// sent to an endpoint before goes on: what it has begun is not taken away.
-    fn held_back(&self, ask: &message::Ask, now: Duration) -> Option<Duration> {
+    /// What holds a request back, since more urgent ones are refused. One that was sent to an
+    /// endpoint before goes on: what it has begun is not taken away.
+    fn held_back(&self, ask: &message::Ask, now: Duration) -> Option<precedence::HeldBack> {
         if ask.attempt.number > 0 {
             return None;
         }
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -29,6 +29,7 @@
 
 use crate::core::{attempt, config, load, name, unit};
 
+mod cause;
 mod class;
 mod endpoint;
 mod grant;
@@ -48,6 +49,7 @@
 mod work;
 mod zone;
 
+pub use cause::Cause;
 pub use endpoint::{Spec, Standing, View};
 pub use message::{Ask, End, Held, Order, Placed, Prefix, Reason, Report};
 pub use placement::LONG_PROMPT;
@@ -163,6 +165,7 @@
     reading: reading::Reading,
     pauses: pauses::Pauses,
     refusals: precedence::Refusals,
+    causes: cause::Causes,
     settled_at: Duration,
     /// The entry boxes that are alive, and those that have announced what they hold.
     alive: BTreeSet<name::Box>,
@@ -216,6 +219,7 @@
             reading: reading::Reading::default(),
             pauses: pauses::Pauses::default(),
             refusals: precedence::Refusals::default(),
+            causes: cause::Causes::default(),
             settled_at,
             alive: BTreeSet::new(),
             announced: BTreeSet::new(),
--- a/src/scalewood/core/dispatch/precedence.rs
+++ b/src/scalewood/core/dispatch/precedence.rs
@@ -16,7 +16,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::core::{dispatch::message, load, name, unit};
+use crate::core::{
+    dispatch::{message, Cause},
+    load, name, unit,
+};
 
 /// How long a refusal counts at least. Boxes see one request in some hundred, so shorter
 /// ones would end before the next more urgent request shows whether the overload lasts.
@@ -62,6 +65,26 @@
     met: BTreeMap<Pair, Met>,
 }
 
+/// A request that must not begin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct HeldBack {
+    /// How long it has to wait.
+    pub(super) left: Duration,
+    /// What holds it back.
+    pub(super) cause: Cause,
+}
+
+/// The class that holds a request back for the longest, and how long.
+fn longest(
+    refusals: &BTreeMap<name::Class, Refusal>,
+    ask: &message::Ask,
+    now: Duration,
+) -> Option<(Duration, name::Class)> {
+    let others = refusals.iter().filter(|(class, _)| **class != ask.class);
+    let left = others.filter_map(|(class, refusal)| Some((refusal.left(ask, now)?, class)));
+    left.max().map(|(left, class)| (left, class.clone()))
+}
+
 /// The class that is refused, and a less urgent one.
 type Pair = (name::Class, name::Class);
 
@@ -146,24 +169,25 @@
         };
     }
 
-    /// How long a request must not begin, since smaller and more urgent ones of other classes
-    /// are refused.
-    pub(super) fn hold_back(&self, ask: &message::Ask, now: Duration) -> Option<Duration> {
-        self.ahead(ask, now).map(|(left, _)| left)
-    }
-
-    /// The class that holds a request back for the longest, and how long.
-    fn ahead(&self, ask: &message::Ask, now: Duration) -> Option<(Duration, &name::Class)> {
-        let all = self.own.iter().chain(&self.bounds);
-        let others = all.filter(|(class, _)| **class != ask.class);
-        let left = others.filter_map(|(class, refusal)| Some((refusal.left(ask, now)?, class)));
-        left.max()
+    /// What holds a request back, since smaller and more urgent ones of other classes are
+    /// refused.
+    pub(super) fn hold_back(&self, ask: &message::Ask, now: Duration) -> Option<HeldBack> {
+        let own = longest(&self.own, ask, now).map(|(left, class)| HeldBack {
+            left,
+            cause: Cause::Here(class),
+        });
+        let told = longest(&self.bounds, ask, now).map(|(left, class)| HeldBack {
+            left,
+            cause: Cause::Anywhere(class),
+        });
+        own.into_iter().chain(told).max_by_key(|held| held.left)
     }
 
     /// Counts a request that is held back or begins, if a more urgent class is refused;
     /// tells whether one is.
     pub(super) fn meet(&mut self, ask: &message::Ask, begins: bool, now: Duration) -> bool {
-        let Some((_, refused)) = self.ahead(ask, now) else {
+        let held = self.hold_back(ask, now);
+        let Some(refused) = held.as_ref().and_then(|held| held.cause.class()) else {
             return false;
         };
         let met = self.met.entry((refused.clone(), ask.class.clone()));
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -10,7 +10,7 @@
 
 use crate::core::{
     attempt,
-    dispatch::{endpoint, message, queue, Dispatcher},
+    dispatch::{endpoint, message, precedence, queue, Cause, Dispatcher},
     invariant, residency, unit,
 };
 
@@ -164,18 +164,37 @@
         }
     }
 
+    /// Sheds a request that must not begin before more urgent ones.
+    pub(super) fn shed_held_back(
+        &mut self,
+        attempt: attempt::Attempt,
+        held: precedence::HeldBack,
+        now: Duration,
+    ) {
+        if let Some(waiting) = self.queue.get(attempt) {
+            self.refusals.meet(&waiting.ask, false, now);
+        }
+        let overload = endpoint::Overload {
+            first: held.left,
+            over: held.left,
+        };
+        self.shed_overload(attempt, overload, held.cause, now);
+    }
+
     /// Sheds a request whose caller would leave before endpoints come to read it; it may
     /// come back once that much has been read.
     pub(super) fn shed_overload(
         &mut self,
         attempt: attempt::Attempt,
         overload: endpoint::Overload,
+        cause: Cause,
         now: Duration,
     ) {
         let Some(waiting) = self.queue.remove(attempt) else {
             return;
         };
         self.refusals.note(&waiting.ask, overload.over, now);
+        self.causes.note(attempt, cause);
         let reason = message::Reason::Overload;
         let retry = overload.first.clamp(MIN_RETRY, MAX_RETRY);
         self.outputs
--- a/src/scalewood/core/dispatch/shown.rs
+++ b/src/scalewood/core/dispatch/shown.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Basis, Dispatcher, Precedence, Summary, View};
+use super::{Basis, Cause, Dispatcher, Precedence, Summary, View};
 use crate::core::{attempt, load, name, unit};
 
 /// How far ahead the due time of a summary's imagined request lies.
@@ -63,6 +63,12 @@
         self.refusals.take_news()
     }
 
+    /// Why an attempt was refused for want of room, if that was a moment ago and was not taken
+    /// before.
+    pub fn take_cause(&mut self, attempt: attempt::Attempt) -> Option<Cause> {
+        self.causes.take(attempt)
+    }
+
     /// What came of less urgent requests while more urgent ones were refused, since it was
     /// last taken.
     pub fn take_precedence(&mut self) -> Vec<Precedence> {
--- a/src/scalewood/ops/entry/desk.rs
+++ b/src/scalewood/ops/entry/desk.rs
@@ -158,6 +158,16 @@
     shard.get(service)?.basis(attempt)
 }
 
+/// Why an attempt was refused for want of room, if a dispatcher here refused it.
+pub(super) fn cause(
+    board: &Shared,
+    service: &name::Service,
+    attempt: attempt::Attempt,
+) -> Option<dispatch::Cause> {
+    let mut shard = board.dispatchers.shard(service);
+    shard.get_mut(service)?.take_cause(attempt)
+}
+
 /// How long an endpoint may be silent towards a request that a dispatcher here has granted,
 /// `least` where nothing else waits there.
 pub(super) fn patience(
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -192,7 +192,7 @@
             );
             let endpoint = match turn.wait().await {
                 Got::Granted(endpoint) => endpoint,
-                Got::Shed(reason, retry) => {
+                Got::Shed(reason, retry, _) => {
                     let refusal = self.call.shed(reason, retry);
                     return self
                         .fail(Refusal {
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -199,7 +199,7 @@
         );
         let endpoint = match turn.wait().await {
             Got::Granted(endpoint) => endpoint,
-            Got::Shed(reason, retry) => {
+            Got::Shed(reason, retry, _) => {
                 let refusal = Refusal {
                     verdict: sofar,
                     ..call.shed(reason, retry)
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -59,6 +59,8 @@
     basis: dispatch::Basis,
     /// When the caller was told to come back.
     retry_after: Option<Duration>,
+    /// Why it was refused for want of room, if it was and that is known here.
+    cause: Option<dispatch::Cause>,
 }
 
 /// An endpoint's answer that has begun.
@@ -105,6 +107,7 @@
             sent_to: None,
             basis: dispatch::Basis::default(),
             retry_after: None,
+            cause: None,
         }
     }
 
@@ -228,7 +231,8 @@
                 self.basis = basis.unwrap_or_default();
                 Ok((turn, endpoint))
             }
-            Some(Got::Shed(reason, retry)) => {
+            Some(Got::Shed(reason, retry, cause)) => {
+                self.cause = cause;
                 Err(self.refuse(&reply::shed(reason, retry, self.verdict)))
             }
             Some(Got::HeldBack) => Err(self.refuse(&Refusal::held_back(self.verdict))),
@@ -454,6 +458,12 @@
         (!allowed.is_everywhere()).then(|| allowed.to_string())
     }
 
+    /// The more urgent class that held it back, if one did.
+    fn held_back_by(&self) -> Option<&str> {
+        let class = self.cause.as_ref()?.class()?;
+        Some(class.as_str())
+    }
+
     /// Logs the final answer with what decided it.
     pub(super) fn log_end(&self, status: StatusCode, code: &str, verdict: verdict::Verdict) {
         let routed = &self.routed;
@@ -466,6 +476,7 @@
             "endpoint" => self.last.as_ref().map(name::Endpoint::as_str),
             "prompt" => routed.call.prompt.0, "unread" => self.basis.unread.0,
             "ahead" => self.basis.ahead.0, "later" => self.basis.later.0, "kept" => self.basis.kept, "returned" => routed.call.returned,
+            "cause" => self.cause.as_ref().map(dispatch::Cause::as_str), "held_back_by" => self.held_back_by(),
             "retry_ms" => self.retry_after.map(|wait| wait.as_millis()), "tries" => self.tries,
             "first_ms" => self.observer.first_after().map(|first| first.as_millis()),
             "pause_ms" => self.observer.longest_pause().as_millis(),
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -12,7 +12,7 @@
     core::{attempt, dispatch, name, residency, unit},
     event,
     ops::entry::{crash, desk, now, Shared},
-    util::lock::lock,
+    util::{lock::lock, metric},
 };
 
 /// What a request got.
@@ -20,8 +20,9 @@
 pub(super) enum Got {
     /// It may run at the endpoint.
     Granted(name::Endpoint),
-    /// It is shed, and may come back after the time given.
-    Shed(dispatch::Reason, Duration),
+    /// It is shed, and may come back after the time given; why, where room was wanting and a
+    /// dispatcher of this box decided.
+    Shed(dispatch::Reason, Duration, Option<dispatch::Cause>),
     /// Endpoints end under it, so it is sent to none.
     HeldBack,
 }
@@ -117,7 +118,7 @@
             let Ok(Some(order)) = order else {
                 // No dispatcher was reached in time.
                 self.leave(|attempt, _| dispatch::Report::Withdraw(attempt));
-                return Got::Shed(dispatch::Reason::Deadline, PATIENCE);
+                return Got::Shed(dispatch::Reason::Deadline, PATIENCE, None);
             };
             match order {
                 dispatch::Order::Grant(..) if self.board.may_be_stale() => self.decline(),
@@ -129,9 +130,10 @@
                         return Got::Granted(endpoint);
                     }
                 }
-                dispatch::Order::Shed(_, reason, retry) => {
+                dispatch::Order::Shed(attempt, reason, retry) => {
+                    let cause = self.cause(attempt);
                     self.forget();
-                    return Got::Shed(reason, retry);
+                    return Got::Shed(reason, retry, cause);
                 }
                 dispatch::Order::Expired(_) => self.ask_again(),
                 dispatch::Order::Preempt(_) | dispatch::Order::Gone(_) => {}
@@ -139,6 +141,20 @@
         }
     }
 
+    /// Why the dispatcher here refused it for want of room, if it did; counted.
+    fn cause(&self, attempt: attempt::Attempt) -> Option<dispatch::Cause> {
+        let named = self.with_ticket(|ticket| (ticket.service.clone(), ticket.ask.class.clone()));
+        let (service, class) = named?;
+        let cause = desk::cause(&self.board, &service, attempt)?;
+        let label = metric::CauseLabel {
+            service: service.to_string(),
+            class: class.to_string(),
+            cause: cause.as_str(),
+        };
+        self.board.metrics.refused.get_or_create(&label).inc();
+        Some(cause)
+    }
+
     /// Whether the request may be sent to an endpoint now, by the configuration in force and by
     /// what is known of it.
     pub(super) fn permits(&self, endpoint: &name::Endpoint) -> bool {
--- a/src/scalewood/ops/explain.rs
+++ b/src/scalewood/ops/explain.rs
@@ -57,6 +57,16 @@
     }
 }
 
+/// Why a request found no room, if that was so.
+fn cause(fields: &Map<String, Value>) -> String {
+    let text = |name: &str| fields.get(name).and_then(Value::as_str);
+    match (text("cause"), text("held_back_by")) {
+        (None, _) => String::new(),
+        (Some(_), None) => "; there was no room for the request itself".into(),
+        (Some(cause), Some(class)) => format!("; {cause} by class {class}, which is refused"),
+    }
+}
+
 /// What a line says in plain words.
 fn say(fields: &Map<String, Value>) -> String {
     let field = |name: &str| word(fields, name);
@@ -83,7 +93,7 @@
         return format!(
             "answered {} ({}) after {} ms, verdict {}: route {}, rank {}, team {}, prompt of {} \
              tokens, {} attempts, the last at {}; first event after {} ms, longest pause {} ms; \
-             configuration revision {}; told to come back after {} ms, had come back before: {}",
+             configuration revision {}; told to come back after {} ms, had come back before: {}{}",
             field("status"),
             field("code"),
             field("took_ms"),
@@ -98,7 +108,8 @@
             field("pause_ms"),
             field("revision"),
             field("retry_ms"),
-            field("returned")
+            field("returned"),
+            cause(fields)
         );
     }
     let other = fields
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// A class, and why a request of it was refused for want of room.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CauseLabel {
+    /// The service.
+    pub service: String,
+    /// The class.
+    pub class: String,
+    /// The cause.
+    pub cause: &'static str,
+}
+
 /// A class that was refused, a less urgent one, and what came of a request of that.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PrecedenceLabel {
@@ -109,6 +120,8 @@
     pub wasted: Family<ClassLabel, Counter>,
     /// Requests by how they ended.
     pub ended: Family<EndLabel, Counter>,
+    /// Requests that were refused for want of room, by what was the cause.
+    pub refused: Family<CauseLabel, Counter>,
     /// Larger requests of less urgent classes that came while a more urgent one was refused.
     pub preceded: Family<PrecedenceLabel, Counter>,
     /// Seconds from arrival to the first token.
@@ -157,6 +170,7 @@
             goodput: Family::default(),
             wasted: Family::default(),
             ended: Family::default(),
+            refused: Family::default(),
             preceded: Family::default(),
             first: Family::new_with_constructor(seconds),
             between: Family::new_with_constructor(seconds),
@@ -211,6 +225,11 @@
             "Requests by how they ended",
             self.ended.clone(),
         );
+        r.register(
+            "requests_refused",
+            "Requests that were refused for want of room, by what was the cause",
+            self.refused.clone(),
+        );
         r.register(
             "requests_preceded",
             "Larger requests of less urgent classes while a more urgent one was refused",
