A class of a route has a rank, as its requests have

Dispatchers compared the tier of a route (0 to 2 on most deployments) with the ranks of requests, which count teams too (0 to 5): the flow of a class counted as work above its own less urgent teams, and classes that no request came of yet stood in the wrong order.

--- a/src/scalewood/board/view.rs
+++ b/src/scalewood/board/view.rs
@@ -130,11 +130,24 @@
         let specs = specs.chain(registered);
         let classes = self.document.classes_of(service);
         let classes: BTreeMap<_, _> = classes
-            .map(|(key, class)| (key.class.clone(), class.clone()))
+            .map(|(key, class)| (key.class.clone(), self.ranked(class)))
             .collect();
         dispatch::Input::Configure(specs.collect(), classes)
     }
 
+    /// A class as dispatchers compare it with requests. These come with a rank where there are
+    /// routes, so the class gets its least urgent one.
+    fn ranked(&self, class: &config::Class) -> config::Class {
+        let tier = match self.document.routing {
+            Some(_) => self.table.least_rank(class.tier),
+            None => class.tier,
+        };
+        config::Class {
+            tier,
+            ..class.clone()
+        }
+    }
+
     /// What is said of sending new work to the endpoints of a zone.
     fn standing(&self, zone: &name::Zone, regions: &region::Map) -> dispatch::Standing {
         dispatch::Standing {
--- a/src/scalewood/core/route.rs
+++ b/src/scalewood/core/route.rs
@@ -367,8 +367,18 @@
     /// The route's goes first: a class is never put behind a lower one.
     pub fn rank(&self, route: unit::Tier, team: unit::Tier) -> unit::Tier {
         let place = self.ranks.partition_point(|pair| *pair < (route, team));
-        unit::Tier(u8::try_from(place).unwrap_or(u8::MAX).min(MAX_RANK))
+        to_rank(place)
     }
+
+    /// The least urgent rank of a route: that of its requests of the least urgent teams.
+    pub fn least_rank(&self, route: unit::Tier) -> unit::Tier {
+        let after = self.ranks.partition_point(|(of, _)| *of <= route);
+        to_rank(after.saturating_sub(1))
+    }
+}
+
+fn to_rank(place: usize) -> unit::Tier {
+    unit::Tier(u8::try_from(place).unwrap_or(u8::MAX).min(MAX_RANK))
 }
 
 /// The lowest rank; endpoints tell ten apart.
--- a/tests/testsuite/route.rs
+++ b/tests/testsuite/route.rs
@@ -130,3 +130,15 @@
     routing.teams.get_mut(&"t1".parse().unwrap()).unwrap().keys = Vec::new();
     assert_eq!(Table::new(&routing).team("k1"), None);
 }
+
+/// Read out of the code, not seen: dispatchers compared a class's tier among routes with the ranks
+/// of requests, which also count teams. So a class stood above its own less urgent teams.
+#[test]
+fn a_class_has_the_rank_of_its_least_urgent_team() {
+    let table = Table::new(&routing());
+    let tiers = || routing().teams.into_values().map(|team| team.tier);
+    for route in routing().routes.into_values() {
+        let ranks = tiers().map(|team| table.rank(route.tier, team));
+        assert_eq!(Some(table.least_rank(route.tier)), ranks.max());
+    }
+}
