Whoever came back is no longer away: refusals count until their callers return

The least urgent class gave way for all refusals of the last five seconds, also for those whose callers had come back and been served. Now for those that are not back yet.

--- a/src/scalewood/core/dispatch/precedence.rs
+++ b/src/scalewood/core/dispatch/precedence.rs
@@ -113,6 +113,7 @@
     pub(super) fn note_asked(&mut self, ask: &message::Ask, now: Duration) {
         let counts = load::Counts {
             asked: 1,
+            returned: u32::from(ask.returned),
             ..load::Counts::default()
         };
         self.count(ask, counts, now);
--- a/src/scalewood/core/load/losses.rs
+++ b/src/scalewood/core/load/losses.rs
@@ -1,7 +1,7 @@
 //! How many requests of each class are refused, and what less urgent ones give way for it.
 //!
 //! Who gives way is found from the bottom. The least urgent class gives way at the first sign
-//! that a class above finds no room: refusals, though their callers may come back. A class
+//! that a class above finds no room: refusals whose callers are not back yet. A class
 //! above it gives way only where requests get nothing for good, and only once nothing below it
 //! begins: a caller that comes back and is served has lost nothing, and what is held back in
 //! vain has. So no class is held back for one above while larger, less urgent requests begin.
@@ -41,7 +41,9 @@
     pub tier: unit::Tier,
     /// Those that came.
     pub asked: u32,
-    /// Those that were refused and may come back, and their tokens.
+    /// Those that came back after a refusal.
+    pub returned: u32,
+    /// Those that were refused and may come back.
     pub deferred: u32,
     /// Tokens of those.
     pub deferred_tokens: u64,
@@ -59,6 +61,7 @@
     fn add_assign(&mut self, other: Self) {
         self.tier = self.tier.max(other.tier);
         self.asked = self.asked.saturating_add(other.asked);
+        self.returned = self.returned.saturating_add(other.returned);
         self.deferred = self.deferred.saturating_add(other.deferred);
         self.deferred_tokens = self.deferred_tokens.saturating_add(other.deferred_tokens);
         self.lost = self.lost.saturating_add(other.lost);
@@ -77,9 +80,10 @@
         )
     }
 
-    /// The part of those that came which were refused, whether they may come back or not.
+    /// The part of those that came which were sent away, for good or until they come back.
     fn refused_part(&self) -> f64 {
-        self.part(self.lost.saturating_add(self.deferred))
+        let away = self.deferred.saturating_sub(self.returned);
+        self.part(self.lost.saturating_add(away))
     }
 
     /// The part of those that came which got nothing for good.
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -246,7 +246,7 @@
     /// Requests that came and that got nothing; told to hubs.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub refused: Vec<Refused>,
-    /// Requests that began, or were refused and may come back; told to hubs.
+    /// Requests that began, were refused and may come back, or came back; told to hubs.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub traffic: Vec<Traffic>,
     /// All bounds that refusals set to less urgent requests; told to boxes.
--- a/src/scalewood/core/load/refused.rs
+++ b/src/scalewood/core/load/refused.rs
@@ -113,7 +113,8 @@
     }
 }
 
-/// Requests of a class that began, or were refused and may come back; written as a row.
+/// Requests of a class that began, were refused and may come back, or came back; written as a
+/// row.
 ///
 /// It stands beside [`Refused`], whose rows builds before it read.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -125,7 +126,9 @@
     pub class: name::Class,
     /// The least urgent tier among them.
     pub tier: unit::Tier,
-    /// Those that were refused and may come back, and their tokens.
+    /// Those that came back after a refusal.
+    pub returned: u32,
+    /// Those that were refused and may come back.
     pub deferred: u32,
     /// Tokens of those.
     pub deferred_tokens: u64,
@@ -135,17 +138,27 @@
     pub begun_tokens: u64,
 }
 
-/// Service, class, tier, deferred, their tokens, begun, their tokens.
-type TrafficRow = (name::Service, name::Class, unit::Tier, u32, u64, u32, u64);
+/// Service, class, tier, returned, deferred, their tokens, begun, their tokens.
+type TrafficRow = (
+    name::Service,
+    name::Class,
+    unit::Tier,
+    u32,
+    u32,
+    u64,
+    u32,
+    u64,
+);
 
 impl Traffic {
     /// What counts tell beside [`Tally`], if that is anything.
     pub fn of(service: &name::Service, class: &name::Class, counts: &Counts) -> Option<Self> {
-        let tells = counts.deferred > 0 || counts.begun > 0;
+        let tells = counts.returned > 0 || counts.deferred > 0 || counts.begun > 0;
         tells.then(|| Self {
             service: service.clone(),
             class: class.clone(),
             tier: counts.tier,
+            returned: counts.returned,
             deferred: counts.deferred,
             deferred_tokens: counts.deferred_tokens,
             begun: counts.begun,
@@ -156,6 +169,7 @@
     fn counts(&self) -> Counts {
         Counts {
             tier: self.tier,
+            returned: self.returned,
             deferred: self.deferred,
             deferred_tokens: self.deferred_tokens,
             begun: self.begun,
@@ -167,11 +181,12 @@
 
 impl From<TrafficRow> for Traffic {
     fn from(row: TrafficRow) -> Self {
-        let (service, class, tier, deferred, deferred_tokens, begun, begun_tokens) = row;
+        let (service, class, tier, returned, deferred, deferred_tokens, begun, begun_tokens) = row;
         Self {
             service,
             class,
             tier,
+            returned,
             deferred,
             deferred_tokens,
             begun,
@@ -186,6 +201,7 @@
             row.service,
             row.class,
             row.tier,
+            row.returned,
             row.deferred,
             row.deferred_tokens,
             row.begun,
