Who is held back comes back when the overload may be over, and not all at once

Callers that were held back were told 1 to 1.5 s, came back together while the same overload lasted, and were refused for good. Now a quarter to a half of their time, spread by chance: the patient outlast what the others can't.

--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -23,6 +23,21 @@
 /// Requests that one tick sheds at most for a prediction, so that it stays short.
 const MAX_LATE_SHEDS: usize = 64;
 
+/// The part of its time after which a request that was held back comes back, at least and
+/// at most. An overload lasts longer than a second or two, and whoever comes back while it does is
+/// lost; the patient have the time to outlast it. They are spread, so that they don't make the
+/// next one.
+const RETURN: std::ops::Range<f64> = 0.25..0.5;
+
+/// When a request that is held back had better come back: later than others by chance, and in
+/// time to be begun.
+fn return_of(ask: &message::Ask) -> Duration {
+    let left = ask.patience.unwrap_or(ask.deadline).saturating_sub(ask.age);
+    // Requests are numbered at random.
+    let chance = f64::from(ask.attempt.request.0 as u8) / f64::from(u8::MAX);
+    left.mul_f64(RETURN.start + (RETURN.end - RETURN.start) * chance)
+}
+
 impl Dispatcher {
     /// The predicted wait of a request of a tier that has to start by `due`.
     pub(super) fn predicted_wait(
@@ -171,12 +186,14 @@
         held: precedence::HeldBack,
         now: Duration,
     ) {
-        if let Some(waiting) = self.queue.get(attempt) {
-            self.refusals.meet(&waiting.ask, false, now);
-        }
+        let Some(waiting) = self.queue.get(attempt) else {
+            return;
+        };
+        self.refusals.meet(&waiting.ask, false, now);
+        let wait = return_of(&waiting.ask).max(held.left);
         let overload = endpoint::Overload {
-            first: held.left,
-            over: held.left,
+            first: wait,
+            over: wait,
         };
         self.shed_overload(attempt, overload, held.cause, now);
     }
