A held-up deployment may elect another leader: the test knows both ends, and wants the first

Listed as red: the change of a leader whose followers were stopped was not in force 30 s later. The operator had been told that the outcome is unknown, so this is allowed.

--- a/tests/testsuite/admin.rs
+++ b/tests/testsuite/admin.rs
@@ -2,6 +2,7 @@
 
 use scalewood::{
     core::{
+        agree,
         change::{Answer, Change, Edit, Item, Key},
         config, unit,
     },
@@ -140,11 +141,28 @@
     assert!(matches!(other, Answer::NotApplied { .. }), "{other:?}");
 }
 
+/// Deployments that are held up at most until one decides a change late: about one in four
+/// elects another leader instead.
+const HELD_UP: u32 = 8;
+
 /// Voters that are held up for longer than an operator is kept waiting decide a change afterwards.
 /// Sent again under another id against the same base, it is refused; under its own, the operator
 /// learns that it was accepted.
+///
+/// Seen in logs, and allowed: voters that were held up may elect another leader, which never had
+/// the change. Then it is not in force, and sent again under its id it is accepted, once.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_that_was_decided_late_is_learnt_under_its_id() {
+    for _ in 0..HELD_UP {
+        if is_decided_late().await {
+            return;
+        }
+    }
+    panic!("no leader of {HELD_UP} kept its office");
+}
+
+/// Holds up the followers of a leader that has a change; whether the change was decided by it.
+async fn is_decided_late() -> bool {
     let dir = tempfile::tempdir().unwrap();
     let plan = deploy::Plan {
         voters: 3,
@@ -167,11 +185,15 @@
     }
     let unknown = asked.unwrap_err();
     assert_eq!(*unknown.current_context(), operate::Error::Unknown);
-    deploy::wait("the late change is in force", || async {
-        let config = client.config().await;
-        config.is_ok_and(|config| config.revision == unit::Revision(2))
+    deploy::wait("the change is in force or another voter leads", || async {
+        is_in_force(&client).await || is_led_by_another(&client, &leader).await
     })
     .await;
+    // A leader decides what it finds in its log before it answers operators.
+    let late = is_in_force(&client).await;
+    if !late {
+        assert_eq!(client.change(&first).await.unwrap(), accepted(2));
+    }
     let anew = change("anew", 1, set_service("a"));
     let Answer::NotApplied { why, .. } = client.change(&anew).await.unwrap() else {
         panic!("it was accepted twice");
@@ -182,6 +204,18 @@
         "{why}"
     );
     assert_eq!(client.change(&first).await.unwrap(), accepted(2));
+    late
+}
+
+async fn is_in_force(client: &operate::Client) -> bool {
+    let config = client.config().await;
+    config.is_ok_and(|config| config.revision == unit::Revision(2))
+}
+
+async fn is_led_by_another(client: &operate::Client, leader: &agree::Node) -> bool {
+    let status = client.status().await;
+    let leads = status.ok().and_then(|status| status.voter.leader);
+    leads.is_some_and(|now| now != *leader)
 }
 
 #[tokio::test(flavor = "multi_thread")]
