--- a/src/scalewood/core/load/losses.rs
+++ b/src/scalewood/core/load/losses.rs
@@ -139,11 +139,15 @@
         }
     }
 
+    /// Whether nothing was refused for so long that nobody needs to give way.
+    fn is_calm(&self, now: Duration) -> bool {
+        self.refused_at.is_none_or(|at| now > at + CALM)
+    }
+
     fn seen(&self, now: Duration) -> Seen {
         let counts = self.window.sum(LONG, now);
-        let is_calm = self.refused_at.is_none_or(|at| now > at + CALM);
         // A calm class needs nobody to give way.
-        let parts = (!is_calm).then(|| [counts, self.window.sum(SHORT, now)]);
+        let parts = (!self.is_calm(now)).then(|| [counts, self.window.sum(SHORT, now)]);
         let parts = parts.iter().flatten();
         let refused = parts.clone().map(Counts::refused_part);
         let lost = parts.map(Counts::lost_part);
@@ -222,6 +226,10 @@
 
     /// What less urgent requests may begin now, by the class that they give way to.
     pub fn limits(&self, now: Duration) -> Vec<(name::Class, Limit)> {
+        // On calm days nothing has to be summed, however many classes there are.
+        if self.0.values().all(|course| course.is_calm(now)) {
+            return Vec::new();
+        }
         let seen = self.0.iter();
         let seen: Vec<_> = seen.map(|(class, c)| (class, c.seen(now))).collect();
         let losing = seen.iter().filter(|(_, seen)| seen.refused >= LOW);
