A record is compared with those at its address alone, a service graded once a message

Cause: an entry box that takes in a record walked all records for another one at its address, and sorted the paces of the whole service for each pace and each record. With n endpoints a start took n * n steps: with 9,999, a hundred million comparisons of addresses in each of 985 boxes, before any traffic. A follower's news walked all records four times, however few had changed. 4,096 paces and marks of ends were kept at most, fewer than there are endpoints.

Change: an index of addresses; records, paces and ends in the order of their stamps; paces of a service are compared once a message (`regrade`). 32,768 paces and marks: 150 B and 200 B each, 1.5 + 2 MB for 9,999 endpoints.

Ruled out: the dispatcher's rebuild as the first cause; by the profile in the reading it took 8 of 100 samples, the walks for addresses 12 to 21.

Tests of paces ask for the comparison where they waited for it before; how many are kept is asked with 40,000 in place of 5,000.

--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -10,14 +10,17 @@
 
 use std::{
     cmp::Ordering,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::Duration,
 };
 
 use crate::core::{name, pace, warm_up};
 
+mod address;
+mod changes;
 mod ended;
+mod paces;
 mod record;
 mod refusal;
 
@@ -107,13 +110,13 @@
 /// How long after the first endpoint was heard of others that are heard of count as having
 /// served before: some heartbeats.
 const FOUND: Duration = Duration::from_secs(5);
-/// The most endpoints whose pace is kept: several times as many as a system has.
-const MAX_PACES: usize = 4096;
-
 /// The endpoints that have announced themselves.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<name::Endpoint, Entry>,
+    /// The endpoints by the stamps of their entries.
+    changes: changes::Changes,
+    claims: address::Claims,
     /// The starts that have ended.
     ended: ended::Marks,
     stamp: u64,
@@ -121,9 +124,10 @@
     layout: u64,
     /// When the first endpoint was heard of.
     since: Option<Duration>,
-    /// How fast endpoints go, and the stamp when that last changed; also of endpoints that
-    /// have not announced themselves here.
-    paces: BTreeMap<name::Endpoint, (pace::Pace, u64)>,
+    /// How fast endpoints go, also those that have not announced themselves here.
+    paces: paces::Paces,
+    /// The services whose endpoints have to be compared anew.
+    ungraded: BTreeSet<name::Service>,
 }
 
 impl Registry {
@@ -162,8 +166,20 @@
         belief.hear(record.warm_up.take(), now);
         let (name, service) = (record.name.clone(), record.service.clone());
         let entry = Entry::new(record, belief, self.stamp, now);
+        self.remove_entry(&name);
+        self.changes.note(None, self.stamp, &name);
+        self.claims.add(entry.record.address, &name);
+        if self.paces.get(&name).is_some() {
+            self.ungraded.insert(service);
+        }
         self.entries.insert(name, entry);
-        self.grade(&service);
+    }
+
+    fn remove_entry(&mut self, name: &name::Endpoint) -> Option<Entry> {
+        let entry = self.entries.remove(name)?;
+        self.changes.forget(entry.stamp);
+        self.claims.remove(entry.record.address, name);
+        Some(entry)
     }
 
     /// Takes a later heartbeat of a start that is known.
@@ -181,12 +197,18 @@
             record.state = record.state.max(State::Leaving);
         }
         let same = !warms && !was_silent && record.says_the_same(&entry.record);
+        if record.address != entry.record.address {
+            self.claims.remove(entry.record.address, &record.name);
+            self.claims.add(record.address, &record.name);
+        }
         entry.record = record;
         if same {
             return Merged::Alive;
         }
         self.stamp += 1;
         self.layout = self.stamp;
+        self.changes
+            .note(Some(entry.stamp), self.stamp, &entry.record.name);
         entry.stamp = self.stamp;
         Merged::Changed
     }
@@ -203,6 +225,7 @@
         self.stamp += 1;
         self.layout = self.stamp;
         entry.leaves = Some(self.stamp);
+        self.changes.note(Some(entry.stamp), self.stamp, name);
         entry.stamp = self.stamp;
         entry.record.state = State::Leaving;
         Merged::Changed
@@ -210,8 +233,8 @@
 
     /// The starts of which it was heard after a stamp that they said in an answer that they leave.
     pub fn leaving_since(&self, stamp: u64) -> Vec<Leaving> {
-        let entries = self.entries.values();
-        let leaving = entries.filter(|entry| entry.leaves.is_some_and(|at| at > stamp));
+        let leaving = self.entries_since(stamp);
+        let leaving = leaving.filter(|entry| entry.leaves.is_some_and(|at| at > stamp));
         let leaving = leaving.map(|entry| Leaving {
             name: entry.record.name.clone(),
             start: entry.record.incarnation,
@@ -253,7 +276,7 @@
         self.change();
         let known = self.entries.get(name).map(|e| e.record.incarnation);
         if known.is_none_or(|known| known <= start) {
-            self.entries.remove(name);
+            self.remove_entry(name);
             self.paces.remove(name);
         }
         Merged::Changed
@@ -285,7 +308,7 @@
 
     /// Forgets an endpoint that was not heard of.
     fn forget(&mut self, name: &name::Endpoint) {
-        let Some(entry) = self.entries.remove(name) else {
+        let Some(entry) = self.remove_entry(name) else {
             return;
         };
         self.change();
@@ -312,32 +335,29 @@
     /// that has crashed since; requests sent by its name would be turned away, one a box.
     pub fn displaced_by(&self, name: &name::Endpoint) -> Option<&name::Endpoint> {
         let own = self.entries.get(name)?;
-        let later = self
-            .entries
-            .iter()
-            .find(|(_, other)| other.record.address == own.record.address && other.is_after(own));
-        later.map(|(name, _)| name)
+        let is_later = |other: &&name::Endpoint| {
+            let other = self.entries.get(*other);
+            other.is_some_and(|other| other.is_after(own))
+        };
+        let rivals = self.at_address(own.record.address);
+        rivals.iter().find(is_later)
+    }
+
+    /// The endpoints that say that they are at an address.
+    pub fn at_address(&self, address: SocketAddr) -> &[name::Endpoint] {
+        self.claims.of(address)
     }
 
     /// All endpoints at whose address another one started later.
     pub fn displaced(&self) -> BTreeSet<name::Endpoint> {
-        let mut latest: HashMap<SocketAddr, &Entry> = HashMap::new();
-        for entry in self.entries.values() {
-            let held = latest.entry(entry.record.address).or_insert(entry);
-            if entry.is_after(held) {
-                *held = entry;
-            }
-        }
-        let displaced = self
-            .entries
-            .values()
-            .filter(|entry| latest[&entry.record.address].is_after(entry));
-        displaced.map(|entry| entry.record.name.clone()).collect()
+        let contested = self.claims.contested();
+        let displaced = contested.filter(|name| self.displaced_by(name).is_some());
+        displaced.cloned().collect()
     }
 
     /// Whether anything is known of an endpoint.
     pub fn knows(&self, name: &name::Endpoint) -> bool {
-        self.entries.contains_key(name) || self.paces.contains_key(name)
+        self.entries.contains_key(name) || self.paces.get(name).is_some()
     }
 
     /// All endpoints that have not gone.
@@ -345,44 +365,42 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
-    /// Notes how fast an endpoint goes, whether or not it has announced itself; tells
-    /// whether that was unknown, or another endpoint counts as slow by this.
+    /// Notes how fast an endpoint goes, whether or not it has announced itself; tells whether
+    /// that was unknown. Which endpoints count as slow by it, `regrade` says.
     pub fn set_pace(&mut self, name: &name::Endpoint, pace: pace::Pace) -> bool {
-        let known = self.paces.get(name).map(|(pace, _)| *pace);
+        let known = self.paces.get(name);
         let has_gone = self.ended.is_told(name) && !self.entries.contains_key(name);
         if !pace.is_news(known) || has_gone {
             return false;
         }
-        if known.is_none() && self.paces.len() >= MAX_PACES {
-            self.forget_oldest_pace();
-        }
         self.stamp += 1;
-        self.paces.insert(name.clone(), (pace, self.stamp));
+        let entries = &self.entries;
+        self.paces
+            .set(name, pace, self.stamp, |name| entries.contains_key(name));
         let service = self.entries.get(name).map(|e| e.record.service.clone());
-        let regraded = service.is_some_and(|service| self.grade(&service));
-        if regraded {
-            self.layout = self.stamp;
-        }
-        regraded || known.is_none()
+        self.ungraded.extend(service);
+        known.is_none()
     }
 
-    /// Makes room for another pace: the one that was told longest ago goes, first of those
-    /// whose endpoint is not known.
-    fn forget_oldest_pace(&mut self) {
-        let told = |(name, (_, at)): &(&name::Endpoint, &(pace::Pace, u64))| {
-            (self.entries.contains_key(*name), *at)
-        };
-        let oldest = self.paces.iter().min_by_key(told);
-        if let Some(name) = oldest.map(|(name, _)| name.clone()) {
-            self.paces.remove(&name);
+    /// Compares the endpoints of those services with each other of which any pace changed, or was
+    /// known before its endpoint was; tells whether others count as slow than before.
+    ///
+    /// It sorts the paces of a service, so it is asked for once after many changes.
+    pub fn regrade(&mut self) -> bool {
+        let mut changed = false;
+        for service in std::mem::take(&mut self.ungraded) {
+            changed |= self.grade(&service);
         }
+        if changed {
+            self.change();
+        }
+        changed
     }
 
-    /// Compares the endpoints of a service with each other.
     fn grade(&mut self, service: &name::Service) -> bool {
         let of_service = |entry: &&mut Entry| entry.record.service == *service;
         let mut entries: Vec<_> = self.entries.values_mut().filter(of_service).collect();
-        let pace = |entry: &Entry| self.paces.get(&entry.record.name).map(|(pace, _)| *pace);
+        let pace = |entry: &Entry| self.paces.get(&entry.record.name);
         let mut graded: Vec<_> = entries.iter().map(|e| (pace(e), e.slow)).collect();
         pace::grade(&mut graded);
         let mut changed = false;
@@ -395,12 +413,7 @@
 
     /// The paces that changed after a stamp.
     pub fn paces_since(&self, stamp: u64) -> Vec<pace::Paced> {
-        let changed = self.paces.iter().filter(|(_, (_, at))| *at > stamp);
-        let paced = |(name, (pace, _)): (&name::Endpoint, &(pace::Pace, u64))| pace::Paced {
-            endpoint: name.clone(),
-            pace: *pace,
-        };
-        changed.map(paced).collect()
+        self.paces.since(stamp)
     }
 
     /// All endpoints that have not gone, and whether each is slow beside the others of
@@ -430,10 +443,15 @@
 
     /// The records that changed after a stamp.
     pub fn changed_since(&self, stamp: u64) -> Vec<Record> {
-        let changed = self.entries.values().filter(|entry| entry.stamp > stamp);
+        let changed = self.entries_since(stamp);
         changed.map(|entry| entry.record.clone()).collect()
     }
 
+    fn entries_since(&self, stamp: u64) -> impl Iterator<Item = &Entry> {
+        let names = self.changes.since(stamp);
+        names.filter_map(|name| self.entries.get(name))
+    }
+
     /// The same for another process: with what is left of warm-ups.
     pub fn told_since(&self, stamp: u64, now: Duration) -> Vec<Record> {
         let mut told = self.changed_since(stamp);
--- a/src/scalewood/core/registry/ended.rs
+++ b/src/scalewood/core/registry/ended.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::changes::Changes;
 use crate::core::{name, unit};
 
 /// Which start of an endpoint this is; `None` is one that does not tell.
@@ -21,9 +22,9 @@
     pub incarnation: unit::Incarnation,
 }
 
-/// The most names of which is remembered what has ended: several times as many endpoints as a
-/// system of 600 has within a day of releases, at 100 B each.
-const MAX: usize = 4096;
+/// The most names of which is remembered what has ended, at some 200 B each: an endpoint whose mark
+/// is forgotten too early comes back with a record that another process still tells.
+const MAX: usize = 32_768;
 
 #[derive(Clone, Copy, Debug)]
 struct Mark {
@@ -41,6 +42,10 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Marks {
     marks: BTreeMap<name::Endpoint, Mark>,
+    /// The names by the stamps of their marks, of those that are told on.
+    changes: Changes,
+    /// The names by the stamps of the leaves at which no start was known.
+    unnamed: Changes,
     order: VecDeque<name::Endpoint>,
 }
 
@@ -61,7 +66,10 @@
             let is_new = mark.up_to < up_to;
             if is_new {
                 mark.up_to = up_to;
-                mark.stamp = mark.stamp.max(stamp);
+                if stamp > mark.stamp {
+                    self.changes.note(Some(mark.stamp), stamp, name);
+                    mark.stamp = stamp;
+                }
             }
             return is_new;
         }
@@ -73,14 +81,24 @@
         };
         self.order.push_back(name.clone());
         self.marks.insert(name.clone(), mark);
+        if stamp > 0 {
+            self.changes.note(None, stamp, name);
+        }
         if self.order.len() > MAX {
-            if let Some(oldest) = self.order.pop_front() {
-                self.marks.remove(&oldest);
-            }
+            self.forget_oldest();
         }
         true
     }
 
+    fn forget_oldest(&mut self) {
+        let oldest = self.order.pop_front();
+        let mark = oldest.and_then(|oldest| self.marks.remove(&oldest));
+        if let Some(mark) = mark {
+            self.changes.forget(mark.stamp);
+            self.unnamed.forget(mark.unnamed);
+        }
+    }
+
     /// Notes that an endpoint is forgotten that was not heard of. Its start may be heard of
     /// again; those before it may not: a voter that was held up may tell them long after.
     pub(super) fn forget(&mut self, name: &name::Endpoint, start: unit::Incarnation) {
@@ -100,23 +118,22 @@
     /// Notes a leave at which no start was known.
     pub(super) fn note_unnamed(&mut self, name: &name::Endpoint, stamp: u64) {
         if let Some(mark) = self.marks.get_mut(name) {
+            self.unnamed.note(Some(mark.unnamed), stamp, name);
             mark.unnamed = stamp;
         }
     }
 
     /// The endpoints of which a start ended after a stamp.
     pub(super) fn names_since(&self, stamp: u64) -> Vec<name::Endpoint> {
-        let since = self.marks.iter().filter(|(_, mark)| mark.stamp > stamp);
-        since.map(|(name, _)| name.clone()).collect()
+        self.changes.since(stamp).cloned().collect()
     }
 
     /// The starts that ended after a stamp, of those that told their incarnation.
     pub(super) fn since(&self, stamp: u64) -> Vec<Ended> {
-        let since = self.marks.iter().filter(|(_, mark)| mark.stamp > stamp);
-        let ended = since.filter_map(|(name, mark)| {
+        let ended = self.changes.since(stamp).filter_map(|name| {
             Some(Ended {
                 name: name.clone(),
-                incarnation: mark.up_to?,
+                incarnation: self.marks.get(name)?.up_to?,
             })
         });
         ended.collect()
@@ -124,7 +141,6 @@
 
     /// The endpoints that left after a stamp while no start of theirs was known.
     pub(super) fn unnamed_since(&self, stamp: u64) -> Vec<name::Endpoint> {
-        let since = self.marks.iter().filter(|(_, mark)| mark.unnamed > stamp);
-        since.map(|(name, _)| name.clone()).collect()
+        self.unnamed.since(stamp).cloned().collect()
     }
 }
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -49,9 +49,8 @@
 /// How long before an endpoint was heard of, at most, for it to be kept: some heartbeats.
 const ALIVE_OF_LATE: Duration = Duration::from_secs(4);
 
-/// Measured endpoints from which on those are forgotten that did not announce themselves
-/// here.
-const MAX_MEASURED: usize = 4096;
+/// Measured endpoints from which on those are forgotten that are not known here.
+const MAX_MEASURED: usize = 32_768;
 
 /// The endpoints that announced themselves here.
 #[derive(Clone, Debug)]
@@ -147,7 +146,7 @@
     /// Takes what a box measured. Followers hear of it with the next news, and at once if
     /// other endpoints than before count as slow.
     fn take_paces(&self, from: &name::Box, paces: Vec<pace::Paced>) {
-        let mut regraded = false;
+        let mut news = false;
         {
             let mut registry = lock(&self.registry);
             let mut measured = lock(&self.measured);
@@ -157,10 +156,11 @@
             for paced in paces {
                 let reports = measured.entry(paced.endpoint.clone()).or_default();
                 let median = reports.take(from.clone(), paced.pace);
-                regraded |= registry.set_pace(&paced.endpoint, median);
+                news |= registry.set_pace(&paced.endpoint, median);
             }
+            news |= registry.regrade();
         }
-        if regraded {
+        if news {
             self.tell();
         }
     }
@@ -220,6 +220,7 @@
         for paced in &hints.paces {
             registry.set_pace(&paced.endpoint, paced.pace);
         }
+        registry.regrade();
         let until = self.clock.now() + registry::RESTORED;
         *lock(&self.restored) = (until, hints.endpoints.clone());
     }
@@ -467,6 +468,7 @@
         let mut registry = lock(&self.endpoints.registry);
         let now = self.endpoints.clock.now();
         registry.expire(now.saturating_sub(FORGET));
+        registry.regrade();
         news.changed = registry.told_since(stamp, now);
         news.gone = registry.gone_since(stamp);
         news.ended = registry.ended_since(stamp);
--- a/src/scalewood/ops/entry/directory.rs
+++ b/src/scalewood/ops/entry/directory.rs
@@ -234,12 +234,11 @@
     for name in news.heard {
         registry.hear(&name, now);
     }
-    let mut regraded = false;
     for paced in news.paces {
         lock(&board.paces).adopt(&paced.endpoint, paced.pace, now);
-        regraded |= registry.set_pace(&paced.endpoint, paced.pace);
+        registry.set_pace(&paced.endpoint, paced.pace);
     }
-    if regraded {
+    if registry.regrade() {
         let slow = registry.graded().filter(|(_, slow)| *slow);
         let slow: Vec<_> = slow.map(|(record, _)| record.name.as_str()).collect();
         event!(board.log, EndpointsGraded, "slow" => slow.join(" "));
--- a/tests/testsuite/pace.rs
+++ b/tests/testsuite/pace.rs
@@ -134,6 +134,7 @@
         .map(|(name, pace)| registry.set_pace(&name.parse().unwrap(), Pace(*pace)))
         .collect();
     assert_eq!(changed, [true; 4], "each was unknown");
+    assert!(registry.regrade(), "one is slow");
     let mut marked = turns;
     marked[0].1 = true;
     assert_eq!(order(&registry), marked);
@@ -141,10 +142,10 @@
     let stamp = registry.stamp();
     registry.set_pace(&"b1".parse().unwrap(), Pace(20_200));
     assert!(registry.paces_since(stamp).is_empty(), "too little to tell");
-    let regraded = registry.set_pace(&"a1".parse().unwrap(), Pace(25_000));
-    assert!(!regraded, "it is as slow as before");
-    let regraded = registry.set_pace(&"a1".parse().unwrap(), Pace(20_000));
-    assert!(regraded, "it is slow no more");
+    registry.set_pace(&"a1".parse().unwrap(), Pace(25_000));
+    assert!(!registry.regrade(), "it is as slow as before");
+    registry.set_pace(&"a1".parse().unwrap(), Pace(20_000));
+    assert!(registry.regrade(), "it is slow no more");
 }
 
 #[test]
@@ -178,6 +179,7 @@
     for (name, zone) in [("a1", "a"), ("a2", "a"), ("b1", "b")] {
         registry.merge(record(name, zone), START);
     }
+    registry.regrade();
     let slow: Vec<_> = registry.graded().filter(|(_, slow)| *slow).collect();
     assert_eq!(slow.len(), 1);
     assert_eq!(slow[0].0.name.as_str(), "a1");
@@ -195,12 +197,12 @@
     registry.merge(record("known", "a"), START);
     registry.set_pace(&"known".parse().unwrap(), Pace(20_000));
     // Endpoints that crashed are never said to have gone.
-    for number in 0..5000 {
+    for number in 0..40_000 {
         let name = format!("crashed-{number}").parse().unwrap();
         assert!(registry.set_pace(&name, Pace(20_000)), "{number}");
     }
-    assert_eq!(registry.paces_since(0).len(), 4096);
-    assert!(registry.knows(&"crashed-4999".parse().unwrap()));
+    assert_eq!(registry.paces_since(0).len(), 32_768);
+    assert!(registry.knows(&"crashed-39999".parse().unwrap()));
     assert!(!registry.knows(&"crashed-0".parse().unwrap()));
     let kept = registry.paces_since(0);
     assert!(kept.iter().any(|paced| paced.endpoint.as_str() == "known"));
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -261,3 +261,44 @@
     tell(&voter, &mut own, later);
     assert!(own.get(&name).is_some(), "it is known again");
 }
+
+fn at_place(number: u32, sequence: u64) -> Record {
+    Record {
+        address: format!("10.{}.{}.1:80", number / 256, number % 256)
+            .parse()
+            .unwrap(),
+        ..record(&format!("i-{number}"), sequence, State::Ready)
+    }
+}
+
+/// What a change costs does not grow with how many endpoints there are: a record is compared with
+/// those at its address alone, and a follower is told what changed alone.
+#[test]
+fn a_change_looks_at_no_other_endpoint() {
+    for endpoints in [100, 20_000] {
+        let mut registry = Registry::default();
+        for number in 0..endpoints {
+            registry.merge(at_place(number, 1), START);
+        }
+        let address = at_place(7, 1).address;
+        assert_eq!(registry.at_address(address).len(), 1, "{endpoints}");
+        let stamp = registry.stamp();
+        let leaving = Record {
+            state: State::Leaving,
+            ..at_place(7, 2)
+        };
+        registry.merge(leaving, START);
+        registry.leave(&"i-8".parse().unwrap());
+        assert_eq!(registry.changed_since(stamp).len(), 1, "{endpoints}");
+        assert_eq!(registry.gone_since(stamp).len(), 1, "{endpoints}");
+        assert_eq!(registry.at_address(at_place(8, 1).address).len(), 0);
+        // Another one at the address of the first is found, and it alone.
+        let later = Record {
+            address,
+            ..record("later", 1, State::Ready)
+        };
+        registry.merge(later, START + Duration::from_secs(60));
+        assert_eq!(registry.at_address(address).len(), 2, "{endpoints}");
+        assert_eq!(registry.displaced().len(), 1, "{endpoints}");
+    }
+}
