News in pages, two voters of a zone that is cut off, and voters located again

A box could not locate the voters before they had formed and went on with the seeds, three for all; voters that had just started counted as cut off, so boxes tracked more and more of them; the whole registry in one message took a link of 10 Mbit/s two seconds and more, after which the voter counted as silent and all began again.

Change: 256 records a message; eight messages wait for a slow peer at most, and the rest is put together; of the cut-off voters of a zone two are tracked; a voter counts as in touch for its first three seconds; voters whose zone is not known are located again each second.

--- a/src/scalewood/core/follow.rs
+++ b/src/scalewood/core/follow.rs
@@ -12,7 +12,7 @@
 /// How many voters a box tracks, where as many are in touch.
 pub const TRACKED: usize = 2;
 /// How long a voter has to answer before another one is tracked beside it.
-const PATIENCE: Duration = Duration::from_millis(500);
+const PATIENCE: Duration = Duration::from_secs(1);
 
 /// How a voter stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -24,8 +24,10 @@
     Asked(Duration),
     /// It tells, and hears a majority of the voters.
     InTouch,
-    /// It doesn't answer, or is cut off from the other voters.
-    OutOfTouch,
+    /// It tells, and hears no majority of the voters.
+    CutOff,
+    /// It doesn't answer, or is of a build that doesn't say what it hears.
+    Unknown,
 }
 
 impl State {
@@ -34,7 +36,7 @@
         match self {
             Self::Idle | Self::InTouch => true,
             Self::Asked(at) => now < at + PATIENCE,
-            Self::OutOfTouch => false,
+            Self::CutOff | Self::Unknown => false,
         }
     }
 }
@@ -56,12 +58,20 @@
     now: Duration,
 ) -> Vec<SocketAddr> {
     let mut counted = 0;
+    let mut cut_off: BTreeMap<&Option<name::Zone>, usize> = BTreeMap::new();
     let mut chosen = Vec::new();
     for voter in order(own, zone, voters) {
         if counted == TRACKED {
             break;
         }
-        counted += usize::from(voters[&voter].state.counts(now));
+        let candidate = &voters[&voter];
+        let cut_off = cut_off.entry(&candidate.zone).or_default();
+        if *cut_off == TRACKED {
+            // All of its zone are cut off, as far as is known.
+            continue;
+        }
+        *cut_off += usize::from(candidate.state == State::CutOff);
+        counted += usize::from(candidate.state.counts(now));
         chosen.push(voter);
     }
     chosen
--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -26,6 +26,7 @@
 mod timing;
 mod vouch;
 
+pub use changes::Span;
 pub use ended::{Ended, Start};
 pub use record::{Leaving, Record, State};
 pub use refusal::{Reason, Refusal};
@@ -248,9 +249,10 @@
     }
 
     /// The starts of which it was heard after a stamp that they said in an answer that they leave.
-    pub fn leaving_since(&self, stamp: u64) -> Vec<Leaving> {
-        let leaving = self.entries_since(stamp);
-        let leaving = leaving.filter(|entry| entry.leaves.is_some_and(|at| at > stamp));
+    pub fn leaving_since(&self, span: impl Into<Span>) -> Vec<Leaving> {
+        let span = span.into();
+        let leaving = self.entries_since(span);
+        let leaving = leaving.filter(|entry| entry.leaves.is_some_and(|at| at > span.after));
         let leaving = leaving.map(|entry| Leaving {
             name: entry.record.name.clone(),
             start: entry.record.incarnation,
@@ -352,8 +354,8 @@
     }
 
     /// The endpoints that fell silent after a stamp and were not heard of again.
-    pub fn silent_since(&self, stamp: u64) -> Vec<name::Endpoint> {
-        self.silent.since(stamp).cloned().collect()
+    pub fn silent_since(&self, span: impl Into<Span>) -> Vec<name::Endpoint> {
+        self.silent.since(span.into()).cloned().collect()
     }
 
     /// Notes that an endpoint was heard of.
@@ -494,8 +496,8 @@
     }
 
     /// The paces that changed after a stamp.
-    pub fn paces_since(&self, stamp: u64) -> Vec<pace::Paced> {
-        self.paces.since(stamp)
+    pub fn paces_since(&self, span: impl Into<Span>) -> Vec<pace::Paced> {
+        self.paces.since(span.into())
     }
 
     /// All endpoints that have not gone, and whether each is slow beside the others of
@@ -514,7 +516,7 @@
 
     /// The endpoints that changed, went or fell silent after a stamp, and those at their addresses.
     pub fn touched_since(&self, stamp: u64) -> BTreeSet<name::Endpoint> {
-        let changed = self.changes.since(stamp).cloned();
+        let changed = self.changes.since(stamp.into()).cloned();
         let mut touched: BTreeSet<_> = changed.collect();
         touched.extend(self.gone_since(stamp));
         touched.extend(self.silent_since(stamp));
@@ -527,6 +529,18 @@
         touched
     }
 
+    /// Up to which stamp a follower at a stamp is told in one message that holds so many records at
+    /// most, and paces and ends beside them.
+    pub fn stamp_within(&self, stamp: u64, records: usize) -> u64 {
+        let parts = [
+            self.changes.stamp_after(stamp, records),
+            self.paces.stamp_after(stamp, records),
+            self.ended.stamp_after(stamp, records),
+        ];
+        let first = parts.into_iter().flatten().min();
+        first.unwrap_or(self.stamp)
+    }
+
     /// Rises with each change that others have to know.
     pub fn stamp(&self) -> u64 {
         self.stamp
@@ -545,19 +559,19 @@
     }
 
     /// The records that changed after a stamp.
-    pub fn changed_since(&self, stamp: u64) -> Vec<Record> {
-        let changed = self.entries_since(stamp);
+    pub fn changed_since(&self, span: impl Into<Span>) -> Vec<Record> {
+        let changed = self.entries_since(span.into());
         changed.map(|entry| entry.record.clone()).collect()
     }
 
-    fn entries_since(&self, stamp: u64) -> impl Iterator<Item = &Entry> {
-        let names = self.changes.since(stamp);
+    fn entries_since(&self, span: Span) -> impl Iterator<Item = &Entry> {
+        let names = self.changes.since(span);
         names.filter_map(|name| self.entries.get(name))
     }
 
     /// The same for another process: with what is left of warm-ups.
-    pub fn told_since(&self, stamp: u64, now: Duration) -> Vec<Record> {
-        let mut told = self.changed_since(stamp);
+    pub fn told_since(&self, span: impl Into<Span>, now: Duration) -> Vec<Record> {
+        let mut told = self.changed_since(span);
         for record in &mut told {
             let belief = self.warm_up(&record.name);
             record.warm_up = belief.and_then(|belief| belief.left(now));
@@ -571,18 +585,18 @@
     }
 
     /// The endpoints of which a start ended after a stamp.
-    pub fn gone_since(&self, stamp: u64) -> Vec<name::Endpoint> {
-        self.ended.names_since(stamp)
+    pub fn gone_since(&self, span: impl Into<Span>) -> Vec<name::Endpoint> {
+        self.ended.names_since(span.into())
     }
 
     /// Which starts ended after a stamp, of the endpoints that tell their incarnations.
-    pub fn ended_since(&self, stamp: u64) -> Vec<Ended> {
-        self.ended.since(stamp)
+    pub fn ended_since(&self, span: impl Into<Span>) -> Vec<Ended> {
+        self.ended.since(span.into())
     }
 
     /// The endpoints that left after a stamp, of which no start was known here then.
-    pub fn left_since(&self, stamp: u64) -> Vec<name::Endpoint> {
-        self.ended.unnamed_since(stamp)
+    pub fn left_since(&self, span: impl Into<Span>) -> Vec<name::Endpoint> {
+        self.ended.unnamed_since(span.into())
     }
 
     /// The endpoints that were heard of since a time.
--- a/src/scalewood/core/registry/ended.rs
+++ b/src/scalewood/core/registry/ended.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::changes::Changes;
+use super::changes::{Changes, Span};
 use crate::core::{name, unit};
 
 /// Which start of an endpoint this is; `None` is one that does not tell.
@@ -123,14 +123,19 @@
         }
     }
 
+    /// The stamp of the last of so many ends after a stamp, where there are more.
+    pub(super) fn stamp_after(&self, stamp: u64, count: usize) -> Option<u64> {
+        self.changes.stamp_after(stamp, count)
+    }
+
     /// The endpoints of which a start ended after a stamp.
-    pub(super) fn names_since(&self, stamp: u64) -> Vec<name::Endpoint> {
-        self.changes.since(stamp).cloned().collect()
+    pub(super) fn names_since(&self, span: Span) -> Vec<name::Endpoint> {
+        self.changes.since(span).cloned().collect()
     }
 
     /// The starts that ended after a stamp, of those that told their incarnation.
-    pub(super) fn since(&self, stamp: u64) -> Vec<Ended> {
-        let ended = self.changes.since(stamp).filter_map(|name| {
+    pub(super) fn since(&self, span: Span) -> Vec<Ended> {
+        let ended = self.changes.since(span).filter_map(|name| {
             Some(Ended {
                 name: name.clone(),
                 incarnation: self.marks.get(name)?.up_to?,
@@ -140,7 +145,7 @@
     }
 
     /// The endpoints that left after a stamp while no start of theirs was known.
-    pub(super) fn unnamed_since(&self, stamp: u64) -> Vec<name::Endpoint> {
-        self.unnamed.since(stamp).cloned().collect()
+    pub(super) fn unnamed_since(&self, span: Span) -> Vec<name::Endpoint> {
+        self.unnamed.since(span).cloned().collect()
     }
 }
--- a/src/scalewood/core/registry/paces.rs
+++ b/src/scalewood/core/registry/paces.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::changes::Changes;
+use super::changes::{Changes, Span};
 use crate::core::{name, pace};
 
 /// The most endpoints whose pace is kept, at some 150 B each. With fewer than there are endpoints,
@@ -60,9 +60,14 @@
         }
     }
 
+    /// The stamp of the last of so many changes after a stamp, where there are more.
+    pub(super) fn stamp_after(&self, stamp: u64, count: usize) -> Option<u64> {
+        self.changes.stamp_after(stamp, count)
+    }
+
     /// The paces that changed after a stamp.
-    pub(super) fn since(&self, stamp: u64) -> Vec<pace::Paced> {
-        let changed = self.changes.since(stamp);
+    pub(super) fn since(&self, span: Span) -> Vec<pace::Paced> {
+        let changed = self.changes.since(span);
         let paced = changed.filter_map(|name| {
             Some(pace::Paced {
                 endpoint: name.clone(),
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -41,6 +41,10 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// How long a follower is not told again: what changes meanwhile is told at once.
 const BATCH: Duration = Duration::from_millis(50);
+/// The most records of a message, 64 KB: a follower with a slow link hears something all the time.
+const PAGE: usize = 256;
+/// How long after its start a voter that hears no majority yet counts as one that does.
+const JUST_STARTED: Duration = Duration::from_secs(3);
 /// How long another voter may be silent and counts as heard.
 const IN_TOUCH: Duration = Duration::from_millis(2500);
 
@@ -95,6 +99,7 @@
     subscriptions: Arc<AtomicU64>,
     /// The boxes that follow, with the number of each one's latest subscription.
     followers: watch::Sender<BTreeMap<name::Box, u64>>,
+    started: Duration,
     clock: clock::System,
     log: slog::Logger,
 }
@@ -116,6 +121,7 @@
             changed: watch::Sender::new(0),
             subscriptions: Arc::default(),
             followers: watch::Sender::default(),
+            started: clock.now(),
             clock,
             log,
         }
@@ -435,7 +441,7 @@
             changed: registry.told_since(after.registry, self.clock.now()),
             gone: registry.gone_since(after.registry),
             ended: registry.ended_since(after.registry),
-            left: just_left(&registry, after.registry),
+            left: just_left(&registry, after.registry.into()),
             leaving: registry.leaving_since(after.registry),
             heard: registry.heard_since(lately),
         }
@@ -469,6 +475,9 @@
     /// Whether a majority of so many voters is heard, this one included.
     fn is_in_touch(&self, members: usize) -> bool {
         let now = self.clock.now();
+        if now < self.started + JUST_STARTED {
+            return true;
+        }
         let voters = lock(&self.voters);
         let heard = voters.values().filter(|heard| now < heard.at + IN_TOUCH);
         (heard.count() + 1) * 2 > members
@@ -549,6 +558,8 @@
     voters: Vec<SocketAddr>,
     zone: bool,
     at: Duration,
+    /// Whether there is more to tell than one message holds.
+    behind: bool,
 }
 
 /// Who follows, as far as that decides what it is told.
@@ -696,6 +707,9 @@
             if send(sink, &news).await.is_none() {
                 return;
             }
+            if told.behind {
+                continue;
+            }
             tokio::select! {
                 changed = endpoints.changed() => if changed.is_err() { return },
                 changed = feed.changed() => if changed.is_err() { return },
@@ -736,12 +750,18 @@
                 news.heard = registry.heard_since(told.heard);
                 told.heard = now;
             }
-        } else {
+        }
+        let span = registry::Span {
+            after: told.stamp,
+            to: registry.stamp_within(told.stamp, PAGE),
+        };
+        if follower != Follower::ByNames {
             news.vouches = true;
-            news.silent = registry.silent_since(told.stamp);
+            news.silent = registry.silent_since(span);
         }
-        fill(&mut news, &registry, told.stamp, now);
-        told.stamp = registry.stamp();
+        fill(&mut news, &registry, span, now);
+        told.stamp = span.to;
+        told.behind = span.to < registry.stamp();
         drop(registry);
         self.fill_members(&mut news, told);
         news
@@ -759,22 +779,22 @@
 }
 
 /// Adds what a follower at a stamp has to be told of endpoints.
-fn fill(news: &mut News, registry: &registry::Registry, stamp: u64, now: Duration) {
-    news.changed = registry.told_since(stamp, now);
-    news.gone = registry.gone_since(stamp);
-    news.ended = registry.ended_since(stamp);
-    news.left = just_left(registry, stamp);
-    news.leaving = registry.leaving_since(stamp);
-    news.paces = registry.paces_since(stamp);
+fn fill(news: &mut News, registry: &registry::Registry, span: registry::Span, now: Duration) {
+    news.changed = registry.told_since(span, now);
+    news.gone = registry.gone_since(span);
+    news.ended = registry.ended_since(span);
+    news.left = just_left(registry, span);
+    news.leaving = registry.leaving_since(span);
+    news.paces = registry.paces_since(span);
 }
 
 /// The endpoints that left after a stamp while no start of theirs was known here. Who asks for the
 /// first time may know a start that began long after that, and isn't told.
-fn just_left(registry: &registry::Registry, stamp: u64) -> Vec<name::Endpoint> {
-    if stamp == 0 {
+fn just_left(registry: &registry::Registry, span: registry::Span) -> Vec<name::Endpoint> {
+    if span.after == 0 {
         return Vec::new();
     }
-    registry.left_since(stamp)
+    registry.left_since(span)
 }
 
 async fn send(sink: &SubscriptionSink, news: &News) -> Option<()> {
--- a/src/scalewood/ops/entry/directory.rs
+++ b/src/scalewood/ops/entry/directory.rs
@@ -83,27 +83,49 @@
         if now(&board) >= swept + SWEEP {
             swept = now(&board);
             forget(&board);
+            tokio::spawn(locate(followed.clone()));
         }
     }
 }
 
+/// Asks a voter where those stand of which that is not known.
+async fn locate(followed: Followed) {
+    let client = {
+        let known = lock(&followed);
+        let unknown = known.values().any(|voter| voter.candidate.zone.is_none());
+        let mut connected = known.values().filter_map(|voter| voter.client.clone());
+        connected.next().filter(|_| unknown)
+    };
+    let Some(client) = client else {
+        return;
+    };
+    // One that doesn't answer is asked again, or another one.
+    if let Ok(Ok(places)) = tokio::time::timeout(PLACES, client.places()).await {
+        note_places(&followed, places);
+    }
+}
+
+fn note_places(followed: &Followed, places: Vec<Place>) {
+    let mut known = lock(followed);
+    for place in places.into_iter().filter(|place| place.zone.is_some()) {
+        known.entry(place.address).or_default().candidate.zone = place.zone;
+    }
+}
+
 /// Asks the named voters at once where all voters are, and takes the first answer: a box that knows
 /// its zone's voters from the start asks none of another zone for all endpoints.
 async fn ask_places(board: &Shared, followed: &Followed, named: &[SocketAddr]) {
-    let asked = named.iter().map(|voter| Box::pin(places(*voter)));
-    let first = futures_util::future::select_ok(asked.chain([]));
     if named.is_empty() {
         return;
     }
+    let asked = named.iter().map(|voter| Box::pin(places(*voter)));
+    let first = futures_util::future::select_ok(asked);
     let answer = tokio::time::timeout(PLACES, first).await;
     let Ok(Ok((places, _))) = answer else {
         event!(board.log, PlacesUnknown, "voters" => named.len());
         return;
     };
-    let mut known = lock(followed);
-    for place in places {
-        known.entry(place.address).or_default().candidate.zone = place.zone;
-    }
+    note_places(followed, places);
 }
 
 async fn places(voter: SocketAddr) -> Result<Vec<Place>, ()> {
@@ -180,7 +202,7 @@
             note_link(&board, false);
             event!(board.log, RegistryLost, "voter" => %voter);
         }
-        note_state(&followed, voter, follow::State::OutOfTouch);
+        note_state(&followed, voter, follow::State::Unknown);
         let wait = if failures < SOON_TRIES { SOON } else { AGAIN };
         tokio::time::sleep(wait).await;
     }
@@ -295,10 +317,10 @@
 
 /// How a voter stands that told some news.
 fn touch(news: &News) -> follow::State {
-    if news.in_touch {
-        follow::State::InTouch
-    } else {
-        follow::State::OutOfTouch
+    match (news.vouches, news.in_touch) {
+        (false, _) => follow::State::Unknown,
+        (true, true) => follow::State::InTouch,
+        (true, false) => follow::State::CutOff,
     }
 }
 
--- a/src/scalewood/ops/rpc.rs
+++ b/src/scalewood/ops/rpc.rs
@@ -18,6 +18,9 @@
 const MAX_CONNECTIONS: u32 = 2048;
 /// The most subscriptions of one connection.
 const MAX_SUBSCRIPTIONS: u32 = 16;
+/// The most messages that wait for a slow peer. What a follower has to hear beside them is put
+/// together once it takes more, so the memory for it does not grow.
+const MAX_UNSENT: u32 = 8;
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_secs(1);
 /// How long one may take at first: a box without power says nothing, and the packet that
@@ -52,6 +55,7 @@
         .max_response_body_size(MAX_MESSAGE)
         .max_connections(MAX_CONNECTIONS)
         .max_subscriptions_per_connection(MAX_SUBSCRIPTIONS)
+        .set_message_buffer_capacity(MAX_UNSENT)
         .set_tcp_no_delay(true)
         .ws_only()
         .build();
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use scalewood::core::{
-    registry::{Merged, Record, Registry, State, Timing},
+    registry::{Merged, Record, Registry, Span, State, Timing},
     unit,
 };
 
@@ -303,3 +303,33 @@
         assert_eq!(registry.displaced().len(), 1, "{endpoints}");
     }
 }
+
+/// A box with a slow link took more than two seconds for all records, in which it heard nothing.
+#[test]
+fn all_records_are_told_in_parts_that_lose_none() {
+    const PAGE: usize = 256;
+    let mut registry = Registry::default();
+    for number in 0..2000 {
+        registry.merge(at_place(number, 1), START);
+    }
+    for number in 0..600 {
+        registry.leave(&format!("i-{number}").parse().unwrap());
+    }
+    let mut other = Registry::default();
+    let mut after = 0;
+    while after < registry.stamp() {
+        let to = registry.stamp_within(after, PAGE);
+        assert!(to > after);
+        let span = Span { after, to };
+        let (changed, gone) = (registry.changed_since(span), registry.gone_since(span));
+        assert!(changed.len() <= PAGE && gone.len() <= PAGE);
+        for record in changed {
+            other.merge(record, START);
+        }
+        other.take_ends(&gone, &registry.ended_since(span), &[]);
+        after = to;
+    }
+    let names =
+        |registry: &Registry| -> Vec<_> { registry.records().map(|r| r.name.clone()).collect() };
+    assert_eq!(names(&other), names(&registry));
+}
--- a/tests/testsuite/sight.rs
+++ b/tests/testsuite/sight.rs
@@ -62,7 +62,7 @@
 fn a_voter_that_is_cut_off_is_tracked_beside_one_that_is_not() {
     let mut voters = voters(2);
     let tracked = chosen(7, &voters);
-    voters.get_mut(&tracked[0]).unwrap().state = Stand::OutOfTouch;
+    voters.get_mut(&tracked[0]).unwrap().state = Stand::CutOff;
     let beside = chosen(7, &voters);
     assert_eq!(beside.len(), 3);
     assert_eq!(beside[..2], tracked[..]);
@@ -73,14 +73,31 @@
     assert_eq!(chosen(7, &voters), tracked);
     voters.get_mut(&tracked[0]).unwrap().state = Stand::Asked(NOW - Duration::from_secs(1));
     assert_eq!(chosen(7, &voters).len(), 3);
-    // Where none is in touch, all are tracked.
+    // Where none answers, all are tried.
     for voter in voters.values_mut() {
-        voter.state = Stand::OutOfTouch;
+        voter.state = Stand::Unknown;
     }
     let all: BTreeSet<_> = chosen(7, &voters).into_iter().collect();
     assert_eq!(all.len(), voters.len());
 }
 
+/// The voters of a zone that is cut off tell their boxes all that they know all the same.
+#[test]
+fn of_a_zone_whose_voters_are_cut_off_two_are_tracked() {
+    let mut voters = voters(8);
+    let zone = "z1".parse().unwrap();
+    for voter in voters.values_mut() {
+        if voter.zone.as_ref() == Some(&zone) {
+            voter.state = Stand::CutOff;
+        }
+    }
+    let tracked = chosen(7, &voters);
+    let near = tracked
+        .iter()
+        .filter(|at| voters[at].zone.as_ref() == Some(&zone));
+    assert_eq!((near.count(), tracked.len()), (2, 4));
+}
+
 fn record(sequence: u64) -> Record {
     Record {
         name: "i".parse().unwrap(),
