--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -10,16 +10,10 @@
     time::Duration,
 };
 
-use jsonrpsee::{
-    core::{async_trait, RpcResult, SubscriptionResult},
-    PendingSubscriptionSink, SubscriptionMessage, SubscriptionSink,
-};
-use serde_json::value::RawValue;
 use tokio::sync::watch;
 
 use crate::{
-    board::feed,
-    core::{agree, change, follow, load, name, pace, registry, unit, usage, wall},
+    core::{agree, load, name, pace, registry, usage, wall},
     event,
     ops::control::Handle,
     store::hints,
@@ -27,27 +21,16 @@
         clock::{self, Clock as _},
         lock::lock,
     },
-    wire::registry::{
-        Exchanged, Gathered, News, Place, RegistryServer, Shared, Stamps, Tracker, Update, Whole,
-    },
+    wire::registry::{Gathered, Stamps},
 };
 
-/// How often followers hear at least.
-const ALIVE: Duration = Duration::from_secs(1);
-/// How often followers are told which endpoints were heard of; well below the time
-/// after which they forget them.
-const HEARD: Duration = Duration::from_secs(3);
+mod peers;
+mod server;
+
+pub(super) use server::Server;
+
 /// How often this voter looks for endpoints that fell silent.
 const SWEEP: Duration = Duration::from_millis(500);
-/// How long a follower is not told again: what changes meanwhile is told at once.
-const BATCH: Duration = Duration::from_millis(50);
-/// The most records of a message, 64 KB: a follower with a slow link hears something all the time.
-const PAGE: usize = 256;
-/// How long after its start a voter that hears no majority yet counts as one that does.
-const JUST_STARTED: Duration = Duration::from_secs(3);
-/// How long another voter may be silent and counts as heard.
-const IN_TOUCH: Duration = Duration::from_millis(2500);
-
 /// How often what was measured is written, if it has changed: often enough that little is
 /// measured anew after a loss of power, and rarely enough to cost next to nothing.
 const KEEP_HINTS: Duration = Duration::from_secs(2);
@@ -62,15 +45,6 @@
 /// Measured endpoints from which on those are forgotten that are not known here.
 const MAX_MEASURED: usize = 32_768;
 
-/// Another voter, as what it tells is heard.
-#[derive(Clone, Debug, Default)]
-struct Heard {
-    at: Duration,
-    zone: Option<name::Zone>,
-    /// How many boxes track it.
-    followers: u32,
-}
-
 /// The endpoints that are known here.
 #[derive(Clone, Debug)]
 pub(super) struct Endpoints {
@@ -79,7 +53,7 @@
     /// Those that announced themselves to any voter, which boxes are told of.
     registry: Arc<Mutex<registry::Registry>>,
     /// The other voters that are heard, by their addresses.
-    voters: Arc<Mutex<BTreeMap<SocketAddr, Heard>>>,
+    voters: Arc<Mutex<BTreeMap<SocketAddr, peers::Heard>>>,
     /// When endpoints that fell silent were looked for last.
     swept: Arc<Mutex<Duration>>,
     /// What boxes measured of each endpoint.
@@ -231,101 +205,6 @@
         }
     }
 
-    /// Takes what another voter tells of the endpoints that announced themselves there.
-    pub(super) fn take_news(
-        &self,
-        from: &name::Box,
-        address: SocketAddr,
-        voucher: Option<registry::Voucher>,
-        news: News,
-    ) {
-        let now = self.clock.now();
-        self.note_heard(address, &news, now);
-        let mut registry = lock(&self.registry);
-        let stamp = registry.stamp();
-        for record in news.changed {
-            let (name, incarnation) = (record.name.clone(), record.incarnation);
-            let sequence = record.sequence;
-            if registry.merge(record, now) == registry::Merged::Restarted {
-                lock(&self.measured).remove(&name);
-                lock(&self.hub).restarted(&name);
-                event!(self.log, EndpointRestarted, "endpoint" => %name,
-                    "incarnation" => incarnation.map(|i| i.0), "sequence" => sequence);
-            }
-            if let Some(voucher) = voucher {
-                registry.vouch_for(&name, voucher);
-            }
-        }
-        for told in news.leaving {
-            registry.note_leaving(&told.name, told.start);
-        }
-        registry.take_ends(&news.gone, &news.ended, &news.left);
-        for name in &news.heard {
-            registry.hear(name, now);
-        }
-        if let Some(voucher) = voucher {
-            for name in &news.silent {
-                registry.withdraw(name, voucher);
-            }
-            if news.vouches {
-                registry.vouched(voucher, now);
-            }
-        }
-        self.take_others_paces(&mut registry, from, news.paces);
-        registry.regrade();
-        let is_news = registry.stamp() != stamp;
-        drop(registry);
-        if self.remember(news.restored, now) || is_news {
-            self.tell();
-        }
-    }
-
-    /// Takes the medians of another voter's boxes: they count as what one box measured.
-    fn take_others_paces(
-        &self,
-        registry: &mut registry::Registry,
-        from: &name::Box,
-        paces: Vec<pace::Paced>,
-    ) {
-        let mut measured = lock(&self.measured);
-        for paced in paces {
-            let reports = measured.entry(paced.endpoint.clone()).or_default();
-            let median = reports.take(from.clone(), paced.pace);
-            registry.set_pace(&paced.endpoint, median);
-        }
-    }
-
-    fn note_heard(&self, address: SocketAddr, news: &News, now: Duration) {
-        let mut voters = lock(&self.voters);
-        let heard = voters.entry(address).or_default();
-        heard.at = now;
-        heard.followers = news.followers;
-        if news.zone.is_some() {
-            heard.zone.clone_from(&news.zone);
-        }
-    }
-
-    /// The process of another voter, as one that vouches for endpoints from now on.
-    pub(super) fn voucher(&self, voter: &name::Box) -> Option<registry::Voucher> {
-        lock(&self.registry).voucher(voter)
-    }
-
-    /// Notes that another voter can't be heard.
-    pub(super) fn unheard(&self, voter: SocketAddr) {
-        lock(&self.voters).remove(&voter);
-    }
-
-    /// Passes on endpoints that another voter only remembers, while this one has just started
-    /// itself; whether there are any.
-    fn remember(&self, records: Vec<registry::Record>, now: Duration) -> bool {
-        let (until, restored) = &mut *lock(&self.restored);
-        let taken = now < *until && !records.is_empty();
-        if taken {
-            restored.extend(records);
-        }
-        taken
-    }
-
     /// Forgets the endpoints that fell silent, once in a while.
     fn sweep(&self, now: Duration) {
         {
@@ -462,31 +341,6 @@
         u32::try_from(self.followers.borrow().len()).unwrap_or(u32::MAX)
     }
 
-    /// How many boxes there are: each tracks some voters.
-    fn box_count(&self) -> u32 {
-        let own = self.follower_count();
-        let voters = lock(&self.voters);
-        let others: u32 = voters.values().map(|heard| heard.followers).sum();
-        let tracked = (voters.len() + 1).min(follow::TRACKED);
-        let tracked = u32::try_from(tracked).unwrap_or(u32::MAX);
-        (own + others).div_ceil(tracked).max(own)
-    }
-
-    /// Whether a majority of so many voters is heard, this one included.
-    fn is_in_touch(&self, members: usize) -> bool {
-        let now = self.clock.now();
-        if now < self.started + JUST_STARTED {
-            return true;
-        }
-        let voters = lock(&self.voters);
-        let heard = voters.values().filter(|heard| now < heard.at + IN_TOUCH);
-        (heard.count() + 1) * 2 > members
-    }
-
-    fn zone_of(&self, voter: &SocketAddr) -> Option<name::Zone> {
-        lock(&self.voters).get(voter)?.zone.clone()
-    }
-
     /// Notes that a box follows; returns the number of this subscription.
     fn followed_by(&self, who: &name::Box) -> u64 {
         let number = self.subscriptions.fetch_add(1, Ordering::Relaxed);
@@ -535,259 +389,6 @@
     }
 }
 
-/// Gives out the registry and the configuration.
-#[derive(Clone, Debug)]
-pub(super) struct Server {
-    pub(super) endpoints: Endpoints,
-    pub(super) feed: Arc<feed::Feed>,
-    pub(super) handle: Handle,
-    /// The voter's availability zone, if its settings name it.
-    pub(super) zone: Option<name::Zone>,
-    /// Where the other processes reach it.
-    pub(super) address: SocketAddr,
-}
-
-/// What a follower has been told.
-#[derive(Debug, Default)]
-struct Told {
-    stamp: u64,
-    /// Up to when it was told which endpoints were heard of.
-    heard: Duration,
-    /// How many of the endpoints that were only remembered.
-    restored: usize,
-    voters: Vec<SocketAddr>,
-    zone: bool,
-    at: Duration,
-    /// Whether there is more to tell than one message holds.
-    behind: bool,
-}
-
-/// Who follows, as far as that decides what it is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Follower {
-    /// A box that wants the names of those that were heard of.
-    ByNames,
-    /// One that goes by what this voter vouches for.
-    ByChanges(Tracker),
-}
-
-impl Follower {
-    fn is_voter(self) -> bool {
-        self == Self::ByChanges(Tracker::Voter)
-    }
-}
-
-#[async_trait]
-impl RegistryServer for Server {
-    async fn follow(&self, pending: PendingSubscriptionSink, who: name::Box) -> SubscriptionResult {
-        let sink = pending.accept().await?;
-        self.serve(&sink, &who, Follower::ByNames).await;
-        Ok(())
-    }
-
-    async fn track(
-        &self,
-        pending: PendingSubscriptionSink,
-        who: name::Box,
-        tracker: Tracker,
-    ) -> SubscriptionResult {
-        let sink = pending.accept().await?;
-        match tracker {
-            Tracker::Box => self.serve(&sink, &who, Follower::ByChanges(tracker)).await,
-            Tracker::Voter => self.give(&sink, Follower::ByChanges(tracker)).await,
-        }
-        Ok(())
-    }
-
-    async fn places(&self) -> RpcResult<Vec<Place>> {
-        let members = self.handle.published().status.members;
-        let places = members.addresses().map(|(_, address)| Place {
-            address: *address,
-            zone: if *address == self.address {
-                self.zone.clone()
-            } else {
-                self.endpoints.zone_of(address)
-            },
-        });
-        Ok(places.collect())
-    }
-
-    async fn measured(&self, who: name::Box, paces: Vec<pace::Paced>) -> RpcResult<()> {
-        self.endpoints.take_paces(&who, paces);
-        Ok(())
-    }
-
-    async fn exchange(
-        &self,
-        who: name::Box,
-        anew: bool,
-        told: load::News,
-        usage: usage::Told,
-    ) -> RpcResult<Option<Exchanged>> {
-        let now = self.endpoints.clock.now();
-        self.endpoints.take_leaving(&who, &told.leaving);
-        let load = {
-            let mut hub = lock(&self.endpoints.hub);
-            let known = anew || hub.knows(&who);
-            known.then(|| hub.exchange(&who, anew, told, now))
-        };
-        let Some(load) = load else {
-            return Ok(None);
-        };
-        let unix_ms = self.unix_ms();
-        lock(&self.endpoints.book).take(usage::Page {
-            source: usage::Source {
-                name: who,
-                start: usage.start,
-            },
-            heard_ms: unix_ms,
-            rows: usage.rows,
-        });
-        Ok(Some(Exchanged { load, unix_ms }))
-    }
-
-    async fn share(&self, who: name::Box, anew: bool, told: load::News) -> RpcResult<Shared> {
-        let now = self.endpoints.clock.now();
-        Ok(Shared {
-            known: lock(&self.endpoints.hub).take(&who, anew, told, now),
-            unix_ms: self.endpoints.clock.unix_ms(),
-        })
-    }
-
-    async fn gather(&self, after: Stamps) -> RpcResult<Gathered> {
-        Ok(self.endpoints.gather(after))
-    }
-
-    async fn document(&self, newer_than: unit::Revision) -> RpcResult<Option<Update>> {
-        let state = self.feed.current();
-        if state.revision <= newer_than {
-            return Ok(None);
-        }
-        if let Some(steps) = state.since(newer_than) {
-            let steps = steps.iter().map(|step| change::Step::clone(step));
-            return Ok(Some(Update::Steps(steps.collect())));
-        }
-        let text = state.text().unwrap_or_default();
-        // A text that was made of a document is JSON.
-        let document = RawValue::from_string(text.to_string());
-        let whole = |document| Whole {
-            revision: state.revision,
-            document,
-        };
-        Ok(document.ok().map(|document| Update::Whole(whole(document))))
-    }
-}
-
-impl Server {
-    /// The time of day that the voters agree on, in milliseconds since the Unix epoch.
-    fn unix_ms(&self) -> u64 {
-        let members = self.handle.voter_count();
-        self.endpoints.unix_ms(members)
-    }
-
-    /// Sends a box all news until it goes or follows anew.
-    async fn serve(&self, sink: &SubscriptionSink, who: &name::Box, follower: Follower) {
-        let number = self.endpoints.followed_by(who);
-        tokio::select! {
-            () = self.give(sink, follower) => {}
-            () = self.endpoints.superseded(who, number) => {}
-        }
-        self.endpoints.left_by(who, number);
-    }
-
-    /// Sends a follower all news until it goes.
-    async fn give(&self, sink: &SubscriptionSink, follower: Follower) {
-        let mut endpoints = self.endpoints.changed.subscribe();
-        let mut feed = self.feed.watch();
-        let mut told = Told::default();
-        loop {
-            endpoints.borrow_and_update();
-            feed.borrow_and_update();
-            let news = self.news(follower, &mut told);
-            if send(sink, &news).await.is_none() {
-                return;
-            }
-            if told.behind {
-                continue;
-            }
-            tokio::select! {
-                changed = endpoints.changed() => if changed.is_err() { return },
-                changed = feed.changed() => if changed.is_err() { return },
-                () = tokio::time::sleep(ALIVE) => {}
-                () = sink.closed() => return,
-            }
-            let next = told.at + BATCH;
-            tokio::time::sleep(next.saturating_sub(self.endpoints.clock.now())).await;
-        }
-    }
-
-    /// What a follower has to be told.
-    fn news(&self, follower: Follower, told: &mut Told) -> News {
-        let now = self.endpoints.clock.now();
-        self.endpoints.sweep(now);
-        told.at = now;
-        let mut news = News {
-            restored: self.endpoints.restored(&mut told.restored),
-            revision: self.feed.current().revision,
-            followers: if follower.is_voter() {
-                self.endpoints.follower_count()
-            } else {
-                self.endpoints.box_count()
-            },
-            ..News::default()
-        };
-        if !std::mem::replace(&mut told.zone, true) {
-            news.zone.clone_from(&self.zone);
-        }
-        let registry = if follower.is_voter() {
-            &self.endpoints.own
-        } else {
-            &self.endpoints.registry
-        };
-        let registry = lock(registry);
-        if follower == Follower::ByNames {
-            if now >= told.heard + HEARD {
-                news.heard = registry.heard_since(told.heard);
-                told.heard = now;
-            }
-        }
-        let span = registry::Span {
-            after: told.stamp,
-            to: registry.stamp_within(told.stamp, PAGE),
-        };
-        if follower != Follower::ByNames {
-            news.vouches = true;
-            news.silent = registry.silent_since(span);
-        }
-        fill(&mut news, &registry, span, now);
-        told.stamp = span.to;
-        told.behind = span.to < registry.stamp();
-        drop(registry);
-        self.fill_members(&mut news, told);
-        news
-    }
-
-    fn fill_members(&self, news: &mut News, told: &mut Told) {
-        let members = self.handle.published().status.members;
-        news.in_touch = self.endpoints.is_in_touch(self.handle.voter_count());
-        let voters: Vec<_> = members.addresses().map(|(_, address)| *address).collect();
-        if told.voters != voters {
-            told.voters.clone_from(&voters);
-            news.voters = voters;
-        }
-    }
-}
-
-/// Adds what a follower at a stamp has to be told of endpoints.
-fn fill(news: &mut News, registry: &registry::Registry, span: registry::Span, now: Duration) {
-    news.changed = registry.told_since(span, now);
-    news.gone = registry.gone_since(span);
-    news.ended = registry.ended_since(span);
-    news.left = just_left(registry, span);
-    news.leaving = registry.leaving_since(span);
-    news.paces = registry.paces_since(span);
-}
-
 /// The endpoints that left after a stamp while no start of theirs was known here. Who asks for the
 /// first time may know a start that began long after that, and isn't told.
 fn just_left(registry: &registry::Registry, span: registry::Span) -> Vec<name::Endpoint> {
@@ -796,8 +397,3 @@
     }
     registry.left_since(span)
 }
-
-async fn send(sink: &SubscriptionSink, news: &News) -> Option<()> {
-    let raw = serde_json::value::to_raw_value(news).ok()?;
-    sink.send(SubscriptionMessage::from(raw)).await.ok()
-}
