Limits that endpoints name in answers are read, logged and counted

Callers saw nothing; endpoints in need named in each answer how many requests a second they take from all boxes, and no line or metric said so: whether boxes did not hear it, or heard it and kept it each by itself, could not be told.

Events 3223 to 3225, metrics limited_endpoints and limited_sends. No decision is changed.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -16,7 +16,7 @@
     board::{feed, view},
     core::{
         attempt, catchup, claim, config, crash, dispatch, limit, member, name, pace, region,
-        registry, residency, rest, retry, unit, usage, wall, warm_up,
+        registry, residency, rest, retry, throttle, unit, usage, wall, warm_up,
     },
     util::{
         clock::Clock,
@@ -166,6 +166,8 @@
     pub paces: Mutex<pace::Meters>,
     /// The endpoints that rest from this box.
     pub rests: Mutex<rest::Book>,
+    /// The limits that endpoints set to requests from all boxes together.
+    pub throttles: Mutex<throttle::Book>,
     /// The requests under which endpoints have ended.
     pub crashes: Mutex<crash::Book>,
     /// Whether a voter has told which requests are held back since this process started.
@@ -245,6 +247,7 @@
             warming: Mutex::default(),
             paces: Mutex::default(),
             rests: Mutex::new(rests),
+            throttles: Mutex::default(),
             crashes: Mutex::default(),
             held_back_known: AtomicBool::new(false),
             held_back: watch::Sender::new(0),
@@ -321,6 +324,12 @@
         true
     }
 
+    /// The limit that an endpoint sets to requests from all boxes together, if it has one.
+    pub fn limit_of(&self, endpoint: &name::Endpoint) -> Option<throttle::Limit> {
+        let start = self.start_of(endpoint);
+        lock(&self.throttles).limit(endpoint, start)
+    }
+
     /// Which start of an endpoint is known; none where endpoints tell none.
     fn start_of(&self, endpoint: &name::Endpoint) -> registry::Start {
         lock(&self.registry)
--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -38,6 +38,7 @@
 pub mod scaling;
 pub mod secret;
 pub mod tenure;
+pub mod throttle;
 pub mod unit;
 pub mod usage;
 pub mod verdict;
--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -76,6 +76,10 @@
     /// caller sent it; everything that [`Dialect::instruct`] writes stands here.
     const RESERVED: &'static [&'static str];
 
+    /// The header, in lower case, in which an endpoint names the requests a second that it takes
+    /// from all boxes together, as a decimal number.
+    const LIMIT: &'static str;
+
     /// What a caller's head says.
     fn head(headers: &HeaderMap) -> Head;
 
@@ -139,6 +143,8 @@
         AFTER,
     ];
 
+    const LIMIT: &'static str = "scalewood-limit";
+
     fn head(headers: &HeaderMap) -> Head {
         let tokens = text(headers, TOKENS).and_then(|text| text.split_once(','));
         let count = |text: &str| unit::Tokens(text.trim().parse().unwrap_or(0));
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -253,6 +253,9 @@
         }
         self.attempt = attempt;
         self.state = State::Running;
+        if self.board.limit_of(endpoint).is_some() {
+            self.board.metrics.limited_sent.inc();
+        }
         self.tell(dispatch::Report::Started(attempt));
         true
     }
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -125,6 +125,9 @@
     RestUnreadable = 3217, Warning, "how long an endpoint wants nothing can't be read";
     WarmUpBegun = 3221, Info, "an endpoint is believed to warm up";
     WarmUpEnded = 3222, Info, "an endpoint is believed to be warm";
+    LimitNamed = 3223, Info, "an endpoint limits the requests a second from all boxes together";
+    LimitEnded = 3224, Info, "an endpoint limits its requests no more";
+    LimitUnreadable = 3225, Warning, "a limit that an endpoint names can't be read";
     RequestFailed = 3301, Warning, "a request ended in an error";
     PolicyFailed = 3302, Warning, "a policy program failed and the class's own level was used";
     CallersRefused = 3303, Error, "callers' connections can't be taken";
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -154,6 +154,10 @@
     pub rests_asked: Counter,
     /// Sends that were kept back since their endpoint rests.
     pub rest_kept_back: Counter,
+    /// Endpoints that are known to limit their requests a second.
+    pub limited: Gauge,
+    /// Requests that were sent to endpoints that are known to limit them.
+    pub limited_sent: Counter,
     /// Requests that are held back, since endpoints end under them.
     pub held_back: Gauge,
     /// Whether this process takes new work.
@@ -187,6 +191,8 @@
             cordon_declined: Counter::default(),
             rests_asked: Counter::default(),
             rest_kept_back: Counter::default(),
+            limited: Gauge::default(),
+            limited_sent: Counter::default(),
             held_back: Gauge::default(),
             ready: Gauge::default(),
             breaches: Family::default(),
@@ -290,6 +296,16 @@
             "Sends kept back since their endpoint rests",
             self.rest_kept_back.clone(),
         );
+        r.register(
+            "limited_endpoints",
+            "Endpoints known to limit their requests a second",
+            self.limited.clone(),
+        );
+        r.register(
+            "limited_sends",
+            "Requests sent to endpoints known to limit them",
+            self.limited_sent.clone(),
+        );
         r.register(
             "held_back_requests",
             "Requests held back since endpoints end under them",
