--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -49,6 +49,7 @@
 mod stop;
 mod support;
 mod tenure;
+mod throttle;
 mod usage;
 mod wall;
 mod warm_up;
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -65,6 +65,8 @@
     Limit,
     /// It says that it leaves, and serves well.
     Leave,
+    /// It names this as the requests a second that it takes from all boxes, and serves well.
+    Throttle(&'static str),
 }
 
 impl Act {
@@ -109,6 +111,8 @@
     /// How it treats requests for which it was told nothing.
     usual: Arc<Mutex<Option<Act>>>,
     seen: Arc<Mutex<Vec<Seen>>>,
+    /// How long it takes for each answer to begin.
+    work: Arc<Mutex<Duration>>,
     running: Arc<AtomicUsize>,
     /// Rings when a request has begun that ends endpoints.
     ending: Arc<Notify>,
@@ -147,24 +151,29 @@
             acts: Arc::default(),
             usual: Arc::default(),
             seen: Arc::default(),
+            work: Arc::default(),
             running: Arc::default(),
             ending: Arc::default(),
         };
         let (acts, seen) = (endpoint.acts.clone(), endpoint.seen.clone());
+        let work = endpoint.work.clone();
         let running = endpoint.running.clone();
         let (ending, usual) = (endpoint.ending.clone(), endpoint.usual.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (acts, seen, running) = (acts.clone(), seen.clone(), running.clone());
                 let (ending, usual) = (ending.clone(), usual.clone());
+                let work = work.clone();
                 let service = service_fn(move |request| {
                     let (acts, seen, ending) = (acts.clone(), seen.clone(), ending.clone());
                     let run = Run::begin(&running);
                     let next = acts.lock().unwrap().pop_front();
                     let act = next.or(*usual.lock().unwrap());
+                    let work = *work.lock().unwrap();
                     async move {
-                        let answer = answer(request, act, &seen, &ending, run);
-                        Ok::<_, Infallible>(answer.await)
+                        let answer = answer(request, act, &seen, &ending, run).await;
+                        tokio::time::sleep(work).await;
+                        Ok::<_, Infallible>(answer)
                     }
                 });
                 let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -183,6 +192,11 @@
         *self.usual.lock().unwrap() = act;
     }
 
+    /// Each of its answers takes so long to begin from now on.
+    pub(crate) fn takes(&self, work: Duration) {
+        *self.work.lock().unwrap() = work;
+    }
+
     /// How it treats all requests, so that others may change it.
     pub(crate) fn usual(&self) -> Arc<Mutex<Option<Act>>> {
         self.usual.clone()
@@ -291,6 +305,10 @@
         let leaves = "1".parse().unwrap();
         response.headers_mut().insert("scalewood-leaving", leaves);
     }
+    if let Some(Act::Throttle(limit)) = act {
+        let limit = limit.parse().unwrap();
+        response.headers_mut().insert("scalewood-limit", limit);
+    }
     response
 }
 
