Limits in the soak and in status; dispatcher's tests; capacity by limits alone

The soak has two calm boxes more and a driver that names limits; it checks that the boxes that were told keep to a limit together. `scalewood status` shows the limits that each box knows. Limits are added up over the endpoints that may get requests now: one that was ejected has no part.

--- a/src/bin/scalewood/commands/status.rs
+++ b/src/bin/scalewood/commands/status.rs
@@ -58,5 +58,8 @@
         for (endpoint, left_ms) in &beat.rests {
             println!("  {endpoint} wants nothing from it for {left_ms} ms more");
         }
+        for (endpoint, limit) in &beat.limits {
+            println!("  {endpoint} takes {limit} requests a second from all boxes");
+        }
     }
 }
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -35,7 +35,7 @@
 
 pub(super) use eligible::Seeker;
 pub use eligible::Standing;
-pub use throttle::{Change as LimitChange, Pass, Want};
+pub use throttle::{Change as LimitChange, Pass};
 pub(super) use {
     cost::{Model, Prompt},
     slots::Wanted,
--- a/src/scalewood/core/dispatch/endpoint/throttle.rs
+++ b/src/scalewood/core/dispatch/endpoint/throttle.rs
@@ -5,7 +5,7 @@
 use super::{Endpoint, Set, LEANING};
 use crate::core::{
     name, registry,
-    throttle::{Alone, Limit},
+    throttle::{Alone, Limit, Wanted},
 };
 
 /// For how long, in seconds, permits are asked for ahead: a few exchanges with a voter, so that
@@ -40,17 +40,6 @@
     pub until: Duration,
 }
 
-/// Permits that a box wants.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Want {
-    /// The endpoint.
-    pub endpoint: name::Endpoint,
-    /// How many.
-    pub count: u32,
-    /// Requests that belonged there of late and went elsewhere.
-    pub kept_from: u32,
-}
-
 /// A box's own part of the limit of an endpoint that it leans to so far, beside so many others.
 pub(super) fn alone(since: Option<Duration>, sharers: u32, leaning: u64) -> Option<Alone> {
     let alone = |since| Alone {
@@ -116,8 +105,7 @@
         if !self.limited {
             return;
         }
-        let serving = self.endpoints.iter();
-        let serving = serving.filter(|e| e.configured && e.leaving.is_none());
+        let serving = self.endpoints.iter().filter(|e| e.allowed() > 0);
         let limits = serving.map(|e| e.standing.limit.map(Limit::per_second));
         let (mut sum, mut all, mut any) = (0.0, true, false);
         for limit in limits {
@@ -149,7 +137,9 @@
         a_second: f64,
         waiting: usize,
         now: Duration,
-    ) -> Vec<Want> {
+    ) -> Vec<Wanted> {
+        // Endpoints may have been ejected, or have come back, meanwhile.
+        self.sum_limits();
         if !self.limited || (waiting == 0 && a_second < SELDOM) {
             return Vec::new();
         }
@@ -160,17 +150,15 @@
         let mut wanted: Vec<_> = limited
             .map(|endpoint| {
                 endpoint.kept_from /= 2;
-                let want = Want {
-                    endpoint: endpoint.name.clone(),
-                    count: need.saturating_sub(endpoint.permits.count(now)),
-                    kept_from: endpoint.kept_from,
-                };
-                (endpoint.leaning, want)
+                let place = (Reverse(endpoint.kept_from), endpoint.leaning);
+                let count = need.saturating_sub(endpoint.permits.count(now));
+                let endpoint = endpoint.name.clone();
+                (place, Wanted { endpoint, count })
             })
-            .filter(|(_, want)| want.count > 0)
+            .filter(|(_, wanted)| wanted.count > 0)
             .collect();
-        wanted.sort_by_key(|(leaning, want)| (Reverse(want.kept_from), *leaning));
+        wanted.sort_by_key(|(place, _)| *place);
         let wanted = wanted.into_iter().take(MOST_WANTED);
-        wanted.map(|(_, want)| want).collect()
+        wanted.map(|(_, wanted)| wanted).collect()
     }
 }
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -50,7 +50,7 @@
 mod zone;
 
 pub use cause::Cause;
-pub use endpoint::{LimitChange, Pass, Spec, Standing, View, Want};
+pub use endpoint::{LimitChange, Pass, Spec, Standing, View};
 pub use message::{Ask, End, Held, Order, Placed, Prefix, Reason, Report};
 pub use placement::LONG_PROMPT;
 pub use precedence::{Met, Precedence};
--- a/src/scalewood/core/dispatch/shown.rs
+++ b/src/scalewood/core/dispatch/shown.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::{Basis, Cause, Dispatcher, Precedence, Summary, View, Want};
-use crate::core::{attempt, load, name, unit};
+use super::{Basis, Cause, Dispatcher, Precedence, Summary, View};
+use crate::core::{attempt, load, name, throttle, unit};
 
 /// How far ahead the due time of a summary's imagined request lies.
 const SUMMARY_DUE: Duration = Duration::from_secs(1);
@@ -97,7 +97,7 @@
     }
 
     /// The permits that this dispatcher wants for endpoints that limit their requests.
-    pub fn wanted_permits(&mut self, now: Duration) -> Vec<Want> {
+    pub fn wanted_permits(&mut self, now: Duration) -> Vec<throttle::Wanted> {
         let a_second = self.asked.rate(now);
         let waiting = self.queue.len();
         self.endpoints.wanted_permits(a_second, waiting, now)
--- a/src/scalewood/core/throttle/permit.rs
+++ b/src/scalewood/core/throttle/permit.rs
@@ -1,9 +1,9 @@
 //! A box's right to send to one endpoint that limits its requests.
 //!
 //! A permit is for one request and runs out by itself. Voters issue no more of them in any time
-//! `t` than `limit * t + burst`, with a `burst` of two and a quarter of the limit, and what is
-//! sent was issued [`LIFE`] and the time of a connection's set-up before. So an endpoint gets at
-//! most `5.75 * limit + burst` requests in any four seconds.
+//! `t` than `limit * t + 2 + limit / 4`, and what is sent was issued at most [`LIFE`] and a quarter
+//! of a second for a connection's set-up before. So an endpoint gets at most `6 * limit + 2`
+//! requests in any four seconds.
 //!
 //! While no voter issues permits, each box has its equal part of the limit: a permit of its own at
 //! regular times, which runs out like the others. Each box has it at another time, so that those of
--- a/src/scalewood/ops/entry/beat.rs
+++ b/src/scalewood/ops/entry/beat.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use crate::{
-    core::{name, rest},
+    core::{name, rest, throttle},
     ops::{
         entry::{desk, now, Shared},
         rpc,
@@ -45,12 +45,14 @@
         ready: board.ready.load(Ordering::Relaxed),
         dispatches,
         rests: rests(board),
+        limits: limits(board),
     }
 }
 
+/// The most endpoints that are told: enough to see that there are many.
+const MOST: usize = 16;
+
 fn rests(board: &Shared) -> Vec<(name::Endpoint, u64)> {
-    /// The most that are told: enough to see that there are many.
-    const MOST: usize = 16;
     let now = now(board);
     let rests = lock(&board.rests);
     let left = |(name, rest): (&name::Endpoint, &rest::Rest)| {
@@ -59,3 +61,11 @@
     };
     rests.all(now).take(MOST).map(left).collect()
 }
+
+fn limits(board: &Shared) -> Vec<(name::Endpoint, throttle::Limit)> {
+    let throttles = lock(&board.throttles);
+    let limited = throttles.all().take(MOST);
+    limited
+        .map(|(name, _, limit)| (name.clone(), limit))
+        .collect()
+}
--- a/src/scalewood/ops/entry/throttle.rs
+++ b/src/scalewood/ops/entry/throttle.rs
@@ -101,11 +101,7 @@
             wanted.extend(dispatcher.wanted_permits(now));
         }
     });
-    let wanted = wanted.into_iter().map(|want| throttle::Wanted {
-        endpoint: want.endpoint,
-        count: want.count,
-    });
-    wanted.collect()
+    wanted
 }
 
 /// Takes the permits that a voter issued to a question asked at a time.
--- a/src/scalewood/wire/control.rs
+++ b/src/scalewood/wire/control.rs
@@ -5,7 +5,7 @@
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 use serde::{Deserialize, Serialize};
 
-use crate::core::{agree, change, cordon, ledger, name, unit};
+use crate::core::{agree, change, cordon, ledger, name, throttle, unit};
 
 /// A message between voters.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -37,6 +37,9 @@
     /// milliseconds.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rests: Vec<(name::Endpoint, u64)>,
+    /// The endpoints that limit their requests, as far as it knows, some of them if there are many.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<(name::Endpoint, throttle::Limit)>,
 }
 
 /// The answer to a proposal that was passed on to the leader.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -50,6 +50,7 @@
 mod support;
 mod tenure;
 mod throttle;
+mod throttle_dispatch;
 mod throttle_issuer;
 mod usage;
 mod wall;
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -4,7 +4,7 @@
 //! this process. Three drivers disturb them at the same time: voters are killed, paused,
 //! wiped, told to reload; entry boxes are killed, paused, stopped as planned, told to
 //! reload; endpoints fail in all their ways, leave, end under a request that comes again and again, start
-//! again under their names, ask for rest, say in their answers that they leave, and sit behind
+//! again under their names, ask for rest, name limits, say in their answers that they leave, and sit behind
 //! links that are cut, silent, one-way or late. Meanwhile callers ask over kept and new connections, and
 //! an operator publishes one routing after the other. Checked, from what callers, the
 //! operator and endpoints see:
@@ -19,6 +19,7 @@
 //!   done to voters, and keeps new requests off its zone's endpoints;
 //! - a request that ends each endpoint which runs it reaches few more once three have ended;
 //! - an endpoint that asked a box for rest, or told it that it leaves, gets that;
+//! - an endpoint that named a limit gets little more from all boxes that it told together;
 //! - an endpoint that has left gets no more, and after all is mended all is served again.
 //!
 //! `SCALEWOOD_SEED` is the first seed, `SCALEWOOD_RUNS` how many follow each other, and
@@ -49,6 +50,7 @@
     routed::{self, routing, text, Act, Endpoint, System, BOX, ENDS, EVENTS, HOST, KEY},
 };
 
+mod limit;
 mod word;
 
 /// Seeds that failed once. 45 and 54: a box that was asked to stop within ten seconds of
@@ -61,9 +63,13 @@
 const SEEDS: &[u64] = &[1, 2];
 
 const VOTERS: usize = 3;
+/// Entry boxes that are disturbed, and those beside them that are not.
 const ENTRIES: usize = 2;
+const CALM_ENTRIES: usize = 2;
 const ENDPOINTS: usize = 4;
 const CALLERS: u64 = 6;
+/// Callers that ask the calm entry boxes alone.
+const CALM_CALLERS: u64 = 3;
 /// The first port of endpoints; links to them stand at ports from `LINKS` on.
 const PORTS: usize = 9000;
 const LINKS: usize = 9500;
@@ -216,7 +222,7 @@
 }
 
 /// A caller that asks until it is over, over kept and new connections.
-async fn caller(seed: u64, number: u64, entries: Vec<SocketAddr>, account: Arc<Account>) {
+async fn caller(seed: u64, number: u64, entries: Vec<(usize, SocketAddr)>, account: Arc<Account>) {
     const PATHS: [&str; 4] = ["/safe/", "/unsafe/", "/stream/", "/sresume/"];
     let mut random = SmallRng::seed_from_u64(seed * 1000 + number);
     let mut kept: Option<(usize, client::Connection)> = None;
@@ -231,8 +237,8 @@
         let (entry, mut connection) = match kept.take() {
             Some(kept) if keeps => kept,
             _ => {
-                let entry = random.random_range(0..entries.len());
-                match client::Connection::open(entries[entry]).await {
+                let (entry, address) = entries[random.random_range(0..entries.len())];
+                match client::Connection::open(address).await {
                     Ok(connection) => (entry, connection),
                     Err(_) => continue,
                 }
@@ -547,12 +553,13 @@
         let address = |port: usize| (self.host, u16::try_from(port).unwrap()).into();
         let endpoint = Endpoint::start(&format!("i-{number}"), address(PORTS + number)).await;
         let link = Forwarder::start(address(LINKS + number), endpoint.address).await;
-        let (link, start) = (Arc::new(link), Arc::new(AtomicU64::new(1)));
+        let (link, start) = (Arc::new(link), endpoint.start_number());
         let cut = word::Spans::default();
         let ending = end_under_requests(&endpoint, &link, &start, &self.account, &cut);
         self.endings.spawn(ending);
         self.speakers.lock().unwrap().push(word::Speaker {
             usual: endpoint.usual(),
+            limit: endpoint.limit(),
             start: start.clone(),
             leaving: word::Spans::default(),
         });
@@ -857,7 +864,8 @@
     dir.disable_cleanup(true);
     let mut system = System::start(VOTERS, dir.path());
     let mut entries = vec![system.entry.take()];
-    entries.extend((1..ENTRIES).map(|i| Some(system.start_entry_at(i))));
+    let all_entries = ENTRIES + CALM_ENTRIES;
+    entries.extend((1..all_entries).map(|i| Some(system.start_entry_at(i))));
     assert_eq!(system.publish(&text(&routing(1))).await, 200);
     let voters: Vec<_> = (0..VOTERS).map(|i| system.publish_address(i)).collect();
     let addresses: Vec<_> = (0..ENTRIES).map(|i| system.callers_at(i)).collect();
@@ -876,7 +884,13 @@
     system.wait_served().await;
     let mut asking = Vec::new();
     for number in 0..CALLERS {
-        let caller = caller(seed, number, addresses.clone(), account.clone());
+        let disturbed = addresses.iter().copied().enumerate().collect();
+        let caller = caller(seed, number, disturbed, account.clone());
+        asking.push(tokio::spawn(caller));
+    }
+    for number in CALLERS..CALLERS + CALM_CALLERS {
+        let calm = (ENTRIES..all_entries).map(|i| (i, system.callers_at(i)));
+        let caller = caller(seed, number, calm.collect(), account.clone());
         asking.push(tokio::spawn(caller));
     }
     let ender = ender(seed, addresses.clone(), account.clone());
@@ -898,6 +912,7 @@
     tokio::join!(
         clock,
         word::disturb(back.speakers.clone(), seed, &account),
+        limit::disturb(back.speakers.clone(), seed, &account),
         back.disturb(seed, &account),
         disturb_voters(&mut system, seed, &account),
         disturb_entries(&starter, &mut entries, seed, &account),
@@ -912,6 +927,7 @@
     check_cordoned(&account, &back);
     check_ends(&account, &back);
     word::check(&account, &back);
+    limit::check(&account, &back);
     check_calm_cordon(&system, &mut back, &account).await;
     check_mended(&system, &mut back, &account).await;
     check(&account, &runs(&back));
--- a/tests/testsuite/soak/word.rs
+++ b/tests/testsuite/soak/word.rs
@@ -21,6 +21,8 @@
 pub(super) struct Speaker {
     /// How it treats all requests.
     pub(super) usual: Arc<Mutex<Option<Act>>>,
+    /// The limit that it names.
+    pub(super) limit: Arc<Mutex<Option<&'static str>>>,
     /// Which start of it this is.
     pub(super) start: Arc<AtomicU64>,
     /// Spans in which it said that it leaves; each ends with a new start.
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::{
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
         Arc, Mutex,
     },
     time::Duration,
@@ -65,8 +65,6 @@
     Limit,
     /// It says that it leaves, and serves well.
     Leave,
-    /// It names this as the requests a second that it takes from all boxes, and serves well.
-    Throttle(&'static str),
 }
 
 impl Act {
@@ -94,6 +92,10 @@
     pub(crate) at: std::time::Instant,
     /// How it was treated, if not well.
     pub(crate) act: Option<Act>,
+    /// The limit that was named in the answer.
+    pub(crate) limit: Option<&'static str>,
+    /// Which start of the endpoint it reached.
+    pub(crate) start: u64,
 }
 
 impl Seen {
@@ -113,6 +115,10 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     /// How long it takes for each answer to begin.
     work: Arc<Mutex<Duration>>,
+    /// What it names in its answers as the requests a second that it takes from all boxes.
+    limit: Arc<Mutex<Option<&'static str>>>,
+    /// Which start of it this is.
+    start: Arc<AtomicU64>,
     running: Arc<AtomicUsize>,
     /// Rings when a request has begun that ends endpoints.
     ending: Arc<Notify>,
@@ -152,26 +158,33 @@
             usual: Arc::default(),
             seen: Arc::default(),
             work: Arc::default(),
+            limit: Arc::default(),
+            start: Arc::new(AtomicU64::new(1)),
             running: Arc::default(),
             ending: Arc::default(),
         };
         let (acts, seen) = (endpoint.acts.clone(), endpoint.seen.clone());
-        let work = endpoint.work.clone();
+        let (work, limit) = (endpoint.work.clone(), endpoint.limit.clone());
+        let start = endpoint.start.clone();
         let running = endpoint.running.clone();
         let (ending, usual) = (endpoint.ending.clone(), endpoint.usual.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (acts, seen, running) = (acts.clone(), seen.clone(), running.clone());
                 let (ending, usual) = (ending.clone(), usual.clone());
-                let work = work.clone();
+                let (work, limit) = (work.clone(), limit.clone());
+                let start = start.clone();
                 let service = service_fn(move |request| {
                     let (acts, seen, ending) = (acts.clone(), seen.clone(), ending.clone());
                     let run = Run::begin(&running);
                     let next = acts.lock().unwrap().pop_front();
                     let act = next.or(*usual.lock().unwrap());
                     let work = *work.lock().unwrap();
+                    let limit = *limit.lock().unwrap();
+                    let start = start.load(Ordering::Relaxed);
                     async move {
-                        let answer = answer(request, act, &seen, &ending, run).await;
+                        let answer =
+                            answer(request, (act, limit, start), &seen, &ending, run).await;
                         tokio::time::sleep(work).await;
                         Ok::<_, Infallible>(answer)
                     }
@@ -197,6 +210,21 @@
         *self.work.lock().unwrap() = work;
     }
 
+    /// It names a limit in each answer from now on, or none.
+    pub(crate) fn limits(&self, limit: Option<&'static str>) {
+        *self.limit.lock().unwrap() = limit;
+    }
+
+    /// The limit that it names, so that others may change it.
+    pub(crate) fn limit(&self) -> Arc<Mutex<Option<&'static str>>> {
+        self.limit.clone()
+    }
+
+    /// Which start of it this is; it starts anew by raising that.
+    pub(crate) fn start_number(&self) -> Arc<AtomicU64> {
+        self.start.clone()
+    }
+
     /// How it treats all requests, so that others may change it.
     pub(crate) fn usual(&self) -> Arc<Mutex<Option<Act>>> {
         self.usual.clone()
@@ -245,7 +273,7 @@
 
 async fn answer(
     request: Request<Incoming>,
-    act: Option<Act>,
+    (act, limit, start): (Option<Act>, Option<&'static str>, u64),
     seen: &Mutex<Vec<Seen>>,
     ending: &Notify,
     run: Run,
@@ -260,6 +288,8 @@
             ran: true,
             at: std::time::Instant::now(),
             act: None,
+            limit,
+            start,
         });
         ending.notify_one();
         return std::future::pending().await;
@@ -274,6 +304,8 @@
         ran: act.is_none_or(Act::runs),
         at: std::time::Instant::now(),
         act,
+        limit,
+        start,
     });
     let mut response = match act {
         Some(Act::Hang) => std::future::pending().await,
@@ -305,7 +337,7 @@
         let leaves = "1".parse().unwrap();
         response.headers_mut().insert("scalewood-leaving", leaves);
     }
-    if let Some(Act::Throttle(limit)) = act {
+    if let Some(limit) = limit {
         let limit = limit.parse().unwrap();
         response.headers_mut().insert("scalewood-limit", limit);
     }
@@ -725,3 +757,14 @@
     let all = endpoints.iter().flat_map(Endpoint::seen);
     all.filter(|seen| seen.path == path).count()
 }
+
+/// The most of some times that lie in any window of a length.
+pub(crate) fn densest(times: &[std::time::Instant], window: Duration) -> usize {
+    let count = |from: &std::time::Instant| {
+        let within = times
+            .iter()
+            .filter(|at| *at >= from && **at < *from + window);
+        within.count()
+    };
+    times.iter().map(count).max().unwrap_or_default()
+}
--- a/tests/testsuite/throttle.rs
+++ b/tests/testsuite/throttle.rs
@@ -12,7 +12,7 @@
 
 use crate::support::{
     client, deploy,
-    routed::{self, Act, Endpoint, System, BOX, HOST, KEY},
+    routed::{self, Endpoint, System, BOX, HOST, KEY},
 };
 
 /// Entry boxes.
@@ -158,9 +158,7 @@
 /// known by then.
 fn limited(endpoint: &Endpoint) -> Vec<Instant> {
     let seen = endpoint.seen();
-    let named = seen
-        .iter()
-        .filter(|seen| matches!(seen.act, Some(Act::Throttle(_))));
+    let named = seen.iter().filter(|seen| seen.limit.is_some());
     let times: Vec<_> = named.map(|seen| seen.at).collect();
     let Some(first) = times.first().copied() else {
         return times;
@@ -171,17 +169,6 @@
         .collect()
 }
 
-/// The most requests in any window.
-fn densest(times: &[Instant]) -> usize {
-    let count = |from: &Instant| {
-        let within = times
-            .iter()
-            .filter(|at| *at >= from && **at < *from + WINDOW);
-        within.count()
-    };
-    times.iter().map(count).max().unwrap_or_default()
-}
-
 /// Endpoints named a limit of 2.5 requests a second in their answers, and got 39 and 43 requests
 /// in four seconds from boxes that had passed these answers on, where 20 were allowed.
 #[tokio::test(flavor = "multi_thread")]
@@ -192,13 +179,16 @@
     let site = Site::start(12, dir.path()).await;
     let in_need = &site.endpoints[..4];
     for endpoint in in_need {
-        endpoint.always(Some(Act::Throttle("2.5")));
+        endpoint.limits(Some("2.5"));
     }
     for endpoint in &site.endpoints {
         endpoint.takes(WORK);
     }
     let (outcomes, ()) = tokio::join!(site.send_all(100, LENGTH), site.beat(LENGTH));
-    let most_seen: Vec<_> = in_need.iter().map(|e| densest(&limited(e))).collect();
+    let most_seen: Vec<_> = in_need
+        .iter()
+        .map(|e| routed::densest(&limited(e), WINDOW))
+        .collect();
     let (served, sent) = (served(&outcomes), outcomes.len());
     let told = format!("{most_seen:?} in a window, {served} of {sent} served");
     println!("{told}");
@@ -217,14 +207,14 @@
     let dir = tempfile::tempdir().unwrap();
     let site = Site::start(ENDPOINTS, dir.path()).await;
     for endpoint in &site.endpoints {
-        endpoint.always(Some(Act::Throttle("5")));
+        endpoint.limits(Some("5"));
         endpoint.takes(WORK);
     }
     let (outcomes, ()) = tokio::join!(site.send_all(60, LENGTH), site.beat(LENGTH));
     let most_seen: Vec<_> = site
         .endpoints
         .iter()
-        .map(|e| densest(&limited(e)))
+        .map(|e| routed::densest(&limited(e), WINDOW))
         .collect();
     let got: usize = site.endpoints.iter().map(|e| limited(e).len()).sum();
     let taken = LIMIT * ENDPOINTS as f64 * (LENGTH - KNOWN).as_secs_f64();
@@ -257,7 +247,7 @@
     }
     let mut spans = Vec::new();
     for limit in [Some("4"), None, Some("1.5"), None] {
-        in_need.always(limit.map(Act::Throttle));
+        in_need.limits(limit);
         let before = in_need.seen().len();
         let (outcomes, ()) = tokio::join!(site.send_all(60, SPAN), site.beat(SPAN));
         // The last four seconds, by when all boxes have heard.
@@ -289,7 +279,7 @@
         endpoint.takes(WORK);
     }
     for endpoint in &site.endpoints[..2] {
-        endpoint.always(Some(Act::Throttle("2.5")));
+        endpoint.limits(Some("2.5"));
     }
     let mut boxes = std::mem::take(&mut site.boxes);
     let restarts = async {
@@ -304,7 +294,7 @@
     let (outcomes, (), ()) = tokio::join!(sending, site.beat(LENGTH), restarts);
     let most_seen: Vec<_> = site.endpoints[..2]
         .iter()
-        .map(|e| densest(&limited(e)))
+        .map(|e| routed::densest(&limited(e), WINDOW))
         .collect();
     println!(
         "{most_seen:?} in a window, {} of {} served",
@@ -330,7 +320,7 @@
     };
     let most_seen: Vec<_> = site.endpoints[..2]
         .iter()
-        .map(|e| densest(&after(e)))
+        .map(|e| routed::densest(&after(e), WINDOW))
         .collect();
     println!(
         "{most_seen:?} in a window, {} of {} served",
@@ -350,7 +340,7 @@
     let dir = tempfile::tempdir().unwrap();
     let site = Site::start(1, dir.path()).await;
     for said in ["", "nan", "-1", "soon", "1e9", "99999999999999999999"] {
-        site.endpoints[0].always(Some(Act::Throttle(said)));
+        site.endpoints[0].limits(Some(said));
         let length = Duration::from_secs(2);
         let (outcomes, ()) = tokio::join!(site.send_all(40, length), site.beat(length));
         let unserved: Vec<_> = outcomes.iter().filter(|o| !o.is_served()).collect();
