--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -30,6 +30,7 @@
         secret, unit,
     },
     ops::operate,
+    util::event::Event,
 };
 use tokio::{net::TcpListener, sync::Notify};
 
@@ -724,9 +725,22 @@
         started.push(endpoint);
     }
     system.wait_served().await;
+    // News of endpoints come in pieces, and the first one may be served before the last is known.
+    deploy::wait("the box knows all endpoints", || async {
+        known_endpoints(dir) >= endpoints
+    })
+    .await;
     (system, started)
 }
 
+/// How many endpoints the first box has logged that are ready.
+fn known_endpoints(dir: &Path) -> usize {
+    let log = fs::read_to_string(dir.join("e1.log")).unwrap_or_default();
+    let announced = format!("\"event\":{}", Event::EndpointAnnounced.number());
+    let is_ready = |line: &&str| line.contains(&announced) && line.contains("Ready");
+    log.lines().filter(is_ready).count()
+}
+
 /// After which time requests that were under way when an endpoint asked for rest have arrived.
 const UNDER_WAY: Duration = Duration::from_millis(500);
 
