Ends of an endpoint within a second count each, also where it tells no starts

What callers and endpoints saw: a request that ends endpoints ended seven of them where six are the most (`crash::models_and_plain_calls...`, once).

Cause: where endpoints tell no starts, an end was named by the endpoint and the second. One that was back within a third of a second and ended again had one name for both ends, so the second one was dropped: three arrivals with two ends each count as two ends, and the request goes on. Class: a name that is coarser than what it names.

The logs of the one failure were not kept, so that it was this and nothing else is inferred from the count alone.

Why this works: ends are named by the tenth of a second, within which no process is back. A border of two names is then crossed more often by boxes that see one end, so an end is told from another by endpoint and time where that matters: which of two requests was at the ends of the other. The count itself takes ends one after the other, as before.

--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -82,8 +82,9 @@
 
     /// Whether it was there at each end of another one, and at more.
     fn outdoes(&self, other: &Self) -> bool {
-        let has = |end: &End| self.ends.iter().any(|own| own.id == end.id);
-        self.ends.len() > other.ends.len() && other.ends.iter().all(has)
+        let was_at = |case: &Self, end: &End| case.ends.iter().any(|own| own.is_same(end));
+        let is_alone_at = |end: &End| !was_at(other, end);
+        other.ends.iter().all(|end| was_at(self, end)) && self.ends.iter().any(is_alone_at)
     }
 
     fn add(&mut self, end: End) -> bool {
--- a/src/scalewood/core/crash/mod.rs
+++ b/src/scalewood/core/crash/mod.rs
@@ -24,6 +24,9 @@
 /// many requests with a first end as the endpoint had.
 const TOLD_ALL: usize = MOST_ENDS - 1;
 
+/// The shortest time in which an endpoint is back that ended.
+const LEAST_RESTART_MS: u64 = 100;
+
 /// Names the end of one start of an endpoint, the same at all boxes that saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -31,13 +34,12 @@
 
 impl Id {
     /// The end of a start, seen at a time of day that all agree on. The time tells ends apart of
-    /// an endpoint that tells no starts and has one name for all of them; boxes that see the same
-    /// end see it in the same second, but for one that falls on the border of two.
+    /// an endpoint that tells no starts and has one name for all of them. Boxes that see the same
+    /// end may name it differently then, if they see it on both sides of a border.
     pub fn new(endpoint: &name::Endpoint, start: registry::Start, unix_ms: u64) -> Self {
-        const SECOND_MS: u64 = 1000;
         let which = match start {
             Some(start) => format!("start {}", start.0),
-            None => format!("second {}", unix_ms / SECOND_MS),
+            None => format!("span {}", unix_ms / LEAST_RESTART_MS),
         };
         Self(rendezvous::hash(&[endpoint.as_str(), &which]))
     }
@@ -65,6 +67,14 @@
     fn sent_unix_ms(&self) -> u64 {
         self.at_unix_ms.saturating_sub(self.ran_ms)
     }
+
+    /// Whether it is the same end as another one, whatever either is named: one of one endpoint, to
+    /// which neither request was sent after the other had ended there.
+    fn is_same(&self, other: &Self) -> bool {
+        let overlap =
+            self.sent_unix_ms() < other.at_unix_ms && other.sent_unix_ms() < self.at_unix_ms;
+        self.id == other.id || (self.endpoint == other.endpoint && overlap)
+    }
 }
 
 /// How many endpoints ended one after the other: each had the request sent to it after the one
--- a/tests/testsuite/crash_book.rs
+++ b/tests/testsuite/crash_book.rs
@@ -453,3 +453,45 @@
     }
     assert!(both.is_held_back(&ends_them) && both.is_held_back(&harmless));
 }
+
+/// A request ended two endpoints at each of three arrivals within a second, and a seventh endpoint
+/// after it, where six are the most: endpoints that tell no starts were back after a third of a
+/// second, and all ends of one within a second counted as one.
+#[test]
+fn an_endpoint_that_is_back_and_ends_again_within_a_second_counts_again() {
+    let one = fingerprint("shop", "body");
+    let mut book = Book::default();
+    let mut ended = 0;
+    for arrival in 0..3 {
+        for (i, endpoint) in ["i-0", "i-1"].into_iter().enumerate() {
+            if book.is_held_back(&one) {
+                continue;
+            }
+            let at = 7_000 + 330 * arrival + 100 * i as u64;
+            book.ended(one, end_at(endpoint, at), NOW);
+            ended += 1;
+        }
+    }
+    assert_eq!(ended, MOST_ENDS);
+}
+
+/// Two boxes see one end on both sides of a moment at which its name changes. It stays one end, and
+/// what was beside the request that ends endpoints is told from it all the same.
+#[test]
+fn an_end_that_two_boxes_name_differently_is_one_end() {
+    let (ends, beside) = (fingerprint("shop", "ends"), fingerprint("shop", "beside"));
+    let mut book = Book::default();
+    for (i, at) in [7_000, 8_000, 9_000].into_iter().enumerate() {
+        let endpoint = format!("i-{i}");
+        book.ended(ends, end_at(&endpoint, at), NOW);
+        book.ended(beside, end_at(&endpoint, at - 1), NOW);
+        if i == 0 {
+            // The other box had sent it there too.
+            book.ended(ends, end_at(&endpoint, at - 1), NOW);
+        }
+        assert_eq!(book.is_held_back(&ends), i == 2);
+    }
+    book.ended(ends, end_at("i-3", 10_000), NOW);
+    assert!(book.is_held_back(&ends));
+    assert!(!book.is_held_back(&beside));
+}
