A box that stops tells a voter what it met last

Cause: ends, limits and leaving endpoints are told with the exchange of loads, ten times a second and less often on an idle box. What was met after the last exchange was lost as the process ended. Class: what one process alone knows when it is asked to go.

Evidence: the new test stops a box and sends it such a request 120 ms into the stop.

Why this works: after the last request has ended, the box has its next exchange begin at once and waits until one that began then is answered, 200 ms at most, within what a stop may take. If no voter answers, 3226 says so.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -174,6 +174,10 @@
     pub held_back_known: AtomicBool,
     /// Wakes requests that wait when others than before are held back.
     pub held_back: watch::Sender<usize>,
+    /// When the last exchange with a voter that was answered had begun.
+    pub exchanged: watch::Sender<Duration>,
+    /// Has the next exchange with a voter begin at once.
+    pub exchange_now: Notify,
     /// The requests that endpoints have begun for this box, by team and window.
     pub usage: Mutex<usage::Tally>,
     /// The time of day that the voters agree on.
@@ -251,6 +255,8 @@
             crashes: Mutex::default(),
             held_back_known: AtomicBool::new(false),
             held_back: watch::Sender::new(0),
+            exchanged: watch::Sender::new(now),
+            exchange_now: Notify::new(),
             usage: Mutex::new(usage::Tally::new(usage_window)),
             wall: Mutex::default(),
             start: rand::random(),
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -39,13 +39,31 @@
 /// as it takes to find another voter.
 const ALONE_AFTER: Duration = Duration::from_secs(1);
 
+/// How long a box that stops waits until a voter knows what it met last.
+const LAST_ANSWER: Duration = Duration::from_millis(200);
+
 /// Exchanges for ever.
 pub(super) async fn run(board: Shared, followed: Followed) {
-    let mut partner = Partner::new(board);
+    let mut partner = Partner::new(board.clone());
     loop {
         partner.exchange(&followed).await;
         partner.go_alone();
-        tokio::time::sleep(period(partner.boxes, is_idle(&partner.board))).await;
+        let pause = tokio::time::sleep(period(partner.boxes, is_idle(&board)));
+        tokio::select! {
+            () = pause => {}
+            () = board.exchange_now.notified() => {}
+        }
+    }
+}
+
+/// Tells a voter what was met until now, so that it is not lost with this process.
+pub(super) async fn tell_last(board: &Shared) {
+    let since = now(board);
+    let mut exchanged = board.exchanged.subscribe();
+    board.exchange_now.notify_one();
+    let told = exchanged.wait_for(|begun| *begun >= since);
+    if tokio::time::timeout(LAST_ANSWER, told).await.is_err() {
+        event!(board.log, LastUntold);
     }
 }
 
@@ -161,6 +179,7 @@
         }
         self.dispatches = dispatches;
         let anew = self.voter.is_none();
+        let begun = now(&self.board);
         count_precedence(&self.board);
         let own = own_loads(&self.board);
         let mut crashes = self.crashes;
@@ -207,6 +226,7 @@
                 self.crashes = crashes;
                 self.leaving = stamp;
                 self.limits = limits;
+                self.board.exchanged.send_replace(begun);
                 self.boxes = answer.load.boxes;
                 let answered = now(&self.board);
                 lock(&self.board.wall).note(answer.unix_ms, asked, answered);
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -333,6 +333,7 @@
     event!(log, Started, "box" => %settings.name, "zone" => %settings.zone);
     let stop = caller.run(stopped(&settings, &board));
     stop.await;
+    exchange::tell_last(&board).await;
     let _ = rpc.stop();
     event!(log, Stopped, "box" => %settings.name);
     Ok(())
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -128,6 +128,7 @@
     LimitNamed = 3223, Info, "an endpoint limits the requests a second from all boxes together";
     LimitEnded = 3224, Info, "an endpoint limits its requests no more";
     LimitUnreadable = 3225, Warning, "a limit that an endpoint names can't be read";
+    LastUntold = 3226, Warning, "no voter was told what this box met last before it stopped";
     RequestFailed = 3301, Warning, "a request ended in an error";
     PolicyFailed = 3302, Warning, "a policy program failed and the class's own level was used";
     CallersRefused = 3303, Error, "callers' connections can't be taken";
--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -415,3 +415,33 @@
     assert!(before >= 3, "{before}");
     assert!(late <= MOST_LATE, "{late} late arrivals, {ended} ended");
 }
+
+/// A request ended endpoints behind a box that had been asked to stop, and one endpoint too many
+/// behind the next box: the first one was gone before it had told of its ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_box_that_stops_tells_of_its_last_ends() {
+    const ROUNDS: usize = 8;
+    /// Into a stop: the box takes requests, and waits only for those that run soon after.
+    const STOPPING: Duration = Duration::from_millis(120);
+    let dir = tempfile::tempdir().unwrap();
+    let mut site = Site::start(3, 9, Duration::from_millis(500), dir.path()).await;
+    let mut brought_about = 0;
+    for round in 0..ROUNDS {
+        let body = format!("crash {round}");
+        let stopping = site.boxes[0].take().unwrap();
+        let stopped = tokio::task::spawn_blocking(move || stopping.stop(Duration::from_secs(10)));
+        tokio::time::sleep(STOPPING).await;
+        assert_ne!(site.send(0, "/sresume/crash", &body).await, Some(200));
+        assert!(stopped.await.unwrap(), "the box did not stop cleanly");
+        brought_about += usize::from(site.seen.ended(&body) > 0);
+        site.boxes[0] = Some(site.system.start_entry_at(0));
+        site.wait_serving(0).await;
+        // The next box has heard of each end, and stops after the third one.
+        assert_ne!(site.send(1, "/sresume/crash", &body).await, Some(200));
+        assert_eq!(site.seen.ended(&body), 3, "round {round}");
+    }
+    assert!(
+        brought_about > 0,
+        "the box took no request while it stopped"
+    );
+}
