Tests wait until a process has stopped that they stop; a failed test prints its logs' ends

`cordon::a_voter_without_a_majority_acknowledges_no_order` failed once, in a whole run beside a build: an order was acknowledged though both other voters had been sent SIGSTOP.

Cause, in the test: the signal is only queued when `kill` returns. On a busy machine the threads go on until the one that takes it is scheduled, measured up to 23 ms later, and an order takes about 2 ms. The check is as it was.

--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -63,20 +63,26 @@
     }
 }
 
+/// How many lines of its log a process leaves where its test fails, and of how many bytes at most.
+const LAST_LINES: usize = 8;
+const LONGEST_LINE: usize = 300;
+
 /// A process; it is killed when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Process {
     pub(crate) name: String,
+    log: PathBuf,
     child: Child,
 }
 
 impl Process {
     /// Starts a program with its log in a file.
     pub(crate) fn start(name: &str, program: &str, args: &[String], dir: &Path) -> Self {
+        let path = dir.join(format!("{name}.log"));
         let log = fs::File::options()
             .append(true)
             .create(true)
-            .open(dir.join(format!("{name}.log")))
+            .open(&path)
             .expect("a log file can be made");
         let child = Command::new(build().join(program))
             .args(args)
@@ -89,6 +95,7 @@
             });
         Self {
             name: name.to_owned(),
+            log: path,
             child,
         }
     }
@@ -97,7 +104,8 @@
         self.child.id()
     }
 
-    /// Sends a signal by name, like `STOP`.
+    /// Sends a signal by name, like `STOP`; then waits until all threads have stopped, since on a busy
+    /// machine they go on for tens of milliseconds after it was sent.
     pub(crate) fn signal(&self, signal: &str) {
         let sent = Command::new("kill")
             .arg(format!("-{signal}"))
@@ -108,6 +116,25 @@
             "{} is gone",
             self.name
         );
+        let until = Instant::now() + PATIENCE;
+        while signal == "STOP" && !self.has_stopped() {
+            assert!(Instant::now() < until, "{} does not stop", self.name);
+            std::thread::sleep(Duration::from_micros(100));
+        }
+    }
+
+    /// Whether the kernel has stopped all threads.
+    fn has_stopped(&self) -> bool {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.id()));
+        let mut threads = threads.expect("a process that runs has threads");
+        threads.all(|thread| {
+            let stat = thread.and_then(|thread| fs::read_to_string(thread.path().join("stat")));
+            // The state follows the name, which is in parentheses.
+            let state = stat
+                .ok()
+                .and_then(|stat| stat.rsplit(") ").next()?.chars().next());
+            state == Some('T')
+        })
     }
 
     /// Kills the process and waits until it is gone.
@@ -137,8 +164,27 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        let ended = self.child.try_wait();
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            self.print_last_lines(ended.ok().flatten());
+        }
+    }
+}
+
+impl Process {
+    /// Prints the end of its log: the log is gone with the folder of a test that fails.
+    fn print_last_lines(&self, ended: Option<std::process::ExitStatus>) {
+        let state = ended.map_or("ran".to_owned(), |status| status.to_string());
+        eprintln!("{}, {state}, wrote last:", self.name);
+        let log = fs::read(&self.log).unwrap_or_default();
+        let log = String::from_utf8_lossy(&log);
+        let lines: Vec<_> = log.lines().collect();
+        for line in &lines[lines.len().saturating_sub(LAST_LINES)..] {
+            let line: String = line.chars().take(LONGEST_LINE).collect();
+            eprintln!("  {line}");
+        }
     }
 }
 
