Locks are taken in one order; debug builds find the opposite one

What callers saw: about one box in a few thousand starts answered nobody and logged nothing from its first second on.

Cause: the mend of limits. `Partner::exchange` asked the dispatchers for the permits that they want in the same statement that locks the limits' book, so the book stayed locked; a new dispatcher reads the book while it is locked itself. Two threads that do so at once wait for each other for ever, and soon all others for them. Class: a guard that lives to the end of its statement.

The new test finds the opposite orders in each run before, none after.

Why this works: the book is unlocked before the dispatchers are asked. In debug builds each lock notes after which others it was ever taken, and an order that is the opposite of one before, also by way of others, breaks an invariant whether or not threads meet. Release builds are without.

--- a/src/scalewood/core/invariant.rs
+++ b/src/scalewood/core/invariant.rs
@@ -58,6 +58,8 @@
     CommittedStays = "committed-stays";
     /// No order is given under a lease that has run out.
     LeaseHeld = "lease-held";
+    /// No two locks are taken in opposite orders; checked in debug builds alone.
+    LockOrder = "lock-order";
 }
 
 static BREACHES: [AtomicU64; Rule::ALL.len()] = [const { AtomicU64::new(0) }; Rule::ALL.len()];
--- a/src/scalewood/ops/control/registry/server.rs
+++ b/src/scalewood/ops/control/registry/server.rs
@@ -1,10 +1,6 @@
 //! Gives out what a voter knows of endpoints to boxes and to the other voters.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, MutexGuard},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use jsonrpsee::{
     core::{async_trait, RpcResult, SubscriptionResult},
@@ -17,7 +13,10 @@
     board::feed,
     core::{change, load, name, pace, registry, throttle, unit, usage},
     ops::control::Handle,
-    util::{clock::Clock as _, lock::lock},
+    util::{
+        clock::Clock as _,
+        lock::{self, lock},
+    },
     wire::registry::{
         Exchanged, Gathered, News, Place, RegistryServer, Shared, Stamps, Tracker, Update, Whole,
     },
@@ -188,7 +187,7 @@
 
 impl Server {
     /// What issues permits, as one of the voters that there are now.
-    fn issuer(&self) -> MutexGuard<'_, throttle::Issuer> {
+    fn issuer(&self) -> lock::Guard<'_, throttle::Issuer> {
         let voters = self.handle.voter_count();
         let mut issuer = lock(&self.endpoints.issuer);
         issuer.set_voters(voters);
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -188,8 +188,9 @@
             (registry.leaving_since(self.leaving), registry.stamp())
         };
         let mut limits = self.limits;
+        let new_limits = lock(&self.board.throttles).news(&mut limits, now(&self.board));
         let throttle = core::throttle::News {
-            limits: lock(&self.board.throttles).news(&mut limits, now(&self.board)),
+            limits: new_limits,
             wanted: throttle::wanted(&self.board),
         };
         let mut told = load::News {
--- a/src/scalewood/util/lock.rs
+++ b/src/scalewood/util/lock.rs
@@ -2,16 +2,55 @@
 //!
 //! A panic while a lock is held means a broken invariant in one request or
 //! controller; the others go on with the state as it is.
+//!
+//! Debug builds check that no two threads can wait for each other ([`order`]).
 
 use std::{
     collections::HashMap,
     hash::{BuildHasher, Hash, RandomState},
+    ops::{Deref, DerefMut},
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
+#[cfg(debug_assertions)]
+mod order;
+
+/// What a mutex holds, while it is locked.
+#[derive(Debug)]
+pub struct Guard<'a, T> {
+    inner: MutexGuard<'a, T>,
+    #[cfg(debug_assertions)]
+    _held: order::Held,
+}
+
+impl<T> Deref for Guard<'_, T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.inner
+    }
+}
+
+impl<T> DerefMut for Guard<'_, T> {
+    fn deref_mut(&mut self) -> &mut T {
+        &mut self.inner
+    }
+}
+
 /// Locks a mutex, also after a panic elsewhere.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+///
+/// # Panics
+///
+/// Panics in debug builds if another thread may hold it and wait for one that this thread holds.
+#[track_caller]
+pub fn lock<T>(mutex: &Mutex<T>) -> Guard<'_, T> {
+    #[cfg(debug_assertions)]
+    let held = order::Held::new::<T>();
+    Guard {
+        inner: mutex.lock().unwrap_or_else(PoisonError::into_inner),
+        #[cfg(debug_assertions)]
+        _held: held,
+    }
 }
 
 /// Shards of a map; enough that a few threads seldom meet.
@@ -36,7 +75,7 @@
 
 impl<K: Hash + Eq, V> Sharded<K, V> {
     /// Locks the shard that a key belongs to.
-    pub fn shard(&self, key: &K) -> MutexGuard<'_, HashMap<K, V>> {
+    pub fn shard(&self, key: &K) -> Guard<'_, HashMap<K, V>> {
         // The remainder is below the number of shards, so the cast is exact.
         let index = self.hasher.hash_one(key) % SHARDS as u64;
         lock(&self.shards[index as usize])
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod journal;
 mod leave;
 mod load;
+mod lock;
 mod orders;
 mod overload;
 mod pace;
