Permits are issued by votes, so that voters that don't reach each other keep to a limit

What endpoints would see: up to twice their limit while the link between two voters is lost that both reach a third one.

Cause: each voter held that it issues an endpoint's permits, and that it reaches a majority, by what it saw itself. Of three voters a and c may each reach b and not each other; each of them issued the whole limit. Class: a majority counted by the one who wants it, in place of given by the others.

Why this works: a voter votes for one issuer of an endpoint at a time, by a lease of half a second that its answer renews, counted by the one who asked from when it asked. It votes for another one only once that has run out: who does not answer is left out of its choice no earlier, who answers anew gets votes no earlier, nor does anybody after its own start. An issuer goes by the whole limit with a majority of votes, else by its votes' part of all, so all of them together come to less than one and a half times the limit, whoever reaches whom. A majority alone, without parts, would leave boxes behind a cut with nothing.

What it costs: 0.5 s without permits after an issuer has come back, for its own endpoints. Names of voters go with answers between voters while any limit is known.

--- a/src/scalewood/core/throttle/issuer.rs
+++ b/src/scalewood/core/throttle/issuer.rs
@@ -2,9 +2,13 @@
 //!
 //! One voter issues an endpoint's permits, chosen by rendezvous among those that answer each
 //! other. Boxes ask the voter that they share their loads with; it asks the issuing one with what
-//! it tells it anyway. A voter that reaches no majority of all voters issues the part of the limit
-//! that the reached ones are of all, so that what voters issue that are cut off from each other
-//! comes to less than one and a half times the limit.
+//! it tells it anyway.
+//!
+//! Which voters reach each other, each of them sees in its own way. So a voter issues permits by
+//! the votes of all: each voter votes for one issuer of an endpoint at a time, by a lease that runs
+//! out ([`VOTE`]), and gives its vote to another one only once that has run out. With a majority
+//! an issuer goes by the whole limit, else by the part that its votes are of all. As each vote counts
+//! for one issuer, all of them together come to less than one and a half times the limit.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -21,6 +25,8 @@
 
 /// How long another voter may be silent and counts as reached: it answers four times a second.
 const VOTER_SILENCE: Duration = Duration::from_millis(750);
+/// For how long a vote holds, counted from when it was asked for.
+const VOTE: Duration = Duration::from_millis(500);
 /// How long who wants permits may be silent: boxes ask twice a second at least.
 const SILENCE: Duration = Duration::from_millis(1500);
 /// Permits of one endpoint that one asks for at most, so that a wrong number costs little.
@@ -58,6 +64,10 @@
     /// The permits that are issued.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub issued: Vec<Issued>,
+    /// The voters among which the one that answers chooses issuers, itself included, if it votes
+    /// for the one that asks where that is the choice; empty if it does not.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub voters: Vec<name::Box>,
 }
 
 /// Who asks for permits.
@@ -83,12 +93,27 @@
     wants: BTreeSet<name::Endpoint>,
 }
 
-/// Another voter, as it answers this one.
+/// Another voter.
 #[derive(Debug, Default)]
 struct Peer {
+    /// When it answered last.
     answered: Option<Duration>,
     /// Up to where it was told of limits.
     told: u64,
+    /// Since when this voter chooses it as an issuer, if it does.
+    chosen_since: Option<Duration>,
+    /// Until when it may count on this voter's votes.
+    voted_until: Duration,
+    /// The voters among which it chooses.
+    voters: Vec<name::Box>,
+    /// Until when its votes hold, by that.
+    votes_until: Duration,
+}
+
+impl Peer {
+    fn is_reached(&self, now: Duration) -> bool {
+        self.answered.is_some_and(|at| now < at + VOTER_SILENCE)
+    }
 }
 
 /// What one that asks wants of an endpoint.
@@ -113,16 +138,16 @@
 }
 
 impl Account {
-    /// Lets come together what the limit allows; one that takes over begins with nothing.
-    fn refill(&mut self, issues: bool, rate: f64, now: Duration) {
-        let begins = issues && !self.issues;
-        self.issues = issues;
+    /// Lets come together what this voter may issue a second, nothing if it is not the one that
+    /// does; one that takes over begins with nothing.
+    fn refill(&mut self, rate: Option<f64>, now: Duration) {
+        let begins = rate.is_some() && !self.issues;
+        self.issues = rate.is_some();
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.at = now;
-        self.level = if issues && !begins {
-            (self.level + passed * rate).min(BURST + GATHERING * rate)
-        } else {
-            0.0
+        self.level = match rate {
+            Some(rate) if !begins => (self.level + passed * rate).min(BURST + GATHERING * rate),
+            _ => 0.0,
         };
     }
 
@@ -197,6 +222,8 @@
 pub struct Issuer {
     own: name::Box,
     voters: usize,
+    /// When it was first asked or told anything.
+    started: Option<Duration>,
     book: Book,
     askers: BTreeMap<Client, Asker>,
     peers: BTreeMap<name::Box, Peer>,
@@ -209,6 +236,7 @@
         Self {
             own,
             voters: 1,
+            started: None,
             book: Book::default(),
             askers: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -233,6 +261,7 @@
         Answer {
             limits,
             issued: self.issue(&client, now),
+            voters: Vec::new(),
         }
     }
 
@@ -243,11 +272,13 @@
         Answer {
             limits: Vec::new(),
             issued: self.issue(&client, now),
+            voters: self.vote_for(from, now),
         }
     }
 
     /// What another voter is told, all limits if it starts `anew`.
     pub fn news_for(&mut self, peer: &name::Box, anew: bool, now: Duration) -> News {
+        self.choose(now);
         let wanted = self.wanted_of(peer, now);
         let known = self.peers.entry(peer.clone()).or_default();
         if anew {
@@ -268,7 +299,11 @@
         now: Duration,
     ) {
         let Some(answer) = answer else { return };
-        self.peers.entry(from.clone()).or_default().answered = Some(now);
+        let peer = self.peers.entry(from.clone()).or_default();
+        peer.answered = Some(now);
+        peer.voters = answer.voters;
+        peer.votes_until = asked + VOTE;
+        self.choose(now);
         for issued in answer.issued {
             let account = self.accounts.entry(issued.endpoint).or_default();
             account.stock.add(issued.count, asked + issued.left);
@@ -281,6 +316,7 @@
     }
 
     fn take_news(&mut self, client: &Client, told: News, now: Duration) {
+        self.choose(now);
         self.forget_silent(now);
         for row in &told.limits {
             self.book.merge(row, now);
@@ -307,12 +343,11 @@
             let Some(limit) = self.book.latest(&endpoint) else {
                 continue;
             };
-            let issues = self.issuer_of(&endpoint, now) == Some(&self.own);
-            let rate = self.rate(limit, now);
+            let rate = self.rate(&endpoint, limit, now);
             let Some(account) = self.accounts.get_mut(&endpoint) else {
                 continue;
             };
-            account.refill(issues, rate, now);
+            account.refill(rate, now);
             let issued = account.issue(client, now).into_iter();
             all.extend(issued.map(|(until, count)| Issued {
                 endpoint: endpoint.clone(),
@@ -330,7 +365,7 @@
             let wants = account.wants.iter().filter(|(client, _)| client.is_box());
             let wanted: u32 = wants.map(|(_, want)| want.count).sum();
             let count = wanted.saturating_sub(account.stock.count(now));
-            if count == 0 || self.issuer_of(endpoint, now) != Some(peer) {
+            if count == 0 || self.issuer_of(endpoint) != peer {
                 continue;
             }
             all.push(Wanted {
@@ -341,28 +376,71 @@
         all
     }
 
-    /// Whether another voter answers.
-    fn reached(&self, now: Duration) -> impl Iterator<Item = &name::Box> {
-        let answers = move |peer: &Peer| peer.answered.is_some_and(|at| now < at + VOTER_SILENCE);
-        let peers = self.peers.iter().filter(move |(_, peer)| answers(peer));
-        peers.map(|(name, _)| name)
+    /// Chooses issuers among the voters that answer. One that answers no more is left out only once
+    /// it can't count on votes from here.
+    fn choose(&mut self, now: Duration) {
+        self.started.get_or_insert(now);
+        for peer in self.peers.values_mut() {
+            if peer.is_reached(now) {
+                peer.chosen_since.get_or_insert(now);
+            } else if now >= peer.voted_until {
+                peer.chosen_since = None;
+            }
+        }
+    }
+
+    /// The voters among which issuers are chosen, this one included.
+    fn choices(&self) -> impl Iterator<Item = &name::Box> {
+        let peers = self.peers.iter();
+        let chosen = peers.filter(|(_, peer)| peer.chosen_since.is_some());
+        std::iter::once(&self.own).chain(chosen.map(|(name, _)| name))
     }
 
     /// The voter that issues an endpoint's permits, as far as is known here.
-    fn issuer_of(&self, endpoint: &name::Endpoint, now: Duration) -> Option<&name::Box> {
-        let voters = std::iter::once(&self.own).chain(self.reached(now));
-        rendezvous::winner(&[endpoint.as_str()], voters)
+    fn issuer_of(&self, endpoint: &name::Endpoint) -> &name::Box {
+        winner(endpoint, self.choices()).unwrap_or(&self.own)
     }
 
-    /// The permits a second that this voter may issue of a limit.
-    fn rate(&self, limit: Limit, now: Duration) -> f64 {
-        let reached = 1 + self.reached(now).count();
-        let voters = self.voters.max(reached);
-        if 2 * reached > voters {
-            return limit.per_second();
+    /// Whether votes from before one could be chosen, for another one, have run out.
+    fn may_vote(&self, chosen_since: Option<Duration>, now: Duration) -> bool {
+        let has_passed = |since: Option<Duration>| since.is_some_and(|since| now >= since + VOTE);
+        has_passed(self.started) && has_passed(chosen_since)
+    }
+
+    /// Votes for another voter wherever it is the choice here; what it has to know for it.
+    fn vote_for(&mut self, peer: &name::Box, now: Duration) -> Vec<name::Box> {
+        let Some(known) = self.peers.get(peer) else {
+            return Vec::new();
+        };
+        let votes = known.is_reached(now) && self.may_vote(known.chosen_since, now);
+        if !votes || self.book.all().next().is_none() {
+            return Vec::new();
+        }
+        let voters = self.choices().cloned().collect();
+        if let Some(known) = self.peers.get_mut(peer) {
+            known.voted_until = now + VOTE;
+        }
+        voters
+    }
+
+    /// How many voters have this one issue an endpoint's permits.
+    fn votes(&self, endpoint: &name::Endpoint, now: Duration) -> usize {
+        let is_own = self.issuer_of(endpoint) == &self.own;
+        let own = is_own && self.may_vote(self.started, now);
+        let holding = self.peers.values().filter(|peer| now < peer.votes_until);
+        let others = holding.filter(|peer| winner(endpoint, &peer.voters) == Some(&self.own));
+        usize::from(own) + others.count()
+    }
+
+    /// The permits a second that this voter may issue of a limit, if it is to issue any.
+    fn rate(&self, endpoint: &name::Endpoint, limit: Limit, now: Duration) -> Option<f64> {
+        let votes = self.votes(endpoint, now);
+        let voters = self.voters.max(votes);
+        if 2 * votes > voters {
+            return Some(limit.per_second());
         }
         // A few voters, so the casts are exact.
-        limit.per_second() * reached as f64 / voters as f64
+        (votes > 0).then(|| limit.per_second() * votes as f64 / voters as f64)
     }
 
     fn forget_silent(&mut self, now: Duration) {
@@ -382,3 +460,11 @@
             .retain(|endpoint, _| book.latest(endpoint).is_some());
     }
 }
+
+/// Which of some voters issues an endpoint's permits: the same one wherever these are the choices.
+fn winner<'a>(
+    endpoint: &name::Endpoint,
+    voters: impl IntoIterator<Item = &'a name::Box>,
+) -> Option<&'a name::Box> {
+    rendezvous::winner(&[endpoint.as_str()], voters)
+}
--- a/tests/testsuite/throttle_issuer.rs
+++ b/tests/testsuite/throttle_issuer.rs
@@ -201,6 +201,8 @@
     limit: Limit,
     /// Which side of a cut each voter is on, and its boxes.
     cut: Vec<bool>,
+    /// Voters that don't reach each other, whoever else they reach.
+    severed: BTreeSet<(usize, usize)>,
     /// When requests were sent.
     sent: Vec<u64>,
     now: u64,
@@ -236,6 +238,7 @@
             endpoint: name("i-1"),
             limit,
             cut: vec![false; voters],
+            severed: BTreeSet::new(),
             sent: Vec::new(),
             now: 0,
         }
@@ -303,7 +306,8 @@
     /// A voter tells another one.
     fn share(&mut self, from: usize, to: usize) {
         let reached = self.is_up(from) && self.is_up(to) && self.cut[from] == self.cut[to];
-        if !reached || self.is_lost() {
+        let severed = self.severed.contains(&(from.min(to), from.max(to)));
+        if !reached || severed || self.is_lost() {
             return;
         }
         let (now, lost) = (self.now(), self.is_lost());
@@ -408,6 +412,10 @@
             }
             self.send();
         }
+        self.sent_in_order()
+    }
+
+    fn sent_in_order(&self) -> Vec<u64> {
         let mut sent = self.sent.clone();
         sent.sort_unstable();
         sent
@@ -477,6 +485,38 @@
     println!("at worst {worst:.2} of what may arrive");
 }
 
+/// Links between two voters are lost and come back, one or a few at a time, beside all else: voters
+/// that don't reach each other may each reach a majority.
+#[test]
+fn permits_keep_to_a_limit_while_links_between_voters_are_lost() {
+    for seed in 300..500 {
+        let mut world = World::new(seed);
+        let count = world.voters.len();
+        for end in (5..=40).step_by(5) {
+            let disturbed = world.random.random_bool(0.5);
+            world.play(second(end), disturbed);
+            let lost = world.random.random_range(0..4);
+            world.severed.clear();
+            for _ in 0..lost {
+                let (a, b) = (
+                    world.random.random_range(0..count),
+                    world.random.random_range(0..count),
+                );
+                world.severed.insert((a.min(b), a.max(b)));
+            }
+        }
+        let sent = world.sent_in_order();
+        let most = world.limit.per_second() * WINDOW.as_secs_f64() * 1.5 + 5.0;
+        let densest = densest(&sent);
+        assert!(
+            densest as f64 <= most,
+            "seed {seed}: limit {}, {} boxes, {count} voters: {densest} in a window of {most:.1}",
+            world.limit,
+            world.boxes.len(),
+        );
+    }
+}
+
 /// The voter that issues the permits is lost again and again: others issue them before the endpoint
 /// has had nothing for seconds.
 #[test]
