--- a/src/scalewood/util/lock.rs
+++ b/src/scalewood/util/lock.rs
@@ -3,7 +3,7 @@
 //! A panic while a lock is held means a broken invariant in one request or
 //! controller; the others go on with the state as it is.
 //!
-//! Debug builds check that no two threads can wait for each other ([`order`]).
+//! Debug builds check that no two threads can wait for each other.
 
 use std::{
     collections::HashMap,
