--- a/src/scalewood/core/throttle/issuer.rs
+++ b/src/scalewood/core/throttle/issuer.rs
@@ -4,11 +4,7 @@
 //! other. Boxes ask the voter that they share their loads with; it asks the issuing one with what
 //! it tells it anyway.
 //!
-//! Which voters reach each other, each of them sees in its own way. So a voter issues permits by
-//! the votes of all: each voter votes for one issuer of an endpoint at a time, by a lease that runs
-//! out ([`VOTE`]), and gives its vote to another one only once that has run out. With a majority
-//! an issuer goes by the whole limit, else by the part that its votes are of all. As each vote counts
-//! for one issuer, all of them together come to less than one and a half times the limit.
+//! How much of a limit an issuer goes by, it is told by the votes of all voters ([`Ballot`]).
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,15 +14,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    ballot::Ballot,
     permit::{Issued, Stock, Wanted, LIFE},
-    Book, Limit, Row,
+    Book, Row,
 };
-use crate::core::{name, rendezvous};
+use crate::core::name;
 
-/// How long another voter may be silent and counts as reached: it answers four times a second.
-const VOTER_SILENCE: Duration = Duration::from_millis(750);
-/// For how long a vote holds, counted from when it was asked for.
-const VOTE: Duration = Duration::from_millis(500);
 /// How long who wants permits may be silent: boxes ask twice a second at least.
 const SILENCE: Duration = Duration::from_millis(1500);
 /// Permits of one endpoint that one asks for at most, so that a wrong number costs little.
@@ -93,29 +86,6 @@
     wants: BTreeSet<name::Endpoint>,
 }
 
-/// Another voter.
-#[derive(Debug, Default)]
-struct Peer {
-    /// When it answered last.
-    answered: Option<Duration>,
-    /// Up to where it was told of limits.
-    told: u64,
-    /// Since when this voter chooses it as an issuer, if it does.
-    chosen_since: Option<Duration>,
-    /// Until when it may count on this voter's votes.
-    voted_until: Duration,
-    /// The voters among which it chooses.
-    voters: Vec<name::Box>,
-    /// Until when its votes hold, by that.
-    votes_until: Duration,
-}
-
-impl Peer {
-    fn is_reached(&self, now: Duration) -> bool {
-        self.answered.is_some_and(|at| now < at + VOTER_SILENCE)
-    }
-}
-
 /// What one that asks wants of an endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 struct Want {
@@ -220,13 +190,11 @@
 /// The permits that one voter issues or passes on, and the limits that it knows of.
 #[derive(Debug)]
 pub struct Issuer {
-    own: name::Box,
-    voters: usize,
-    /// When it was first asked or told anything.
-    started: Option<Duration>,
+    ballot: Ballot,
     book: Book,
     askers: BTreeMap<Client, Asker>,
-    peers: BTreeMap<name::Box, Peer>,
+    /// Up to where other voters were told of limits.
+    told: BTreeMap<name::Box, u64>,
     accounts: BTreeMap<name::Endpoint, Account>,
 }
 
@@ -234,19 +202,17 @@
     /// The issuer of a voter that knows of no limits.
     pub fn new(own: name::Box) -> Self {
         Self {
-            own,
-            voters: 1,
-            started: None,
+            ballot: Ballot::new(own),
             book: Book::default(),
             askers: BTreeMap::new(),
-            peers: BTreeMap::new(),
+            told: BTreeMap::new(),
             accounts: BTreeMap::new(),
         }
     }
 
     /// Sets how many voters there are.
     pub fn set_voters(&mut self, voters: usize) {
-        self.voters = voters;
+        self.ballot.set_voters(voters);
     }
 
     /// Takes what a box tells and wants; it is told of all limits if it starts `anew`.
@@ -269,23 +235,25 @@
     pub fn ask_for(&mut self, from: &name::Box, told: News, now: Duration) -> Answer {
         let client = Client::Voter(from.clone());
         self.take_news(&client, told, now);
+        let is_limited = self.book.all().next().is_some();
+        let voters = is_limited.then(|| self.ballot.vote_for(from, now));
         Answer {
             limits: Vec::new(),
             issued: self.issue(&client, now),
-            voters: self.vote_for(from, now),
+            voters: voters.unwrap_or_default(),
         }
     }
 
     /// What another voter is told, all limits if it starts `anew`.
     pub fn news_for(&mut self, peer: &name::Box, anew: bool, now: Duration) -> News {
-        self.choose(now);
+        self.ballot.choose(now);
         let wanted = self.wanted_of(peer, now);
-        let known = self.peers.entry(peer.clone()).or_default();
+        let told = self.told.entry(peer.clone()).or_default();
         if anew {
-            known.told = 0;
+            *told = 0;
         }
         News {
-            limits: self.book.news(&mut known.told, now),
+            limits: self.book.news(told, now),
             wanted,
         }
     }
@@ -299,11 +267,7 @@
         now: Duration,
     ) {
         let Some(answer) = answer else { return };
-        let peer = self.peers.entry(from.clone()).or_default();
-        peer.answered = Some(now);
-        peer.voters = answer.voters;
-        peer.votes_until = asked + VOTE;
-        self.choose(now);
+        self.ballot.take(from, answer.voters, asked, now);
         for issued in answer.issued {
             let account = self.accounts.entry(issued.endpoint).or_default();
             account.stock.add(issued.count, asked + issued.left);
@@ -316,7 +280,7 @@
     }
 
     fn take_news(&mut self, client: &Client, told: News, now: Duration) {
-        self.choose(now);
+        self.ballot.choose(now);
         self.forget_silent(now);
         for row in &told.limits {
             self.book.merge(row, now);
@@ -343,7 +307,7 @@
             let Some(limit) = self.book.latest(&endpoint) else {
                 continue;
             };
-            let rate = self.rate(&endpoint, limit, now);
+            let rate = self.ballot.rate(&endpoint, limit, now);
             let Some(account) = self.accounts.get_mut(&endpoint) else {
                 continue;
             };
@@ -365,7 +329,7 @@
             let wants = account.wants.iter().filter(|(client, _)| client.is_box());
             let wanted: u32 = wants.map(|(_, want)| want.count).sum();
             let count = wanted.saturating_sub(account.stock.count(now));
-            if count == 0 || self.issuer_of(endpoint) != peer {
+            if count == 0 || self.ballot.issuer_of(endpoint) != peer {
                 continue;
             }
             all.push(Wanted {
@@ -376,73 +340,6 @@
         all
     }
 
-    /// Chooses issuers among the voters that answer. One that answers no more is left out only once
-    /// it can't count on votes from here.
-    fn choose(&mut self, now: Duration) {
-        self.started.get_or_insert(now);
-        for peer in self.peers.values_mut() {
-            if peer.is_reached(now) {
-                peer.chosen_since.get_or_insert(now);
-            } else if now >= peer.voted_until {
-                peer.chosen_since = None;
-            }
-        }
-    }
-
-    /// The voters among which issuers are chosen, this one included.
-    fn choices(&self) -> impl Iterator<Item = &name::Box> {
-        let peers = self.peers.iter();
-        let chosen = peers.filter(|(_, peer)| peer.chosen_since.is_some());
-        std::iter::once(&self.own).chain(chosen.map(|(name, _)| name))
-    }
-
-    /// The voter that issues an endpoint's permits, as far as is known here.
-    fn issuer_of(&self, endpoint: &name::Endpoint) -> &name::Box {
-        winner(endpoint, self.choices()).unwrap_or(&self.own)
-    }
-
-    /// Whether votes from before one could be chosen, for another one, have run out.
-    fn may_vote(&self, chosen_since: Option<Duration>, now: Duration) -> bool {
-        let has_passed = |since: Option<Duration>| since.is_some_and(|since| now >= since + VOTE);
-        has_passed(self.started) && has_passed(chosen_since)
-    }
-
-    /// Votes for another voter wherever it is the choice here; what it has to know for it.
-    fn vote_for(&mut self, peer: &name::Box, now: Duration) -> Vec<name::Box> {
-        let Some(known) = self.peers.get(peer) else {
-            return Vec::new();
-        };
-        let votes = known.is_reached(now) && self.may_vote(known.chosen_since, now);
-        if !votes || self.book.all().next().is_none() {
-            return Vec::new();
-        }
-        let voters = self.choices().cloned().collect();
-        if let Some(known) = self.peers.get_mut(peer) {
-            known.voted_until = now + VOTE;
-        }
-        voters
-    }
-
-    /// How many voters have this one issue an endpoint's permits.
-    fn votes(&self, endpoint: &name::Endpoint, now: Duration) -> usize {
-        let is_own = self.issuer_of(endpoint) == &self.own;
-        let own = is_own && self.may_vote(self.started, now);
-        let holding = self.peers.values().filter(|peer| now < peer.votes_until);
-        let others = holding.filter(|peer| winner(endpoint, &peer.voters) == Some(&self.own));
-        usize::from(own) + others.count()
-    }
-
-    /// The permits a second that this voter may issue of a limit, if it is to issue any.
-    fn rate(&self, endpoint: &name::Endpoint, limit: Limit, now: Duration) -> Option<f64> {
-        let votes = self.votes(endpoint, now);
-        let voters = self.voters.max(votes);
-        if 2 * votes > voters {
-            return Some(limit.per_second());
-        }
-        // A few voters, so the casts are exact.
-        (votes > 0).then(|| limit.per_second() * votes as f64 / voters as f64)
-    }
-
     fn forget_silent(&mut self, now: Duration) {
         let silent = self.askers.iter();
         let silent = silent.filter(|(_, asker)| asker.heard + SILENCE < now);
@@ -460,11 +357,3 @@
             .retain(|endpoint, _| book.latest(endpoint).is_some());
     }
 }
-
-/// Which of some voters issues an endpoint's permits: the same one wherever these are the choices.
-fn winner<'a>(
-    endpoint: &name::Endpoint,
-    voters: impl IntoIterator<Item = &'a name::Box>,
-) -> Option<&'a name::Box> {
-    rendezvous::winner(&[endpoint.as_str()], voters)
-}
--- a/src/scalewood/core/throttle/mod.rs
+++ b/src/scalewood/core/throttle/mod.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+mod ballot;
 mod book;
 mod issuer;
 mod meter;
