--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -196,21 +196,26 @@
     /// other endpoints than before count as slow.
     fn take_paces(&self, from: &name::Box, paces: Vec<pace::Paced>) {
         let mut news = false;
+        let mut medians = Vec::with_capacity(paces.len());
         {
             let mut registry = lock(&self.registry);
             let mut measured = lock(&self.measured);
             if measured.len() > MAX_MEASURED {
                 measured.retain(|name, _| registry.get(name).is_some());
             }
-            let mut own = lock(&self.own);
             for paced in paces {
                 let reports = measured.entry(paced.endpoint.clone()).or_default();
                 let median = reports.take(from.clone(), paced.pace);
                 news |= registry.set_pace(&paced.endpoint, median);
-                own.set_pace(&paced.endpoint, median);
+                medians.push((paced.endpoint, median));
             }
             news |= registry.regrade();
         }
+        let mut own = lock(&self.own);
+        for (endpoint, median) in medians {
+            own.set_pace(&endpoint, median);
+        }
+        drop(own);
         if news {
             self.tell();
         }
