--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -188,6 +188,7 @@
             (registry.leaving_since(self.leaving), registry.stamp())
         };
         let mut limits = self.limits;
+        // Unlocked before dispatchers are asked: these read it while they are locked.
         let new_limits = lock(&self.board.throttles).news(&mut limits, now(&self.board));
         let throttle = core::throttle::News {
             limits: new_limits,
