--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -423,6 +423,8 @@
     const ROUNDS: usize = 8;
     /// Into a stop: the box takes requests, and waits only for those that run soon after.
     const STOPPING: Duration = Duration::from_millis(120);
+    /// As long as word takes from a box by its voter to another voter's boxes, and some more.
+    const HEARD: Duration = Duration::from_secs(1);
     let dir = tempfile::tempdir().unwrap();
     let mut site = Site::start(3, 9, Duration::from_millis(500), dir.path()).await;
     let mut brought_about = 0;
@@ -436,7 +438,8 @@
         brought_about += usize::from(site.seen.ended(&body) > 0);
         site.boxes[0] = Some(site.system.start_entry_at(0));
         site.wait_serving(0).await;
-        // The next box has heard of each end, and stops after the third one.
+        // The next box hears of each end, and stops after the third one.
+        tokio::time::sleep(HEARD).await;
         assert_ne!(site.send(1, "/sresume/crash", &body).await, Some(200));
         assert_eq!(site.seen.ended(&body), 3, "round {round}");
     }
