Tests: a dropped link ends with its task and its listener

Cause, by reading: the sender of `down` goes with the link, `until` returns at once on the error, and the link's task closes its listener and binds it again in a loop to the end of the runtime. The task also held the senders, so connections stayed. Now the link aborts its task when it is dropped, which drops the senders and so closes the connections. The test checks connections, tasks and the listener.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod failure;
 mod feed;
 mod follow;
+mod forwarder;
 mod help;
 mod incarnation;
 mod invariant;
--- a/tests/testsuite/support/forwarder.rs
+++ b/tests/testsuite/support/forwarder.rs
@@ -9,6 +9,7 @@
         TcpListener, TcpStream,
     },
     sync::watch,
+    task::JoinHandle,
 };
 
 /// How a link treats its connections.
@@ -26,12 +27,20 @@
     Delayed(Duration),
 }
 
-/// A link between two addresses.
+/// A link between two addresses. When it is dropped, its listener and all its connections close.
 #[derive(Debug)]
 pub(crate) struct Forwarder {
     mode: Arc<watch::Sender<Mode>>,
     silenced: Arc<watch::Sender<u64>>,
     down: Arc<watch::Sender<bool>>,
+    accepting: JoinHandle<()>,
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        // This drops the task's `mode` sender too, which closes the connections.
+        self.accepting.abort();
+    }
 }
 
 impl Forwarder {
@@ -44,7 +53,7 @@
         let silence = silenced.clone();
         let down = Arc::new(watch::Sender::new(false));
         let mut is_down = down.subscribe();
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
             let mut listener = listener;
             loop {
                 tokio::select! {
@@ -61,6 +70,7 @@
             mode,
             silenced,
             down,
+            accepting,
         }
     }
 
@@ -102,8 +112,10 @@
 
 /// Waits until a switch has a value.
 async fn until(switch: &mut watch::Receiver<bool>, value: bool) {
-    // An error means that the link was dropped, so there is nothing left to wait for.
-    let _ = switch.wait_for(|now| *now == value).await;
+    if switch.wait_for(|now| *now == value).await.is_err() {
+        // The link was dropped, and this task is about to be aborted.
+        std::future::pending::<()>().await;
+    }
 }
 
 async fn accept(
