Count for a request that it completed shortly before an endpoint ended

Cause: three ends in succession convict, and only a run to the end after them clears. What is sent by everybody is at hand at any end; with one end of another cause beside two of a crashing request both are held back, and nothing can clear it any more. Change: a box keeps checksums of what completed, and records no end for a request that completed within two seconds before. A request that always crashes its endpoint never completes, so it is found as before. A completion costs 0.3 to 0.45 us, 0.22 ms with 4 MiB.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -172,6 +172,8 @@
     pub endpoint_limits: Mutex<throttle::Book>,
     /// The requests during which endpoints have crashed.
     pub crashes: Mutex<crash::Book>,
+    /// The requests that have completed recently.
+    pub completions: Mutex<crash::Completions>,
     /// Whether an exchange with a voter, which reports the held-back requests, has succeeded since
     /// this process started.
     pub held_back_known: AtomicBool,
@@ -260,6 +262,7 @@
             backoffs: Mutex::new(backoffs),
             endpoint_limits: Mutex::default(),
             crashes: Mutex::default(),
+            completions: Mutex::default(),
             held_back_known: AtomicBool::new(false),
             held_back: watch::Sender::new(0),
             last_exchange_at: watch::Sender::new(now),
--- a/src/scalewood/core/crash/mod.rs
+++ b/src/scalewood/core/crash/mod.rs
@@ -6,16 +6,19 @@
 //! with the loads, and voters to each other and to the boxes. When [`ENDS_TO_HOLD_BACK`] endpoints
 //! have ended under a request, all boxes hold it back.
 //!
-//! Harmless requests that run beside it fail with it. A request that completes anywhere is cleared.
-//! Only a request that was present each time and never completed is held back.
+//! Harmless requests that run beside it fail with it. A request that completes anywhere is cleared,
+//! and one that completed shortly before is not recorded ([`Completions`]). Only a request that was
+//! present each time and never completed is held back.
 
 use serde::{Deserialize, Serialize};
 
 use crate::core::{fingerprint::Fingerprint, name, registry, rendezvous};
 
 mod book;
+mod completions;
 
 pub use book::{Book, Cursor, Scope, RETENTION};
+pub use completions::{Completions, RECENT};
 
 /// The number of ended endpoints after which a request is held back. Few of the harmless requests
 /// that were present at two ends are present at a third: with 50 long streams beside such a request
--- a/src/scalewood/core/fingerprint.rs
+++ b/src/scalewood/core/fingerprint.rs
@@ -73,6 +73,24 @@
     }
 }
 
+/// A checksum by which a box recognises its recent requests. Unlike a [`Fingerprint`] it is cheap
+/// for all bodies (0.2 ms for 4 MiB), and it is never compared between boxes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Checksum(u64);
+
+impl Checksum {
+    /// Returns the checksum of a request.
+    pub fn of(head: HeadHash, body: &[u8]) -> Self {
+        let body = u64::from(crc32fast::hash(body));
+        // The head's hash is uniformly distributed, and so is the sum.
+        Self(head.0.wrapping_add(body << 32 | body))
+    }
+
+    pub(super) fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
 /// Returns the first 64 bits of a hash.
 fn first_64_bits(hash: &[u8]) -> u64 {
     let first = hash.first_chunk().expect("a SHA-256 has 32 bytes");
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -16,7 +16,7 @@
 use crate::{
     core::{
         crash,
-        fingerprint::{Fingerprint, Head, HeadHash},
+        fingerprint::{Checksum, Fingerprint, Head, HeadHash},
         name, registry,
     },
     event,
@@ -73,6 +73,11 @@
         *request.head.get_or_init(hash)
     }
 
+    /// Returns the checksum, which covers the body.
+    fn checksum(&self) -> Checksum {
+        Checksum::of(self.head(), &self.0.body)
+    }
+
     /// Returns the fingerprint, which covers the body.
     pub(super) fn fingerprint(&self) -> Fingerprint {
         let compute = || Fingerprint::of(self.head(), &self.0.body);
@@ -90,7 +95,8 @@
     pub(super) sent_at: Duration,
 }
 
-/// Checks whether an endpoint that broke off a request has crashed, and records it if so.
+/// Checks whether an endpoint that broke off a request has crashed, and records it if so, unless the
+/// request has completed recently.
 pub(super) async fn record_if_crashed(
     board: &Shared,
     content: &Content,
@@ -101,9 +107,14 @@
     if !refuses_connections(target.address).await {
         return;
     }
+    let is_harmless = lock(&board.completions).is_recent(content.checksum(), broke_at);
     let fingerprint = content.fingerprint();
     event!(board.log, EndpointEnded, "endpoint" => %target.endpoint, "request" => request,
-        "incarnation" => target.start.map(|start| start.0), "fingerprint" => %fingerprint);
+        "incarnation" => target.start.map(|start| start.0), "fingerprint" => %fingerprint,
+        "completed_recently" => is_harmless);
+    if is_harmless {
+        return;
+    }
     let unix_ms = lock(&board.wall_clock).unix_ms(board.clock.unix_ms(), broke_at);
     let ran = broke_at.saturating_sub(target.sent_at);
     let end = crash::End {
@@ -131,6 +142,7 @@
 /// Records that a request ran to completion, which clears the crashes recorded for it. Most
 /// requests have none.
 pub(super) fn record_completed(board: &Shared, content: &Content) {
+    lock(&board.completions).record(content.checksum(), now(board));
     if is_known(board, content) {
         let fingerprint = content.fingerprint();
         let now = now(board);
--- a/tests/testsuite/random/mod.rs
+++ b/tests/testsuite/random/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod agree;
 pub(crate) mod claim;
+pub(crate) mod crash;
 pub(crate) mod dispatch;
 pub(crate) mod incarnation;
 pub(crate) mod member;
