Predict by what all boxes have measured of the endpoints

Cause: each box predicts first tokens from its own measurements. All failing fleets have many boxes with few requests each, which assume that endpoints process a less urgent backlog first, and 40 tokens/ms. Change: boxes report measured times, tokens and order with their loads, hubs add them up, and dispatchers go by the sums. The order is a quotient of tokens: as a mean of fractions it was learnt behind small backlogs and applied to large ones. A box without the others' loads goes by its own. The simulated exchange of the fleets passes the new rows on; its checks are as they were.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -15,7 +15,7 @@
 use crate::{
     board::{feed, view},
     core::{
-        attempt, backoff, catchup, claim, config, crash, dispatch, limit, member, name, pace,
+        attempt, backoff, catchup, claim, config, crash, dispatch, limit, load, member, name, pace,
         region, registry, residency, retry, throttle, unit, usage, wall_clock, warm_up,
     },
     util::{
@@ -170,6 +170,8 @@
     pub backoffs: Mutex<backoff::Book>,
     /// The limits that endpoints set on the requests from all boxes together.
     pub endpoint_limits: Mutex<throttle::Book>,
+    /// How each service's endpoints process prompts, as all boxes have measured it.
+    pub prefills: Mutex<BTreeMap<name::Service, load::Measured>>,
     /// The requests during which endpoints have crashed.
     pub crashes: Mutex<crash::Book>,
     /// The requests that have completed recently.
@@ -261,6 +263,7 @@
             paces: Mutex::default(),
             backoffs: Mutex::new(backoffs),
             endpoint_limits: Mutex::default(),
+            prefills: Mutex::default(),
             crashes: Mutex::default(),
             completions: Mutex::default(),
             held_back_known: AtomicBool::new(false),
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -148,6 +148,8 @@
     /// The prompt sizes of classes, as observed by all boxes together; classes of other
     /// services are ignored.
     PromptSizes(Vec<load::Prompts>),
+    /// How this service's endpoints process prompts, as measured by all boxes together.
+    Prefill(load::Measured),
     /// All bounds on less urgent requests of this service that follow from refusals at any box.
     Bounds(Vec<load::Bound>),
     /// The endpoints that warm up and that this box has a lease to send to, the end of the lease,
@@ -270,7 +272,12 @@
             Input::BoxGone(origin) => self.drop_box(&origin),
             Input::LiveBoxes(alive) => self.set_boxes(alive),
             Input::BoxCount(count) => self.endpoints.set_box_count(count),
-            Input::OtherLoads(loads) => self.endpoints.set_others(loads.as_ref()),
+            Input::OtherLoads(loads) => {
+                if loads.is_none() {
+                    self.prefill.forget_global();
+                }
+                self.endpoints.set_others(loads.as_ref());
+            }
             Input::OtherLoadsChanged(changed) => self.endpoints.change_others(&changed),
             Input::Placements(placements) => self.endpoints.record_placed(&placements, now),
             Input::Risks(risks) => self.endpoints.set_risks(&risks, now),
@@ -278,6 +285,7 @@
                 prompts.retain(|seen| self.classes.contains_key(&seen.class));
                 self.placement.set_sizes(&prompts);
             }
+            Input::Prefill(measured) => self.prefill.set_global(&measured),
             Input::Bounds(bounds) => self.refusals.set_bounds(bounds, now),
             Input::Leases(leased, until, hubs) => {
                 self.endpoints.set_leases(&leased, until, hubs, now);
--- a/src/scalewood/core/dispatch/prefill.rs
+++ b/src/scalewood/core/dispatch/prefill.rs
@@ -7,14 +7,21 @@
 //!
 //! Endpoints process the prompts of more urgent requests first, but don't interrupt one that
 //! they have started. Which fraction of the less urgent prompts is processed before a request
-//! is estimated beside the rate.
+//! is estimated beside the rate, as the quotient of sums of tokens too: what matters is the wait
+//! behind a large backlog, of which a prompt that is being processed is a small part.
+//!
+//! A box of many makes few measurements. So what all boxes have measured together takes
+//! precedence over its own estimates, once it is known.
 
 use std::time::Duration;
 
+use crate::core::load;
+
 /// Tokens per millisecond assumed before anything was measured: below the rate of most
 /// accelerators, so that waits are rather overestimated.
 const INITIAL_TOKENS_PER_MS: f64 = 40.0;
-/// The tokens that the assumed rate counts for; a few measurements outweigh it.
+/// The tokens that the assumed rate counts for, as does the assumption that less urgent prompts are
+/// processed first; a few measurements outweigh it.
 const INITIAL_WEIGHT_TOKENS: f64 = 4000.0;
 /// The factor by which the sums decay with each measurement: half is forgotten after about
 /// thirty.
@@ -25,8 +32,12 @@
 /// The smallest ratio of the less urgent tokens to all others for which a measurement shows
 /// whether they were processed first.
 const MIN_LESS_URGENT_RATIO: f64 = 0.5;
-/// The weight of one such measurement: about twenty of them outweigh the previous estimate.
-const ORDER_MEASUREMENT_WEIGHT: f64 = 0.05;
+/// The factor by which the sums of the order decay with each such measurement.
+const ORDER_DECAY_PER_MEASUREMENT: f64 = 0.95;
+/// The measured time that is reported to other boxes at once, and the number of exchanges, some
+/// hundred milliseconds apart, after which less is reported too.
+const MIN_REPORTED_MILLIS: u32 = 1_000;
+const MAX_ASKED: u32 = 4;
 /// The largest factor by which a measurement may differ from the estimate; it is clamped beyond
 /// that. The cause may be a prompt cached elsewhere than expected, or a failing endpoint.
 const MAX_DEVIATION_FACTOR: f64 = 3.0;
@@ -45,8 +56,17 @@
 pub(super) struct Estimate {
     tokens: f64,
     millis: f64,
-    /// The fraction of less urgent prompts that is processed first.
-    less_urgent_fraction: f64,
+    /// The less urgent tokens that were pending when requests were granted, and those of them that
+    /// were processed first.
+    less_urgent: f64,
+    processed_first: f64,
+    /// The rate and the fraction as measured by all boxes.
+    global_rate: Option<f64>,
+    global_fraction: Option<f64>,
+    /// The measurements that were not reported yet, and the number of times that they were asked
+    /// for since the last report.
+    unreported: load::Measured,
+    asked: u32,
 }
 
 impl Default for Estimate {
@@ -54,7 +74,12 @@
         Self {
             tokens: INITIAL_WEIGHT_TOKENS,
             millis: INITIAL_WEIGHT_TOKENS / INITIAL_TOKENS_PER_MS,
-            less_urgent_fraction: 1.0,
+            less_urgent: INITIAL_WEIGHT_TOKENS,
+            processed_first: INITIAL_WEIGHT_TOKENS,
+            global_rate: None,
+            global_fraction: None,
+            unreported: load::Measured::default(),
+            asked: 0,
         }
     }
 }
@@ -80,6 +105,40 @@
         );
         self.tokens = self.tokens * DECAY_PER_MEASUREMENT + tokens;
         self.millis = self.millis * DECAY_PER_MEASUREMENT + millis;
+        // Casts from floating point saturate.
+        self.unreported += load::Measured {
+            millis: millis.round() as u32,
+            tokens: tokens.round() as u64,
+            ..load::Measured::default()
+        };
+    }
+
+    /// Returns the measurements to report to other boxes, if they are due.
+    pub(super) fn take_unreported(&mut self) -> Option<load::Measured> {
+        self.asked += 1;
+        let unreported = self.unreported;
+        let is_due = unreported.millis >= MIN_REPORTED_MILLIS || self.asked >= MAX_ASKED;
+        if unreported == load::Measured::default() || !is_due {
+            return None;
+        }
+        (self.unreported, self.asked) = (load::Measured::default(), 0);
+        Some(unreported)
+    }
+
+    /// Sets what all boxes have measured together.
+    pub(super) fn set_global(&mut self, measured: &load::Measured) {
+        let rate = measured
+            .rate()
+            .map(|per_second| to_f64(per_second) / 1000.0);
+        let fraction = measured.order().map(|permille| to_f64(permille) / 1000.0);
+        self.global_rate = rate.or(self.global_rate);
+        self.global_fraction = fraction.or(self.global_fraction);
+    }
+
+    /// Forgets what all boxes have measured. While the loads of the other boxes are unknown, waits
+    /// behind their prompts show as a lower rate, and only in the estimates of this box.
+    pub(super) fn forget_global(&mut self) {
+        (self.global_rate, self.global_fraction) = (None, None);
     }
 
     /// Updates the fraction of less urgent prompts that is processed first.
@@ -93,14 +152,22 @@
             return;
         }
         let processed = took.as_secs_f64() * 1000.0 * self.rate();
-        let fraction = ((processed - as_urgent) / less_urgent).clamp(0.0, 1.0);
-        self.less_urgent_fraction +=
-            (fraction - self.less_urgent_fraction) * ORDER_MEASUREMENT_WEIGHT;
+        let first = (processed - as_urgent).clamp(0.0, less_urgent);
+        self.less_urgent = self.less_urgent * ORDER_DECAY_PER_MEASUREMENT + less_urgent;
+        self.processed_first = self.processed_first * ORDER_DECAY_PER_MEASUREMENT + first;
+        // Casts from floating point saturate.
+        self.unreported += load::Measured {
+            less_urgent: ahead.less_urgent,
+            processed_first: first.round() as u64,
+            ..load::Measured::default()
+        };
     }
 
     /// Returns the tokens of other requests that are processed before a request.
     fn tokens_before(&self, ahead: Ahead) -> f64 {
-        to_f64(ahead.as_urgent) + to_f64(ahead.less_urgent) * self.less_urgent_fraction
+        let own_fraction = self.processed_first / self.less_urgent;
+        let fraction = self.global_fraction.unwrap_or(own_fraction);
+        to_f64(ahead.as_urgent) + to_f64(ahead.less_urgent) * fraction
     }
 
     /// Returns how long it takes to process the tokens that come before a request.
@@ -110,7 +177,7 @@
 
     /// Returns the rate in tokens per millisecond.
     pub(super) fn rate(&self) -> f64 {
-        self.tokens / self.millis
+        self.global_rate.unwrap_or(self.tokens / self.millis)
     }
 
     /// Returns how long it takes to process a number of tokens.
--- a/src/scalewood/core/dispatch/status.rs
+++ b/src/scalewood/core/dispatch/status.rs
@@ -69,6 +69,12 @@
         self.placement.take_unreported()
     }
 
+    /// Returns what was measured here of how endpoints process prompts, if it is due to be reported
+    /// to other boxes.
+    pub fn take_prefill(&mut self) -> Option<load::Measured> {
+        self.prefill.take_unreported()
+    }
+
     /// Returns the results of requests here, by class, that are due to be reported to other
     /// boxes.
     pub fn take_counts(&mut self) -> Vec<(name::Class, load::ClassCounts)> {
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -13,10 +13,12 @@
 use super::{
     delta::significant_changes,
     merge,
+    prefill::Prefills,
     refused::{Sums, Unsent},
     set_or_remove,
     sizes::Sizes,
-    Answer, EndpointLoad, Load, Loads, Outcome, OutcomeCounts, Placement, Prompts, Risk, Update,
+    Answer, EndpointLoad, Load, Loads, Outcome, OutcomeCounts, Placement, Prefill, Prompts, Risk,
+    Update,
 };
 use crate::core::{
     crash,
@@ -51,6 +53,8 @@
     risks: BTreeMap<name::Endpoint, Chance>,
     /// The mean prompt sizes, in tokens, as last sent to it.
     sizes: BTreeMap<name::Class, u64>,
+    /// How endpoints process prompts, as last sent to it.
+    prefills: Prefills,
     /// The serial number of the next placement to send to it.
     next: u64,
     /// How far it has been sent the requests during which endpoints crashed.
@@ -68,6 +72,7 @@
             sent: Loads::new(),
             risks: BTreeMap::new(),
             sizes: BTreeMap::new(),
+            prefills: Prefills::default(),
             next: 0,
             crashes: crash::Cursor::default(),
             answered: 0.0,
@@ -110,6 +115,8 @@
     outcomes: BTreeMap<name::Endpoint, OutcomeCounts>,
     /// Prompts that were not sent to it yet.
     prompts: Sizes,
+    /// Measurements of how endpoints process prompts that were not sent to it yet.
+    prefills: Prefills,
     /// Requests that arrived, started or were refused, and were not sent to it yet.
     refused: Unsent,
     /// How far it has been sent the requests during which endpoints crashed.
@@ -139,6 +146,8 @@
     risks: BTreeMap<name::Endpoint, risk::Risk>,
     /// The prompts that all boxes have seen.
     sizes: Sizes,
+    /// How endpoints process prompts, as all boxes have measured it.
+    prefills: Prefills,
     /// The recent requests of all boxes, by outcome.
     refused: Sums,
     /// Since when requests at an endpoint have waited without any of them getting a first token.
@@ -183,9 +192,11 @@
         self.queue_outcomes(&report.outcomes, weight);
         self.apply_outcomes(&report.outcomes, weight, now);
         self.sizes.add(&report.prompts);
+        self.prefills.add(&report.prefills);
         self.refused.add(&report.refused, &report.traffic, now);
         for link in self.links.values_mut() {
             link.prompts.add(&report.prompts);
+            link.prefills.add(&report.prefills);
             link.refused.add(&report.refused, &report.traffic);
         }
         self.detect_stalled(now);
@@ -194,6 +205,7 @@
             loads: self.loads_for(from),
             placements: self.placements_for(from),
             prompts: self.sizes_for(from),
+            prefills: self.prefills_for(from),
             risks: self.risks_for(from, &failed_at, now),
             bounds: self.refused.bounds(now),
             crashes: self.crashes_for(from),
@@ -266,6 +278,7 @@
         self.take_placements(from, false, report.placements);
         self.apply_outcomes(&report.outcomes, 1.0, now);
         self.sizes.add(&report.prompts);
+        self.prefills.add(&report.prefills);
         self.refused.add(&report.refused, &report.traffic, now);
         self.take_crashes(report.crashes, false, now);
         true
@@ -298,6 +311,7 @@
             placements,
             outcomes: outcomes.into_iter().map(outcome).collect(),
             prompts: link.prompts.take(),
+            prefills: link.prefills.take(),
             crashes: self.crashes.updates(&mut link.crashes, crash::Scope::Local),
             ..Update::default()
         };
@@ -391,6 +405,13 @@
         member.map_or_else(Vec::new, |member| self.sizes.updates(&mut member.sizes))
     }
 
+    fn prefills_for(&mut self, name: &name::Box) -> Vec<Prefill> {
+        let member = self.members.get_mut(name);
+        member.map_or_else(Vec::new, |member| {
+            self.prefills.updates(&mut member.prefills)
+        })
+    }
+
     /// Queues a box's outcomes for the other hubs.
     fn queue_outcomes(&mut self, outcomes: &[Outcome], weight: f64) {
         for link in self.links.values_mut() {
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -18,6 +18,7 @@
 mod hub;
 mod less_urgent;
 mod losses;
+mod prefill;
 mod refused;
 mod sizes;
 mod window;
@@ -25,6 +26,7 @@
 pub use hub::Hub;
 pub use less_urgent::LessUrgent;
 pub use losses::{ClassCounts, Limit, Losses};
+pub use prefill::{Measured, Prefill};
 pub use refused::{Bound, Refused, Tally, Traffic};
 
 /// The smallest changes of a load that are sent: about what the smallest prompts cause.
@@ -248,6 +250,9 @@
     /// Prompts by class: to hubs the new ones, to boxes the sums over all boxes.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub prompts: Vec<Prompts>,
+    /// How endpoints process prompts: to hubs new measurements, to boxes the sums over all boxes.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub prefills: Vec<Prefill>,
     /// Failure probabilities that have changed; sent to boxes only.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub risks: Vec<Risk>,
--- a/src/scalewood/ops/entry/dispatchers.rs
+++ b/src/scalewood/ops/entry/dispatchers.rs
@@ -118,6 +118,10 @@
     outputs.extend(dispatcher.step(dispatch::Input::LiveBoxes(alive(board)), now));
     let box_count = board.box_count.load(Ordering::Relaxed);
     outputs.extend(dispatcher.step(dispatch::Input::BoxCount(box_count), now));
+    let measured = lock(&board.prefills).get(service).copied();
+    if let Some(measured) = measured {
+        outputs.extend(dispatcher.step(dispatch::Input::Prefill(measured), now));
+    }
     (dispatcher, outputs)
 }
 
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -219,7 +219,7 @@
             throttle,
             ..load::Update::default()
         };
-        count_requests(&self.board, &mut report);
+        report_services(&self.board, &mut report);
         let counted = lock(&self.board.usage).windows().clone();
         let usage = usage::Report {
             start: self.board.start,
@@ -292,6 +292,7 @@
         if !update.prompts.is_empty() {
             self.apply_input(&dispatch::Input::PromptSizes(update.prompts));
         }
+        self.set_prefills(update.prefills);
         if !update.risks.is_empty() {
             let risk = |risk: &load::Risk| format!("{}:{}", risk.endpoint, risk.chance.0);
             let risks: Vec<_> = update.risks.iter().map(risk).collect();
@@ -313,6 +314,13 @@
     }
 
     /// Replaces the bounds on less urgent requests; each dispatcher gets those of its service.
+    fn set_prefills(&self, prefills: Vec<load::Prefill>) {
+        for load::Prefill { service, measured } in prefills {
+            lock(&self.board.prefills).insert(service.clone(), measured);
+            dispatchers::apply_input(&self.board, &service, dispatch::Input::Prefill(measured));
+        }
+    }
+
     fn set_bounds(&mut self, bounds: Vec<load::Bound>) {
         if bounds.is_empty() && self.bounds.is_empty() {
             return;
@@ -344,6 +352,7 @@
         if let Some(voter) = self.voter.take() {
             event!(self.board.log, LoadsUnknown, "voter" => %voter);
             self.apply_input(&dispatch::Input::OtherLoads(None));
+            lock(&self.board.prefills).clear();
         }
         self.set_bounds(Vec::new());
         self.sent_loads.clear();
@@ -400,13 +409,20 @@
     });
 }
 
-/// Adds to a report the requests that arrived, started or were refused here since the last call.
-fn count_requests(board: &Shared, report: &mut load::Update) {
+/// Adds to a report what the dispatchers here have observed of their services.
+fn report_services(board: &Shared, report: &mut load::Update) {
     board.dispatchers.for_each(|shard| {
         for (service, dispatcher) in shard.iter_mut() {
             for (class, counts) in dispatcher.take_counts() {
                 report.add_counts(service, &class, counts);
             }
+            let measured = dispatcher.take_prefill();
+            report
+                .prefills
+                .extend(measured.map(|measured| load::Prefill {
+                    service: service.clone(),
+                    measured,
+                }));
         }
     });
 }
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -6,8 +6,8 @@
 use scalewood::core::{
     dispatch::Prefix,
     load::{
-        difference, merge, EndpointLoad, Hub, Load, Loads, Outcome, OutcomeCounts, Placement,
-        Prompts, Risk, Update,
+        difference, merge, EndpointLoad, Hub, Load, Loads, Measured, Outcome, OutcomeCounts,
+        Placement, Prefill, Prompts, Risk, Update,
     },
     name,
 };
@@ -411,6 +411,51 @@
     assert_eq!(heard, [seen("report", 4, 72_000)]);
 }
 
+/// Guards against boxes that predict by their initial assumptions for minutes, since each of them
+/// serves few requests.
+#[test]
+fn a_box_that_measured_nothing_hears_how_endpoints_process_prompts() {
+    let (mut near, mut far, one, other) = linked_hubs();
+    let measured = |millis, processed_first| Prefill {
+        service: "lm".parse().unwrap(),
+        measured: Measured {
+            millis,
+            tokens: 60_000,
+            less_urgent: 40_000,
+            processed_first,
+        },
+    };
+    let tell = |prefill| Update {
+        prefills: vec![prefill],
+        ..Update::default()
+    };
+    let hear = |hub: &mut Hub, told| hub.exchange(&other, false, told, START).update.prefills;
+    near.exchange(&one, false, tell(measured(1_500, 2_000)), START);
+    send_news(&mut near, "c1", &mut far, "c2", false, START);
+    let heard = hear(&mut far, Update::default());
+    assert_eq!(heard, [measured(1_500, 2_000)]);
+    assert_eq!(heard[0].measured.rate(), Some(40_000));
+    assert_eq!(heard[0].measured.order(), Some(50));
+    // A small change is not sent again, a large one is.
+    assert!(hear(&mut far, tell(measured(1_510, 2_010))).is_empty());
+    let heard = hear(&mut far, tell(measured(6_000, 40_000)));
+    assert_eq!(heard.len(), 1);
+    assert_eq!(heard[0].measured.tokens, 180_000);
+    // A few measurements say too little.
+    let mut hub = Hub::default();
+    let few = Prefill {
+        service: "lm".parse().unwrap(),
+        measured: Measured {
+            millis: 100,
+            tokens: 4_000,
+            less_urgent: 600,
+            processed_first: 600,
+        },
+    };
+    let heard = hub.exchange(&one, true, tell(few), START).update.prefills;
+    assert!(heard.is_empty(), "{heard:?}");
+}
+
 /// When 3,000 endpoints change at once, they are reported in messages of bounded size, those with
 /// the largest changes first, until all are reported.
 #[test]
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -12,7 +12,7 @@
     dispatch::{
         Ask, Dispatcher, End, Input, Order, PlacementKey, Prefix, Reason, Report, Settings, Spec,
     },
-    load::{Load, Loads, Placement, Prompts, Risk},
+    load::{LessUrgent, Load, Loads, Measured, Placement, Prompts, Risk},
     name, risk, unit,
 };
 
@@ -541,6 +541,67 @@
     );
 }
 
+/// Returns the load of all endpoints with `pending` tokens each that take `millis` to prefill, of
+/// which those of the least urgent class come last in the order of urgency.
+fn busy_everywhere(millis: u64, less_urgent: bool) -> Input {
+    let tokens = millis * PREFILL_TOKENS_PER_MS;
+    let mut load = Load {
+        pending_prefill: tokens,
+        ..Load::default()
+    };
+    if less_urgent {
+        let mut pending = LessUrgent::default();
+        pending.add(unit::Tier(1), tokens);
+        load.less_urgent = pending;
+    }
+    let everywhere = (0..ENDPOINTS).map(|place| (format!("i-{place}").parse().unwrap(), load));
+    Input::OtherLoads(Some(everywhere.collect()))
+}
+
+/// Returns the retry delay of a request that was not refused before, or `None` if it starts.
+fn refusal(dispatcher: &mut Dispatcher, asked: Ask) -> Option<Duration> {
+    let asked = Ask {
+        is_client_retry: false,
+        ..asked
+    };
+    let report = Report::Ask(asked);
+    let orders = dispatcher.step(Input::Report("e1".parse().unwrap(), report), START);
+    match orders.as_slice() {
+        [(_, Order::Grant(..))] => None,
+        [(_, Order::Shed(_, Reason::Overload, retry))] => Some(*retry),
+        _ => panic!("{orders:?}"),
+    }
+}
+
+/// Guards against a box that dispatches few requests and refuses urgent ones for minutes, because
+/// it assumes that endpoints process a less urgent backlog first.
+#[test]
+fn a_box_of_few_requests_predicts_by_what_all_boxes_have_measured() {
+    let mut dispatcher = dispatcher();
+    dispatcher.step(busy_everywhere(2_000, true), START);
+    let refused = refusal(&mut dispatcher, ask(1, "short", 7));
+    assert!(refused.is_some(), "nothing is known of the order");
+    let measured = Measured {
+        millis: 10_000,
+        tokens: 10_000 * PREFILL_TOKENS_PER_MS,
+        less_urgent: 1_000_000,
+        processed_first: 10_000,
+    };
+    dispatcher.step(Input::Prefill(measured), START);
+    assert_eq!(refusal(&mut dispatcher, ask(2, "short", 7)), None);
+    // At a hundredth of that rate the same prompt is late everywhere.
+    let slow = Measured {
+        millis: 1_000_000,
+        ..measured
+    };
+    dispatcher.step(Input::Prefill(slow), START);
+    let refused = refusal(&mut dispatcher, ask(3, "short", 7));
+    assert!(refused.is_some(), "the rate was not applied");
+    // Without the other boxes' loads only this box's own measurements count.
+    dispatcher.step(Input::OtherLoads(None), START);
+    assert_eq!(refusal(&mut dispatcher, ask(4, "short", 7)), None);
+}
+
 #[test]
 fn streams_avoid_endpoints_where_they_paused_too_long_and_long_prompts_do_not_join_them() {
     let own: name::Box = "e1".parse().unwrap();
--- a/tests/testsuite/precedence/mod.rs
+++ b/tests/testsuite/precedence/mod.rs
@@ -61,8 +61,9 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
-/// If requests that were held back are let through while the overload lasts, seven of a hundred
-/// fleets lose more than a twelfth of a class's requests in some spans.
+/// Guards against boxes that predict waits from their own few measurements: they refuse a middle
+/// class behind a less urgent backlog that endpoints process later, and seven of a hundred fleets
+/// lose more than a twelfth of its requests in some spans.
 #[test]
 fn fleets_that_broke_the_order_once_keep_it() {
     let all = FAILED.into_iter();
--- a/tests/testsuite/precedence/world.rs
+++ b/tests/testsuite/precedence/world.rs
@@ -533,11 +533,18 @@
         let own = &mut self.boxes[at];
         let loads: Loads = own.dispatcher.loads().collect();
         let counted = own.dispatcher.take_counts();
+        let measured = own.dispatcher.take_prefill();
         let mut told = Update {
             loads: load::difference(&own.reported, &loads),
             outcomes: own.dispatcher.take_outcomes(),
             prompts: own.dispatcher.take_prompts(),
             placements: own.dispatcher.take_placements(),
+            prefills: measured.map_or_else(Vec::new, |measured| {
+                vec![load::Prefill {
+                    service: service(),
+                    measured,
+                }]
+            }),
             ..Update::default()
         };
         for (class, counts) in counted {
@@ -552,6 +559,9 @@
         let others = self.boxes[at].others.clone();
         self.input(at, Input::Placements(news.placements));
         self.input(at, Input::PromptSizes(news.prompts));
+        for prefill in news.prefills {
+            self.input(at, Input::Prefill(prefill.measured));
+        }
         self.input(at, Input::Risks(news.risks));
         self.input(at, Input::OtherLoads(Some(others)));
         self.input(at, Input::Bounds(news.bounds));
