Spread the retries of requests that are refused for their own lateness

The delay now has a random part of up to a fifth of the time that the caller still waits; that of requests that are held back was spread already.

--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -108,6 +108,13 @@
         is_first && self.age + after < self.patience.unwrap_or(self.deadline)
     }
 
+    /// Returns how long the caller still waits for a first token.
+    pub(super) fn remaining(&self) -> Duration {
+        self.patience
+            .unwrap_or(self.deadline)
+            .saturating_sub(self.age)
+    }
+
     /// Restarts the caller's patience now, since it has received a part of its answer. If the
     /// patience still ran from the arrival, a stream that could continue at another endpoint
     /// would be refused as too late.
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -29,13 +29,28 @@
 /// next overload.
 const RETRY_FRACTION: std::ops::Range<f64> = 0.25..0.5;
 
+/// The fraction of its remaining time over which the retry of any other request is spread. The
+/// requests that are refused in the same moment would otherwise return in the same moment, and
+/// refuse each other again; the less urgent ones for good.
+const RETRY_SPREAD_FRACTION: f64 = 0.2;
+
 /// Returns the retry delay of a request that is held back: random within the range, and early
 /// enough to start in time.
 fn retry_delay(ask: &message::Ask) -> Duration {
-    let left = ask.patience.unwrap_or(ask.deadline).saturating_sub(ask.age);
+    let range = RETRY_FRACTION;
+    ask.remaining()
+        .mul_f64(range.start + (range.end - range.start) * random(ask))
+}
+
+/// Returns the random part of a retry delay.
+fn retry_spread(ask: &message::Ask) -> Duration {
+    ask.remaining().mul_f64(RETRY_SPREAD_FRACTION * random(ask))
+}
+
+/// Returns a fraction from 0 to 1 that differs between requests.
+fn random(ask: &message::Ask) -> f64 {
     // Request numbers are random.
-    let random = f64::from(ask.attempt.request.0 as u8) / f64::from(u8::MAX);
-    left.mul_f64(RETRY_FRACTION.start + (RETRY_FRACTION.end - RETRY_FRACTION.start) * random)
+    f64::from(ask.attempt.request.0 as u8) / f64::from(u8::MAX)
 }
 
 impl Dispatcher {
@@ -225,9 +240,14 @@
         let Some(waiting) = self.queue.remove(attempt) else {
             return;
         };
-        self.causes.record(attempt, cause);
         let reason = message::Reason::Overload;
-        let retry = overload.first_token.clamp(MIN_RETRY, MAX_RETRY);
+        let spread = match cause {
+            Cause::Itself => retry_spread(&waiting.ask),
+            // The delay is spread already.
+            Cause::HeldBackHere(_) | Cause::HeldBackAnywhere(_) => Duration::ZERO,
+        };
+        let retry = (overload.first_token.max(MIN_RETRY) + spread).min(MAX_RETRY);
+        self.causes.record(attempt, cause);
         self.refusals.record_refused(&waiting.ask, retry, now);
         self.outputs
             .push((waiting.origin, message::Order::Shed(attempt, reason, retry)));
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -602,6 +602,22 @@
     assert_eq!(refusal(&mut dispatcher, ask(4, "short", 7)), None);
 }
 
+/// Guards against requests that are refused in the same moment, return in the same moment, and
+/// refuse each other again.
+#[test]
+fn requests_that_are_refused_together_return_spread() {
+    let mut dispatcher = dispatcher();
+    dispatcher.step(busy_everywhere(500, false), START);
+    let asks = (0..100).map(|request| ask(request * 7, "short", request));
+    let retries: Vec<_> = asks
+        .map(|asked| refusal(&mut dispatcher, asked).unwrap())
+        .collect();
+    let (first, last) = (retries.iter().min().unwrap(), retries.iter().max().unwrap());
+    assert!(*first >= Duration::from_secs(1), "{first:?}");
+    let spread = *last - *first;
+    assert!(spread >= Duration::from_secs(1), "only {spread:?} of 10 s");
+}
+
 #[test]
 fn streams_avoid_endpoints_where_they_paused_too_long_and_long_prompts_do_not_join_them() {
     let own: name::Box = "e1".parse().unwrap();
