Serve a request late if its caller has no time for a retry

A request that was predicted late was refused once, also where the caller could not wait as long once more: the retry was then refused for good. It is now refused only if twice the predicted time fits into the caller's patience.

--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -117,13 +117,22 @@
         }
     }
 
-    /// Returns the longest predicted time to the first token with which it is not refused.
-    pub(super) fn max_first_token(&self) -> Duration {
-        if self.client_may_retry {
+    /// Returns by how much a predicted time to the first token exceeds the longest one with which
+    /// the request is not refused.
+    pub(super) fn excess(&self, first_token: Duration) -> Duration {
+        let limit = if self.client_may_retry && self.can_wait_for_retry(first_token) {
             self.patience.min(self.target.mul_f64(REFUSAL_TARGETS))
         } else {
             self.patience
-        }
+        };
+        first_token.saturating_sub(limit)
+    }
+
+    /// Returns whether a caller that retries when the first token would have come can still wait as
+    /// long once more. Otherwise the retry is likely to be refused for good, so the request is
+    /// better served late.
+    fn can_wait_for_retry(&self, first_token: Duration) -> bool {
+        first_token * 2 <= self.patience
     }
 
     /// Returns the cost of certainly losing the request, as a time.
--- a/src/scalewood/core/dispatch/endpoint/select.rs
+++ b/src/scalewood/core/dispatch/endpoint/select.rs
@@ -193,7 +193,7 @@
             chosen,
             cached,
             first_token,
-            excess: first_token.saturating_sub(prompt.max_first_token()),
+            excess: prompt.excess(first_token),
         })
     }
 
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -602,6 +602,22 @@
     assert_eq!(refusal(&mut dispatcher, ask(4, "short", 7)), None);
 }
 
+/// Guards against refusing a request whose caller can't wait for as long once more: its retry is
+/// refused for good, while it could have been served late.
+#[test]
+fn a_late_request_that_could_not_return_in_time_is_served_late() {
+    let mut dispatcher = dispatcher();
+    dispatcher.step(busy_everywhere(500, false), START);
+    let with_patience = |request, millis| Ask {
+        patience: Some(Duration::from_millis(millis)),
+        ..ask(request, "short", 7)
+    };
+    let refused = refusal(&mut dispatcher, with_patience(1, 3_000));
+    assert!(refused.is_some(), "there is time for a retry");
+    let refused = refusal(&mut dispatcher, with_patience(2, 900));
+    assert_eq!(refused, None, "a retry would come too late");
+}
+
 /// Guards against requests that are refused in the same moment, return in the same moment, and
 /// refuse each other again.
 #[test]
