Soak: an endpoint's leaving ends with its next start

The check took one span for both starts, since the driver of announcements went on over the restart. It now ends the span at the next start of the endpoint by any driver; each start's own announcement is checked as before, from its first answer on, with the same bound of none.

--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -378,6 +378,8 @@
     state: State,
     /// The number of the endpoint's current start.
     start: Arc<AtomicU64>,
+    /// When it was started anew by the drivers of this module.
+    restarted: word::Times,
     /// The number of the last heartbeat of this start.
     sequence: u64,
     /// The spans in which the link was faulty or the endpoint was down.
@@ -386,6 +388,7 @@
 
 impl LinkedEndpoint {
     fn raise_start(&self) {
+        self.restarted.lock().unwrap().push(Instant::now());
         self.start.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -540,8 +543,9 @@
     start: &Arc<AtomicU64>,
     account: &Arc<Account>,
     cut: &word::Spans,
+    restarted: &word::Times,
 ) -> impl Future<Output = ()> {
-    let cut = cut.clone();
+    let (cut, restarted) = (cut.clone(), restarted.clone());
     let crashing_request_begun = endpoint.crashing_request_begun();
     let seen = endpoint.shared_seen();
     let (link, start, account) = (link.clone(), start.clone(), account.clone());
@@ -556,6 +560,7 @@
             let from = Instant::now();
             link.set_down(true);
             tokio::time::sleep(Duration::from_millis(300)).await;
+            restarted.lock().unwrap().push(Instant::now());
             start.fetch_add(1, Ordering::Relaxed);
             link.set_down(false);
             cut.lock().unwrap().push((from, Instant::now()));
@@ -575,7 +580,8 @@
         let link = Forwarder::start(address(FIRST_LINK_PORT + number), endpoint.address).await;
         let (link, start) = (Arc::new(link), endpoint.start_number());
         let cut = word::Spans::default();
-        let ending = end_under_requests(&endpoint, &link, &start, &self.account, &cut);
+        let restarted = word::Times::default();
+        let ending = end_under_requests(&endpoint, &link, &start, &self.account, &cut, &restarted);
         self.endings.spawn(ending);
         self.announcers.lock().unwrap().push(word::Announcer {
             default_act: endpoint.default_act(),
@@ -588,6 +594,7 @@
             link,
             state: State::Ready,
             start,
+            restarted,
             sequence: 0,
             cut,
         });
--- a/tests/testsuite/soak/word.rs
+++ b/tests/testsuite/soak/word.rs
@@ -15,6 +15,8 @@
 
 /// Spans of time.
 pub(super) type Spans = Arc<Mutex<Vec<(Instant, Instant)>>>;
+/// Moments.
+pub(super) type Times = Arc<Mutex<Vec<Instant>>>;
 
 /// The parts of an endpoint that determine what it announces.
 #[derive(Clone, Debug)]
@@ -71,6 +73,7 @@
     for (linked, announcer) in fleet.endpoints.iter().zip(announcers) {
         let seen = linked.endpoint.seen();
         let leaving = announcer.leaving.lock().unwrap().clone();
+        let restarted = linked.restarted.lock().unwrap().clone();
         for answered in &seen {
             let (until, most, what) = match answered.act {
                 Some(Act::Rest(rest)) => (answered.at + rest, MAX_DURING_REST, "its rest"),
@@ -79,7 +82,11 @@
                     let Some((_, to)) = leaving.iter().find(within) else {
                         continue;
                     };
-                    (*to, 0, "its leaving")
+                    // Another driver may start it anew meanwhile. The new start may get requests
+                    // until it announces that it leaves too.
+                    let restarts = restarted.iter().filter(|at| **at > answered.at);
+                    let until = restarts.min().map_or(*to, |at| (*at).min(*to));
+                    (until, 0, "its leaving")
                 }
                 _ => continue,
             };
