Log when a process did not run for a while

Failures of the soak at load 50 to 70 could not be told from processes without time: nothing in the logs said that a process stood still (3001 and 3040 were explained by gaps between lines).

--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -15,7 +15,7 @@
     board::feed,
     core::{ledger, name, raft, region, registry as core_registry, secret, unit},
     event,
-    ops::{breach, reload, rpc, source},
+    ops::{breach, reload, rpc, source, stall},
     store::{folder, hints, identity, journal},
     util::{clock, settings, signal},
     wire::{control::ControlServer as _, registry::RegistryServer as _, source::SourceServer as _},
@@ -366,6 +366,7 @@
     tokio::spawn(sender.run());
     serve_provider::<D>(&settings, &handle, &soft_state, clock, &log);
     tokio::spawn(breach::watch(log.clone()));
+    tokio::spawn(stall::watch(log.clone(), clock));
     let admin = admin::Admin {
         handle: handle.clone(),
         server,
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -29,7 +29,7 @@
     board::entry::{Board, Own},
     core::{name, region, registry, retry, unit, warm_up},
     event,
-    ops::{breach, reload, rpc, source},
+    ops::{breach, reload, rpc, source, stall},
     util::{
         clock::{self, Clock as _},
         lock::lock,
@@ -354,6 +354,7 @@
         log: board.log.clone(),
     };
     tokio::spawn(breach::watch(board.log.clone()));
+    tokio::spawn(stall::watch(board.log.clone(), board.clock.clone()));
     tokio::spawn(follower.run());
     tokio::spawn(member::run(board.clone()));
     tokio::spawn(dispatchers::run(board.clone()));
--- a/src/scalewood/ops/mod.rs
+++ b/src/scalewood/ops/mod.rs
@@ -10,3 +10,4 @@
 pub mod reload;
 pub mod rpc;
 pub mod source;
+mod stall;
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -50,6 +50,7 @@
     DrainCut = 1006, Warning, "the time to drain is over and work is left";
     SettingsReloaded = 1007, Info, "the settings were read again";
     SettingsRefused = 1008, Warning, "the settings that were read again can't be used";
+    ProcessStalled = 1009, Warning, "the process did not run for a while";
     RevisionInForce = 2001, Info, "a configuration revision is in force here";
     SourceLost = 2002, Warning, "the source of configuration can't be reached";
     SourceFound = 2003, Info, "the configuration is followed from a source";
