Soak: take the end of a leaving before the new start is visible

Inferred, not shown by the logs: the driver raised the start before it took the time at which the leaving ended, so a heartbeat could tell boxes of the new start, and a box could send to it, before that time (i-4 was known as start 6 at 05.634 to 05.646, the last lines of it in all logs). The time is taken first now. A violation says when the requests came, so that the next one can be told.

--- a/tests/testsuite/soak/word.rs
+++ b/tests/testsuite/soak/word.rs
@@ -57,8 +57,9 @@
         tokio::time::sleep(length).await;
         *announcer.default_act.lock().unwrap() = None;
         if leaves {
-            announcer.start.fetch_add(1, Ordering::Relaxed);
+            // Taken first: as soon as the start is raised, a heartbeat may report it to boxes.
             let span = (from, Instant::now());
+            announcer.start.fetch_add(1, Ordering::Relaxed);
             announcer.leaving.lock().unwrap().push(span);
         }
         tokio::time::sleep(length / 4).await;
@@ -97,10 +98,16 @@
             let entry = answered.header(BOX);
             let from = answered.at + IN_FLIGHT;
             let got = seen.iter().filter(|s| s.header(BOX) == entry);
-            let got = got.filter(|s| s.at > from && s.at < until).count();
-            if got > most {
+            let got: Vec<_> = got.filter(|s| s.at > from && s.at < until).collect();
+            if got.len() > most {
                 let name = &linked.endpoint.name;
-                let broken = format!("box {entry:?} sent {name} {got} requests within {what}");
+                let after: Vec<_> = got.iter().map(|s| s.at - answered.at).collect();
+                let broken = format!(
+                    "box {entry:?} sent {name} {} requests within {what}, {after:?} after its \
+                     answer and {:?} before the end",
+                    got.len(),
+                    until - got[got.len() - 1].at
+                );
                 if deploy::is_mixed() {
                     // Boxes of another build may not support backoffs.
                     println!("in a mixture of builds: {broken}");
