Check the lease when a read asks for the newest state

Cause: voters published whether their state is certain to be the newest as a truth value at each step. A leader that had been stopped for 2.5 s across an election answered a read that had waited at its port by the value from before. The configuration, the history and the provider's state were read in the same way. Change: reads ask for the newest ledger and the lease is checked then, by the clock that counts the gap; the value is gone.

--- a/src/scalewood/core/raft/mod.rs
+++ b/src/scalewood/core/raft/mod.rs
@@ -478,12 +478,6 @@
         self.caught_up
     }
 
-    /// Returns whether the state is certain to be the newest, because this node leads under a
-    /// lease. A follower learns of a commit only with the leader's next message.
-    pub fn is_current(&self, now: Duration) -> bool {
-        self.lease().is_some_and(|until| until > now)
-    }
-
     /// Returns until when this node is certain to be the only leader, or `None` if it does not
     /// lead, or has not yet applied all entries that were committed before its term.
     pub fn lease(&self) -> Option<Duration> {
--- a/src/scalewood/ops/control/admin.rs
+++ b/src/scalewood/ops/control/admin.rs
@@ -202,11 +202,9 @@
 
 impl Admin {
     fn config(&self) -> warp::reply::Response {
-        let published = self.handle.published();
-        if !published.current {
+        let Some(ledger) = self.handle.newest_ledger() else {
             return behind();
-        }
-        let ledger = published.ledger;
+        };
         let document = config::Document::clone(ledger.document());
         warp::reply::json(&Config {
             revision: ledger.revision(),
@@ -216,11 +214,9 @@
     }
 
     fn history(&self) -> warp::reply::Response {
-        let published = self.handle.published();
-        if !published.current {
+        let Some(ledger) = self.handle.newest_ledger() else {
             return behind();
-        }
-        let ledger = published.ledger;
+        };
         let records = ledger.records().cloned().collect();
         warp::reply::json(&History { records }).into_response()
     }
@@ -230,11 +226,9 @@
     }
 
     fn provider(&self) -> warp::reply::Response {
-        let published = self.handle.published();
-        if !published.current {
+        let Some(ledger) = self.handle.newest_ledger() else {
             return behind();
-        }
-        let ledger = published.ledger;
+        };
         warp::reply::json(&Provider {
             holder: ledger.holder().cloned(),
             usage: ledger.usage().windows().clone(),
--- a/src/scalewood/ops/control/cordon.rs
+++ b/src/scalewood/ops/control/cordon.rs
@@ -47,11 +47,9 @@
 impl admin::Admin {
     /// Returns the cordoned zones.
     pub(super) fn cordons(&self) -> warp::reply::Response {
-        let published = self.handle.published();
-        if !published.current {
+        let Some(ledger) = self.handle.newest_ledger() else {
             return admin::behind();
-        }
-        let ledger = published.ledger;
+        };
         warp::reply::json(&Cordons {
             revision: ledger.revision(),
             cordoned: ledger.document().cordoned.clone(),
--- a/src/scalewood/ops/control/replica.rs
+++ b/src/scalewood/ops/control/replica.rs
@@ -57,8 +57,6 @@
     pub ledger: Arc<Ledger>,
     /// Until when it holds the leader's lease, by its monotonic clock; `None` if it does not.
     pub lease: Option<Duration>,
-    /// Whether the ledger is certain to be the newest, because the voter leads under a lease.
-    pub current: bool,
 }
 
 /// The callers that wait for the outcomes of their proposals.
@@ -87,6 +85,17 @@
         self.published.borrow().clone()
     }
 
+    /// Returns the ledger if it is certain to be the newest, because this voter leads under a
+    /// lease. The lease is checked now, since a process that was stopped finds what it published
+    /// before.
+    pub fn newest_ledger(&self) -> Option<Arc<Ledger>> {
+        let published = self.published();
+        let holds = published
+            .lease
+            .is_some_and(|until| until > self.clock.now());
+        holds.then_some(published.ledger)
+    }
+
     /// Returns the number of voters.
     pub(super) fn voter_count(&self) -> usize {
         self.published.borrow().status.members.voters().count()
@@ -185,14 +194,10 @@
 
     /// Returns the text of the current routing if this voter leads under a valid lease.
     pub fn read_here(&self) -> Forwarded<Option<Arc<str>>> {
-        let published = self.published();
-        if published
-            .lease
-            .is_none_or(|until| until <= self.clock.now())
-        {
-            return Forwarded::NotLeader;
+        match self.newest_ledger() {
+            Some(ledger) => Forwarded::Answer(ledger.routing_source().cloned()),
+            None => Forwarded::NotLeader,
         }
-        Forwarded::Answer(published.ledger.routing_source().cloned())
     }
 
     /// Starts to add a node to the members if this voter leads; otherwise returns the leader's
@@ -298,7 +303,6 @@
         status: voter.status(),
         ledger: Arc::new(voter.state().clone()),
         lease: None,
-        current: false,
     };
     let (publish, published) = watch::channel(first);
     let waiters = Waiters::default();
@@ -401,7 +405,6 @@
         self.publish.send_modify(|published| {
             published.status.leader = None;
             published.lease = None;
-            published.current = false;
         });
         loop {
             let until = self.clock.now() + REOPEN_PERIOD;
@@ -467,7 +470,6 @@
         self.publish_feed();
         let status = self.voter.status();
         let lease = self.voter.lease();
-        let current = self.voter.is_current(self.clock.now());
         if self.was_leader != self.voter.is_leader() {
             self.was_leader = self.voter.is_leader();
             if self.was_leader {
@@ -480,9 +482,7 @@
         let log = &self.log;
         self.publish.send_if_modified(|published| {
             let has_new_commits = published.status.committed != status.committed;
-            let changed = published.status != status
-                || published.lease != lease
-                || published.current != current;
+            let changed = published.status != status || published.lease != lease;
             if published.status.members != status.members {
                 event!(log, VoterChanged, "voters" => status.members.voters().count(),
                     "learners" => status.members.learners().count());
@@ -492,7 +492,6 @@
             }
             published.status = status;
             published.lease = lease;
-            published.current = current;
             changed
         });
     }
--- a/tests/testsuite/cordon.rs
+++ b/tests/testsuite/cordon.rs
@@ -658,6 +658,46 @@
     assert_eq!(cordons(&system).await, ["z0"]);
 }
 
+/// Guards against a leader that was stopped across an election: it answered reads by what it had
+/// published before, and so with cordons from before an order that its successor had acknowledged.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_was_stopped_reads_back_no_earlier_cordons() {
+    const ROUNDS: usize = 4;
+    const READS: usize = 16;
+    let dir = tempfile::tempdir().unwrap();
+    let (system, _endpoints) = start(3, dir.path()).await;
+    for round in 0..ROUNDS {
+        let leads = leader(&system).await;
+        let stopped = system.voters[leads].as_ref().unwrap();
+        let (method, expected): (_, &[&str]) = match round % 2 {
+            0 => ("POST", &["z0"]),
+            _ => ("DELETE", &[]),
+        };
+        stopped.signal("STOP");
+        let until = Instant::now() + Duration::from_secs(20);
+        let others: Vec<_> = (0..3).filter(|i| *i != leads).collect();
+        while system.order(others[round % 2], method, "z0").await != Some(200) {
+            assert!(Instant::now() < until, "no other voter takes the order");
+        }
+        let reads: Vec<_> = (0..READS)
+            .map(|_| {
+                let voters = vec![system.admin_address(leads)];
+                let reader = operate::Client::new(voters, deploy::OPERATOR.into());
+                tokio::spawn(async move { reader.cordons().await })
+            })
+            .collect();
+        // By then the reads wait at the voter's port.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        stopped.signal("CONT");
+        for read in reads {
+            if let Ok(read) = read.await.unwrap() {
+                let read: Vec<_> = read.cordoned.iter().map(|zone| zone.as_str()).collect();
+                assert_eq!(read, expected, "round {round}");
+            }
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_box_that_was_frozen_across_an_order_catches_up() {
     let dir = tempfile::tempdir().unwrap();
