A retry that has no second left is no retry

The least delay of a retry is a second, so a request whose caller waits less than that beside the predicted time is served late too. Names of the reports of measurements on the way.

--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -10,7 +10,7 @@
 
 use super::{Constraints, Endpoint, Set};
 use crate::core::{
-    dispatch::{message, pauses, prefill},
+    dispatch::{message, pauses, prefill, shed::MIN_RETRY},
     name, unit,
 };
 
@@ -132,7 +132,7 @@
     /// long once more. Otherwise the retry is likely to be refused for good, so the request is
     /// better served late.
     fn can_wait_for_retry(&self, first_token: Duration) -> bool {
-        first_token * 2 <= self.patience
+        first_token.max(MIN_RETRY).saturating_add(first_token) <= self.patience
     }
 
     /// Returns the cost of certainly losing the request, as a time.
--- a/src/scalewood/core/dispatch/prefill.rs
+++ b/src/scalewood/core/dispatch/prefill.rs
@@ -34,10 +34,10 @@
 const MIN_LESS_URGENT_RATIO: f64 = 0.5;
 /// The factor by which the sums of the order decay with each such measurement.
 const ORDER_DECAY_PER_MEASUREMENT: f64 = 0.95;
-/// The measured time that is reported to other boxes at once, and the number of exchanges, some
-/// hundred milliseconds apart, after which less is reported too.
+/// The measured time, in milliseconds, that is reported to other boxes at once.
 const MIN_REPORTED_MILLIS: u32 = 1_000;
-const MAX_ASKED: u32 = 4;
+/// The number of exchanges after which less is reported too.
+const MAX_REPORT_EXCHANGES: u32 = 4;
 /// The largest factor by which a measurement may differ from the estimate; it is clamped beyond
 /// that. The cause may be a prompt cached elsewhere than expected, or a failing endpoint.
 const MAX_DEVIATION_FACTOR: f64 = 3.0;
@@ -63,10 +63,10 @@
     /// The rate and the fraction as measured by all boxes.
     global_rate: Option<f64>,
     global_fraction: Option<f64>,
-    /// The measurements that were not reported yet, and the number of times that they were asked
-    /// for since the last report.
+    /// The measurements that were not reported yet, and the number of exchanges since the last
+    /// report.
     unreported: load::Measured,
-    asked: u32,
+    exchanges: u32,
 }
 
 impl Default for Estimate {
@@ -79,7 +79,7 @@
             global_rate: None,
             global_fraction: None,
             unreported: load::Measured::default(),
-            asked: 0,
+            exchanges: 0,
         }
     }
 }
@@ -115,13 +115,14 @@
 
     /// Returns the measurements to report to other boxes, if they are due.
     pub(super) fn take_unreported(&mut self) -> Option<load::Measured> {
-        self.asked += 1;
+        self.exchanges += 1;
         let unreported = self.unreported;
-        let is_due = unreported.millis >= MIN_REPORTED_MILLIS || self.asked >= MAX_ASKED;
+        let is_due =
+            unreported.millis >= MIN_REPORTED_MILLIS || self.exchanges >= MAX_REPORT_EXCHANGES;
         if unreported == load::Measured::default() || !is_due {
             return None;
         }
-        (self.unreported, self.asked) = (load::Measured::default(), 0);
+        (self.unreported, self.exchanges) = (load::Measured::default(), 0);
         Some(unreported)
     }
 
--- a/src/scalewood/core/dispatch/shed.rs
+++ b/src/scalewood/core/dispatch/shed.rs
@@ -17,7 +17,7 @@
 /// The smallest fraction of the slots that a tier can count on.
 const MIN_CAPACITY_FRACTION: f64 = 0.05;
 /// The shortest retry delay given to a caller.
-const MIN_RETRY: Duration = Duration::from_secs(1);
+pub(super) const MIN_RETRY: Duration = Duration::from_secs(1);
 /// The longest retry delay given to a caller.
 const MAX_RETRY: Duration = Duration::from_secs(60);
 /// The most requests that one tick sheds by prediction; bounds the tick's duration.
