--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -354,7 +354,7 @@
         log: board.log.clone(),
     };
     tokio::spawn(breach::watch(board.log.clone()));
-    tokio::spawn(stall::watch(board.log.clone(), board.clock.clone()));
+    tokio::spawn(stall::watch(board.log.clone(), board.clock));
     tokio::spawn(follower.run());
     tokio::spawn(member::run(board.clone()));
     tokio::spawn(dispatchers::run(board.clone()));
