Tests: begin once the dispatcher knows all endpoints, not once the box has logged them

Cause: the set-up waited until the box had logged all 60 endpoints. Its dispatcher gets them with its next tick, up to 20 ms later (more where the thread waits). A dispatcher that knew a few by then, each of which turns requests away, has none left after the first request.

The box now says how many endpoints its dispatchers know (`scalewood_endpoints_known`), and the set-up waits for that, which implies the former condition. No check of the test changed.

--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -498,6 +498,11 @@
         self.allowed
     }
 
+    /// Returns how many endpoints are configured.
+    pub(super) fn configured_count(&self) -> usize {
+        self.endpoints.len() - self.unconfigured
+    }
+
     /// Returns how many requests run.
     pub(super) fn running(&self) -> u32 {
         self.running
--- a/src/scalewood/core/dispatch/status.rs
+++ b/src/scalewood/core/dispatch/status.rs
@@ -49,6 +49,11 @@
             .max_silence(endpoint, least, &self.prefill, now)
     }
 
+    /// Returns how many endpoints are configured, including those that leave.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.configured_count()
+    }
+
     /// Returns the status of its endpoints.
     pub fn endpoints(&self) -> Vec<View> {
         self.endpoints.views().collect()
--- a/src/scalewood/ops/entry/dispatchers.rs
+++ b/src/scalewood/ops/entry/dispatchers.rs
@@ -566,11 +566,12 @@
         let mut fresh = Vec::new();
         self.board.dispatchers.for_each(|shard| {
             for (service, dispatcher) in shard.iter() {
-                fresh.push((service.clone(), dispatcher.summary(now)));
+                let endpoints = dispatcher.endpoint_count();
+                fresh.push((service.clone(), dispatcher.summary(now), endpoints));
             }
         });
         let mut loads = lock(&self.board.loads);
-        for (service, summary) in fresh {
+        for (service, summary, endpoints) in fresh {
             let label = ServiceLabel {
                 service: service.to_string(),
             };
@@ -585,6 +586,11 @@
                 .slots_granted
                 .get_or_create(&label)
                 .set(i64::from(summary.running));
+            self.board
+                .metrics
+                .endpoints_known
+                .get_or_create(&label)
+                .set(i64::try_from(endpoints).unwrap_or(i64::MAX));
             let zone = self.board.own.zone.clone();
             let load = Load::new(zone.clone(), self.board.own.name.clone(), &summary);
             loads.insert((service, zone), (load, now));
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -134,6 +134,8 @@
     pub waiting: Family<ServiceLabel, Gauge>,
     /// Slots that this box's dispatchers have granted and not got back.
     pub slots_granted: Family<ServiceLabel, Gauge>,
+    /// Endpoints that this box's dispatchers know.
+    pub endpoints_known: Family<ServiceLabel, Gauge>,
     /// Requests that were granted to endpoints that are warming up.
     pub warming_sent: Family<ServiceLabel, Counter>,
     /// Requests that were diverted from their home because it is warming up.
@@ -187,6 +189,7 @@
             between_tokens: Family::new_with_constructor(duration_histogram),
             waiting: Family::default(),
             slots_granted: Family::default(),
+            endpoints_known: Family::default(),
             warming_sent: Family::default(),
             warming_kept_back: Family::default(),
             endpoints_warming: Gauge::default(),
@@ -270,6 +273,11 @@
             "Slots granted by dispatchers here",
             self.slots_granted.clone(),
         );
+        r.register(
+            "endpoints_known",
+            "Endpoints that dispatchers here know",
+            self.endpoints_known.clone(),
+        );
         r.register(
             "policy_failures",
             "Policy programs that failed",
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -30,7 +30,6 @@
         secret, unit,
     },
     ops::operate,
-    util::event::Event,
 };
 use tokio::{net::TcpListener, sync::Notify};
 
@@ -659,6 +658,18 @@
         })
     }
 
+    /// Returns how many endpoints the dispatcher of the first box knows.
+    async fn known_endpoints(&self) -> usize {
+        const METRIC: &str = "scalewood_endpoints_known{service=\"lm\"} ";
+        let asked = client::ask(self.health(), "GET", "/metrics", &[], "").await;
+        let text = asked.map_or_else(
+            |_| String::new(),
+            |answer| String::from_utf8_lossy(&answer.body).into_owned(),
+        );
+        let count = text.lines().find_map(|line| line.strip_prefix(METRIC));
+        count.map_or(0, |count| count.parse().unwrap())
+    }
+
     /// Waits until a safe call is served.
     pub(crate) async fn wait_served(&self) {
         deploy::wait("a call is served", || async {
@@ -737,22 +748,15 @@
         started.push(endpoint);
     }
     system.wait_served().await;
-    // Endpoints are reported in several messages, so a call may be served before all are known.
-    deploy::wait("the box knows all endpoints", || async {
-        known_endpoints(dir) >= endpoints
+    // Endpoints are reported in several messages, and passed on to the dispatcher some time after
+    // the box has logged them.
+    deploy::wait("the dispatcher knows all endpoints", || async {
+        system.known_endpoints().await >= endpoints
     })
     .await;
     (system, started)
 }
 
-/// Returns how many endpoints the first box has logged as ready.
-fn known_endpoints(dir: &Path) -> usize {
-    let log = fs::read_to_string(dir.join("e1.log")).unwrap_or_default();
-    let announced = format!("\"event\":{}", Event::EndpointAnnounced.number());
-    let is_ready = |line: &&str| line.contains(&announced) && line.contains("Ready");
-    log.lines().filter(is_ready).count()
-}
-
 /// The time within which requests arrive that were in flight when an endpoint asked for a backoff.
 const IN_FLIGHT: Duration = Duration::from_millis(500);
 
