Keep what voters know of a first end over the loss of all voters

What callers saw: a request that ends endpoints ended four of them in place of three.

Cause: voters store only requests that are held back. Boxes are told of a request from its second end on, so a first end is known to one box and the voters; if that box is killed, and all voters are later, nobody knows of it any more.

Elsewhere: a request that ended three endpoints and is let through while another one explains it was not stored either; it is now.

What is left: ends of the last two seconds, the interval at which voters store.

--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -213,13 +213,19 @@
         cases.map(|(fingerprint, case)| (fingerprint, &case.ends[..]))
     }
 
-    /// Returns the requests that are held back as rows, to be stored across a restart.
-    pub fn held_back_rows(&self) -> Vec<Row> {
+    /// Returns all requests as rows, to be stored across a restart: those that are held back, and
+    /// the others.
+    pub fn rows(&self) -> (Vec<Row>, Vec<Row>) {
         let cases = self.cases.iter();
-        let cases = cases.filter(|(_, case)| case.is_held_back());
-        cases
-            .map(|(fingerprint, case)| row(fingerprint, case))
-            .collect()
+        let (held_back, others): (Vec<_>, Vec<_>) =
+            cases.partition(|(_, case)| case.is_held_back());
+        let rows = |cases: Vec<(&Fingerprint, &Case)>| {
+            let cases = cases.into_iter();
+            cases
+                .map(|(fingerprint, case)| row(fingerprint, case))
+                .collect()
+        };
+        (rows(held_back), rows(others))
     }
 
     /// Records that an endpoint ended under a request.
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -324,9 +324,9 @@
         &self.crashes
     }
 
-    /// Restores the requests that were held back before this process started.
-    pub fn restore(&mut self, held_back: &[crash::Row], now: Duration) {
-        self.take_crashes(held_back.to_vec(), true, now);
+    /// Restores the requests under which endpoints ended before this process started.
+    pub fn restore(&mut self, crashes: Vec<crash::Row>, now: Duration) {
+        self.take_crashes(crashes, true, now);
     }
 
     /// Clears a request that was held back, on an operator's order; returns whether any ends were
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -471,7 +471,8 @@
     match store.load() {
         Ok(hints) => {
             event!(log, HintsRead, "paces" => hints.paces.len(),
-                "endpoints" => hints.endpoints.len(), "committed" => %hints.committed);
+                "endpoints" => hints.endpoints.len(), "held_back" => hints.held_back.len(),
+                "suspected" => hints.suspected.len(), "committed" => %hints.committed);
             hints
         }
         Err(error) => {
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -273,7 +273,7 @@
 
     /// Returns the hints for the next start of this voter.
     fn hints(&self, committed: raft::Index) -> hints::Hints {
-        let held_back = lock(&self.hub).crashes().held_back_rows();
+        let (held_back, suspected) = lock(&self.hub).crashes().rows();
         let registry = lock(&self.registry);
         let since = self
             .clock
@@ -292,13 +292,15 @@
             paces: registry.paces_since(0),
             endpoints: endpoints.collect(),
             held_back,
+            suspected,
             committed,
         }
     }
 
     /// Restores the hints that an earlier start of this voter stored.
     pub(super) fn restore_hints(&self, hints: &hints::Hints) {
-        lock(&self.hub).restore(&hints.held_back, self.clock.now());
+        let crashes = [&hints.held_back[..], &hints.suspected].concat();
+        lock(&self.hub).restore(crashes, self.clock.now());
         let mut registry = lock(&self.registry);
         for paced in &hints.paces {
             registry.set_pace(&paced.endpoint, paced.pace);
--- a/src/scalewood/store/hints.rs
+++ b/src/scalewood/store/hints.rs
@@ -29,6 +29,9 @@
     /// The requests that were held back. Without this, each of them would crash three more
     /// endpoints after a loss of power on all machines.
     pub held_back: Vec<crash::Row>,
+    /// The other requests under which endpoints ended. Without this, an end that only a lost box
+    /// had seen would be forgotten if all voters are lost at once.
+    pub suspected: Vec<crash::Row>,
     /// The index of the last entry of the journal that was known to be committed.
     pub committed: raft::Index,
 }
--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -437,6 +437,39 @@
     );
 }
 
+/// Guards against an end that is forgotten when the box that saw it is killed and all voters are
+/// killed later. Only voters are told of a first end, so the request would end four endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_outlives_the_box_that_saw_it_and_all_voters() {
+    /// Longer than the interval at which voters store what they know.
+    const STORED_WITHIN: Duration = Duration::from_secs(3);
+    /// Longer than an endpoint is away, and than a report to a voter takes.
+    const BETWEEN: Duration = Duration::from_millis(800);
+    let dir = tempfile::tempdir().unwrap();
+    let mut site = Site::start(3, 9, Duration::from_millis(500), dir.path()).await;
+    // A request that may not be repeated ends one endpoint each time that it is sent.
+    assert_ne!(site.send(0, "/unsafe/crash", "crash").await, Some(200));
+    assert_eq!(site.arrivals.ended("crash"), 1);
+    tokio::time::sleep(STORED_WITHIN).await;
+    site.boxes[0].take().unwrap().kill();
+    for i in 0..3 {
+        site.system.voters[i].take().unwrap().kill();
+    }
+    for i in 0..3 {
+        site.system.start_voter(i, false);
+    }
+    site.boxes[0] = Some(site.system.start_entry_at(0));
+    for i in 0..BOXES {
+        site.wait_serving(i).await;
+    }
+    tokio::time::sleep(BETWEEN).await;
+    for _ in 0..4 {
+        assert_ne!(site.send(1, "/unsafe/crash", "crash").await, Some(200));
+        tokio::time::sleep(BETWEEN).await;
+    }
+    assert_eq!(site.arrivals.ended("crash"), 3);
+}
+
 /// Guards against an end that is not recognised because the endpoint still listens as its
 /// connections break, as a process that ends does on a busy machine: with three of four ends missed,
 /// a request ended seven endpoints.
