--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -55,6 +55,7 @@
     routed::{self, routing, text, Act, Endpoint, System, BOX, ENDS, EVENTS, HOST, KEY},
 };
 
+mod ending;
 mod limit;
 mod word;
 
@@ -536,19 +537,14 @@
     body.then(|| String::from_utf8_lossy(&seen.body).into_owned())
 }
 
-/// Ends an endpoint each time that it has begun a crashing request, and restarts it after 300 ms.
+/// Ends an endpoint each time that it has begun a crashing request, and starts it anew.
 fn end_under_requests(
     endpoint: &Endpoint,
-    link: &Arc<Forwarder>,
-    start: &Arc<AtomicU64>,
-    account: &Arc<Account>,
-    cut: &word::Spans,
-    restarted: &word::Times,
+    ending: ending::Ending,
+    account: Arc<Account>,
 ) -> impl Future<Output = ()> {
-    let (cut, restarted) = (cut.clone(), restarted.clone());
     let crashing_request_begun = endpoint.crashing_request_begun();
     let seen = endpoint.shared_seen();
-    let (link, start, account) = (link.clone(), start.clone(), account.clone());
     async move {
         loop {
             crashing_request_begun.notified().await;
@@ -557,13 +553,7 @@
             if let Some(body) = body {
                 account.ends.lock().unwrap().push((body, Instant::now()));
             }
-            let from = Instant::now();
-            link.set_down(true);
-            tokio::time::sleep(Duration::from_millis(300)).await;
-            restarted.lock().unwrap().push(Instant::now());
-            start.fetch_add(1, Ordering::Relaxed);
-            link.set_down(false);
-            cut.lock().unwrap().push((from, Instant::now()));
+            ending.end().await;
         }
     }
 }
@@ -581,12 +571,19 @@
         let (link, start) = (Arc::new(link), endpoint.start_number());
         let cut = word::Spans::default();
         let restarted = word::Times::default();
-        let ending = end_under_requests(&endpoint, &link, &start, &self.account, &cut, &restarted);
-        self.endings.spawn(ending);
+        let ending = ending::Ending {
+            link: link.clone(),
+            start: start.clone(),
+            cut: cut.clone(),
+            restarted: restarted.clone(),
+        };
+        let ended = end_under_requests(&endpoint, ending.clone(), self.account.clone());
+        self.endings.spawn(ended);
         self.announcers.lock().unwrap().push(word::Announcer {
             default_act: endpoint.default_act(),
             limit: endpoint.limit(),
             start: start.clone(),
+            ending,
             leaving: word::Spans::default(),
         });
         self.endpoints.push(LinkedEndpoint {
@@ -884,8 +881,15 @@
     }
 }
 
+/// The faults of a run that not all runs have.
+#[derive(Clone, Copy, Debug, Default)]
+struct Faults {
+    /// Whether endpoints also end by themselves.
+    own_ends: bool,
+}
+
 /// Runs one seed. Returns the violations found.
-async fn soak(seed: u64, length: Duration) -> Vec<String> {
+async fn soak(seed: u64, length: Duration, faults: Faults) -> Vec<String> {
     // A failure may not reproduce, so its logs are kept, also if the test panics.
     let mut dir = tempfile::Builder::new()
         .prefix(&format!("soak-{seed}-"))
@@ -935,12 +939,19 @@
         entry: None,
         more: String::new(),
     });
+    let fleet_announcers = fleet.announcers.clone();
     let clock = async {
         tokio::time::sleep(length).await;
         account.stop.store(true, Ordering::Relaxed);
     };
+    let own_ends = async {
+        if faults.own_ends {
+            ending::disturb(fleet_announcers, seed, &account).await;
+        }
+    };
     tokio::join!(
         clock,
+        own_ends,
         word::disturb(fleet.announcers.clone(), seed, &account),
         limit::disturb(fleet.announcers.clone(), seed, &account),
         fleet.disturb(seed, &account),
@@ -1064,11 +1075,10 @@
     );
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_while_everything_is_disturbed() {
+async fn run_seeds(listed: &[u64], faults: Faults) {
     let length = Duration::from_secs(env_number("SCALEWOOD_SOAK_S").unwrap_or(6));
     let seeds: Vec<u64> = match (env_number("SCALEWOOD_SEED"), env_number("SCALEWOOD_RUNS")) {
-        (None, None) => SEEDS.iter().chain(FAILED).copied().collect(),
+        (None, None) => listed.to_vec(),
         (first, runs) => {
             let first = first.unwrap_or(1);
             (first..first + runs.unwrap_or(1)).collect()
@@ -1076,7 +1086,7 @@
     };
     let mut violations = Vec::new();
     for seed in seeds {
-        let found = soak(seed, length).await;
+        let found = soak(seed, length, faults).await;
         found
             .iter()
             .for_each(|what| println!("seed {seed}: {what}"));
@@ -1084,3 +1094,15 @@
     }
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_everything_is_disturbed() {
+    run_seeds(&[SEEDS, FAILED].concat(), Faults::default()).await;
+}
+
+/// Guards against a harmless request that all boxes refuse for good, since it was at ends of other
+/// causes beside those of a request that ends endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_endpoints_end_by_themselves_too() {
+    run_seeds(SEEDS, Faults { own_ends: true }).await;
+}
--- a/tests/testsuite/soak/word.rs
+++ b/tests/testsuite/soak/word.rs
@@ -10,7 +10,7 @@
 
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
 
-use super::{Account, Act, EndpointFleet, LinkedEndpoint, BOX};
+use super::{ending::Ending, Account, Act, EndpointFleet, LinkedEndpoint, BOX};
 use crate::support::{deploy, routed};
 
 /// Spans of time.
@@ -27,6 +27,8 @@
     pub(super) limit: Arc<Mutex<Option<&'static str>>>,
     /// The number of its current start.
     pub(super) start: Arc<AtomicU64>,
+    /// What changes when it ends.
+    pub(super) ending: Ending,
     /// The spans in which it announced that it leaves; each ends with a new start.
     pub(super) leaving: Spans,
 }
