Keep retries spread where callers are told whole seconds

What callers saw: in a burst on real processes the middle class lost requests while larger, less urgent ones began (precedence::real::a_burst_while_a_voter_is_lost).

Cause: what is refused together returns together. Retries are spread over a fifth of the remaining time, but our own API states Retry-After in whole seconds, rounded up: delays of 1,021 to 1,597 ms all became 2 s, and a caller with 3 s came back with one second left.

Mend: after a refusal in an overload one of the two nearest whole seconds is stated, at random so that the mean stays. The users' platform states fractions; nothing changes there.

Test: overload::callers_that_are_told_whole_seconds_do_not_all_return_at_once; before, all are told 2.

--- a/src/scalewood/core/retry.rs
+++ b/src/scalewood/core/retry.rs
@@ -120,3 +120,12 @@
         )
     }
 }
+
+/// Returns a wait in whole seconds, at least one: one of the two nearest, chosen by a random number
+/// from 0 to 1 so that the mean stays. If all were rounded up, waits that are spread over less than
+/// a second would become the same.
+pub fn whole_seconds(wait: Duration, random: f64) -> Duration {
+    let fraction = f64::from(wait.subsec_nanos()) / 1e9;
+    let seconds = wait.as_secs() + u64::from(random < fraction);
+    Duration::from_secs(seconds.max(1))
+}
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -8,7 +8,13 @@
     board::{entry::Buckets, view::View},
     core::{attempt, config, dispatch, limit, name, policy, residency, unit},
     event,
-    ops::entry::{crash, dispatchers, member, now, reply::Refusal, Shared},
+    ops::entry::{
+        crash,
+        dialect::{self, Dialect as _},
+        dispatchers, member, now,
+        reply::Refusal,
+        Shared,
+    },
     util::{
         clock::{self, Clock as _},
         metric,
@@ -332,6 +338,10 @@
                 "no endpoint is in a region that may serve the request; retry later"
             }
         };
+        let retry = match reason {
+            dispatch::Reason::Overload => dialect::Native::overload_wait(retry),
+            _ => retry,
+        };
         Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason.as_str(), why)
             .with_retry_after(retry)
     }
--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -8,7 +8,7 @@
 
 use hyper::{header, HeaderMap, StatusCode};
 
-use crate::core::{name, unit, verdict};
+use crate::core::{name, retry, unit, verdict};
 
 /// A part of a prompt that other requests may have in common, so that its KV cache is reusable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -104,6 +104,12 @@
 
     /// Returns the value of `Retry-After` for a wait.
     fn retry_after(wait: Duration) -> String;
+
+    /// Returns the wait after a refusal in an overload as [`Dialect::retry_after`] can state it, so
+    /// that retries stay spread.
+    fn overload_wait(wait: Duration) -> Duration {
+        wait
+    }
 }
 
 /// scalewood's own headers.
@@ -210,6 +216,10 @@
         let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
         seconds.max(1).to_string()
     }
+
+    fn overload_wait(wait: Duration) -> Duration {
+        retry::whole_seconds(wait, rand::random())
+    }
 }
 
 /// Parses the value of [`PARTS_HEADER`]; `None` if any part is malformed.
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -240,11 +240,12 @@
             }
             Some(Decision::Shed(reason, retry, cause)) => {
                 self.cause = cause;
-                Err(self.refuse(&reply::shed(reason, retry, self.verdict)))
+                Err(self.refuse(&reply::shed::<D>(reason, retry, self.verdict)))
             }
             Some(Decision::HeldBack) => Err(self.refuse(&Refusal::held_back(self.verdict))),
             None => {
-                let shed = reply::shed(dispatch::Reason::Deadline, MIN_HEAD_WAIT, self.verdict);
+                let reason = dispatch::Reason::Deadline;
+                let shed = reply::shed::<D>(reason, MIN_HEAD_WAIT, self.verdict);
                 Err(self.refuse(&shed))
             }
         }
--- a/src/scalewood/ops/entry/routed/reply.rs
+++ b/src/scalewood/ops/entry/routed/reply.rs
@@ -79,7 +79,7 @@
 
 /// Returns the refusal of a request that was shed before any attempt, or after attempts that got no
 /// answer.
-pub(super) fn shed(
+pub(super) fn shed<D: Dialect>(
     reason: dispatch::Reason,
     retry: Duration,
     verdict: verdict::Verdict,
@@ -99,6 +99,10 @@
             "no endpoint is in a region that may serve the request; retry later"
         }
     };
+    let retry = match reason {
+        dispatch::Reason::Overload => D::overload_wait(retry),
+        _ => retry,
+    };
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason.as_str(), message)
         .with_retry_after(retry)
 }
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -8,10 +8,13 @@
 
 use std::time::Duration;
 
-use scalewood::core::{
-    dispatch::{Ask, Dispatcher, End, Input, Order, Reason, Report},
-    load::{Bound, Hub, Load, Update},
-    name, unit,
+use scalewood::{
+    core::{
+        dispatch::{Ask, Dispatcher, End, Input, Order, Reason, Report},
+        load::{Bound, Hub, Load, Update},
+        name, unit,
+    },
+    ops::entry::dialect::{Dialect as _, Native},
 };
 
 use crate::placement::{ask, dispatcher, ENDPOINTS, PREFILL_TOKENS_PER_MS, START};
@@ -331,3 +334,32 @@
         assert!(boxes.starts(1, ask, now), "held back at {now:?}");
     }
 }
+
+/// Guards against callers that return in the same moment: waits that are spread over less than a
+/// second were all rounded up to the same whole second, and the callers refused each other again.
+#[test]
+fn callers_that_are_told_whole_seconds_do_not_all_return_at_once() {
+    const REQUESTS: u32 = 1_000;
+    let mut told = std::collections::BTreeMap::<u64, u32>::new();
+    let mut waits = Duration::ZERO;
+    for number in 0..REQUESTS {
+        let wait = Duration::from_secs(1) + Duration::from_millis(600) * number / REQUESTS;
+        waits += wait;
+        let header = Native::retry_after(Native::overload_wait(wait));
+        *told.entry(header.parse().unwrap()).or_default() += 1;
+    }
+    let seconds: Vec<_> = told.keys().copied().collect();
+    assert_eq!(seconds, [1, 2], "{told:?}");
+    let sum: u64 = told
+        .iter()
+        .map(|(seconds, count)| seconds * u64::from(*count))
+        .sum();
+    let mean = sum as f64 / f64::from(REQUESTS);
+    let expected = waits.as_secs_f64() / f64::from(REQUESTS);
+    assert!(
+        (mean - expected).abs() < 0.1,
+        "{mean} s told, {expected} s meant"
+    );
+    // A wait for something else, as for the end of a backoff, is never shortened.
+    assert_eq!(Native::retry_after(Duration::from_millis(1_001)), "2");
+}
