Try a request that is held back by mistake once more

Cause: what is held back is sent nowhere, so it can't run to its end, the only thing that clears it. What completed shortly before an end keeps that end from being recorded, but long runs rarely did.

Mend: a box that has refused a request ten times sends it to one endpoint once more, some seconds after the last end, each box at a time of its own; the first one's trial is told with the row, and there is one over all boxes. A run to its end clears the request. A crashing request ends one endpoint more at most, one of the three that are allowed. Until then callers are told to come back after 30 s in place of 600.

--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -9,7 +9,9 @@
     time::Duration,
 };
 
-use super::{max_successive, End, Id, Row, ENDS_TO_HOLD_BACK, MIN_ENDS_FOR_GLOBAL};
+use super::{
+    max_successive, trial, End, Id, Row, Trials, ENDS_TO_HOLD_BACK, MAX_TRIALS, MIN_ENDS_FOR_GLOBAL,
+};
 use crate::core::fingerprint::{Fingerprint, HeadHash};
 
 /// How long a request is remembered after it last arrived or an endpoint last ended under it. If it
@@ -37,6 +39,12 @@
     ends: Vec<End>,
     /// Ends that no longer count, the oldest first.
     void: VecDeque<Id>,
+    /// See [`Row::tried`].
+    tried: BTreeSet<Id>,
+    /// How often it was refused here.
+    refusals: u32,
+    /// When the last end became known here.
+    last_end_at: Duration,
     /// See [`Row::arrivals`].
     arrivals: u32,
     arrival_reported_at: Duration,
@@ -58,6 +66,9 @@
         Self {
             ends: Vec::new(),
             void: VecDeque::new(),
+            tried: BTreeSet::new(),
+            refusals: 0,
+            last_end_at: now,
             arrivals: 0,
             arrival_reported_at: Duration::ZERO,
             last_seen: now,
@@ -121,6 +132,7 @@
             return false;
         }
         self.ends.retain(|end| end.id != id);
+        self.tried.remove(&id);
         self.void.push_back(id);
         if self.void.len() > MAX_VOID_PER_REQUEST {
             self.void.pop_front();
@@ -128,7 +140,21 @@
         true
     }
 
+    /// Records a trial that was begun when this was the last known end. Returns whether it is new.
+    fn add_trial(&mut self, last_end: Id) -> bool {
+        !self.void.contains(&last_end) && self.tried.insert(last_end)
+    }
+
+    fn standing(&self) -> trial::Standing {
+        trial::Standing {
+            begun: self.tried.len(),
+            refusals: self.refusals,
+            last_end_at: self.last_end_at,
+        }
+    }
+
     fn clear(&mut self) {
+        self.refusals = 0;
         for end in std::mem::take(&mut self.ends) {
             self.make_void(end.id);
         }
@@ -143,6 +169,9 @@
         for end in row.ends {
             is_news |= self.add(end);
         }
+        for last_end in row.tried {
+            is_news |= self.add_trial(last_end);
+        }
         if row.arrivals > self.arrivals {
             self.arrivals = row.arrivals;
             is_news = true;
@@ -248,12 +277,45 @@
         true
     }
 
+    /// Returns whether this box may try a request that is held back now.
+    pub fn may_try(&self, fingerprint: &Fingerprint, trials: &Trials, now: Duration) -> bool {
+        let case = self.cases.get(fingerprint);
+        let case = case.filter(|case| case.is_held_back());
+        case.is_some_and(|case| trials.is_due(fingerprint, case.standing(), now))
+    }
+
+    /// Begins a trial of a request that is held back, if this box may try it now. Returns whether it
+    /// may; the request may then be sent to one endpoint.
+    pub fn begin_trial(
+        &mut self,
+        fingerprint: &Fingerprint,
+        trials: &Trials,
+        now: Duration,
+    ) -> bool {
+        if !self.may_try(fingerprint, trials, now) {
+            return false;
+        }
+        self.change(*fingerprint, now, |case| {
+            let last_end = case.ends.iter().max_by_key(|end| end.at_unix_ms);
+            let last_end = last_end.map(|end| end.id);
+            last_end.is_some_and(|last_end| case.add_trial(last_end))
+        });
+        true
+    }
+
+    /// Returns whether a trial of a request that is held back is still to come.
+    pub fn has_trial_left(&self, fingerprint: &Fingerprint) -> bool {
+        let case = self.cases.get(fingerprint);
+        case.is_some_and(|case| case.tried.len() < MAX_TRIALS)
+    }
+
     /// Records the arrival of a request that is held back.
     pub fn record_arrival(&mut self, fingerprint: &Fingerprint, now: Duration) {
         let Some(case) = self.cases.get_mut(fingerprint) else {
             return;
         };
         case.last_seen = now;
+        case.refusals = case.refusals.saturating_add(1);
         if now < case.arrival_reported_at + ARRIVAL_REPORT_INTERVAL {
             return;
         }
@@ -317,10 +379,15 @@
     ) {
         let known = self.cases.get(&fingerprint).cloned();
         let was_suspect = known.as_ref().is_some_and(Case::is_suspect);
+        let known_ends = known.as_ref().map_or(0, |case| case.ends.len());
         let mut case = known.unwrap_or_else(|| Case::new(now));
         if !edit(&mut case) {
             return;
         }
+        let has_new_end = case.ends.len() > known_ends;
+        if has_new_end {
+            case.last_end_at = now;
+        }
         self.stamp += 1;
         case.last_seen = now;
         case.changed = self.stamp;
@@ -422,6 +489,7 @@
         fingerprint: *fingerprint,
         ends: case.ends.clone(),
         void: case.void.iter().copied().collect(),
+        tried: case.tried.iter().copied().collect(),
         arrivals: case.arrivals,
     }
 }
--- a/src/scalewood/core/crash/mod.rs
+++ b/src/scalewood/core/crash/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! Harmless requests that run beside it fail with it. A request that completes anywhere is cleared,
 //! and one that completed shortly before is not recorded ([`Completions`]). Only a request that was
-//! present each time and never completed is held back.
+//! present each time and never completed is held back. If it goes on arriving, one box sends it to
+//! an endpoint once more, as a trial ([`Trials`]): if it completes there, it is cleared.
 
 use serde::{Deserialize, Serialize};
 
@@ -16,14 +17,19 @@
 
 mod book;
 mod completions;
+mod trial;
 
 pub use book::{Book, Cursor, Scope, RETENTION};
 pub use completions::{Completions, RECENT};
+pub use trial::Trials;
 
 /// The number of ended endpoints after which a request is held back. Few of the harmless requests
 /// that were present at two ends are present at a third: with 50 long streams beside such a request
 /// on nine endpoints, none was, in three runs.
 pub const ENDS_TO_HOLD_BACK: usize = 3;
+/// The most trials of a request that is held back, over all boxes. A trial of a request that crashes
+/// endpoints costs another endpoint.
+const MAX_TRIALS: usize = 1;
 /// The number of ended endpoints from which on a request is reported to all boxes. Below it, only
 /// voters are sent it: each end adds as many requests with one end as the endpoint ran.
 const MIN_ENDS_FOR_GLOBAL: usize = ENDS_TO_HOLD_BACK - 1;
@@ -115,6 +121,9 @@
     /// The endpoints that ended under it.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<End>,
+    /// The trials that were begun: the last end that was known at each.
+    #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+    pub tried: Vec<Id>,
     /// Increases while the request still arrives although it is held back.
     #[serde(rename = "h", default)]
     pub arrivals: u32,
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -5,7 +5,10 @@
     collections::BTreeSet,
     io,
     net::SocketAddr,
-    sync::{Arc, OnceLock},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, OnceLock,
+    },
     time::Duration,
 };
 
@@ -31,6 +34,10 @@
 /// listener refuses a connection within one round trip, also between zones.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// After what time the caller of a request that is held back may send it again as long as it has not
+/// been tried once more.
+const RETRY_BEFORE_TRIAL: Duration = Duration::from_secs(30);
+
 /// The parts of a caller's request by which equal requests are recognised.
 #[derive(Clone, Debug)]
 pub(super) struct Content(Arc<Request>);
@@ -46,6 +53,8 @@
     /// The hash of all but the body's content. Computed at first use, as is the fingerprint.
     head: OnceLock<HeadHash>,
     fingerprint: OnceLock<Fingerprint>,
+    /// Whether it was sent to an endpoint as a trial.
+    on_trial: AtomicBool,
 }
 
 impl Content {
@@ -59,6 +68,7 @@
             body,
             head: OnceLock::new(),
             fingerprint: OnceLock::new(),
+            on_trial: AtomicBool::new(false),
         }))
     }
 
@@ -178,7 +188,8 @@
     }
 }
 
-/// Returns whether a request is held back, and records its arrival if so.
+/// Returns whether a request is held back, and records its arrival if so. One that may be tried now
+/// is not, but [`may_send`] decides.
 pub(super) fn is_held_back(board: &Shared, content: &Content) -> bool {
     if !is_known(board, content) {
         return false;
@@ -186,13 +197,50 @@
     let fingerprint = content.fingerprint();
     let now = now(board);
     let mut book = lock(&board.crashes);
-    let is_held_back = book.is_held_back(&fingerprint);
+    let is_held_back =
+        book.is_held_back(&fingerprint) && !book.may_try(&fingerprint, &trials(board), now);
     if is_held_back {
         book.record_arrival(&fingerprint, now);
     }
     is_held_back
 }
 
+/// Returns whether a request may be sent to an endpoint now: if it is not held back, or as a trial.
+pub(super) fn may_send(board: &Shared, content: &Content) -> bool {
+    if !is_known(board, content) {
+        return true;
+    }
+    let fingerprint = content.fingerprint();
+    let on_trial = &content.0.on_trial;
+    if on_trial.load(Ordering::Relaxed) || !lock(&board.crashes).is_held_back(&fingerprint) {
+        return true;
+    }
+    let now = now(board);
+    let trials = trials(board);
+    let is_begun = update(board, |book| book.begin_trial(&fingerprint, &trials, now));
+    if is_begun {
+        on_trial.store(true, Ordering::Relaxed);
+        event!(board.log, TrialBegun, "fingerprint" => %fingerprint);
+    } else {
+        lock(&board.crashes).record_arrival(&fingerprint, now);
+    }
+    is_begun
+}
+
+/// Returns after what time the caller of a request that is held back may send it again.
+pub(super) fn retry_after(board: &Shared, content: &Content) -> Duration {
+    if lock(&board.crashes).has_trial_left(&content.fingerprint()) {
+        RETRY_BEFORE_TRIAL
+    } else {
+        crash::RETENTION
+    }
+}
+
+fn trials(board: &Shared) -> crash::Trials {
+    let boxes = board.box_count.load(Ordering::Relaxed);
+    crash::Trials::new(board.own.name.clone(), boxes)
+}
+
 /// Returns the fingerprint of a request for the log, if the crash book may know the request.
 pub(super) fn known_fingerprint(board: &Shared, content: &Content) -> Option<String> {
     is_known(board, content).then(|| content.fingerprint().to_string())
@@ -211,10 +259,10 @@
 
 /// Applies a change to the crash book and logs the requests that are held back from now on. If
 /// there are any, wakes the waiting requests, which then check whether they are held back.
-fn update<T>(board: &Shared, act: impl FnOnce(&mut crash::Book) -> T) {
+fn update<T>(board: &Shared, act: impl FnOnce(&mut crash::Book) -> T) -> T {
     let mut book = lock(&board.crashes);
     let before: BTreeSet<_> = book.held_back().map(|(known, _)| *known).collect();
-    act(&mut book);
+    let result = act(&mut book);
     let added = book
         .held_back()
         .filter(|(known, _)| !before.contains(known));
@@ -232,6 +280,7 @@
     if !added.is_empty() {
         board.held_back.send_modify(|changes| *changes += 1);
     }
+    result
 }
 
 /// The answer of an address to a connection.
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -206,7 +206,9 @@
                         })
                         .await;
                 }
-                Decision::HeldBack => return self.fail(Refusal::held_back(history.verdict)).await,
+                Decision::HeldBack(retry) => {
+                    return self.fail(Refusal::held_back(retry, history.verdict)).await;
+                }
             };
             let attempt = turn.attempt();
             let sent_at = now(&board);
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -211,8 +211,8 @@
                 observer.refused(&refusal);
                 return Err(refusal);
             }
-            Decision::HeldBack => {
-                let refusal = Refusal::held_back(verdict_so_far);
+            Decision::HeldBack(retry) => {
+                let refusal = Refusal::held_back(retry, verdict_so_far);
                 observer.refused(&refusal);
                 return Err(refusal);
             }
--- a/src/scalewood/ops/entry/reply.rs
+++ b/src/scalewood/ops/entry/reply.rs
@@ -8,10 +8,7 @@
 use hyper::{header, Response, StatusCode};
 use serde::Serialize;
 
-use crate::{
-    core::{crash, verdict},
-    ops::entry::body::Answer,
-};
+use crate::{core::verdict, ops::entry::body::Answer};
 
 /// The header that carries the verdict.
 pub(super) const VERDICT_HEADER: &str = "scalewood-verdict";
@@ -74,7 +71,7 @@
     /// Returns the refusal of a request during which endpoints crashed. Status 429 says that this
     /// caller's request is over its limit, not that the system is busy, and most clients don't
     /// retry before the stated time. If an earlier attempt may have run, the status is 502 instead.
-    pub(super) fn held_back(verdict: verdict::Verdict) -> Self {
+    pub(super) fn held_back(retry: Duration, verdict: verdict::Verdict) -> Self {
         let status = match verdict {
             verdict::Verdict::NotRun => StatusCode::TOO_MANY_REQUESTS,
             _ => StatusCode::BAD_GATEWAY,
@@ -86,7 +83,7 @@
                       ask an operator to permit it again"
                 .into(),
             verdict,
-            retry_after: Some(crash::RETENTION),
+            retry_after: Some(retry),
         }
     }
 
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -242,7 +242,9 @@
                 self.cause = cause;
                 Err(self.refuse(&reply::shed::<D>(reason, retry, self.verdict)))
             }
-            Some(Decision::HeldBack) => Err(self.refuse(&Refusal::held_back(self.verdict))),
+            Some(Decision::HeldBack(retry)) => {
+                Err(self.refuse(&Refusal::held_back(retry, self.verdict)))
+            }
             None => {
                 let reason = dispatch::Reason::Deadline;
                 let shed = reply::shed::<D>(reason, MIN_HEAD_WAIT, self.verdict);
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -23,8 +23,9 @@
     /// The request was shed and may be retried after the given time. The cause is known if the
     /// reason is a lack of capacity and a dispatcher of this box decided.
     Shed(dispatch::Reason, Duration, Option<dispatch::Cause>),
-    /// Endpoints crashed during the request, so it is sent to none.
-    HeldBack,
+    /// Endpoints crashed during the request, so it is sent to none. It may be retried after the
+    /// given time.
+    HeldBack(Duration),
 }
 
 /// How long after its deadline a request waits for a dispatcher to shed it, and the time after
@@ -111,7 +112,8 @@
         loop {
             if crash::is_held_back(&self.board, &self.content) {
                 self.finish(|attempt, _| dispatch::Report::Withdraw(attempt));
-                return Decision::HeldBack;
+                let retry = crash::retry_after(&self.board, &self.content);
+                return Decision::HeldBack(retry);
             }
             let left = self.until.saturating_sub(now(&self.board));
             let order = tokio::select! {
@@ -169,7 +171,7 @@
     pub(super) fn permission(&self, endpoint: &name::Endpoint) -> impl Fn() -> bool + use<> {
         let (board, attempt, endpoint) = (self.board.clone(), self.attempt, endpoint.clone());
         let content = self.content.clone();
-        move || bar(&board, attempt, &endpoint).is_none() && !crash::is_held_back(&board, &content)
+        move || bar(&board, attempt, &endpoint).is_none() && crash::may_send(&board, &content)
     }
 
     /// Declines a grant at an endpoint that the request may not be sent to. Asks again after a
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -129,6 +129,7 @@
     LimitAnnounced = 3223, Info, "an endpoint has a rate limit for all boxes together";
     LimitEnded = 3224, Info, "an endpoint no longer has a rate limit";
     LimitUnreadable = 3225, Warning, "the rate limit that an endpoint reports can't be parsed";
+    TrialBegun = 3227, Info, "a request that is held back is tried at one endpoint";
     FinalReportFailed = 3226, Warning, "no voter confirmed the last report of this box before it stopped";
     RequestFailed = 3301, Warning, "a request ended in an error";
     PolicyFailed = 3302, Warning, "a policy program failed and the class's own level was used";
--- a/tests/testsuite/random/crash.rs
+++ b/tests/testsuite/random/crash.rs
@@ -2,11 +2,11 @@
 //! that crashes endpoints, one that many callers send alike, endpoints that end for other reasons,
 //! and boxes that are killed with what they know.
 
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 use rand::{rngs::SmallRng, Rng as _};
 use scalewood::core::{
-    crash::{Book, Completions, Cursor, End, Id, Scope, ENDS_TO_HOLD_BACK},
+    crash::{Book, Completions, Cursor, End, Id, Scope, Trials, ENDS_TO_HOLD_BACK},
     fingerprint::{Checksum, Fingerprint, Head, HeadHash},
     load::{Hub, Update},
     name, unit,
@@ -29,6 +29,8 @@
 /// How long a crashing request runs before its endpoint ends, and how long that is away.
 const CRASH_AFTER_MS: u64 = 50;
 const AWAY_MS: u64 = 300;
+/// The time for reports of the third end to reach all boxes. Ends after it are late.
+const REPORT_DELAY_MS: u64 = 3_000;
 /// The most ends after the one that holds a request back.
 const MAX_LATE_ENDS: usize = 3;
 
@@ -146,9 +148,11 @@
     /// When each caller sends its next request.
     callers: Vec<Option<u64>>,
     next_crashing: u64,
-    /// The number of endpoints that the crashing request ended.
-    ended: usize,
+    /// When the crashing request ended endpoints.
+    ended: Vec<u64>,
     refused: usize,
+    /// The number of trials of requests that were held back.
+    trials: usize,
 }
 
 impl Kind {
@@ -179,8 +183,14 @@
 
 impl World {
     fn new(seed: u64) -> Self {
+        Self::with_runs(seed, None)
+    }
+
+    /// Creates a world in which harmless requests run for up to `max_run_ms`, or as drawn.
+    fn with_runs(seed: u64, max_run_ms: Option<u64>) -> Self {
         let mut random = random(seed);
-        let plan = Plan::draw(&mut random);
+        let mut plan = Plan::draw(&mut random);
+        plan.max_run_ms = max_run_ms.unwrap_or(plan.max_run_ms);
         Self {
             plan,
             random,
@@ -192,8 +202,9 @@
             runs: Vec::new(),
             callers: vec![Some(START_MS); plan.callers],
             next_crashing: START_MS + 300,
-            ended: 0,
+            ended: Vec::new(),
             refused: 0,
+            trials: 0,
         }
     }
 
@@ -237,7 +248,7 @@
                 }
                 Kind::Crashing => {
                     self.runs.push(run);
-                    self.ended += 1;
+                    self.ended.push(now);
                     self.end_endpoint(run.endpoint);
                 }
             }
@@ -267,7 +278,7 @@
         let now = self.now;
         let is_present = |at: &usize| self.endpoints[*at].away_until <= now;
         let present: Vec<_> = (0..self.plan.endpoints).filter(is_present).collect();
-        let is_held_back = self.boxes[at_box].book.is_held_back(&kind.fingerprint());
+        let is_held_back = self.is_held_back(kind, at_box);
         self.refused += usize::from(is_held_back && kind != Kind::Crashing);
         if is_held_back || present.is_empty() || attempt > MAX_ATTEMPTS {
             if let Kind::Harmless(caller) = kind {
@@ -290,6 +301,24 @@
         });
     }
 
+    /// Returns whether a box refuses a request, and counts that; it may try the request instead.
+    fn is_held_back(&mut self, kind: Kind, at_box: usize) -> bool {
+        let time = self.time();
+        let fingerprint = kind.fingerprint();
+        let boxes = u32::try_from(BOXES).unwrap();
+        let trials = Trials::new(format!("e{at_box}").parse().unwrap(), boxes);
+        let book = &mut self.boxes[at_box].book;
+        if !book.is_held_back(&fingerprint) {
+            return false;
+        }
+        if book.begin_trial(&fingerprint, &trials, time) {
+            self.trials += 1;
+            return false;
+        }
+        book.record_arrival(&fingerprint, time);
+        true
+    }
+
     fn end_endpoint(&mut self, number: usize) {
         let now = self.now;
         let endpoint = &mut self.endpoints[number];
@@ -393,7 +422,50 @@
             .iter()
             .filter(|fault| matches!(fault, Fault::Kill(..)));
         let most = ENDS_TO_HOLD_BACK + MAX_LATE_ENDS + kills.count();
-        let ended = world.ended;
+        let ended = world.ended.len();
         assert!(ended <= most, "{ended} endpoints crashed, {most} allowed");
     });
 }
+
+/// Guards against a harmless request that is refused by all boxes for as long as it comes: its runs
+/// are long, so that none completed shortly before an end. Nor may crashing requests be tried so
+/// often that they end more endpoints than allowed.
+#[test]
+fn a_request_that_is_held_back_by_mistake_is_tried_and_served_again() {
+    /// The longest time after the faults until a request that still comes is tried, and has run.
+    const TRIED_WITHIN_MS: u64 = 40_000;
+    const MAX_RUN_MS: u64 = 3_000;
+    let held_back = Cell::new(0);
+    super::runs(400, faults, |seed, faults| {
+        let mut world = World::with_runs(seed, Some(MAX_RUN_MS));
+        world.run(FAULTS_MS, faults);
+        let harmless = Kind::Harmless(0).fingerprint();
+        let is_refused = |world: &World| {
+            let mut books = world.boxes.iter().map(|member| &member.book);
+            books.any(|book| book.is_held_back(&harmless))
+        };
+        let was_refused = is_refused(&world);
+        held_back.set(held_back.get() + usize::from(was_refused));
+        let until = world.now + TRIED_WITHIN_MS;
+        while world.now < until && (is_refused(&world) || !was_refused) {
+            world.run(CALM_MS, &[]);
+        }
+        assert!(
+            !is_refused(&world),
+            "still held back, {} trials",
+            world.trials
+        );
+        let kills = faults
+            .iter()
+            .filter(|fault| matches!(fault, Fault::Kill(..)));
+        let most = MAX_LATE_ENDS + kills.count();
+        let third = world.ended.get(ENDS_TO_HOLD_BACK - 1);
+        let is_late = |at: &&u64| third.is_some_and(|third| **at > *third + REPORT_DELAY_MS);
+        let late = world.ended.iter().filter(is_late).count();
+        assert!(
+            late <= most,
+            "{late} endpoints crashed late, {most} allowed"
+        );
+    });
+    println!("{} requests were held back by mistake", held_back.get());
+}
