--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -277,13 +277,10 @@
         true
     }
 
-    /// Returns whether this box may try a request that is held back now. One with as many ends as are
-    /// remembered is not tried: trials that voters of an earlier build do not pass on are bounded by
-    /// the ends that they cause.
+    /// Returns whether this box may try a request that is held back now.
     pub fn may_try(&self, fingerprint: &Fingerprint, trials: &Trials, now: Duration) -> bool {
         let case = self.cases.get(fingerprint);
         let case = case.filter(|case| case.is_held_back());
-        let case = case.filter(|case| case.ends.len() < MAX_ENDS_PER_REQUEST);
         case.is_some_and(|case| trials.is_due(fingerprint, case.standing(), now))
     }
 
