--- a/tests/testsuite/crash_book.rs
+++ b/tests/testsuite/crash_book.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use scalewood::core::{
-    crash::{Book, Cursor, End, Id, Row, Scope, ENDS_TO_HOLD_BACK, RETENTION},
+    crash::{Book, Cursor, End, Id, Row, Scope, Trials, ENDS_TO_HOLD_BACK, RETENTION},
     fingerprint::{Fingerprint, Head, HeadHash},
     load::{Hub, Update},
     name,
@@ -129,6 +129,57 @@
     assert!(other.is_held_back(&one));
 }
 
+/// Guards against trials at each box, every one of which a crashing request may use to end another
+/// endpoint.
+#[test]
+fn a_request_that_is_held_back_is_tried_by_one_box_that_refused_it_often() {
+    let one = fingerprint("shop", "body");
+    let trials = |name: &str| Trials::new(name.parse().unwrap(), 2);
+    let late = NOW + Duration::from_secs(60);
+    let mut left = book(one, 3);
+    let mut right = Book::default();
+    rows(&left).into_iter().for_each(|row| {
+        right.merge(row, true, NOW);
+    });
+    assert!(
+        !left.begin_trial(&one, &trials("e1"), late),
+        "never refused"
+    );
+    for _ in 0..20 {
+        left.record_arrival(&one, NOW);
+        right.record_arrival(&one, NOW);
+    }
+    assert!(
+        !left.may_try(&one, &trials("e1"), NOW),
+        "right after an end"
+    );
+    assert!(left.may_try(&one, &trials("e1"), late));
+    assert!(right.may_try(&one, &trials("e2"), late));
+    let without = serde_json::to_string(&rows(&left)).unwrap();
+    assert!(
+        !without.contains("\"y\""),
+        "an earlier build's row: {without}"
+    );
+    assert!(left.begin_trial(&one, &trials("e1"), late));
+    assert!(
+        !left.begin_trial(&one, &trials("e1"), late),
+        "a second trial"
+    );
+    for row in rows(&left) {
+        assert!(right.merge(row.clone(), true, late));
+        assert!(!right.merge(row, true, late), "no news");
+    }
+    assert!(!right.may_try(&one, &trials("e2"), late));
+    assert!(left.is_held_back(&one) && right.is_held_back(&one));
+    // A trial that completed clears the request; later ends and trials count anew.
+    assert!(left.clear(&one, late));
+    rows(&left).into_iter().for_each(|row| {
+        right.merge(row, true, late);
+    });
+    assert!(!right.is_held_back(&one));
+    assert!(right.has_trial_left(&one));
+}
+
 #[test]
 fn a_request_that_keeps_coming_stays_held_back_everywhere_and_one_that_does_not_is_forgotten() {
     let one = fingerprint("shop", "body");
