Reproduce boxes that serve nobody while their links to all endpoints are lost

Four of six boxes, all of one zone and one of the other, reach the endpoints over links that are cut while callers, voters and the other boxes reach them.

A link in front of the voters gives the boxes in question other ports of the endpoints, so that their connections can be refused or left without any answer while those of the other boxes work.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod placement_large;
 mod precedence;
 mod random;
+mod reach;
 mod regions;
 mod registry;
 mod report;
--- a/tests/testsuite/support/forwarder.rs
+++ b/tests/testsuite/support/forwarder.rs
@@ -27,12 +27,23 @@
     Delayed(Duration),
 }
 
+/// How the address of a link treats new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Port {
+    /// They are accepted.
+    Open,
+    /// They are refused, as if nothing listened there.
+    Refuses,
+    /// Their first packet gets no answer, as if the route to the address was cut.
+    Hangs,
+}
+
 /// A link between two addresses. When it is dropped, its listener and all its connections close.
 #[derive(Debug)]
 pub(crate) struct Forwarder {
     mode: Arc<watch::Sender<Mode>>,
     silenced: Arc<watch::Sender<u64>>,
-    down: Arc<watch::Sender<bool>>,
+    port: Arc<watch::Sender<Port>>,
     accepting: JoinHandle<()>,
 }
 
@@ -51,25 +62,31 @@
         let state = mode.clone();
         let silenced = Arc::new(watch::Sender::new(0));
         let silence = silenced.clone();
-        let down = Arc::new(watch::Sender::new(false));
-        let mut is_down = down.subscribe();
+        let port = Arc::new(watch::Sender::new(Port::Open));
+        let mut switch = port.subscribe();
         let accepting = tokio::spawn(async move {
             let mut listener = listener;
             loop {
                 tokio::select! {
                     () = accept(&listener, to, &state, &silence) => return,
-                    () = until(&mut is_down, true) => {}
+                    () = until(&mut switch, |port| port != Port::Open) => {}
                 }
                 // With the listener closed, new connections are refused.
                 drop(listener);
-                until(&mut is_down, false).await;
+                let wanted = *switch.borrow();
+                let hanging = match wanted {
+                    Port::Hangs => Some(Hanging::bind(from).await),
+                    Port::Open | Port::Refuses => None,
+                };
+                until(&mut switch, |port| port == Port::Open).await;
+                drop(hanging);
                 listener = bind_again(from).await;
             }
         });
         Self {
             mode,
             silenced,
-            down,
+            port,
             accepting,
         }
     }
@@ -77,10 +94,15 @@
     /// Simulates the end or the restart of the process behind the link. While it is down, all
     /// connections break and new ones are refused, as if nothing listened on the port.
     pub(crate) fn set_down(&self, down: bool) {
-        self.down.send_replace(down);
+        self.set_port(if down { Port::Refuses } else { Port::Open });
         self.set_connected(!down);
     }
 
+    /// Sets how the link treats new connections; open ones stay as they are.
+    pub(crate) fn set_port(&self, port: Port) {
+        self.port.send_replace(port);
+    }
+
     /// Silences the current connections permanently: they stay open and no data is forwarded. New
     /// connections are not affected.
     pub(crate) fn silence(&self) {
@@ -110,9 +132,57 @@
     panic!("{address} can't be listened on again");
 }
 
-/// Waits until a switch has a value.
-async fn until(switch: &mut watch::Receiver<bool>, value: bool) {
-    if switch.wait_for(|now| *now == value).await.is_err() {
+/// A listener whose queue of new connections is full, so that the kernel drops their first packets.
+struct Hanging {
+    _listener: socket2::Socket,
+    _queued: Vec<TcpStream>,
+}
+
+impl Hanging {
+    async fn bind(address: SocketAddr) -> Self {
+        /// How long a connection may take until the queue counts as full.
+        const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+        const MAX_QUEUED: usize = 16;
+        let listener = bind_full(address).await;
+        let mut queued = Vec::new();
+        while queued.len() < MAX_QUEUED {
+            let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+            match opened {
+                Ok(Ok(stream)) => queued.push(stream),
+                Ok(Err(_)) | Err(_) => break,
+            }
+        }
+        Self {
+            _listener: listener,
+            _queued: queued,
+        }
+    }
+}
+
+/// Listens on an address with the shortest queue. Connections that were accepted before may occupy
+/// the address for a moment.
+async fn bind_full(address: SocketAddr) -> socket2::Socket {
+    const MAX_TRIES: u32 = 400;
+    let bind = || {
+        let domain = socket2::Domain::for_address(address);
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(0)?;
+        Ok::<_, std::io::Error>(socket)
+    };
+    for _ in 0..MAX_TRIES {
+        if let Ok(socket) = bind() {
+            return socket;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("{address} can't be listened on again");
+}
+
+/// Waits until a port is in a state that is wanted.
+async fn until(switch: &mut watch::Receiver<Port>, is_wanted: impl Fn(Port) -> bool) {
+    if switch.wait_for(|port| is_wanted(*port)).await.is_err() {
         // The link was dropped, and this task is about to be aborted.
         std::future::pending::<()>().await;
     }
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -8,5 +8,6 @@
 pub(crate) mod forwarder;
 pub(crate) mod provider;
 pub(crate) mod reader;
+pub(crate) mod rewriter;
 pub(crate) mod routed;
 pub(crate) mod voter;
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -485,9 +485,14 @@
     }
 
     fn seeds(&self) -> String {
+        self.seeds_at(7000)
+    }
+
+    /// Returns the voters as settings name them, with the port at which boxes reach them.
+    fn seeds_at(&self, port: u16) -> String {
         let seeds = (0..self.voters.len().min(3)).map(|i| {
             let address = SocketAddr::new(self.voter_host(i), 7002);
-            format!("{{ \"address\": \"{address}\", \"port\": 7000 }}")
+            format!("{{ \"address\": \"{address}\", \"port\": {port} }}")
         });
         seeds.collect::<Vec<_>>().join(", ")
     }
@@ -517,15 +522,20 @@
 
     /// Starts the entry box of this number.
     pub(crate) fn start_entry_at(&self, i: usize) -> deploy::Process {
+        self.start_entry_in(i, "z0", 7000)
+    }
+
+    /// Starts the entry box of this number in a zone; it reaches the voters at a port.
+    pub(crate) fn start_entry_in(&self, i: usize, zone: &str, voters: u16) -> deploy::Process {
         let name = format!("e{}", i + 1);
         let text = format!(
-            "{{ \"box\": \"{name}\", \"zone\": \"z0\", \"callers\": \"{}\", \"listen\": \"{}\",\n  \
+            "{{ \"box\": \"{name}\", \"zone\": \"{zone}\", \"callers\": \"{}\", \"listen\": \"{}\",\n  \
              \"health\": \"{}\", \"voters\": [{}], \"stop_grace\": \"200ms\",\n  \
              \"stop_within\": \"4s\"{} }}",
             self.callers_at(i),
             self.address(8001 + 10 * i),
             self.address(8002 + 10 * i),
-            self.seeds(),
+            self.seeds_at(voters),
             self.more,
         );
         self.start_process(&name, "scalewood-entry", &[], &text)
