--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         Arc, Mutex,
@@ -16,7 +17,7 @@
     board::{feed, view},
     core::{
         attempt, backoff, catchup, claim, config, crash, dispatch, limit, load, member, name, pace,
-        region, registry, residency, retry, throttle, unit, usage, wall_clock, warm_up,
+        reach, region, registry, residency, retry, throttle, unit, usage, wall_clock, warm_up,
     },
     util::{
         clock::Clock,
@@ -172,6 +173,16 @@
     pub endpoint_limits: Mutex<throttle::Book>,
     /// How each service's endpoints process prompts, as all boxes have measured it.
     pub prefills: Mutex<BTreeMap<name::Service, load::Measured>>,
+    /// Whether the links of this box to the endpoints of each service work.
+    pub links_to_endpoints: Mutex<reach::Tracker>,
+    /// Whether `links_to_endpoints` has any failures.
+    pub has_link_failures: AtomicBool,
+    /// The boxes that may serve requests for this one.
+    pub peers: Mutex<reach::Peers>,
+    /// Counts the changes of `links_to_endpoints` and `peers` that concern requests.
+    pub reach_changed: watch::Sender<usize>,
+    /// Where this box accepts requests from other boxes, once it listens there.
+    pub forwarded_at: Mutex<Option<SocketAddr>>,
     /// The requests during which endpoints have crashed.
     pub crashes: Mutex<crash::Book>,
     /// The requests that have completed recently.
@@ -264,6 +275,11 @@
             backoffs: Mutex::new(backoffs),
             endpoint_limits: Mutex::default(),
             prefills: Mutex::default(),
+            links_to_endpoints: Mutex::default(),
+            has_link_failures: AtomicBool::new(false),
+            peers: Mutex::default(),
+            reach_changed: watch::Sender::new(0),
+            forwarded_at: Mutex::default(),
             crashes: Mutex::default(),
             completions: Mutex::default(),
             held_back_known: AtomicBool::new(false),
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -298,6 +298,8 @@
     probe_at: Option<Duration>,
     /// The load of other boxes at endpoints that are not known here yet.
     unknown_loads: HashMap<name::Endpoint, Load>,
+    /// Whether this box has lost its links to the endpoints.
+    links_lost: bool,
 }
 
 /// The score penalty, in thousandths of the slots, of an endpoint in another zone: how much fuller
--- a/src/scalewood/core/dispatch/endpoint/health.rs
+++ b/src/scalewood/core/dispatch/endpoint/health.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use super::{Endpoint, Index, Prefill, Set, State, MAX_RISK_PENALTY};
-use crate::core::{dispatch::Settings, load, rendezvous, risk};
+use crate::core::{
+    dispatch::{zone, Settings},
+    load, rendezvous, risk,
+};
 
 /// The sum of weights of consecutive failures at which an endpoint is ejected.
 const EJECTION_WEIGHT: u32 = 3;
@@ -94,6 +97,9 @@
         now: Duration,
         settings: &Settings,
     ) {
+        if self.links_lost {
+            return;
+        }
         let failed = &self.endpoints[index.0];
         if failed.in_other_zone {
             self.zones.record_failure(&failed.zone, index.0, now);
@@ -128,6 +134,9 @@
     pub(in crate::core::dispatch) fn record_abandoned(&mut self, index: Index, now: Duration) {
         /// The weight of an abandoned request; that of a failure is 1.
         const SUSPICION_WEIGHT: f64 = 0.75;
+        if self.links_lost {
+            return;
+        }
         self.endpoints[index.0].raise_risk(SUSPICION_WEIGHT, now);
         self.unreported.insert(index);
         self.rescore(index);
@@ -157,11 +166,44 @@
         }
     }
 
-    /// Returns the outcomes of requests of this box since they were last taken.
-    pub(in crate::core::dispatch) fn take_outcomes(&mut self) -> Vec<load::Outcome> {
+    /// Records whether this box has lost its links to the endpoints. Failures that were not reported
+    /// yet are discarded, and endpoints that were ejected for them are used again once the links
+    /// work.
+    pub(in crate::core::dispatch) fn set_links_lost(&mut self, lost: bool, settings: &Settings) {
+        self.links_lost = lost;
+        for i in 0..self.endpoints.len() {
+            let endpoint = &mut self.endpoints[i];
+            if std::mem::take(&mut endpoint.outcomes.failed) > 0 {
+                endpoint.risk = risk::Risk::default();
+                endpoint.risk_penalty = 0;
+            }
+            if !lost && endpoint.state != State::Active {
+                endpoint.state = State::Active;
+                endpoint.failures = 0;
+                endpoint.ejections = 0;
+                endpoint.ramp = settings.ramp;
+            }
+            self.rescore(Index(i));
+        }
+        if !lost {
+            self.zones = zone::Zones::default();
+        }
+    }
+
+    /// Returns the outcomes of requests of this box since they were last taken, without the failures
+    /// if these are held back.
+    pub(in crate::core::dispatch) fn take_outcomes(
+        &mut self,
+        holds_failures: bool,
+    ) -> Vec<load::Outcome> {
         let mut outcomes = Vec::new();
         for index in std::mem::take(&mut self.unreported) {
-            let count = std::mem::take(&mut self.endpoints[index.0].outcomes);
+            let outcomes_here = &mut self.endpoints[index.0].outcomes;
+            let mut count = std::mem::take(outcomes_here);
+            if holds_failures && count.failed > 0 {
+                outcomes_here.failed = std::mem::take(&mut count.failed);
+                self.unreported.insert(index);
+            }
             // Outcomes of an earlier start do not apply to the current one of the same name.
             if count != load::OutcomeCounts::default() && self.is_latest(index) {
                 let endpoint = self.endpoints[index.0].name.clone();
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -163,6 +163,9 @@
     /// Since when no voter issues permits, if none does: this box then uses an equal share of
     /// each limit.
     PermitsUnavailable(Option<Duration>),
+    /// Whether this box has lost its links to the endpoints, so that failures there say nothing of
+    /// them.
+    LinksLost(bool),
     /// Time has passed.
     Tick,
 }
@@ -293,6 +296,7 @@
             Input::Limits(changes) => self.endpoints.set_limits(&changes),
             Input::Permits(permits) => self.endpoints.add_permits(&permits, now),
             Input::PermitsUnavailable(since) => self.endpoints.set_permits_unavailable(since),
+            Input::LinksLost(lost) => self.endpoints.set_links_lost(lost, &self.settings),
             Input::Tick => self.tick(now),
         }
         self.grant(now);
--- a/src/scalewood/core/dispatch/status.rs
+++ b/src/scalewood/core/dispatch/status.rs
@@ -99,7 +99,13 @@
 
     /// Returns the results of requests here, by endpoint, since the last call.
     pub fn take_outcomes(&mut self) -> Vec<load::Outcome> {
-        self.endpoints.take_outcomes()
+        self.endpoints.take_outcomes(false)
+    }
+
+    /// Returns the answers to requests here, by endpoint, since the last call, and leaves the failures
+    /// for a later one: while this box's links are in doubt, these may say nothing of the endpoints.
+    pub fn take_answers(&mut self) -> Vec<load::Outcome> {
+        self.endpoints.take_outcomes(true)
     }
 
     /// Returns the endpoints of this zone that warm up, each with the number of requests that
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -13,6 +13,7 @@
 use super::{
     delta::significant_changes,
     merge,
+    peers::Peers,
     prefill::Prefills,
     refused::{Sums, Unsent},
     set_or_remove,
@@ -161,6 +162,8 @@
     leases: warm_up::Leases,
     /// The requests during which endpoints crashed.
     crashes: crash::Book,
+    /// The boxes that may serve requests for others.
+    reachable: Peers,
 }
 
 impl Hub {
@@ -201,6 +204,9 @@
         }
         self.detect_stalled(now);
         self.take_crashes(report.crashes, true, now);
+        if let Some(reach) = report.reach {
+            self.reachable.record(from, reach);
+        }
         let update = Update {
             loads: self.loads_for(from),
             placements: self.placements_for(from),
@@ -220,6 +226,7 @@
             update,
             boxes,
             leased,
+            peers: self.reachable.for_box(from),
         }
     }
 
@@ -281,6 +288,9 @@
         self.prefills.add(&report.prefills);
         self.refused.add(&report.refused, &report.traffic, now);
         self.take_crashes(report.crashes, false, now);
+        if let Some(peers) = report.peers {
+            self.reachable.record_named(from, peers);
+        }
         true
     }
 
@@ -295,6 +305,7 @@
                 ..Link::default()
             };
             self.links.insert(peer.clone(), link);
+            self.reachable.forget_sent(peer);
         }
         let Some(link) = self.links.get_mut(peer) else {
             return Update::default();
@@ -313,6 +324,7 @@
             prompts: link.prompts.take(),
             prefills: link.prefills.take(),
             crashes: self.crashes.updates(&mut link.crashes, crash::Scope::Local),
+            peers: self.reachable.update_for(peer),
             ..Update::default()
         };
         link.refused.take(&mut update);
@@ -352,6 +364,7 @@
     /// Forgets what was sent to another hub, since that hub can't be reached.
     pub fn forget_sent(&mut self, peer: &name::Box) {
         self.links.remove(peer);
+        self.reachable.forget_sent(peer);
     }
 
     fn take_own_loads(&mut self, from: &name::Box, changed: Vec<EndpointLoad>) {
@@ -534,6 +547,7 @@
         let Some(member) = self.members.remove(name) else {
             return;
         };
+        self.reachable.forget(name);
         for (endpoint, own) in member.own {
             subtract(&mut self.total, &endpoint, own);
             subtract(&mut self.local, &endpoint, own);
@@ -544,6 +558,7 @@
         let Some(peer) = self.peers.remove(name) else {
             return;
         };
+        self.reachable.forget_named(name);
         for (endpoint, load) in peer.loads {
             subtract(&mut self.total, &endpoint, load);
         }
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -12,12 +12,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{crash, name, prompt::Prefix, registry, risk, throttle};
+use crate::core::{crash, name, prompt::Prefix, reach, registry, risk, throttle};
 
 mod delta;
 mod hub;
 mod less_urgent;
 mod losses;
+mod peers;
 mod prefill;
 mod refused;
 mod sizes;
@@ -283,6 +284,12 @@
         skip_serializing_if = "throttle::Message::is_empty"
     )]
     pub throttle: throttle::Message,
+    /// What a box's links reach, if that has changed; sent to hubs only.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub reach: Option<reach::Report>,
+    /// The boxes of a hub that serve requests for others, if these have changed; sent between hubs.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<Vec<reach::Peer>>,
 }
 
 impl Update {
@@ -315,6 +322,9 @@
     /// box's request.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leased: Vec<name::Endpoint>,
+    /// Boxes that may serve requests for the box, if it has lost its links to endpoints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub peers: Vec<reach::Peer>,
 }
 
 /// Loads by endpoint. Endpoints without load are left out.
--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -29,6 +29,7 @@
 pub mod policy;
 pub mod prompt;
 pub mod raft;
+pub mod reach;
 pub mod region;
 pub mod registry;
 pub mod rendezvous;
--- a/src/scalewood/ops/entry/caller.rs
+++ b/src/scalewood/ops/entry/caller.rs
@@ -33,12 +33,13 @@
         model,
         plain::{self, Context, Outgoing},
         prompt::Prompt,
+        reach,
         reply::Refusal,
         routed,
         upstream::Pool,
         Error, Settings, Shared,
     },
-    util::socket,
+    util::{lock::lock, socket},
 };
 
 /// The time without a connection or an error after which a box counts as able to accept again. A
@@ -62,6 +63,8 @@
 #[derive(Debug)]
 pub(super) struct Server<D> {
     listener: TcpListener,
+    /// Accepts requests that other boxes forward.
+    forwards: TcpListener,
     context: Arc<Context>,
     routes: routed::Context<D>,
     drain: Duration,
@@ -74,15 +77,24 @@
             .await
             .change_context(Error)
             .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
+        let forwards = TcpListener::bind(settings.forward)
+            .await
+            .change_context(Error)
+            .attach_with(|| format!("{} can't be listened on; is it in use?", settings.forward))?;
+        let forwards_at = forwards.local_addr().change_context(Error)?;
+        *lock(&board.forwarded_at) = reach::reachable(forwards_at);
+        event!(board.log, Listening, "what" => "forwards", "address" => %forwards_at);
         let routes = routed::Context::new(board.clone(), settings.limits.clone(), settings.retries);
         tokio::spawn(routes.clone().sweep());
+        tokio::spawn(routes.clone().forget_lost());
         let context = Context {
             board,
-            pool: Pool::default(),
+            pool: Pool::new(socket::ENDPOINT),
             limits: settings.limits.clone(),
         };
         Ok(Self {
             listener,
+            forwards,
             context: Arc::new(context),
             routes,
             drain: settings.drain_timeout,
@@ -98,15 +110,20 @@
                 accepted = tokio::time::timeout(ACCEPT_RECOVERY, self.listener.accept()) => {
                     self.record_accept(accepted.as_ref().ok());
                     match accepted {
-                        Ok(Ok((stream, _))) => self.serve(stream, &graceful),
+                        Ok(Ok((stream, _))) => self.serve(stream, Peer::Caller, &graceful),
                         Ok(Err(_)) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
                         Err(_) => {}
                     }
                 }
+                accepted = self.forwards.accept() => match accepted {
+                    Ok((stream, _)) => self.serve(stream, Peer::Box, &graceful),
+                    Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+                },
                 () = &mut stop => break,
             }
         }
         drop(self.listener);
+        drop(self.forwards);
         if tokio::time::timeout(self.drain, graceful.shutdown())
             .await
             .is_err()
@@ -147,13 +164,17 @@
     }
 
     /// Serves one connection in a task of its own.
-    fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
+    fn serve(&self, stream: TcpStream, peer: Peer, graceful: &GracefulShutdown) {
         // Without TCP_NODELAY small pieces wait for acknowledgements; a failure to set it only
         // adds latency.
         let _ = stream.set_nodelay(true);
         // Without this limit on the time without acknowledgement an unresponsive caller keeps its
         // connection for long.
-        let _ = socket::CALLER.apply(&stream);
+        let timeouts = match peer {
+            Peer::Caller => socket::CALLER,
+            Peer::Box => socket::PROCESS,
+        };
+        let _ = timeouts.apply(&stream);
         let context = self.context.clone();
         let routes = self.routes.clone();
         let (head, idle) = self.bounds();
@@ -165,7 +186,12 @@
             let context = context.clone();
             let routes = routes.clone();
             let caller = caller.clone();
-            async move { Ok::<_, Infallible>(answer(&context, &routes, request, &caller).await) }
+            async move {
+                Ok::<_, Infallible>(match peer {
+                    Peer::Caller => answer(&context, &routes, request, &caller).await,
+                    Peer::Box => routes.serve_forwarded(request, &caller).await,
+                })
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -181,6 +207,14 @@
     }
 }
 
+/// Who opened a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Peer {
+    Caller,
+    /// Another box, which forwards requests of its callers.
+    Box,
+}
+
 /// Serves one request; a draining box asks the caller to close the connection.
 async fn answer<D: Dialect>(
     context: &Context,
--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -88,6 +88,11 @@
     /// removed.
     fn instruct(headers: &mut HeaderMap, instruction: &Instruction<'_>);
 
+    /// Writes what [`Dialect::parse`] read from reserved headers into headers from which these were
+    /// removed, so that another box can parse the request; `timeout` is the time left until its
+    /// deadline.
+    fn restore(headers: &mut HeaderMap, head: &Head, timeout: Duration);
+
     /// Classifies an endpoint's answer to the request of the given id.
     fn classify(status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Disposition;
 
@@ -118,6 +123,8 @@
 
 /// The caller's id for a request.
 const ID_HEADER: &str = "scalewood-id";
+/// The team's key, as a bearer token.
+const KEY_HEADER: &str = "authorization";
 /// How long the caller waits for the answer, in milliseconds.
 const DEADLINE_MS_HEADER: &str = "scalewood-deadline-ms";
 /// The tokens of the prompt and the maximum tokens of the answer, separated by a comma.
@@ -142,7 +149,7 @@
     const READY_PATH: &'static str = "/readyz";
 
     const RESERVED_HEADERS: &'static [&'static str] = &[
-        "authorization",
+        KEY_HEADER,
         DEADLINE_MS_HEADER,
         ENDPOINT_HEADER,
         TEAM_HEADER,
@@ -156,7 +163,7 @@
     fn parse(headers: &HeaderMap) -> Head {
         let tokens = text(headers, TOKENS_HEADER).and_then(|text| text.split_once(','));
         let count = |text: &str| unit::Tokens(text.trim().parse().unwrap_or(0));
-        let key = text(headers, header::AUTHORIZATION.as_str());
+        let key = text(headers, KEY_HEADER);
         Head {
             id: text(headers, ID_HEADER).map(str::to_owned),
             key: key
@@ -191,6 +198,14 @@
         set(headers, LAST_EVENT_HEADER, instruction.last_event_id);
     }
 
+    fn restore(headers: &mut HeaderMap, head: &Head, timeout: Duration) {
+        let key = head.key.as_ref().map(|key| format!("Bearer {key}"));
+        let left = timeout.as_millis().to_string();
+        set(headers, KEY_HEADER, key.as_deref());
+        set(headers, DEADLINE_MS_HEADER, Some(&left));
+        set(headers, LAST_EVENT_HEADER, head.last_event_id.as_deref());
+    }
+
     fn classify(status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Disposition {
         let echoed = text(headers, ID_HEADER);
         if status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/scalewood/ops/entry/dispatchers.rs
+++ b/src/scalewood/ops/entry/dispatchers.rs
@@ -18,7 +18,7 @@
     },
     core::{attempt, config, dispatch, name, rendezvous, residency, unit},
     event,
-    ops::entry::{member, now, throttle, warming, Shared},
+    ops::entry::{member, now, reach, throttle, warming, Shared},
     util::{lock::lock, metric::ServiceLabel},
     wire::peer::Load,
 };
@@ -122,6 +122,9 @@
     if let Some(measured) = measured {
         outputs.extend(dispatcher.step(dispatch::Input::Prefill(measured), now));
     }
+    if reach::is_lost(board, service) {
+        outputs.extend(dispatcher.step(dispatch::Input::LinksLost(true), now));
+    }
     (dispatcher, outputs)
 }
 
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -17,7 +17,7 @@
 use crate::{
     core::{self, crash::Cursor, crash::Scope, dispatch, follow, load, name, usage, warm_up},
     event,
-    ops::entry::{crash, directory::Voters, dispatchers, now, throttle, Shared},
+    ops::entry::{crash, directory::Voters, dispatchers, now, reach, throttle, Shared},
     util::{lock::lock, metric},
     wire::registry::RegistryClient as _,
 };
@@ -119,6 +119,8 @@
     limits: u64,
     /// When a voter that issues permits last answered.
     issued_at: Duration,
+    /// The state of this box's links as last sent to the voter.
+    sent_reach: Option<core::reach::Report>,
 }
 
 impl Partner {
@@ -138,6 +140,7 @@
             leaving: 0,
             limits: 0,
             issued_at,
+            sent_reach: None,
         }
     }
 
@@ -204,10 +207,12 @@
             limits: new_limits,
             wanted: throttle::wanted_permits(&self.board),
         };
+        let reach = reach::report(&self.board);
         let mut report = load::Update {
+            reach: Some(reach.clone()).filter(|_| self.sent_reach.as_ref() != Some(&reach)),
             loads: load::difference(&self.sent_loads, &own),
             placements: collect_all(&self.board, dispatch::Dispatcher::take_placements),
-            outcomes: collect_all(&self.board, dispatch::Dispatcher::take_outcomes),
+            outcomes: outcomes(&self.board),
             prompts: collect_all(&self.board, dispatch::Dispatcher::take_prompts),
             wanted: if in_zone {
                 wanted_leases(&self.board)
@@ -238,6 +243,7 @@
                 self.crashes = crashes;
                 self.leaving = stamp;
                 self.limits = limits;
+                self.sent_reach = Some(reach.clone());
                 self.board.last_exchange_at.send_replace(begun);
                 self.boxes = answer.load.boxes;
                 let answered = now(&self.board);
@@ -246,6 +252,7 @@
                 if let Some(throttle) = answer.throttle {
                     self.apply_permits(throttle, voter, asked_at);
                 }
+                reach::set_peers(&self.board, reach.lost, answer.load.peers);
                 self.board.held_back_known.store(true, Ordering::Relaxed);
                 if !answer.load.leased.is_empty() {
                     let until = asked_at + warm_up::LEASE_DURATION;
@@ -361,6 +368,7 @@
         self.crashes = Cursor::default();
         self.leaving = 0;
         self.limits = 0;
+        self.sent_reach = None;
     }
 
     fn apply_input(&self, input: &dispatch::Input) {
@@ -378,6 +386,24 @@
     wanted.into_iter().map(|(_, name)| name).collect()
 }
 
+/// Returns the results of requests here, by endpoint, since the last call. Failures that may come from
+/// this box's links are left for later.
+fn outcomes(board: &Shared) -> Vec<load::Outcome> {
+    let mut outcomes = Vec::new();
+    for service in dispatchers::services(board) {
+        let is_doubtful = reach::is_doubtful(board, &service);
+        let mut shard = board.dispatchers.shard(&service);
+        if let Some(dispatcher) = shard.get_mut(&service) {
+            outcomes.extend(if is_doubtful {
+                dispatcher.take_answers()
+            } else {
+                dispatcher.take_outcomes()
+            });
+        }
+    }
+    outcomes
+}
+
 fn own_loads(board: &Shared) -> load::Loads {
     let mut loads = load::Loads::new();
     board.dispatchers.for_each(|shard| {
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -11,6 +11,7 @@
 //! - `directory`: tracks the registries of voters, in which endpoints announce themselves.
 //! - `fetch`: fetches the configuration from a voter that announces a newer revision.
 //! - `exchange`: exchanges the boxes' loads at endpoints with a voter.
+//! - `reach`: watches the links to endpoints; `routed` forwards requests while they are lost.
 //! - `status`: reports this box's state to the voters.
 //! - `routed`: serves requests that go by routes.
 //! - `caller`: the HTTP server for callers.
@@ -57,6 +58,7 @@
 mod plain;
 mod poll;
 mod prompt;
+mod reach;
 mod reply;
 mod routed;
 mod server;
@@ -82,6 +84,8 @@
     pub callers: SocketAddr,
     /// The address for the other processes of the system.
     pub listen: SocketAddr,
+    /// The address to which other boxes forward requests while they reach no endpoint.
+    pub forward: SocketAddr,
     /// The address at which the platform reads health and metrics.
     pub health: SocketAddr,
     /// The addresses of the voters.
@@ -169,6 +173,7 @@
             zones: region::Map::default(),
             callers: ([127, 0, 0, 1], 7200).into(),
             listen: ([127, 0, 0, 1], 7201).into(),
+            forward: ([127, 0, 0, 1], 0).into(),
             health: ([127, 0, 0, 1], 7202).into(),
             voters: Vec::new(),
             timing: registry::Timing::default(),
@@ -202,6 +207,9 @@
 impl settings::Settings for Settings {
     fn read(reader: &mut settings::Reader<'_>) -> Self {
         let default = Self::default();
+        let listen = reader
+            .required("listen", "127.0.0.1:7201")
+            .unwrap_or(default.listen);
         let settings = Self {
             name: reader.required("box", "e1").unwrap_or(default.name),
             zone: reader.required("zone", "cluj").unwrap_or(default.zone),
@@ -209,9 +217,10 @@
             callers: reader
                 .required("callers", "127.0.0.1:7200")
                 .unwrap_or(default.callers),
-            listen: reader
-                .required("listen", "127.0.0.1:7201")
-                .unwrap_or(default.listen),
+            listen,
+            forward: reader
+                .parsed("forward", "127.0.0.1:7203")
+                .unwrap_or(SocketAddr::new(listen.ip(), 0)),
             health: reader
                 .required("health", "127.0.0.1:7202")
                 .unwrap_or(default.health),
--- a/src/scalewood/ops/entry/observer.rs
+++ b/src/scalewood/ops/entry/observer.rs
@@ -21,8 +21,10 @@
     longest_pause: Duration,
     /// The tokens of a stream so far.
     tokens: u64,
-    /// Whether an endpoint has begun the request.
+    /// Whether the request was counted for its team's usage: an endpoint has begun it.
     begun: bool,
+    /// Whether the metrics count the request at the box that has received it from its caller.
+    usage_only: bool,
     ended: bool,
 }
 
@@ -36,6 +38,7 @@
             longest_pause: Duration::ZERO,
             tokens: 0,
             begun: false,
+            usage_only: false,
             ended: false,
         }
     }
@@ -44,6 +47,23 @@
         (&self.call.key).into()
     }
 
+    /// Counts only the usage of a request that another box has received from its caller, unless that
+    /// was counted there.
+    pub(super) fn counts_usage_only(&mut self, is_counted: bool) {
+        self.usage_only = true;
+        self.begun = is_counted;
+    }
+
+    /// Records that another box serves the request and counts its usage.
+    pub(super) fn counted_elsewhere(&mut self) {
+        self.begun = true;
+    }
+
+    /// Returns whether the request was counted for its team's usage.
+    pub(super) fn is_counted(&self) -> bool {
+        self.begun
+    }
+
     /// Records that an endpoint has begun the request, and counts it for the team's usage: once per
     /// request, for any number of endpoints and whatever the outcome.
     pub(super) fn begun(&mut self) {
@@ -62,6 +82,9 @@
         let took = now.saturating_sub(self.call.arrived_at);
         self.first = Some(took);
         self.last = now;
+        if self.usage_only {
+            return;
+        }
         self.board
             .metrics
             .first_token
@@ -84,11 +107,13 @@
         } else {
             let pause = now.saturating_sub(self.last);
             self.longest_pause = self.longest_pause.max(pause);
-            self.board
-                .metrics
-                .between_tokens
-                .get_or_create(&self.label())
-                .observe(pause.as_secs_f64());
+            if !self.usage_only {
+                self.board
+                    .metrics
+                    .between_tokens
+                    .get_or_create(&self.label())
+                    .observe(pause.as_secs_f64());
+            }
         }
         self.last = now;
         self.tokens += 1;
@@ -115,10 +140,10 @@
 
     /// Records a complete answer.
     pub(super) fn done(&mut self, tokens: unit::Tokens) {
-        if self
+        let is_attained = self
             .first
-            .is_some_and(|first| first <= self.call.class.target)
-        {
+            .is_some_and(|first| first <= self.call.class.target);
+        if is_attained && !self.usage_only {
             self.board
                 .metrics
                 .goodput
@@ -137,11 +162,19 @@
         self.end(refusal.code, refusal.verdict);
     }
 
+    /// Records a refusal or failure by the box that was to serve the request.
+    pub(super) fn refused_elsewhere(&mut self, verdict: verdict::Verdict) {
+        self.end("refused-elsewhere", verdict);
+    }
+
     fn end(&mut self, end: &'static str, verdict: verdict::Verdict) {
         invariant::check(!self.ended, invariant::Rule::OneAnswer, || {
             format!("{} ends as {end} after it has ended", self.call.request)
         });
         self.ended = true;
+        if self.usage_only {
+            return;
+        }
         let label = metric::EndLabel::new(&self.call.key, end, verdict);
         self.board.metrics.ended.get_or_create(&label).inc();
     }
--- a/src/scalewood/ops/entry/poll.rs
+++ b/src/scalewood/ops/entry/poll.rs
@@ -16,6 +16,7 @@
     core::{dispatch, name},
     event,
     ops::entry::{answer_head, crash::Target, dispatchers, plain, upstream, Shared},
+    util::socket,
 };
 
 /// The pause between two polls of the endpoints.
@@ -101,9 +102,8 @@
 }
 
 async fn get(address: SocketAddr, path: &str) -> Option<Response<Bytes>> {
-    let mut sender = upstream::dial::<Empty<Bytes>>(address, ANSWER_TIMEOUT)
-        .await
-        .ok()?;
+    let dialled = upstream::dial::<Empty<Bytes>>(address, ANSWER_TIMEOUT, socket::ENDPOINT);
+    let mut sender = dialled.await.ok()?;
     let request = hyper::Request::get(path).header("host", address.to_string());
     let response = sender
         .send_request(request.body(Empty::new()).ok()?)
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -17,12 +17,13 @@
         dialect::{Dialect, Disposition, Instruction},
         dispatchers, now,
         observer::Observer,
+        reach,
         reply::Refusal,
-        routed::{pool, reply, retries, Context, Routed},
+        routed::{forward, pool, reply, retries, Context, Routed},
         turn::{Decision, Turn},
         upstream::{self, Failure},
     },
-    util::{lock::lock, metric},
+    util::{lock::lock, metric, socket},
 };
 
 /// The least time that a repeatable request waits for a silent endpoint before another one is
@@ -52,6 +53,8 @@
     pub(super) misses: u32,
     /// The number of attempts that may have run.
     pub(super) runs: u32,
+    /// The number of other boxes that it was sent to.
+    pub(super) forwards: u32,
     /// Whether the request may have run, over all attempts.
     pub(super) verdict: verdict::Verdict,
     last_endpoint: Option<name::Endpoint>,
@@ -65,12 +68,23 @@
     cause: Option<dispatch::Cause>,
 }
 
-/// An endpoint's answer whose head has arrived.
+/// Where an answer comes from.
+#[derive(Debug)]
+pub(super) enum Via {
+    /// An endpoint, over a connection of this box.
+    Endpoint {
+        turn: Turn,
+        endpoint: name::Endpoint,
+        sender: pool::Sender,
+    },
+    /// Another box.
+    Box(forward::Link),
+}
+
+/// An answer whose head has arrived.
 #[derive(Debug)]
 pub(super) struct Opened {
-    pub(super) turn: Turn,
-    pub(super) endpoint: name::Endpoint,
-    pub(super) sender: pool::Sender,
+    pub(super) via: Via,
     pub(super) parts: response::Parts,
     pub(super) body: Incoming,
 }
@@ -92,10 +106,16 @@
     pub(super) fn new(context: Context<D>, routed: Routed) -> Self {
         let board = context.board.clone();
         let ask = routed.call.first_ask(&board, false);
-        let observer = Observer::new(&board, &routed.call);
-        let label = metric::ClassLabel::from(&routed.call.key);
-        board.metrics.offered.get_or_create(&label).inc();
-        retries::earn(&context, &routed.call.key.service);
+        let mut observer = Observer::new(&board, &routed.call);
+        let mut runs = 0;
+        if let Some(forwarded) = &routed.forwarded {
+            runs = forwarded.runs;
+            observer.counts_usage_only(forwarded.counted);
+        } else {
+            let label = metric::ClassLabel::from(&routed.call.key);
+            board.metrics.offered.get_or_create(&label).inc();
+            retries::earn(&context, &routed.call.key.service);
+        }
         Self {
             context,
             routed,
@@ -103,7 +123,8 @@
             ask,
             tries: 0,
             misses: 0,
-            runs: 0,
+            runs,
+            forwards: 0,
             verdict: verdict::Verdict::NotRun,
             last_endpoint: None,
             sent_to: None,
@@ -121,6 +142,10 @@
         now(&self.context.board)
     }
 
+    fn service(&self) -> &name::Service {
+        &self.routed.call.key.service
+    }
+
     /// Returns the time left until the final answer is due.
     pub(super) fn time_left(&self) -> Duration {
         self.routed.until.saturating_sub(self.now())
@@ -141,13 +166,7 @@
 
     /// Reads an answer to its end and returns it, or `None` if another attempt follows.
     pub(super) async fn finish_whole(&mut self, opened: Opened) -> Option<Response<Answer>> {
-        let Opened {
-            turn,
-            endpoint,
-            sender,
-            parts,
-            body,
-        } = opened;
+        let Opened { via, parts, body } = opened;
         // The endpoint has run the request, whatever the status.
         self.observer.begun();
         let max_bytes = self.context.limits.max_answer.0;
@@ -157,6 +176,26 @@
             Some(Ok(whole)) => Ok(whole.to_bytes()),
             Some(Err(_)) => Err(Failure::BROKEN),
         };
+        match via {
+            Via::Endpoint {
+                turn,
+                endpoint,
+                sender,
+            } => {
+                let at = (turn, endpoint, sender);
+                self.finish_at_endpoint(at, parts, read).await
+            }
+            Via::Box(link) => self.finish_at_box(link, parts, read).await,
+        }
+    }
+
+    /// Returns an endpoint's whole answer, or `None` if another attempt follows.
+    async fn finish_at_endpoint(
+        &mut self,
+        (turn, endpoint, sender): (Turn, name::Endpoint, pool::Sender),
+        parts: response::Parts,
+        read: Result<Bytes, Failure>,
+    ) -> Option<Response<Answer>> {
         let failed = match read {
             Ok(body) => {
                 self.keep_connection(&endpoint, sender, &parts.headers);
@@ -173,6 +212,23 @@
         self.handle_failure(turn, &endpoint, failed).await.err()
     }
 
+    /// Returns another box's whole answer, or `None` if another attempt follows.
+    async fn finish_at_box(
+        &mut self,
+        link: forward::Link,
+        parts: response::Parts,
+        read: Result<Bytes, Failure>,
+    ) -> Option<Response<Answer>> {
+        match read {
+            Ok(body) => {
+                link.keep(&self.context.peers);
+                self.forward_ended(&parts);
+                Some(reply::whole(parts, body))
+            }
+            Err(failure) => self.handle_lost_box(link.name(), failure).await.err(),
+        }
+    }
+
     fn keep_connection(
         &self,
         endpoint: &name::Endpoint,
@@ -202,25 +258,31 @@
     /// A stream is resumed after the event with the id `after`, if there is one.
     pub(super) async fn open(&mut self, after: Option<&str>) -> Result<Opened, Response<Answer>> {
         loop {
-            let (turn, endpoint) = self.turn().await?;
+            if let Some(forwarded) = self.forward(after).await {
+                return forwarded;
+            }
+            let Some(granted) = self.turn().await else {
+                continue;
+            };
+            let (turn, endpoint) = granted?;
             match self.exchange(&turn, &endpoint, after).await {
                 Ok((sender, response)) => {
                     let (parts, body) = response.into_parts();
-                    return Ok(Opened {
+                    let via = Via::Endpoint {
                         turn,
                         endpoint,
                         sender,
-                        parts,
-                        body,
-                    });
+                    };
+                    return Ok(Opened { via, parts, body });
                 }
                 Err(failed) => self.handle_failure(turn, &endpoint, failed).await?,
             }
         }
     }
 
-    /// Asks the dispatcher for a slot at an endpoint, and waits for it.
-    async fn turn(&mut self) -> Result<(Turn, name::Endpoint), Response<Answer>> {
+    /// Asks the dispatcher for a slot at an endpoint, and waits for it; returns the final answer as an
+    /// error if the request is refused. Returns `None` if another box can serve it meanwhile.
+    async fn turn(&mut self) -> Option<Result<(Turn, name::Endpoint), Response<Answer>>> {
         let board = self.context.board.clone();
         let zone = board.own.zone.clone();
         let service = &self.routed.call.key.service;
@@ -232,7 +294,13 @@
             self.ask.clone(),
             &self.routed.call.content,
         );
-        match self.in_time(turn.wait()).await {
+        let may_forward = self.routed.forwarded.is_none() && self.forwards == 0;
+        let decision = tokio::select! {
+            biased;
+            decision = self.in_time(turn.wait()) => decision,
+            () = reach::forwardable(&board, service), if may_forward => return None,
+        };
+        Some(match decision {
             Some(Decision::Granted(endpoint)) => {
                 let basis = dispatchers::basis(&board, service, turn.attempt());
                 self.basis = basis.unwrap_or_default();
@@ -250,7 +318,7 @@
                 let shed = reply::shed::<D>(reason, MIN_HEAD_WAIT, self.verdict);
                 Err(self.refuse(&shed))
             }
-        }
+        })
     }
 
     /// Sends the request to an endpoint and reads the head of its answer.
@@ -345,19 +413,26 @@
                 return Err(Failure::NOT_PERMITTED);
             }
             match pool::send(&mut sender, request).await {
-                Ok(response) => return Ok((sender, response)),
+                Ok(response) => {
+                    reach::record_answer(&self.context.board, self.service(), false);
+                    return Ok((sender, response));
+                }
                 Err(pool::Unsent::NotWritten(untouched)) => request = *untouched,
                 Err(pool::Unsent::Broken) => return Err(Failure::BROKEN),
             }
         }
-        let requests = upstream::dial(target.address, self.context.limits.connect_timeout).await?;
+        let timeout = self.context.limits.connect_timeout;
+        let requests = upstream::dial(target.address, timeout, socket::ENDPOINT).await?;
         // Connecting takes time, and the process may have been frozen meanwhile.
         if !turn.permits(&target.endpoint) {
             return Err(Failure::NOT_PERMITTED);
         }
         let mut sender = pool::Sender::new(target.start, requests);
         match pool::send(&mut sender, request).await {
-            Ok(response) => Ok((sender, response)),
+            Ok(response) => {
+                reach::record_answer(&self.context.board, self.service(), true);
+                Ok((sender, response))
+            }
             Err(pool::Unsent::NotWritten(_)) => Err(Failure::UNREACHABLE),
             Err(pool::Unsent::Broken) => Err(Failure::BROKEN),
         }
@@ -418,6 +493,9 @@
         }
         self.verdict = self.verdict.and(failure.verdict);
         let may_have_run = failure.verdict != verdict::Verdict::NotRun;
+        if own.is_none() {
+            self.record_link_failure(endpoint, failure);
+        }
         self.runs += u32::from(may_have_run);
         if may_have_run && !self.is_stream() {
             self.observer.begun();
@@ -444,6 +522,21 @@
         Ok(())
     }
 
+    /// Records a failure without an answer, which may come from this box's links.
+    fn record_link_failure(&self, endpoint: &name::Endpoint, failure: Failure) {
+        let sent_at = self.sent_to.as_ref().map(|target| target.sent_at);
+        let was_silent = sent_at.is_some_and(|sent_at| self.now() >= sent_at + MIN_SILENCE);
+        let is_sign = match failure.end {
+            dispatch::End::Unreachable | dispatch::End::Broken => true,
+            // The caller's time may have ended before any answer was due.
+            dispatch::End::Silent => was_silent,
+            _ => false,
+        };
+        if is_sign {
+            reach::record_failure(&self.context.board, self.service(), endpoint);
+        }
+    }
+
     /// Checks whether the endpoint that broke off the request has crashed, and records it if so.
     async fn check_for_crash(&self) {
         let Some(target) = &self.sent_to else { return };
--- /dev/null
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -0,0 +1,240 @@
+//! Forwards requests to another box while this one reaches no endpoint of their service, and serves
+//! those that other boxes forward.
+//!
+//! The other box decides about the request as about one of its own callers'. A request is forwarded
+//! once: the other box gives back what it can't serve, and it then goes to a third one. The box that
+//! received the request from its caller counts its outcome and its share of the retry budget; the
+//! other one counts its usage.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use http_body_util::Full;
+use hyper::{body::Incoming, header::HeaderValue, http::response, Request, Response, StatusCode};
+
+use crate::{
+    core::{name, reach as links, unit, verdict},
+    event,
+    ops::entry::{
+        body::Answer,
+        dialect::Dialect,
+        now, reach,
+        reply::Refusal,
+        routed::{
+            attempt::{self, Opened, Via},
+            reply, Context,
+        },
+        upstream::{self, Failure},
+        Shared,
+    },
+    util::{lock::lock, socket},
+    wire::peer::{Forwarded, FORWARDED_HEADER, UNAVAILABLE_HEADER},
+};
+
+/// How long connecting to another box may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The most boxes that a request is sent to before it is tried at endpoints from here.
+const MAX_BOXES: u32 = 3;
+
+/// A request that another box serves for this one, for the count of such requests.
+#[derive(Debug)]
+struct Serving {
+    board: Shared,
+    by: name::Box,
+}
+
+impl Serving {
+    fn begin(board: &Shared, by: &name::Box) -> Self {
+        lock(&board.peers).begin(by);
+        Self {
+            board: board.clone(),
+            by: by.clone(),
+        }
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        lock(&self.board.peers).end(&self.by);
+    }
+}
+
+/// The connection to another box that serves a request for this one.
+#[derive(Debug)]
+pub(super) struct Link {
+    peer: links::Peer,
+    sender: upstream::Sender,
+    _serving: Serving,
+}
+
+impl Link {
+    /// Returns the other box.
+    pub(super) fn name(&self) -> &name::Box {
+        &self.peer.name
+    }
+
+    /// Keeps the connection for later requests, once the answer was read to its end.
+    pub(super) fn keep(self, pool: &upstream::Pool) {
+        pool.give_back(self.peer.address, self.sender);
+    }
+}
+
+impl<D: Dialect> attempt::Request<D> {
+    /// Returns whether the request goes to another box rather than to an endpoint.
+    pub(super) fn is_forwardable(&self) -> bool {
+        let service = &self.routed.call.key.service;
+        self.routed.forwarded.is_none()
+            && self.forwards < MAX_BOXES
+            && reach::is_lost(&self.context.board, service)
+    }
+
+    /// Sends the request to another box if this one has lost its links to the endpoints. Returns its
+    /// answer, or a refusal as an error; `None` if no other box takes the request.
+    pub(super) async fn forward(
+        &mut self,
+        after: Option<&str>,
+    ) -> Option<Result<Opened, Response<Answer>>> {
+        let board = self.context.board.clone();
+        let service = self.routed.call.key.service.clone();
+        while self.is_forwardable() {
+            let peer = reach::pick_peer(&board, &service).await?;
+            self.forwards += 1;
+            let request = self.forwarded_request(after)?;
+            event!(board.log, RequestForwarded, "id" => self.routed.head.id.as_deref(),
+                "service" => %service, "to" => %peer.name,
+                "left_ms" => self.time_left().as_millis());
+            let timeouts = (CONNECT_TIMEOUT, self.time_left());
+            let peers = self.context.peers.clone();
+            let sent = peers.send(peer.address, request, timeouts, || true).await;
+            match sent {
+                Ok((_, response)) if response.headers().contains_key(UNAVAILABLE_HEADER) => {
+                    lock(&board.peers).avoid(&peer.name, now(&board));
+                }
+                Ok((sender, response)) => {
+                    board.metrics.forwarded.inc();
+                    self.observer.counted_elsewhere();
+                    let (parts, body) = response.into_parts();
+                    let link = Link {
+                        _serving: Serving::begin(&board, &peer.name),
+                        peer,
+                        sender,
+                    };
+                    return Some(Ok(Opened {
+                        via: Via::Box(link),
+                        parts,
+                        body,
+                    }));
+                }
+                Err(failure) => {
+                    lock(&board.peers).avoid(&peer.name, now(&board));
+                    if let Err(refusal) = self.handle_lost_box(&peer.name, failure).await {
+                        return Some(Err(refusal));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// Handles the loss of a box that the request was sent to; returns the final answer as an error
+    /// if the request may have run and may not run again.
+    pub(super) async fn handle_lost_box(
+        &mut self,
+        name: &name::Box,
+        failure: Failure,
+    ) -> Result<(), Response<Answer>> {
+        let may_have_run = failure.verdict != verdict::Verdict::NotRun;
+        self.tries += 1;
+        self.misses += u32::from(!may_have_run);
+        self.runs += u32::from(may_have_run);
+        self.verdict = self.verdict.and(failure.verdict);
+        let wait = self.next_wait(failure);
+        event!(self.context.board.log, RequestRetried, "id" => self.routed.head.id.as_deref(),
+            "box" => %name, "how" => ?failure.end, "tries" => self.tries,
+            "again" => wait.is_some(), "left_ms" => self.time_left().as_millis());
+        let Some(wait) = wait else {
+            return Err(self.refuse(&reply::failed(failure.end, self.verdict)));
+        };
+        tokio::time::sleep(wait).await;
+        Ok(())
+    }
+
+    /// Records the end of a request to which another box gave the answer.
+    pub(super) fn forward_ended(&mut self, answer: &response::Parts) {
+        let verdict = match answer.status {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                verdict::Verdict::NotRun
+            }
+            status if status.is_success() => verdict::Verdict::Ran,
+            _ => verdict::Verdict::MayHaveRun,
+        };
+        let code = if answer.status.is_success() {
+            self.observer.first();
+            self.observer.done(unit::Tokens(0));
+            "done"
+        } else {
+            self.observer.refused_elsewhere(verdict);
+            "refused-elsewhere"
+        };
+        self.log_end(answer.status, code, verdict);
+    }
+
+    /// Returns the request as this box received it, for another box.
+    fn forwarded_request(&self, after: Option<&str>) -> Option<Request<Full<bytes::Bytes>>> {
+        let routed = &self.routed;
+        let mut head = routed.head.clone();
+        if let Some(after) = after {
+            head.last_event_id = Some(after.to_owned());
+        }
+        let age = now(&self.context.board).saturating_sub(routed.call.arrived_at);
+        let forwarded = Forwarded {
+            by: self.context.board.own.name.clone(),
+            revision: routed.revision,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            runs: self.runs,
+            counted: self.observer.is_counted(),
+            returned: routed.call.is_client_retry,
+        };
+        let forwarded = serde_json::to_string(&forwarded).ok()?;
+        let forwarded = HeaderValue::from_str(&forwarded).ok()?;
+        let mut request = routed.outgoing.request_with(|headers| {
+            D::restore(headers, &head, self.time_left());
+        });
+        let headers = request.as_mut().ok()?.headers_mut();
+        headers.insert(FORWARDED_HEADER, forwarded);
+        request.ok()
+    }
+}
+
+impl<D: Dialect> Context<D> {
+    /// Serves a request that another box forwards.
+    pub(in crate::ops::entry) async fn serve_forwarded(
+        &self,
+        mut request: Request<Incoming>,
+        caller: &socket::Watch,
+    ) -> Response<Answer> {
+        let forwarded = request.headers_mut().remove(FORWARDED_HEADER);
+        let forwarded = forwarded.and_then(|text| serde_json::from_slice(text.as_bytes()).ok());
+        let Some(forwarded): Option<Forwarded> = forwarded else {
+            let why = format!("this port is for other boxes; `{FORWARDED_HEADER}` is missing");
+            return Refusal::not_run(StatusCode::BAD_REQUEST, "not-forwarded", why).response();
+        };
+        let is_behind = self.board.view.load().revision < forwarded.revision;
+        if is_behind || self.board.is_draining() || !self.board.ready.load(Ordering::Relaxed) {
+            return self.give_back();
+        }
+        self.serve_from(request, caller, Some(forwarded)).await
+    }
+
+    /// Returns the answer by which this box gives a forwarded request back.
+    pub(super) fn give_back(&self) -> Response<Answer> {
+        self.board.metrics.forwards_declined.inc();
+        let why = "this box can't serve the request; send it to another one";
+        let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "not-served-here", why);
+        let mut response = refusal.response();
+        let given_back = HeaderValue::from_static("1");
+        response
+            .headers_mut()
+            .insert(UNAVAILABLE_HEADER, given_back);
+        response
+    }
+}
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -4,11 +4,12 @@
 //! - `pool`: idle connections to endpoints.
 //! - `attempt`: attempts at endpoints, until one answers or no further one is allowed.
 //! - `retries`: decides whether and when another attempt follows.
+//! - `forward`: has another box serve a request while this one reaches no endpoint.
 //! - `stream`: relays a stream, and resumes it at another endpoint on failure.
 //! - `reply`: the answers to callers.
 //! - `returning`: detects callers that try again after a refusal.
 
-use std::{marker::PhantomData, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, marker::PhantomData, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -23,14 +24,16 @@
         call::Call,
         crash,
         dialect::{Dialect, Head},
-        dispatchers, now,
+        dispatchers, now, reach,
         reply::Refusal,
-        Limits, Shared,
+        upstream, Limits, Shared,
     },
     util::{lock::lock, socket},
+    wire::peer::Forwarded,
 };
 
 mod attempt;
+mod forward;
 mod outgoing;
 mod pool;
 mod reply;
@@ -52,6 +55,8 @@
 pub(super) struct Context<D> {
     board: Shared,
     pool: pool::Pool,
+    /// The connections to other boxes, for requests that these serve for this one.
+    peers: upstream::Pool,
     limits: Limits,
     retries: retry::Allowance,
     longest: returning::Longest,
@@ -72,6 +77,8 @@
     until: Duration,
     outgoing: outgoing::Outgoing,
     revision: unit::Revision,
+    /// What the box that received the request from its caller states, if that is another one.
+    forwarded: Option<Forwarded>,
 }
 
 impl<D: Dialect> Context<D> {
@@ -81,6 +88,7 @@
             started: now(&board),
             board,
             pool: pool::Pool::default(),
+            peers: upstream::Pool::new(socket::PROCESS),
             limits,
             longest: returning::Longest::default(),
             dialect: PhantomData,
@@ -99,19 +107,55 @@
         }
     }
 
-    /// Serves a request to its final answer.
+    /// Closes the idle connections to endpoints to which the links are lost, for ever. They may carry
+    /// nothing even after new ones open again, and each would cost a request to find out.
+    pub(super) async fn forget_lost(self) {
+        let mut changes = self.board.reach_changed.subscribe();
+        while changes.changed().await.is_ok() {
+            let lost = lock(&self.board.links_to_endpoints).lost();
+            if lost.is_empty() {
+                continue;
+            }
+            let names: BTreeSet<_> = {
+                let registry = lock(&self.board.registry);
+                let records = registry.records();
+                let records = records.filter(|record| lost.contains(&record.service));
+                records.map(|record| record.name.clone()).collect()
+            };
+            self.pool.forget_all(|name| names.contains(name));
+        }
+    }
+
+    /// Serves a caller's request to its final answer.
     pub(super) async fn serve(
         &self,
         request: Request<Incoming>,
         caller: &socket::Watch,
     ) -> Response<Answer> {
+        self.serve_from(request, caller, None).await
+    }
+
+    /// Serves a request of a caller, or one that another box has forwarded.
+    async fn serve_from(
+        &self,
+        request: Request<Incoming>,
+        caller: &socket::Watch,
+        forwarded: Option<Forwarded>,
+    ) -> Response<Answer> {
+        let is_forwarded = forwarded.is_some();
         let arrived = now(&self.board);
         let head = D::parse(request.headers());
         let id = head.id.clone();
-        let routed = match self.route(request, head, arrived).await {
+        let routed = match self.route(request, head, arrived, forwarded).await {
             Ok(routed) => routed,
             Err(refusal) => return self.refuse(&refusal, id.as_deref()),
         };
+        if is_forwarded {
+            if reach::is_lost(&self.board, &routed.call.key.service) {
+                return self.give_back();
+            }
+            self.board.metrics.forwards_served.inc();
+        }
         if caller.is_closed() {
             // The caller left before its request was read, so nobody awaits the answer.
             let gone = Refusal::not_run(
@@ -145,6 +189,7 @@
         request: Request<Incoming>,
         head: Head,
         arrived: Duration,
+        forwarded: Option<Forwarded>,
     ) -> Result<Routed, Refusal> {
         let view = self.board.view.load_full();
         let Some(routing) = view.document.routing.clone() else {
@@ -174,18 +219,28 @@
         let public_team = || "public".parse().expect("the name is valid");
         let caller = team.clone().unwrap_or_else(public_team);
         let content = crash::Content::new(&caller, &parts, body.clone());
-        let time_limit = head.deadline.unwrap_or(Duration::MAX).min(route.timeout());
+        // The caller's deadline is what is left of it, and the route's timeout counts from the
+        // arrival at the first box.
+        let age = forwarded.as_ref().map_or(0, |forwarded| forwarded.age_ms);
+        let age = Duration::from_millis(age);
+        let time_limit = head
+            .deadline
+            .unwrap_or(Duration::MAX)
+            .min(route.timeout().saturating_sub(age));
         let rank = view.routes.rank(route.tier, rights.tier);
         let mut call = call(
             &head,
             (caller, team.as_ref()),
             (name, service, route),
             rank,
-            (arrived, time_limit),
+            (arrived.saturating_sub(age), time_limit + age),
             content,
         );
         call.allowed = route.allowed.and(&rights.allowed);
-        call.is_client_retry = self.longest.is_return(name, head.deadline);
+        call.is_client_retry = match &forwarded {
+            Some(forwarded) => forwarded.returned,
+            None => self.longest.is_return(name, head.deadline),
+        };
         Ok(Routed {
             route: Arc::new(route.clone()),
             team,
@@ -194,6 +249,7 @@
             until: arrived + time_limit,
             outgoing: outgoing::Outgoing::new::<D>(parts, body),
             revision: view.revision,
+            forwarded,
             head,
         })
     }
--- a/src/scalewood/ops/entry/routed/outgoing.rs
+++ b/src/scalewood/ops/entry/routed/outgoing.rs
@@ -55,9 +55,17 @@
     pub(super) fn request<D: Dialect>(
         &self,
         instruction: &Instruction<'_>,
+    ) -> Result<Request<Full<Bytes>>, Failure> {
+        self.request_with(|headers| D::instruct(headers, instruction))
+    }
+
+    /// Returns the request with the headers that a function has added to.
+    pub(super) fn request_with(
+        &self,
+        add: impl FnOnce(&mut HeaderMap),
     ) -> Result<Request<Full<Bytes>>, Failure> {
         let mut headers = self.headers.clone();
-        D::instruct(&mut headers, instruction);
+        add(&mut headers);
         let request = Request::builder()
             .method(self.method.clone())
             .uri(self.target.clone())
--- a/src/scalewood/ops/entry/routed/pool.rs
+++ b/src/scalewood/ops/entry/routed/pool.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Closes all idle connections to endpoints that `is_lost` selects.
+    pub(super) fn forget_all(&self, is_lost: impl Fn(&name::Endpoint) -> bool) {
+        lock(&self.idle).retain(|name, _| !is_lost(name));
+    }
+
     /// Keeps a connection whose answer was read to its end.
     pub(super) fn give_back(
         &self,
--- a/src/scalewood/ops/entry/routed/retries.rs
+++ b/src/scalewood/ops/entry/routed/retries.rs
@@ -6,10 +6,11 @@
     core::{dispatch, name, retry, verdict},
     ops::entry::{
         dialect::Dialect,
-        dispatchers,
+        dispatchers, reach,
         routed::{attempt::Request, Context},
         upstream::Failure,
     },
+    util::lock::lock,
 };
 
 /// The most attempts of a request that reach an endpoint, whether or not it runs there.
@@ -17,6 +18,9 @@
 /// The number of attempts that may miss their endpoint and still be followed by another one: if
 /// a zone is cut off, or many endpoints are gone at once, it takes a few before that is known.
 const MAX_MISSES: u32 = 7;
+/// As [`MAX_MISSES`], while the links of this box to the endpoints are lost and no other box serves
+/// the request: further endpoints would be missed too.
+const MAX_MISSES_WITHOUT_LINKS: u32 = 1;
 /// The least remaining time for which another attempt is worth while.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// The longest wait before the first retry. It is short since requests are due within some hundred
@@ -70,7 +74,15 @@
     pub(super) fn next_wait(&self, failure: Failure) -> Option<Duration> {
         let route = &self.routed.route;
         let is_last = if failure.missed_endpoint() {
-            self.misses > MAX_MISSES
+            let service = &self.routed.call.key.service;
+            let board = &self.context.board;
+            let lost = reach::is_lost(board, service) && !lock(&board.peers).any_reaches(service);
+            self.misses
+                > if lost {
+                    MAX_MISSES_WITHOUT_LINKS
+                } else {
+                    MAX_MISSES
+                }
         } else {
             self.reached() >= MAX_ATTEMPTS
         };
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::{body::Incoming, Response};
+use hyper::{body::Incoming, http::response, Response};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -18,10 +18,9 @@
         dialect::Dialect,
         now,
         routed::{
-            attempt::{Opened, Request},
+            attempt::{Opened, Request, Via},
             pool, reply,
         },
-        turn::Turn,
         upstream::Failure,
     },
     util::lock::lock,
@@ -78,32 +77,19 @@
     async fn run(mut self, first: Opened) {
         let mut opened = first;
         loop {
-            let Opened {
-                turn,
-                endpoint,
-                sender,
-                parts,
-                body,
-            } = opened;
+            let Opened { via, parts, body } = opened;
             let passed = if parts.status.is_success() {
-                self.relay_events(&turn, &endpoint, body).await
+                self.relay_events(&via, body).await
             } else {
-                Err(Failure::BROKEN)
+                Err(match via {
+                    Via::Endpoint { .. } => Failure::BROKEN,
+                    Via::Box(_) => Failure::REFUSED,
+                })
             };
             match passed {
-                Ok(()) => {
-                    turn.end(dispatch::End::Done);
-                    self.request.observer.done(unit::Tokens(self.events));
-                    self.keep_connection(&endpoint, sender, &parts.headers);
-                    self.request
-                        .log_end(parts.status, "done", verdict::Verdict::Ran);
-                    return;
-                }
+                Ok(()) => return self.done(via, &parts),
                 Err(failure) => {
-                    // Closing the connection ends the run at the endpoint.
-                    drop(sender);
-                    let failed = self.request.handle_failure(turn, &endpoint, failure.into());
-                    if failed.await.is_err() {
+                    if self.handle_failure(via, failure).await.is_err() {
                         return self.cut().await;
                     }
                 }
@@ -119,6 +105,45 @@
         }
     }
 
+    /// Ends the request after the stream has arrived completely.
+    fn done(&mut self, via: Via, parts: &response::Parts) {
+        self.request.observer.done(unit::Tokens(self.events));
+        match via {
+            Via::Endpoint {
+                turn,
+                endpoint,
+                sender,
+            } => {
+                turn.end(dispatch::End::Done);
+                self.keep_connection(&endpoint, sender, &parts.headers);
+            }
+            Via::Box(link) => link.keep(&self.request.context.peers),
+        }
+        let verdict = verdict::Verdict::Ran;
+        self.request.log_end(parts.status, "done", verdict);
+    }
+
+    /// Prepares the next attempt after one that failed; returns an error if there is none.
+    async fn handle_failure(&mut self, via: Via, failure: Failure) -> Result<(), Response<Answer>> {
+        match via {
+            Via::Endpoint {
+                turn,
+                endpoint,
+                sender,
+            } => {
+                // Closing the connection ends the run at the endpoint.
+                drop(sender);
+                let failed = self.request.handle_failure(turn, &endpoint, failure.into());
+                failed.await
+            }
+            Via::Box(link) => {
+                let name = link.name().clone();
+                drop(link);
+                self.request.handle_lost_box(&name, failure).await
+            }
+        }
+    }
+
     fn keep_connection(
         &self,
         endpoint: &name::Endpoint,
@@ -139,12 +164,7 @@
     }
 
     /// Relays whole events until the stream ends.
-    async fn relay_events(
-        &mut self,
-        turn: &Turn,
-        endpoint: &name::Endpoint,
-        mut body: Incoming,
-    ) -> Result<(), Failure> {
+    async fn relay_events(&mut self, via: &Via, mut body: Incoming) -> Result<(), Failure> {
         let mut buffer = BytesMut::new();
         let mut sampler = pace::Sampler::default();
         let gap = self.request.routed.call.class.gap();
@@ -156,8 +176,15 @@
             } else {
                 left
             };
-            let next = self.request.unless_silent(endpoint, pause, body.frame());
-            let frame = match next.await {
+            let next = match via {
+                Via::Endpoint { endpoint, .. } => {
+                    let next = self.request.unless_silent(endpoint, pause, body.frame());
+                    next.await
+                }
+                // The other box watches the endpoint, and the system the connection to the box.
+                Via::Box(_) => tokio::time::timeout(left, body.frame()).await.ok(),
+            };
+            let frame = match next {
                 None => return Err(Failure::SILENT),
                 Some(None) if buffer.iter().all(u8::is_ascii_whitespace) => return Ok(()),
                 Some(None | Some(Err(_))) => return Err(Failure::BROKEN),
@@ -168,17 +195,19 @@
             };
             buffer.extend_from_slice(&data);
             if let Some(events) = self.take_events(&mut buffer) {
-                if self.events == 0 {
-                    turn.report_first_token();
-                }
                 self.events += 1;
                 self.request.observer.token();
-                let pause = self.request.observer.longest_pause();
-                if !paused && gap.is_some_and(|gap| pause > gap) {
-                    paused = true;
-                    turn.report_pause();
+                if let Via::Endpoint { turn, endpoint, .. } = via {
+                    if self.events == 1 {
+                        turn.report_first_token();
+                    }
+                    let pause = self.request.observer.longest_pause();
+                    if !paused && gap.is_some_and(|gap| pause > gap) {
+                        paused = true;
+                        turn.report_pause();
+                    }
+                    self.measure(&mut sampler, endpoint);
                 }
-                self.measure(&mut sampler, endpoint);
                 let taken =
                     tokio::time::timeout(self.request.time_left(), self.pieces.send(Ok(events)));
                 match taken.await {
--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -79,10 +79,11 @@
     }
 }
 
-/// Opens a connection to an endpoint.
+/// Opens a connection to an endpoint or another box.
 pub(super) async fn dial<B>(
     address: SocketAddr,
     within: Duration,
+    timeouts: socket::Timeouts,
 ) -> Result<http1::SendRequest<B>, Failure>
 where
     B: hyper::body::Body + Send + 'static,
@@ -94,7 +95,7 @@
         stream.set_nodelay(true).ok()?;
         // Without this limit on the time without acknowledgement a dead peer is detected late; a
         // failure to set it only delays that.
-        let _ = socket::ENDPOINT.apply(&stream);
+        let _ = timeouts.apply(&stream);
         http1::handshake(TokioIo::new(stream)).await.ok()
     };
     let opened = tokio::time::timeout(within, open).await.ok().flatten();
@@ -106,15 +107,25 @@
     Ok(sender)
 }
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+/// A connection over which requests are sent one after another.
+pub(super) type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Idle connections that are kept for later requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Pool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+    timeouts: socket::Timeouts,
 }
 
 impl Pool {
+    /// Creates a pool whose connections have these timeouts.
+    pub(super) fn new(timeouts: socket::Timeouts) -> Self {
+        Self {
+            idle: Arc::default(),
+            timeouts,
+        }
+    }
+
     /// Takes an idle connection that is still usable.
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = lock(&self.idle);
@@ -158,7 +169,7 @@
                 Err(SendError::Failed(failure)) => return Err(failure),
             }
         }
-        let sender = dial(address, connect).await?;
+        let sender = dial(address, connect, self.timeouts).await?;
         if !is_permitted() {
             return Err(Failure::NOT_PERMITTED);
         }
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -131,6 +131,8 @@
     LimitUnreadable = 3225, Warning, "the rate limit that an endpoint reports can't be parsed";
     TrialBegun = 3227, Info, "a request that is held back is tried at one endpoint";
     FinalReportFailed = 3226, Warning, "no voter confirmed the last report of this box before it stopped";
+    LinksLost = 3228, Warning, "no endpoint of a service can be reached from this box";
+    LinksRestored = 3229, Info, "endpoints of a service can be reached from this box again";
     RequestFailed = 3301, Warning, "a request ended in an error";
     PolicyFailed = 3302, Warning, "a policy program failed and the class's own level was used";
     CallersRefused = 3303, Error, "callers' connections can't be accepted";
@@ -141,6 +143,7 @@
     GrantDeclined = 3313, Info, "a grant was declined because the zone was cordoned meanwhile";
     RequestHeldBack = 3314, Warning, "a request is held back because endpoints end while they process it";
     GrantUnused = 3315, Info, "a grant was declined because the endpoint is backing off, leaving or limiting its requests";
+    RequestForwarded = 3316, Info, "a request is sent to another box, since this one reaches no endpoint of its service";
     ClaimsSettled = 3401, Info, "this box has read back its claims and votes again";
 }
 
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -166,6 +166,14 @@
     pub limit_kept_back: Counter,
     /// Permits that voters issued to this box for endpoints with a rate limit.
     pub permits: Counter,
+    /// Services whose endpoints can't be reached from this box.
+    pub services_unreachable: Gauge,
+    /// Requests that other boxes were given since this one reached no endpoint.
+    pub forwarded: Counter,
+    /// Requests that this box was given by others.
+    pub forwards_served: Counter,
+    /// Requests from other boxes that this one gave back.
+    pub forwards_declined: Counter,
     /// Requests that are held back because endpoints ended under them.
     pub held_back: Gauge,
     /// Whether this process accepts new work.
@@ -205,12 +213,17 @@
             limited_sends: Counter::default(),
             limit_kept_back: Counter::default(),
             permits: Counter::default(),
+            services_unreachable: Gauge::default(),
+            forwarded: Counter::default(),
+            forwards_served: Counter::default(),
+            forwards_declined: Counter::default(),
             held_back: Gauge::default(),
             ready: Gauge::default(),
             breaches: Family::default(),
         };
         metrics.register();
         metrics.register_warm_up();
+        metrics.register_forwards();
         metrics
     }
 }
@@ -370,6 +383,30 @@
         );
     }
 
+    fn register_forwards(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "services_unreachable",
+            "Services whose endpoints can't be reached from this box",
+            self.services_unreachable.clone(),
+        );
+        r.register(
+            "forwarded_requests",
+            "Requests sent to other boxes since this one reached no endpoint",
+            self.forwarded.clone(),
+        );
+        r.register(
+            "forwards_served",
+            "Requests taken from other boxes",
+            self.forwards_served.clone(),
+        );
+        r.register(
+            "forwards_declined",
+            "Requests given back to other boxes",
+            self.forwards_declined.clone(),
+        );
+    }
+
     /// Returns all metrics as text.
     pub fn render(&self) -> String {
         for rule in invariant::Rule::ALL {
--- a/src/scalewood/wire/peer.rs
+++ b/src/scalewood/wire/peer.rs
@@ -80,6 +80,30 @@
     pub reports: Vec<dispatch::Report>,
 }
 
+/// The header of a request that a box forwards to another one, with a [`Forwarded`] as JSON.
+pub const FORWARDED_HEADER: &str = "scalewood-forwarded";
+/// The header of the answer to a forwarded request that the box gives back unserved: it did not run.
+pub const UNAVAILABLE_HEADER: &str = "scalewood-unavailable";
+
+/// What a box states about a request that it forwards to another one over HTTP.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forwarded {
+    /// The box that received the request from its caller.
+    pub by: name::Box,
+    /// The revision by which it has accepted the request. A box with an older one gives it back.
+    pub revision: unit::Revision,
+    /// How long ago it received the request, in milliseconds.
+    pub age_ms: u64,
+    /// The number of endpoints that may have run the request.
+    pub runs: u32,
+    /// Whether the request was already counted for its team's usage.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub counted: bool,
+    /// Whether its caller was probably refused before.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub returned: bool,
+}
+
 /// The calls that an entry box serves to other entry boxes.
 #[rpc(server, client, namespace = "peer")]
 pub trait Peer {
