Refuse at once while no box reaches an endpoint, and test requests over other boxes

While the links of a box are lost and no other box reaches the service either, a request is tried at one endpoint for 0.25 s and refused as not run.

The other tests guard what a request over two boxes may not lose: counted once, sent as it came, ended when its caller leaves, resumed after the serving box is killed, served while boxes stop.

--- a/src/scalewood/ops/entry/reach.rs
+++ b/src/scalewood/ops/entry/reach.rs
@@ -20,8 +20,8 @@
     util::lock::lock,
 };
 
-/// How long a connection to an endpoint may take to open in a check.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a connection to an endpoint may take to open in a check, or over lost links.
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long a connection that a check has opened must stay open: a middlebox may accept connections
 /// that it then resets.
 const MIN_OPEN: Duration = Duration::from_millis(20);
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -421,7 +421,10 @@
                 Err(pool::Unsent::Broken) => return Err(Failure::BROKEN),
             }
         }
-        let timeout = self.context.limits.connect_timeout;
+        let mut timeout = self.context.limits.connect_timeout;
+        if reach::is_lost(&self.context.board, self.service()) {
+            timeout = timeout.min(reach::CONNECT_TIMEOUT);
+        }
         let requests = upstream::dial(target.address, timeout, socket::ENDPOINT).await?;
         // Connecting takes time, and the process may have been frozen meanwhile.
         if !turn.permits(&target.endpoint) {
--- a/src/scalewood/ops/entry/routed/retries.rs
+++ b/src/scalewood/ops/entry/routed/retries.rs
@@ -18,9 +18,6 @@
 /// The number of attempts that may miss their endpoint and still be followed by another one: if
 /// a zone is cut off, or many endpoints are gone at once, it takes a few before that is known.
 const MAX_MISSES: u32 = 7;
-/// As [`MAX_MISSES`], while the links of this box to the endpoints are lost and no other box serves
-/// the request: further endpoints would be missed too.
-const MAX_MISSES_WITHOUT_LINKS: u32 = 1;
 /// The least remaining time for which another attempt is worth while.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// The longest wait before the first retry. It is short since requests are due within some hundred
@@ -55,6 +52,13 @@
         self.tries - self.misses
     }
 
+    /// Returns whether the links to the endpoints are lost and no other box is known to reach them.
+    fn is_stranded(&self) -> bool {
+        let board = &self.context.board;
+        let service = &self.routed.call.key.service;
+        reach::is_lost(board, service) && !lock(&board.peers).any_reaches(service)
+    }
+
     /// Returns whether the service's budget holds a retry.
     pub(super) fn has_budget(&self) -> bool {
         let service = &self.routed.call.key.service;
@@ -74,15 +78,8 @@
     pub(super) fn next_wait(&self, failure: Failure) -> Option<Duration> {
         let route = &self.routed.route;
         let is_last = if failure.missed_endpoint() {
-            let service = &self.routed.call.key.service;
-            let board = &self.context.board;
-            let lost = reach::is_lost(board, service) && !lock(&board.peers).any_reaches(service);
-            self.misses
-                > if lost {
-                    MAX_MISSES_WITHOUT_LINKS
-                } else {
-                    MAX_MISSES
-                }
+            // Over lost links, further endpoints would be missed too.
+            self.misses > MAX_MISSES || self.is_stranded()
         } else {
             self.reached() >= MAX_ATTEMPTS
         };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod precedence;
 mod random;
 mod reach;
+mod reach_core;
 mod regions;
 mod registry;
 mod report;
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -16,14 +16,16 @@
     client, deploy,
     forwarder::{Forwarder, Mode, Port},
     rewriter::Rewriter,
-    routed::{routing, text, Endpoint, System, HOST, KEY},
+    routed::{routing, text, Act, Endpoint, Seen, System, HOST, KEY},
 };
 
 const VOTERS: usize = 2;
 const BOXES: usize = 6;
 const ENDPOINTS: usize = 6;
-/// The boxes whose links are cut: all of one zone and one of the other.
-const CUT: [usize; 4] = [0, 1, 2, 3];
+/// Most boxes: all of one zone and one of the other.
+const MOST: [usize; 4] = [0, 1, 2, 3];
+/// All boxes.
+const ALL: [usize; BOXES] = [0, 1, 2, 3, 4, 5];
 /// The zone of each box.
 const ZONES: [&str; BOXES] = ["z0", "z0", "z0", "z1", "z1", "z1"];
 /// The port of endpoint 0 for boxes whose links are not cut.
@@ -57,17 +59,20 @@
 /// A running system whose boxes reach the endpoints over links of two groups.
 struct Site {
     system: System,
-    _boxes: Vec<deploy::Process>,
+    boxes: Vec<Option<deploy::Process>>,
+    /// The boxes whose links are cut.
+    cut: &'static [usize],
     endpoints: Vec<Endpoint>,
     /// The number of requests sent so far, which distinguishes their paths.
     sent: AtomicUsize,
-    /// The links of the boxes in [`CUT`].
+    /// The links of the boxes in `cut`.
     cut_links: Vec<Forwarder>,
     _links: (Vec<Forwarder>, Vec<Rewriter>),
 }
 
 impl Site {
-    async fn start(dir: &std::path::Path) -> Self {
+    /// Starts a system in which the links of some boxes can be cut.
+    async fn start(cut: &'static [usize], dir: &std::path::Path) -> Self {
         let mut system = System::start(VOTERS, dir);
         system.entry = None;
         assert_eq!(system.publish(&text(&routing(7))).await, 200);
@@ -89,17 +94,18 @@
             voters.push(Rewriter::start(from, listen, rules.clone()).await);
         }
         let start = |i: usize| {
-            let port = if CUT.contains(&i) {
+            let port = if cut.contains(&i) {
                 CUT_VOTER_PORT
             } else {
                 7000
             };
-            system.start_entry_in(i, ZONES[i], port)
+            Some(system.start_entry_in(i, ZONES[i], port))
         };
         let boxes = (0..BOXES).map(start).collect();
         let site = Self {
             system,
-            _boxes: boxes,
+            boxes,
+            cut,
             endpoints,
             sent: AtomicUsize::new(0),
             cut_links,
@@ -131,7 +137,7 @@
         }
     }
 
-    /// Cuts the links of the boxes in [`CUT`], or repairs them.
+    /// Cuts the links of the boxes in `cut`, or repairs them.
     fn set_cut(&self, cut: Option<Cut>) {
         for link in &self.cut_links {
             let (port, mode) = match cut {
@@ -169,6 +175,62 @@
         outcomes
     }
 
+    /// Returns the value of a metric of a box.
+    async fn metric(&self, i: usize, name: &str) -> u64 {
+        let health = SocketAddr::new(self.system.host, 8002 + 10 * u16::try_from(i).unwrap());
+        let asked = client::ask(health, "GET", "/metrics", &[], "").await;
+        let text = String::from_utf8_lossy(&asked.unwrap().body).into_owned();
+        let name = format!("scalewood_{name}");
+        let value = text.lines().find_map(|line| {
+            let (key, value) = line.rsplit_once(' ')?;
+            (key == name).then(|| value.parse().unwrap())
+        });
+        value.unwrap_or_else(|| panic!("{name} in {text}"))
+    }
+
+    /// Cuts the links and waits until the boxes in `cut` have noticed.
+    async fn cut_and_wait(&self, cut: Cut) {
+        self.set_cut(Some(cut));
+        for i in self.cut.iter().copied() {
+            deploy::wait("a box notices that its links are lost", || async {
+                self.send(i, "/safe/notice").await;
+                self.metric(i, "services_unreachable").await == 1
+            })
+            .await;
+        }
+    }
+
+    /// Returns the number of requests that boxes have sent to others.
+    async fn forwarded(&self) -> u64 {
+        let mut sum = 0;
+        for i in 0..BOXES {
+            sum += self.metric(i, "forwarded_requests_total").await;
+        }
+        sum
+    }
+
+    /// Returns the boxes that serve requests for others, with the number of such requests.
+    async fn forwards_served(&self) -> Vec<(usize, u64)> {
+        let mut served = Vec::new();
+        for i in (0..BOXES).filter(|i| self.boxes[*i].is_some()) {
+            served.push((i, self.metric(i, "forwards_served_total").await));
+        }
+        served
+    }
+
+    /// Returns the requests for a path that reached endpoints.
+    fn seen(&self, path: &str) -> Vec<Seen> {
+        let seen = self.endpoints.iter().flat_map(Endpoint::seen);
+        let mut seen: Vec<_> = seen.filter(|seen| seen.path == path).collect();
+        seen.sort_by_key(|seen| seen.at);
+        seen
+    }
+
+    /// Returns the number of requests that endpoints run.
+    fn running(&self) -> usize {
+        self.endpoints.iter().map(Endpoint::running).sum()
+    }
+
     /// Returns the paths of requests that may run only once and ran more often.
     fn ran_twice(&self) -> Vec<String> {
         let seen = self.endpoints.iter().flat_map(Endpoint::seen);
@@ -238,11 +300,11 @@
     outcome
 }
 
-/// Returns the number of served requests and of all, at the boxes that are cut or at the others.
+/// Returns the number of served requests and of all, at the boxes in [`MOST`] or at the others.
 fn served(outcomes: &[Outcome], at_cut_boxes: bool) -> (usize, usize) {
     let at = outcomes
         .iter()
-        .filter(|outcome| CUT.contains(&outcome.at) == at_cut_boxes);
+        .filter(|outcome| MOST.contains(&outcome.at) == at_cut_boxes);
     let at: Vec<_> = at.collect();
     (at.iter().filter(|o| o.is_served()).count(), at.len())
 }
@@ -253,7 +315,7 @@
     const CUT_LENGTH: Duration = Duration::from_secs(10);
     const RATE: u32 = 60;
     let dir = tempfile::tempdir().unwrap();
-    let site = Site::start(dir.path()).await;
+    let site = Site::start(&MOST, dir.path()).await;
     for endpoint in &site.endpoints {
         endpoint.set_work_time(REQUEST_TIME);
     }
@@ -331,3 +393,202 @@
 async fn callers_of_boxes_whose_links_are_silent_are_served() {
     serve_over_cut_links(Cut::Silent).await;
 }
+
+/// Guards against requests of one box that are served by another one as if that were their first
+/// arrival: they are counted twice, get more time, or reach endpoints with another team or with
+/// headers between boxes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_request_is_counted_once_and_reaches_its_endpoint_as_sent() {
+    const REQUESTS: u64 = 20;
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&[0], dir.path()).await;
+    let played = async {
+        site.cut_and_wait(Cut::Reset).await;
+        let labels = "service=\"lm\",class=\"unsafe\"";
+        let offered = format!("requests_offered_total{{{labels}}}");
+        let mut outcomes = Vec::new();
+        for number in 0..REQUESTS {
+            outcomes.push(site.send(0, &format!("/unsafe/once{number}")).await);
+        }
+        assert!(outcomes.iter().all(Outcome::is_served), "{outcomes:?}");
+        assert_eq!(site.metric(0, &offered).await, REQUESTS);
+        assert!(site.metric(0, "forwarded_requests_total").await >= REQUESTS);
+        let served = site.forwards_served().await;
+        assert!(served.iter().map(|(_, count)| count).sum::<u64>() >= REQUESTS);
+        assert_eq!(served[0], (0, 0), "a box forwards to itself");
+        for number in 0..REQUESTS {
+            let seen = site.seen(&format!("/unsafe/once{number}"));
+            assert_eq!(seen.len(), 1, "{seen:?}");
+            assert_eq!(seen[0].header("scalewood-team"), Some("t1"));
+            assert_eq!(seen[0].header("authorization"), None);
+            assert_eq!(seen[0].header("scalewood-forwarded"), None);
+            assert_eq!(&seen[0].body[..], b"a body");
+            let left = seen[0].header("scalewood-deadline-ms").unwrap();
+            assert!(
+                left.parse::<u128>().unwrap() <= DEADLINE.as_millis(),
+                "{left}"
+            );
+        }
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
+
+/// Guards against boxes that hold requests to their end, or send them round among each other, while
+/// no box reaches any endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_early_while_no_box_reaches_an_endpoint() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&ALL, dir.path()).await;
+    let played = async {
+        site.cut_and_wait(Cut::Silent).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let before = site.forwarded().await;
+        let outcomes = site.send_all(30, Duration::from_secs(3)).await;
+        let late: Vec<_> = outcomes
+            .iter()
+            .filter(|o| o.status != 503 || o.verdict.as_deref() != Some("not-run"))
+            .chain(outcomes.iter().filter(|o| o.took > DEADLINE / 4))
+            .collect();
+        assert!(
+            late.is_empty(),
+            "{} of {}: {:?}",
+            late.len(),
+            outcomes.len(),
+            late[0]
+        );
+        assert_eq!(site.forwarded().await, before);
+        site.set_cut(None);
+        deploy::wait("all boxes serve again", || async {
+            let mut served = true;
+            for i in ALL {
+                served &= site.send(i, "/safe/again").await.is_served();
+            }
+            served
+        })
+        .await;
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
+
+/// Guards against endpoints that go on with a forwarded request after its caller has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_request_ends_when_its_caller_leaves() {
+    const REQUESTS: usize = 5;
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&[0], dir.path()).await;
+    let played = async {
+        site.cut_and_wait(Cut::Reset).await;
+        for endpoint in &site.endpoints {
+            endpoint.set_default_act(Some(Act::Hang));
+        }
+        let callers = site.system.callers_at(0);
+        let calls: Vec<_> = (0..REQUESTS)
+            .map(|i| tokio::spawn(send(callers, 0, format!("/unsafe/left{i}"))))
+            .collect();
+        deploy::wait("endpoints run the requests", || async {
+            site.running() >= REQUESTS
+        })
+        .await;
+        for call in calls {
+            call.abort();
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(site.running(), 0);
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
+
+/// Guards against streams that end, repeat or lose events as the box that serves them for another
+/// one is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_stream_goes_on_after_the_box_that_serves_it_is_killed() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut site = Site::start(&[0], dir.path()).await;
+    let before = {
+        let site = &site;
+        tokio::select! {
+            before = async {
+                site.cut_and_wait(Cut::Reset).await;
+                site.forwards_served().await
+            } => before,
+            () = site.beat_on() => unreachable!(),
+        }
+    };
+    for endpoint in &site.endpoints {
+        endpoint.set_default_act(Some(Act::StallAfter(3)));
+    }
+    let callers = site.system.callers_at(0);
+    let call = tokio::spawn(send(callers, 0, "/sresume/on".to_owned()));
+    deploy::wait("an endpoint runs the stream", || async {
+        site.running() == 1
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for endpoint in &site.endpoints {
+        endpoint.answer_correctly();
+    }
+    let after = site.forwards_served().await;
+    let serving = before
+        .iter()
+        .zip(&after)
+        .find(|(before, after)| before != after);
+    let (serving, _) = serving.expect("a box serves the stream").0;
+    site.boxes[*serving].take().unwrap().kill();
+    let outcome = call.await.unwrap();
+    assert!(outcome.is_served(), "{outcome:?}");
+    let seen = site.seen("/sresume/on");
+    assert_eq!(seen.len(), 2, "{seen:?}");
+    assert_eq!(seen[1].header("last-event-id"), Some("2"));
+}
+
+/// Guards against requests that are lost while a box that serves them for another one is stopped as
+/// planned: it finishes them, and takes no new ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_requests_are_served_while_boxes_stop() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut site = Site::start(&[0], dir.path()).await;
+    for endpoint in &site.endpoints {
+        endpoint.set_work_time(REQUEST_TIME);
+    }
+    let stopping: Vec<_> = [1, 4].map(|i| site.boxes[i].take().unwrap()).into();
+    let site = &site;
+    let played = async {
+        site.cut_and_wait(Cut::Reset).await;
+        let callers = site.system.callers_at(0);
+        let mut calls = Vec::new();
+        let mut stopping = stopping.into_iter();
+        let mut stopped = Vec::new();
+        for number in 0..120 {
+            let path = format!("/unsafe/stop{number}");
+            calls.push(tokio::spawn(send(callers, 0, path)));
+            tokio::time::sleep(Duration::from_millis(25)).await;
+            if number % 40 == 20 {
+                let next = stopping.next().map(|process| {
+                    tokio::task::spawn_blocking(|| process.stop(Duration::from_secs(6)))
+                });
+                stopped.extend(next);
+            }
+        }
+        for call in calls {
+            let outcome = call.await.unwrap();
+            assert!(outcome.is_served(), "{outcome:?}");
+        }
+        for stopped in stopped {
+            assert!(stopped.await.unwrap(), "a box does not stop in time");
+        }
+        assert_eq!(site.ran_twice(), Vec::<String>::new());
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
