Send endpoints that limit their rejections no more than they can run

Endpoints of a service may say in their answers that they fail after some rejections within a second (native: scalewood-max-rejections). Nothing read it, and no box could have kept it alone, as it is about what all boxes send together.

Voters tell all boxes, so that one without requests there knows it before a burst.

The test allows three; it fails without the header, as the code did before.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -17,7 +17,8 @@
     board::{feed, view},
     core::{
         attempt, backoff, catchup, claim, config, crash, dispatch, limit, load, member, name, pace,
-        reach, region, registry, residency, retry, throttle, unit, usage, wall_clock, warm_up,
+        reach, region, registry, rejection, residency, retry, throttle, unit, usage, wall_clock,
+        warm_up,
     },
     util::{
         clock::Clock,
@@ -171,6 +172,12 @@
     pub backoffs: Mutex<backoff::Book>,
     /// The limits that endpoints set on the requests from all boxes together.
     pub endpoint_limits: Mutex<throttle::Book>,
+    /// The limits on rejections that endpoints state.
+    pub rejection_limits: Mutex<rejection::Book>,
+    /// The services to which such limits apply.
+    pub rejection_limited: Mutex<BTreeSet<name::Service>>,
+    /// Whether `rejection_limited` has any services.
+    pub has_rejection_limits: AtomicBool,
     /// How each service's endpoints process prompts, as all boxes have measured it.
     pub prefills: Mutex<BTreeMap<name::Service, load::Measured>>,
     /// Whether the links of this box to the endpoints of each service work.
@@ -274,6 +281,9 @@
             paces: Mutex::default(),
             backoffs: Mutex::new(backoffs),
             endpoint_limits: Mutex::default(),
+            rejection_limits: Mutex::default(),
+            rejection_limited: Mutex::default(),
+            has_rejection_limits: AtomicBool::new(false),
             prefills: Mutex::default(),
             links_to_endpoints: Mutex::default(),
             has_link_failures: AtomicBool::new(false),
--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -10,6 +10,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    num::NonZeroU32,
     time::Duration,
 };
 
@@ -165,6 +166,9 @@
     cached: u64,
     /// The load of the other boxes there.
     others: Load,
+    /// The number of boxes among which its slots are divided, while it must not be sent more than it can
+    /// run.
+    divided_among: Option<NonZeroU32>,
     /// The runs of this box there that have no first token yet.
     pending_runs: u32,
     /// The probability that the next request fails.
@@ -192,10 +196,21 @@
         match self.state {
             State::Ejected(_) => 0,
             State::Probing => 1,
-            State::Active => self.effective_slots().min(self.ramp).max(1),
+            State::Active => self.own_slots().min(self.ramp).max(1),
         }
     }
 
+    /// Returns how many of its slots this box may use: all, or an equal part if they are divided.
+    fn own_slots(&self) -> u32 {
+        let slots = self.effective_slots();
+        self.divided_among.map_or(slots, |boxes| slots / boxes)
+    }
+
+    /// Returns whether the requests of all boxes leave no slot free that they must not exceed.
+    fn is_full(&self) -> bool {
+        self.divided_among.is_some() && self.running + self.others.running >= self.slots
+    }
+
     /// Returns its slots, scaled down by its relative speed.
     fn effective_slots(&self) -> u32 {
         // The product is at most `slots`, so the cast is exact.
@@ -210,7 +225,7 @@
 
     fn score(&self) -> Option<Score> {
         let allowed = self.allowed();
-        if self.running >= allowed {
+        if self.running >= allowed || self.is_full() {
             return None;
         }
         let running = self.running + self.others.running;
@@ -300,6 +315,8 @@
     unknown_loads: HashMap<name::Endpoint, Load>,
     /// Whether this box has lost its links to the endpoints.
     links_lost: bool,
+    /// Whether the endpoints fail if they reject too many requests.
+    rejections_limited: bool,
 }
 
 /// The score penalty, in thousandths of the slots, of an endpoint in another zone: how much fuller
@@ -459,6 +476,7 @@
             less_urgent: load::LessUrgent::default(),
             cached: 0,
             others,
+            divided_among: self.divided_among(),
             pending_runs: 0,
             risk: risk::Risk::default(),
             risk_penalty: 0,
@@ -517,6 +535,27 @@
     /// Sets the number of boxes that use the endpoints, including this one.
     pub(super) fn set_box_count(&mut self, count: u32) {
         self.other_boxes = count.saturating_sub(1);
+        if self.rejections_limited {
+            self.set_rejections_limited(true);
+        }
+    }
+
+    /// Sets whether the endpoints must not be sent more than they can run.
+    pub(super) fn set_rejections_limited(&mut self, limited: bool) {
+        self.rejections_limited = limited;
+        let divided_among = self.divided_among();
+        for i in 0..self.endpoints.len() {
+            if self.endpoints[i].divided_among != divided_among {
+                self.endpoints[i].divided_among = divided_among;
+                self.rescore(Index(i));
+            }
+        }
+    }
+
+    /// Returns the number of boxes among which each endpoint's slots are divided, if they are.
+    fn divided_among(&self) -> Option<NonZeroU32> {
+        let boxes = NonZeroU32::MIN.saturating_add(self.other_boxes);
+        self.rejections_limited.then_some(boxes)
     }
 
     /// Releases the slot and the prompt tokens of a run; `answered` tells whether it got its first
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -166,6 +166,9 @@
     /// Whether this box has lost its links to the endpoints, so that failures there say nothing of
     /// them.
     LinksLost(bool),
+    /// Whether the endpoints fail if they reject too many requests, so that all boxes together must not
+    /// send them more than they can run.
+    RejectionsLimited(bool),
     /// Time has passed.
     Tick,
 }
@@ -297,6 +300,7 @@
             Input::Permits(permits) => self.endpoints.add_permits(&permits, now),
             Input::PermitsUnavailable(since) => self.endpoints.set_permits_unavailable(since),
             Input::LinksLost(lost) => self.endpoints.set_links_lost(lost, &self.settings),
+            Input::RejectionsLimited(limited) => self.endpoints.set_rejections_limited(limited),
             Input::Tick => self.tick(now),
         }
         self.grant(now);
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -24,7 +24,7 @@
 use crate::core::{
     crash,
     fingerprint::Fingerprint,
-    name,
+    name, rejection,
     risk::{self, Chance},
     warm_up,
 };
@@ -164,6 +164,8 @@
     crashes: crash::Book,
     /// The boxes that may serve requests for others.
     reachable: Peers,
+    /// The limits on rejections that endpoints state.
+    rejections: rejection::Book,
 }
 
 impl Hub {
@@ -204,6 +206,8 @@
         }
         self.detect_stalled(now);
         self.take_crashes(report.crashes, true, now);
+        self.rejections.merge(report.rejections, true, now);
+        self.rejections.expire(now);
         if let Some(reach) = report.reach {
             self.reachable.record(from, reach);
         }
@@ -215,6 +219,7 @@
             risks: self.risks_for(from, &failed_at, now),
             bounds: self.refused.bounds(now),
             crashes: self.crashes_for(from),
+            rejections: self.rejections.all(now),
             ..Update::default()
         };
         let leased = self
@@ -288,6 +293,7 @@
         self.prefills.add(&report.prefills);
         self.refused.add(&report.refused, &report.traffic, now);
         self.take_crashes(report.crashes, false, now);
+        self.rejections.merge(report.rejections, false, now);
         if let Some(peers) = report.peers {
             self.reachable.record_named(from, peers);
         }
@@ -325,6 +331,7 @@
             prefills: link.prefills.take(),
             crashes: self.crashes.updates(&mut link.crashes, crash::Scope::Local),
             peers: self.reachable.update_for(peer),
+            rejections: self.rejections.own(now),
             ..Update::default()
         };
         link.refused.take(&mut update);
--- a/src/scalewood/core/load/mod.rs
+++ b/src/scalewood/core/load/mod.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{crash, name, prompt::Prefix, reach, registry, risk, throttle};
+use crate::core::{crash, name, prompt::Prefix, reach, registry, rejection, risk, throttle};
 
 mod delta;
 mod hub;
@@ -287,6 +287,10 @@
     /// What a box's links reach, if that has changed; sent to hubs only.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub reach: Option<reach::Report>,
+    /// Limits on rejections that endpoints state, while any apply: to hubs those that the sender or its
+    /// boxes have heard, to boxes all.
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    pub rejections: Vec<rejection::Row>,
     /// The boxes of a hub that serve requests for others, if these have changed; sent between hubs.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub peers: Option<Vec<reach::Peer>>,
--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -32,6 +32,7 @@
 pub mod reach;
 pub mod region;
 pub mod registry;
+pub mod rejection;
 pub mod rendezvous;
 pub mod residency;
 pub mod retry;
--- a/src/scalewood/ops/entry/answer_head.rs
+++ b/src/scalewood/ops/entry/answer_head.rs
@@ -16,7 +16,7 @@
         entry::{
             crash::Target,
             dialect::{Dialect, Disposition, Native},
-            now, throttle, Shared,
+            now, rejection, throttle, Shared,
         },
     },
     util::{clock::Clock as _, lock::lock},
@@ -39,6 +39,7 @@
     let disposition = observe_all_but_limit::<D, B>(board, service, target, response, id);
     if disposition != Disposition::Misdirected {
         throttle::observe::<D, B>(board, target, response, disposition == Disposition::Answer);
+        rejection::observe::<D, B>(board, service, target, response, disposition);
     }
     disposition
 }
--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -81,6 +81,10 @@
     /// accepts from all boxes together, as a decimal number.
     const LIMIT_HEADER: &'static str;
 
+    /// The header, in lower case, in which endpoints state how many requests they can reject within a
+    /// second for lack of room before they fail, as a decimal number.
+    const REJECTION_LIMIT_HEADER: &'static str;
+
     /// Parses a caller's headers.
     fn parse(headers: &HeaderMap) -> Head;
 
@@ -160,6 +164,8 @@
 
     const LIMIT_HEADER: &'static str = "scalewood-limit";
 
+    const REJECTION_LIMIT_HEADER: &'static str = "scalewood-max-rejections";
+
     fn parse(headers: &HeaderMap) -> Head {
         let tokens = text(headers, TOKENS_HEADER).and_then(|text| text.split_once(','));
         let count = |text: &str| unit::Tokens(text.trim().parse().unwrap_or(0));
--- a/src/scalewood/ops/entry/dispatchers.rs
+++ b/src/scalewood/ops/entry/dispatchers.rs
@@ -18,7 +18,7 @@
     },
     core::{attempt, config, dispatch, name, rendezvous, residency, unit},
     event,
-    ops::entry::{member, now, reach, throttle, warming, Shared},
+    ops::entry::{member, now, reach, rejection, throttle, warming, Shared},
     util::{lock::lock, metric::ServiceLabel},
     wire::peer::Load,
 };
@@ -122,6 +122,10 @@
     if let Some(measured) = measured {
         outputs.extend(dispatcher.step(dispatch::Input::Prefill(measured), now));
     }
+    if rejection::limit(board, service).is_some() {
+        let limited = dispatch::Input::RejectionsLimited(true);
+        outputs.extend(dispatcher.step(limited, now));
+    }
     if reach::is_lost(board, service) {
         outputs.extend(dispatcher.step(dispatch::Input::LinksLost(true), now));
     }
--- a/src/scalewood/ops/entry/exchange.rs
+++ b/src/scalewood/ops/entry/exchange.rs
@@ -17,7 +17,7 @@
 use crate::{
     core::{self, crash::Cursor, crash::Scope, dispatch, follow, load, name, usage, warm_up},
     event,
-    ops::entry::{crash, directory::Voters, dispatchers, now, reach, throttle, Shared},
+    ops::entry::{crash, directory::Voters, dispatchers, now, reach, rejection, throttle, Shared},
     util::{lock::lock, metric},
     wire::registry::RegistryClient as _,
 };
@@ -209,6 +209,7 @@
         };
         let reach = reach::report(&self.board);
         let mut report = load::Update {
+            rejections: rejection::own(&self.board),
             reach: Some(reach.clone()).filter(|_| self.sent_reach.as_ref() != Some(&reach)),
             loads: load::difference(&self.sent_loads, &own),
             placements: collect_all(&self.board, dispatch::Dispatcher::take_placements),
@@ -307,6 +308,7 @@
             self.apply_input(&dispatch::Input::Risks(update.risks));
         }
         self.set_bounds(update.bounds);
+        rejection::refresh(&self.board, update.rejections);
         crash::merge(&self.board, update.crashes);
         if update.loads.is_empty() && !full {
             return;
@@ -362,6 +364,7 @@
             lock(&self.board.prefills).clear();
         }
         self.set_bounds(Vec::new());
+        rejection::refresh(&self.board, Vec::new());
         self.sent_loads.clear();
         self.others.clear();
         self.sent_usage.clear();
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -59,6 +59,7 @@
 mod poll;
 mod prompt;
 mod reach;
+mod rejection;
 mod reply;
 mod routed;
 mod server;
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -133,6 +133,9 @@
     FinalReportFailed = 3226, Warning, "no voter confirmed the last report of this box before it stopped";
     LinksLost = 3228, Warning, "no endpoint of a service can be reached from this box";
     LinksRestored = 3229, Info, "endpoints of a service can be reached from this box again";
+    RejectionLimitAnnounced = 3230, Info, "the endpoints of a service fail if they reject too many requests";
+    RejectionLimitEnded = 3231, Info, "the endpoints of a service no longer limit their rejections";
+    RejectionLimitUnreadable = 3232, Warning, "the limit on rejections that an endpoint reports can't be parsed";
     RequestFailed = 3301, Warning, "a request ended in an error";
     PolicyFailed = 3302, Warning, "a policy program failed and the class's own level was used";
     CallersRefused = 3303, Error, "callers' connections can't be accepted";
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -166,6 +166,8 @@
     pub limit_kept_back: Counter,
     /// Permits that voters issued to this box for endpoints with a rate limit.
     pub permits: Counter,
+    /// Services whose endpoints limit their rejections.
+    pub rejection_limited: Gauge,
     /// Services whose endpoints can't be reached from this box.
     pub services_unreachable: Gauge,
     /// Requests that other boxes were given since this one reached no endpoint.
@@ -213,6 +215,7 @@
             limited_sends: Counter::default(),
             limit_kept_back: Counter::default(),
             permits: Counter::default(),
+            rejection_limited: Gauge::default(),
             services_unreachable: Gauge::default(),
             forwarded: Counter::default(),
             forwards_served: Counter::default(),
@@ -385,6 +388,11 @@
 
     fn register_forwards(&mut self) {
         let r = &mut self.registry;
+        r.register(
+            "rejection_limited_services",
+            "Services whose endpoints fail if they reject too many requests",
+            self.rejection_limited.clone(),
+        );
         r.register(
             "services_unreachable",
             "Services whose endpoints can't be reached from this box",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -39,6 +39,7 @@
 mod reach_core;
 mod regions;
 mod registry;
+mod rejection;
 mod report;
 mod residency;
 mod rest;
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -117,6 +117,8 @@
     work: Arc<Mutex<Duration>>,
     /// The limit that it announces in its answers, in requests per second from all boxes together.
     limit: Arc<Mutex<Option<&'static str>>>,
+    /// How many requests it works on at once; it rejects further ones.
+    room: Arc<Mutex<Option<Room>>>,
     /// The number of its current start.
     start: Arc<AtomicU64>,
     running: Arc<AtomicUsize>,
@@ -124,6 +126,15 @@
     crashing_request_begun: Arc<Notify>,
 }
 
+/// The room of an endpoint for requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Room {
+    /// How many requests it works on at once.
+    pub(crate) requests: usize,
+    /// The rejections within a second that it reports to withstand, if it reports any.
+    pub(crate) rejections: Option<&'static str>,
+}
+
 /// The beginning of the body of a crashing request. The endpoint only reports it; the test has to
 /// end the endpoint.
 pub(crate) const ENDS: &str = "ends ";
@@ -136,6 +147,11 @@
         running.fetch_add(1, Ordering::Relaxed);
         Self(running.clone())
     }
+
+    /// Returns the number of requests that run, with this one.
+    fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 impl Drop for Run {
@@ -160,6 +176,7 @@
             seen: Arc::default(),
             work: Arc::default(),
             limit: Arc::default(),
+            room: Arc::default(),
             start: Arc::new(AtomicU64::new(1)),
             running: Arc::default(),
             crashing_request_begun: Arc::default(),
@@ -167,6 +184,7 @@
         let (acts, seen) = (endpoint.acts.clone(), endpoint.seen.clone());
         let (work, limit) = (endpoint.work.clone(), endpoint.limit.clone());
         let start = endpoint.start.clone();
+        let (room, busy) = (endpoint.room.clone(), Arc::new(AtomicUsize::new(0)));
         let running = endpoint.running.clone();
         let (crashing_request_begun, default_act) = (
             endpoint.crashing_request_begun.clone(),
@@ -179,6 +197,7 @@
                     (crashing_request_begun.clone(), default_act.clone());
                 let (work, limit) = (work.clone(), limit.clone());
                 let start = start.clone();
+                let (room, busy) = (room.clone(), busy.clone());
                 let service = service_fn(move |request| {
                     let (acts, seen, crashing_request_begun) =
                         (acts.clone(), seen.clone(), crashing_request_begun.clone());
@@ -186,10 +205,14 @@
                     let next = acts.lock().unwrap().pop_front();
                     let act = next.or(*default_act.lock().unwrap());
                     let work = *work.lock().unwrap();
+                    let room = *room.lock().unwrap();
+                    let place = Run::begin(&busy);
+                    let is_full = room.is_some_and(|room| place.count() > room.requests);
+                    let act = if is_full { Some(Act::Refuse) } else { act };
                     let limit = *limit.lock().unwrap();
                     let start = start.load(Ordering::Relaxed);
                     async move {
-                        let answer = answer(
+                        let mut answer = answer(
                             request,
                             (act, limit, start),
                             &seen,
@@ -197,7 +220,15 @@
                             run,
                         )
                         .await;
-                        tokio::time::sleep(work).await;
+                        if let Some(limit) = room.and_then(|room| room.rejections) {
+                            let limit = limit.parse().unwrap();
+                            let headers = answer.headers_mut();
+                            headers.insert("scalewood-max-rejections", limit);
+                        }
+                        if !is_full {
+                            tokio::time::sleep(work).await;
+                        }
+                        drop(place);
                         Ok::<_, Infallible>(answer)
                     }
                 });
@@ -227,6 +258,11 @@
         *self.limit.lock().unwrap() = limit;
     }
 
+    /// Sets how many requests it works on at once, and what it reports of rejections.
+    pub(crate) fn set_room(&self, room: Option<Room>) {
+        *self.room.lock().unwrap() = room;
+    }
+
     /// Returns a shared handle to the limit that it announces.
     pub(crate) fn limit(&self) -> Arc<Mutex<Option<&'static str>>> {
         self.limit.clone()
--- a/tests/testsuite/throttle.rs
+++ b/tests/testsuite/throttle.rs
@@ -33,16 +33,16 @@
 }
 
 /// A running system with its boxes and endpoints.
-struct Site {
+pub(crate) struct Site {
     system: System,
     boxes: Vec<Option<deploy::Process>>,
-    endpoints: Vec<Endpoint>,
+    pub(crate) endpoints: Vec<Endpoint>,
     /// The sequence number of the last heartbeats.
     sequence: AtomicU64,
 }
 
 impl Site {
-    async fn start(endpoints: usize, dir: &std::path::Path) -> Self {
+    pub(crate) async fn start(endpoints: usize, dir: &std::path::Path) -> Self {
         let (mut system, endpoints) = routed::serving(endpoints, dir).await;
         let mut boxes = vec![system.entry.take()];
         boxes.extend((1..BOXES).map(|i| Some(system.start_entry_at(i))));
@@ -65,7 +65,7 @@
     }
 
     /// Sends heartbeats of all endpoints, as ready, for the time `length`.
-    async fn beat(&self, length: Duration) {
+    pub(crate) async fn beat(&self, length: Duration) {
         let until = Instant::now() + length;
         loop {
             let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -81,7 +81,7 @@
     }
 
     /// Sends `per_second` requests a second to random boxes for the time `length`.
-    async fn send_all(&self, per_second: u32, length: Duration) -> Vec<Outcome> {
+    pub(crate) async fn send_all(&self, per_second: u32, length: Duration) -> Vec<Outcome> {
         const PATHS: [&str; 4] = ["/safe/", "/unsafe/", "/stream/", "/sresume/"];
         let mut random = SmallRng::seed_from_u64(1);
         let until = Instant::now() + length;
@@ -103,7 +103,7 @@
 
 /// The outcome of a request.
 #[derive(Clone, Debug, Default)]
-struct Outcome {
+pub(crate) struct Outcome {
     status: u16,
     verdict: Option<String>,
     took: Duration,
@@ -150,7 +150,7 @@
     exchange.await.unwrap_or_default()
 }
 
-fn served(outcomes: &[Outcome]) -> usize {
+pub(crate) fn served(outcomes: &[Outcome]) -> usize {
     outcomes.iter().filter(|o| o.is_served()).count()
 }
 
