A request whose time ends before its connection opens did not run

Callers got 504 with the verdict may-have-run for requests of which nothing had been written, and may not send those again that may run only once. Cause: one time limit covers connecting and waiting for the head of the answer, and its end was reported as silence. Whether the request may have been written is now recorded at each connection that it is given to.

silence::a_request_whose_time_ends_before_its_connection_opens_did_not_run: 504 before, 503 not-run after.

--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -1,6 +1,10 @@
 //! Attempts a request at endpoints until one answers or no further attempt is allowed.
 
-use std::{future::Future, time::Duration};
+use std::{
+    future::Future,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -349,11 +353,19 @@
         };
         let request = self.routed.outgoing.request::<D>(&instruction)?;
         let sent_at = self.now();
-        let sent = self.send(turn, &target, request);
+        let is_connected = AtomicBool::new(false);
+        let sent = self.send(turn, &target, request, &is_connected);
         let sent = self
             .unless_silent(endpoint, self.min_head_wait(), sent)
             .await;
-        let sent = sent.unwrap_or(Err(Failure::SILENT));
+        let sent = sent.unwrap_or_else(|| {
+            // Nothing is written before there is a connection.
+            Err(if is_connected.load(Ordering::Relaxed) {
+                Failure::SILENT
+            } else {
+                Failure::UNREACHABLE
+            })
+        });
         let silent = self.now() >= sent_at + MIN_SILENCE;
         if silent && matches!(sent, Err(Failure::SILENT | Failure::BROKEN)) {
             self.context.pool.forget(endpoint, sent_at);
@@ -398,11 +410,14 @@
         left.min(wait.max(MIN_HEAD_WAIT))
     }
 
+    /// Sends the request over an idle connection or a new one and waits for the head of the answer.
+    /// Sets `is_connected` while the request may have been written.
     async fn send(
         &self,
         turn: &Turn,
         target: &Target,
         request: hyper::Request<Full<Bytes>>,
+        is_connected: &AtomicBool,
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
         let mut request = request;
         // The endpoint may have closed an idle connection. hyper returns a request of which it has
@@ -412,12 +427,16 @@
             if !turn.permits(&target.endpoint) {
                 return Err(Failure::NOT_PERMITTED);
             }
+            is_connected.store(true, Ordering::Relaxed);
             match pool::send(&mut sender, request).await {
                 Ok(response) => {
                     reach::record_answer(&self.context.board, self.service(), false);
                     return Ok((sender, response));
                 }
-                Err(pool::Unsent::NotWritten(untouched)) => request = *untouched,
+                Err(pool::Unsent::NotWritten(untouched)) => {
+                    is_connected.store(false, Ordering::Relaxed);
+                    request = *untouched;
+                }
                 Err(pool::Unsent::Broken) => return Err(Failure::BROKEN),
             }
         }
@@ -431,6 +450,7 @@
             return Err(Failure::NOT_PERMITTED);
         }
         let mut sender = pool::Sender::new(target.start, requests);
+        is_connected.store(true, Ordering::Relaxed);
         match pool::send(&mut sender, request).await {
             Ok(response) => {
                 reach::record_answer(&self.context.board, self.service(), true);
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -9,8 +9,9 @@
 };
 
 use crate::support::{
-    forwarder::Forwarder,
-    routed::{routing, text, Endpoint, System},
+    client,
+    forwarder::{Forwarder, Port},
+    routed::{routing, text, Endpoint, System, HOST, KEY},
 };
 
 /// Starts a system with one voter and one endpoint behind a link. The box then keeps `kept` open
@@ -79,3 +80,27 @@
         followers.push((voter, news));
     }
 }
+
+/// Guards against requests that count as possibly run, so that their callers may not send them again,
+/// though their time ended before the connection to the endpoint opened.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_time_ends_before_its_connection_opens_did_not_run() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, _endpoint, link) = start_behind_link(0, dir.path()).await;
+    let bearer = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("scalewood-id", "late"),
+        ("scalewood-deadline-ms", "600"),
+    ];
+    link.set_connected(false);
+    link.set_port(Port::Hangs);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut connection = client::Connection::open(system.callers()).await.unwrap();
+    let answer = connection
+        .send_to(HOST, "POST", "/unsafe/late", &headers, "a body")
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.headers()["scalewood-verdict"], "not-run");
+}
