Soak of boxes that lose their links; no single lost probe closes a caller's connection

Where a time limit for acknowledgements is set, Linux lets it decide when keep-alive probes give up, whatever their number. Callers' connections had 10 s for both, so that one lost probe after ten idle seconds closed the connection, also under a request that waited for its answer. Probes begin after 7 s now, and three have to stay unanswered. No library here sets the option by itself: only our own code calls it (hyper-util's client, which can, is not enabled).

silence::no_single_lost_probe_closes_a_connection counts the probes that fit; by the old figures one.

reach_soak: links of four of six boxes are cut in three ways and repaired, boxes are killed, stopped, paused and restarted two at a time, endpoints refuse, fail and break off, callers keep connections.

--- a/src/scalewood/util/socket.rs
+++ b/src/scalewood/util/socket.rs
@@ -14,10 +14,11 @@
     probe_after: Some(Duration::from_secs(1)),
 };
 /// The timeouts towards callers. A caller that acknowledges nothing for this long is gone: the
-/// longest pause that callers tolerate is a few seconds.
+/// longest pause that callers tolerate is a few seconds. Three probes fit, since a lossy link may lose
+/// one or two while a caller waits for its answer.
 pub const CALLER: Timeouts = Timeouts {
     unacknowledged: Duration::from_secs(10),
-    probe_after: Some(Duration::from_secs(10)),
+    probe_after: Some(Duration::from_secs(7)),
 };
 /// The timeouts towards endpoints: sent bytes are acknowledged within the round trip and the
 /// queueing delay of a saturated link. An endpoint sends nothing while it computes, and is not
@@ -30,14 +31,26 @@
 /// The timeouts after which a silent connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
-    /// How long sent bytes may stay unacknowledged.
+    /// How long sent bytes may stay unacknowledged. On Linux this also decides when unanswered probes
+    /// close a connection, whatever their number: when nothing has arrived for this long and a probe
+    /// is unanswered.
     pub unacknowledged: Duration,
     /// How long a connection may be idle before its peer is probed, once a second; `None` if it is
     /// never probed.
     pub probe_after: Option<Duration>,
 }
 
+/// The interval between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Timeouts {
+    /// Returns how many unanswered probes close a connection, or `None` if it is never probed.
+    pub fn unanswered_probes(&self) -> Option<u32> {
+        let probing = self.unacknowledged.saturating_sub(self.probe_after?);
+        let probes = probing.as_millis().div_ceil(PROBE_INTERVAL.as_millis());
+        Some(u32::try_from(probes).unwrap_or(u32::MAX).max(1))
+    }
+
     /// Sets the timeouts on a socket. Connections that a listening socket accepts inherit them.
     ///
     /// # Errors
@@ -45,16 +58,13 @@
     /// Fails if the operating system refuses the options. The socket works without them, but a
     /// dead connection is detected late.
     pub fn apply<'a>(&self, socket: impl Into<SockRef<'a>>) -> std::io::Result<()> {
-        /// The number of unanswered probes after which the connection is closed.
-        const MAX_PROBES: u32 = 2;
-        const PROBE_INTERVAL: Duration = Duration::from_secs(1);
         let socket = socket.into();
         socket.set_tcp_user_timeout(Some(self.unacknowledged))?;
-        if let Some(after) = self.probe_after {
+        if let Some((after, probes)) = self.probe_after.zip(self.unanswered_probes()) {
             let probes = TcpKeepalive::new()
                 .with_time(after)
                 .with_interval(PROBE_INTERVAL)
-                .with_retries(MAX_PROBES);
+                .with_retries(probes);
             socket.set_tcp_keepalive(&probes)?;
         }
         Ok(())
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod random;
 mod reach;
 mod reach_core;
+mod reach_soak;
 mod regions;
 mod registry;
 mod rejection;
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -20,10 +20,10 @@
 };
 
 const VOTERS: usize = 2;
-const BOXES: usize = 6;
+pub(crate) const BOXES: usize = 6;
 const ENDPOINTS: usize = 6;
 /// Most boxes: all of one zone and one of the other.
-const MOST: [usize; 4] = [0, 1, 2, 3];
+pub(crate) const MOST: [usize; 4] = [0, 1, 2, 3];
 /// All boxes.
 const ALL: [usize; BOXES] = [0, 1, 2, 3, 4, 5];
 /// The zone of each box.
@@ -47,7 +47,7 @@
 
 /// How links fail.
 #[derive(Clone, Copy, Debug)]
-enum Cut {
+pub(crate) enum Cut {
     /// Open connections break and new ones are refused.
     Reset,
     /// Open connections stay silent and new ones get no answer.
@@ -57,12 +57,12 @@
 }
 
 /// A running system whose boxes reach the endpoints over links of two groups.
-struct Site {
-    system: System,
-    boxes: Vec<Option<deploy::Process>>,
+pub(crate) struct Site {
+    pub(crate) system: System,
+    pub(crate) boxes: Vec<Option<deploy::Process>>,
     /// The boxes whose links are cut.
     cut: &'static [usize],
-    endpoints: Vec<Endpoint>,
+    pub(crate) endpoints: Vec<Endpoint>,
     /// The number of requests sent so far, which distinguishes their paths.
     sent: AtomicUsize,
     /// The links of the boxes in `cut`.
@@ -72,7 +72,7 @@
 
 impl Site {
     /// Starts a system in which the links of some boxes can be cut.
-    async fn start(cut: &'static [usize], dir: &std::path::Path) -> Self {
+    pub(crate) async fn start(cut: &'static [usize], dir: &std::path::Path) -> Self {
         let mut system = System::start(VOTERS, dir);
         system.entry = None;
         assert_eq!(system.publish(&text(&routing(7))).await, 200);
@@ -93,14 +93,7 @@
             let from = SocketAddr::new(listen.ip(), CUT_VOTER_PORT);
             voters.push(Rewriter::start(from, listen, rules.clone()).await);
         }
-        let start = |i: usize| {
-            let port = if cut.contains(&i) {
-                CUT_VOTER_PORT
-            } else {
-                7000
-            };
-            Some(system.start_entry_in(i, ZONES[i], port))
-        };
+        let start = |i: usize| Some(start_box(&system, cut, i));
         let boxes = (0..BOXES).map(start).collect();
         let site = Self {
             system,
@@ -121,6 +114,11 @@
         site
     }
 
+    /// Starts the process of a box.
+    pub(crate) fn start_box(&self, i: usize) -> deploy::Process {
+        start_box(&self.system, self.cut, i)
+    }
+
     async fn beat(&self, sequence: u64) {
         for (i, endpoint) in (0..).zip(&self.endpoints) {
             let mut record = endpoint.record(sequence, State::Ready);
@@ -130,7 +128,7 @@
     }
 
     /// Sends heartbeats of all endpoints for ever.
-    async fn beat_on(&self) {
+    pub(crate) async fn beat_on(&self) {
         for sequence in 2.. {
             self.beat(sequence).await;
             tokio::time::sleep(HEARTBEAT).await;
@@ -138,7 +136,7 @@
     }
 
     /// Cuts the links of the boxes in `cut`, or repairs them.
-    fn set_cut(&self, cut: Option<Cut>) {
+    pub(crate) fn set_cut(&self, cut: Option<Cut>) {
         for link in &self.cut_links {
             let (port, mode) = match cut {
                 None => (Port::Open, Mode::Whole),
@@ -151,7 +149,7 @@
         }
     }
 
-    async fn send(&self, i: usize, path: &str) -> Outcome {
+    pub(crate) async fn send(&self, i: usize, path: &str) -> Outcome {
         send(self.system.callers_at(i), i, path.to_owned()).await
     }
 
@@ -244,13 +242,22 @@
     }
 }
 
+fn start_box(system: &System, cut: &[usize], i: usize) -> deploy::Process {
+    let port = if cut.contains(&i) {
+        CUT_VOTER_PORT
+    } else {
+        7000
+    };
+    system.start_entry_in(i, ZONES[i], port)
+}
+
 fn rule(port: u16, replacement: u16) -> (String, String) {
     (format!(":{port}\""), format!(":{replacement}\""))
 }
 
 /// The outcome of a request.
 #[derive(Clone, Debug, Default)]
-struct Outcome {
+pub(crate) struct Outcome {
     /// The number of the box that it was sent to.
     at: usize,
     path: String,
@@ -263,12 +270,12 @@
 }
 
 impl Outcome {
-    fn is_served(&self) -> bool {
+    pub(crate) fn is_served(&self) -> bool {
         self.status == 200 && self.is_whole
     }
 }
 
-async fn send(callers: SocketAddr, i: usize, path: String) -> Outcome {
+pub(crate) async fn send(callers: SocketAddr, i: usize, path: String) -> Outcome {
     let bearer = format!("Bearer {KEY}");
     let id = format!("{:016x}", rand::random::<u64>());
     let deadline = DEADLINE.as_millis().to_string();
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -5,6 +5,7 @@
 use scalewood::{
     core::registry::State,
     ops::rpc,
+    util::socket,
     wire::registry::{RegistryClient as _, RegistryUpdate},
 };
 
@@ -104,3 +105,15 @@
     assert_eq!(answer.status(), 503);
     assert_eq!(answer.headers()["scalewood-verdict"], "not-run");
 }
+
+/// Guards against connections that a single lost probe closes: on Linux the time without
+/// acknowledgement decides when probes give up, whatever their number. A caller that waits for its answer
+/// over a lossy link then loses it.
+#[test]
+fn no_single_lost_probe_closes_a_connection() {
+    for timeouts in [socket::PROCESS, socket::CALLER] {
+        let probes = timeouts.unanswered_probes();
+        assert!(probes.is_some_and(|probes| probes >= 2), "{timeouts:?}");
+    }
+    assert_eq!(socket::ENDPOINT.unanswered_probes(), None);
+}
