A forwarded request that ran before is not said not to have run

A request that an endpoint had begun, and that was then forwarded since the links were lost, could be answered 503 with the verdict not-run: the box that took it over knew the number of runs, but began with the verdict of a new request, and its refusal was passed on.

The box that takes a request over begins with may-have-run if it was told of a run, and the one that has forwarded it checks a refusal against what it knows itself. reach::a_box_answers_for_what_happened_to_a_request_before_it_was_forwarded: 503, not-run before; 502, may-have-run after.

--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -112,8 +112,12 @@
         let ask = routed.call.first_ask(&board, false);
         let mut observer = Observer::new(&board, &routed.call);
         let mut runs = 0;
+        let mut verdict = verdict::Verdict::NotRun;
         if let Some(forwarded) = &routed.forwarded {
             runs = forwarded.runs;
+            if runs > 0 {
+                verdict = verdict::Verdict::MayHaveRun;
+            }
             observer.counts_usage_only(forwarded.counted);
         } else {
             let label = metric::ClassLabel::from(&routed.call.key);
@@ -129,7 +133,7 @@
             misses: 0,
             runs,
             forwards: 0,
-            verdict: verdict::Verdict::NotRun,
+            verdict,
             last_endpoint: None,
             sent_to: None,
             basis: dispatch::Basis::default(),
@@ -226,6 +230,10 @@
         match read {
             Ok(body) => {
                 link.keep(&self.context.peers);
+                if self.contradicts(parts.status) {
+                    let failed = reply::failed(dispatch::End::Refused, self.verdict);
+                    return Some(self.refuse(&failed));
+                }
                 self.forward_ended(&parts);
                 Some(reply::whole(parts, body))
             }
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -158,12 +158,16 @@
         Ok(())
     }
 
+    /// Returns whether an answer of another box says that a request did not run that may have run
+    /// before it was forwarded.
+    pub(super) fn contradicts(&self, status: StatusCode) -> bool {
+        says_not_run(status) && self.verdict != verdict::Verdict::NotRun
+    }
+
     /// Records the end of a request to which another box gave the answer.
     pub(super) fn forward_ended(&mut self, answer: &response::Parts) {
         let verdict = match answer.status {
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-                verdict::Verdict::NotRun
-            }
+            status if says_not_run(status) => verdict::Verdict::NotRun,
             status if status.is_success() => verdict::Verdict::Ran,
             _ => verdict::Verdict::MayHaveRun,
         };
@@ -205,6 +209,17 @@
     }
 }
 
+/// Returns whether answers with a status are given only to requests that did not run.
+fn says_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
 impl<D: Dialect> Context<D> {
     /// Serves a request that another box forwards.
     pub(in crate::ops::entry) async fn serve_forwarded(
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -599,3 +599,70 @@
         () = site.beat_on() => unreachable!(),
     }
 }
+
+/// Sends a request to the port of a box for requests of other boxes, with a header that such requests
+/// have.
+async fn forward(site: &Site, i: usize, path: &str, forwarded: Option<&str>) -> client::Answer {
+    let log = site.system.dir.join(format!("e{}.log", i + 1));
+    let log = std::fs::read_to_string(log).unwrap();
+    let line = log
+        .lines()
+        .find(|line| line.contains("\"what\":\"forwards\""));
+    let line: serde_json::Value = serde_json::from_str(line.unwrap()).unwrap();
+    let address = line["address"].as_str().unwrap().parse().unwrap();
+    let bearer = format!("Bearer {KEY}");
+    let mut headers = vec![
+        ("authorization", bearer.as_str()),
+        ("scalewood-id", "forwarded"),
+        ("scalewood-deadline-ms", "2000"),
+    ];
+    headers.extend(forwarded.map(|forwarded| ("scalewood-forwarded", forwarded)));
+    let mut connection = client::Connection::open(address).await.unwrap();
+    let response = connection
+        .send_to(HOST, "POST", path, &headers, "a body")
+        .await;
+    let (parts, body) = response.unwrap().into_parts();
+    client::Answer {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body: body.collect().await.unwrap().to_bytes(),
+    }
+}
+
+/// Guards against answers by which a request did not run though the box that has forwarded it had sent
+/// it to an endpoint before (seed 200 of `reach_soak`), and against requests that go round.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_box_answers_for_what_happened_to_a_request_before_it_was_forwarded() {
+    const RAN: &str = r#"{"by":"e1","revision":1,"age_ms":10,"runs":1}"#;
+    const DID_NOT_RUN: &str = r#"{"by":"e1","revision":1,"age_ms":10,"runs":0}"#;
+    const NEWER: &str = r#"{"by":"e1","revision":9,"age_ms":10,"runs":0}"#;
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&[0], dir.path()).await;
+    let played = async {
+        let served = forward(&site, 1, "/safe/served", Some(DID_NOT_RUN)).await;
+        assert_eq!(served.status, 200);
+        for endpoint in &site.endpoints {
+            endpoint.set_default_act(Some(Act::Refuse));
+        }
+        let refused = forward(&site, 1, "/safe/refused", Some(DID_NOT_RUN)).await;
+        assert_eq!((refused.status, refused.verdict()), (503, Some("not-run")));
+        let refused = forward(&site, 1, "/safe/refused", Some(RAN)).await;
+        assert_eq!(
+            (refused.status, refused.verdict()),
+            (502, Some("may-have-run"))
+        );
+        let without = forward(&site, 1, "/safe/refused", None).await;
+        assert_eq!((without.status, without.verdict()), (400, Some("not-run")));
+        // A box with an older configuration, or without links itself, gives the request back.
+        let behind = forward(&site, 1, "/safe/refused", Some(NEWER)).await;
+        assert_eq!(behind.header("scalewood-unavailable"), Some("1"));
+        site.cut_and_wait(Cut::Reset).await;
+        let back = forward(&site, 0, "/safe/back", Some(DID_NOT_RUN)).await;
+        assert_eq!(back.header("scalewood-unavailable"), Some("1"));
+        assert_eq!(site.seen("/safe/back").len(), 0);
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
