Links that are reset are not taken for endpoints that end under their requests

A broken request counts as a failure of the links first; while a check of the links is under way, the end is recorded only once it has found that they work. One endpoint that ends starts no check, so nothing waits then.

--- a/src/scalewood/core/reach/mod.rs
+++ b/src/scalewood/core/reach/mod.rs
@@ -178,6 +178,12 @@
         links.is_some_and(|links| matches!(links.state, State::Lost(_)))
     }
 
+    /// Returns whether a check of the links to a service's endpoints is under way.
+    pub fn is_checking(&self, service: &name::Service) -> bool {
+        let links = self.services.get(service);
+        links.is_some_and(|links| links.state == State::Checking)
+    }
+
     /// Returns whether failures at a service's endpoints may come from the links.
     pub fn is_doubtful(&self, service: &name::Service, now: Duration) -> bool {
         let links = self.services.get(service);
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -23,7 +23,7 @@
         name, registry,
     },
     event,
-    ops::entry::{now, Shared},
+    ops::entry::{now, reach, Shared},
     util::{clock::Clock as _, lock::lock},
 };
 
@@ -115,19 +115,24 @@
     board: &Shared,
     content: &Content,
     request: &str,
-    target: &Target,
+    (service, target): (&name::Service, &Target),
 ) {
     let broke_at = now(board);
     match probe(target.address).await {
+        // Over a link that is cut, each endpoint may refuse connections.
+        Probe::Refused if reach::is_found_lost(board, service).await => {}
         Probe::Refused => record_crash(board, content, request, target, broke_at),
         Probe::Unanswered => {}
         Probe::Accepted => {
             let (board, content) = (board.clone(), content.clone());
             let (request, target) = (request.to_owned(), target.clone());
+            let service = service.clone();
             tokio::spawn(async move {
                 for delay in LATER_PROBES {
                     tokio::time::sleep(delay).await;
-                    if probe(target.address).await == Probe::Refused {
+                    if probe(target.address).await == Probe::Refused
+                        && !reach::is_found_lost(&board, &service).await
+                    {
                         record_crash(&board, &content, &request, &target, broke_at);
                         return;
                     }
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -283,7 +283,8 @@
         sent_at,
         ..target(board, endpoint, known.address)
     };
-    crash::record_if_crashed(board, &call.content, &call.request.to_string(), &target).await;
+    let at = (&call.key.service, &target);
+    crash::record_if_crashed(board, &call.content, &call.request.to_string(), at).await;
 }
 
 /// Waits until the next attempt, or returns the refusal if no further attempt is allowed. A retry
--- a/src/scalewood/ops/entry/reach.rs
+++ b/src/scalewood/ops/entry/reach.rs
@@ -56,6 +56,21 @@
         && lock(&board.links_to_endpoints).is_lost(service)
 }
 
+/// Returns whether the links to a service's endpoints are lost, once a check that is under way has
+/// ended.
+pub(super) async fn is_found_lost(board: &Shared, service: &name::Service) -> bool {
+    if !board.has_link_failures.load(Ordering::Relaxed) {
+        return false;
+    }
+    let mut changes = board.reach_changed.subscribe();
+    while lock(&board.links_to_endpoints).is_checking(service) {
+        if changes.changed().await.is_err() {
+            break;
+        }
+    }
+    is_lost(board, service)
+}
+
 /// Returns whether failures at a service's endpoints may come from the links.
 pub(super) fn is_doubtful(board: &Shared, service: &name::Service) -> bool {
     board.has_link_failures.load(Ordering::Relaxed)
@@ -128,7 +143,7 @@
 
 /// Checks the links to a service's endpoints, and if they are lost, until they work again.
 async fn check(board: Shared, service: name::Service) {
-    if !is_found_lost(&board, &service).await {
+    if !check_once(&board, &service).await {
         return;
     }
     check_other_services(&board, &service);
@@ -144,12 +159,13 @@
 }
 
 /// Checks the links to a service's endpoints once. Returns whether they are lost.
-async fn is_found_lost(board: &Shared, service: &name::Service) -> bool {
+async fn check_once(board: &Shared, service: &name::Service) -> bool {
     let opened = opens_any(board, service, reach::CHECKED_ENDPOINTS).await;
     let failed = lock(&board.links_to_endpoints).failed(service);
     lock(&board.peers).forget(service);
     let change = lock(&board.links_to_endpoints).finish_check(service, opened, now(board));
     if change != reach::Change::Lost {
+        signal(board);
         return false;
     }
     let failed: Vec<_> = failed.iter().map(name::Endpoint::as_str).collect();
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -519,14 +519,14 @@
         let Failed { failure, own } = failed;
         let attempt = turn.attempt();
         turn.end(failure.end);
-        if own.is_none() && failure.end == dispatch::End::Broken {
-            self.check_for_crash().await;
-        }
-        self.verdict = self.verdict.and(failure.verdict);
-        let may_have_run = failure.verdict != verdict::Verdict::NotRun;
         if own.is_none() {
             self.record_link_failure(endpoint, failure);
+            if failure.end == dispatch::End::Broken {
+                self.check_for_crash().await;
+            }
         }
+        self.verdict = self.verdict.and(failure.verdict);
+        let may_have_run = failure.verdict != verdict::Verdict::NotRun;
         self.runs += u32::from(may_have_run);
         if may_have_run && !self.is_stream() {
             self.observer.begun();
@@ -573,7 +573,8 @@
         let Some(target) = &self.sent_to else { return };
         let call = &self.routed.call;
         let id = self.routed.head.id.as_deref().unwrap_or_default();
-        crash::record_if_crashed(&self.context.board, &call.content, id, target).await;
+        let at = (&call.key.service, target);
+        crash::record_if_crashed(&self.context.board, &call.content, id, at).await;
     }
 
     /// Restarts the caller's patience: it has received events, and waits for the next one.
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -666,3 +666,36 @@
         () = site.beat_on() => unreachable!(),
     }
 }
+
+/// Guards against requests that are held back at all boxes since the links of one box were reset and new
+/// connections refused, which looks like the end of each endpoint under its requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn links_that_are_reset_are_not_taken_for_endpoints_that_end() {
+    const REQUESTS: usize = 30;
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&[0], dir.path()).await;
+    for endpoint in &site.endpoints {
+        endpoint.set_default_act(Some(Act::Hang));
+    }
+    let played = async {
+        let callers = site.system.callers_at(0);
+        let calls: Vec<_> = (0..REQUESTS)
+            .map(|i| tokio::spawn(send(callers, 0, format!("/unsafe/reset{i}"))))
+            .collect();
+        deploy::wait("endpoints run the requests", || async {
+            site.running() >= REQUESTS
+        })
+        .await;
+        site.set_cut(Some(Cut::Reset));
+        for call in calls {
+            call.await.unwrap();
+        }
+        let log = std::fs::read_to_string(site.system.dir.join("e1.log")).unwrap();
+        let ends = log.lines().filter(|line| line.contains("\"event\":3210"));
+        assert_eq!(ends.count(), 0);
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
