--- a/src/scalewood/core/load/peers.rs
+++ b/src/scalewood/core/load/peers.rs
@@ -12,11 +12,13 @@
 pub(super) struct Peers {
     /// The reports of the hub's own boxes.
     reports: BTreeMap<name::Box, Report>,
+    /// Those of these boxes that accept requests.
+    own: Vec<Peer>,
     /// The boxes that other hubs name.
     named: BTreeMap<name::Box, Vec<Peer>>,
     /// The boxes that other hubs are to be told of.
     offer: Vec<Peer>,
-    /// Whether reports have changed since `offer` was chosen.
+    /// Whether reports have changed since `own` and `offer` were computed.
     is_changed: bool,
     /// What other hubs were told.
     sent: BTreeMap<name::Box, Vec<Peer>>,
@@ -49,30 +51,34 @@
         self.sent.remove(hub);
     }
 
-    fn own(&self) -> Vec<Peer> {
-        let own = self.reports.iter();
-        own.filter_map(|(name, report)| Peer::new(name, report))
-            .collect()
+    /// Recomputes what depends on the reports if these have changed.
+    fn refresh(&mut self) {
+        if !std::mem::take(&mut self.is_changed) {
+            return;
+        }
+        let reports = self.reports.iter();
+        let own = reports.filter_map(|(name, report)| Peer::new(name, report));
+        self.own = own.collect();
+        self.offer = reach::offer(&self.own);
     }
 
     /// Returns the boxes that may serve requests for a box that has lost links.
-    pub(super) fn for_box(&self, name: &name::Box) -> Vec<Peer> {
+    pub(super) fn for_box(&mut self, name: &name::Box) -> Vec<Peer> {
         let Some(report) = self.reports.get(name) else {
             return Vec::new();
         };
         if report.lost.is_empty() {
             return Vec::new();
         }
-        let own = self.own();
+        let lost = report.lost.clone();
+        self.refresh();
         let named = self.named.values().flatten();
-        reach::choose(name, &report.lost, own.iter().chain(named))
+        reach::choose(name, &lost, self.own.iter().chain(named))
     }
 
     /// Returns what another hub is to be told, if that has changed.
     pub(super) fn update_for(&mut self, hub: &name::Box) -> Option<Vec<Peer>> {
-        if std::mem::take(&mut self.is_changed) {
-            self.offer = reach::offer(&self.own());
-        }
+        self.refresh();
         if self.sent.get(hub).unwrap_or(&Vec::new()) == &self.offer {
             return None;
         }
