Keep connections to endpoints that are silent for about a second

A sound endpoint may fall silent for a second or so and go on. Connections to endpoints were closed once sent bytes had stayed unacknowledged for 0.7 s, and requests that may run only once were lost by that. They are kept for 1.5 s now, which is below the two seconds after which callers give a stream up, and below the time within which lost links have to be found.

Whether silent endpoints of the users acknowledge is not known.

--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -37,7 +37,7 @@
 const HEAD_WAIT_IN_TARGETS: u32 = 4;
 /// The time from sending after which a failure without any answer counts as silence. An endpoint
 /// that refuses or resets a connection does so within a round trip; a connection whose sent bytes
-/// stay unacknowledged breaks after 0.7 s.
+/// stay unacknowledged breaks later.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 /// How often it is checked whether a silent endpoint is merely busy.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/src/scalewood/util/socket.rs
+++ b/src/scalewood/util/socket.rs
@@ -21,10 +21,12 @@
     probe_after: Some(Duration::from_secs(7)),
 };
 /// The timeouts towards endpoints: sent bytes are acknowledged within the round trip and the
-/// queueing delay of a saturated link. An endpoint sends nothing while it computes, and is not
-/// probed: a response that a network partition delays may still arrive.
+/// queueing delay of a saturated link. A sound endpoint may be silent for about a second, and what may
+/// run only once would be lost if its connection were closed before it goes on. An endpoint sends
+/// nothing while it computes, and is not probed: a response that a network partition delays may still
+/// arrive.
 pub const ENDPOINT: Timeouts = Timeouts {
-    unacknowledged: Duration::from_millis(700),
+    unacknowledged: Duration::from_millis(1500),
     probe_after: None,
 };
 
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -117,3 +117,14 @@
     }
     assert_eq!(socket::ENDPOINT.unanswered_probes(), None);
 }
+
+/// Guards against requests that are lost, and may not be sent again, since their endpoint was silent for
+/// about a second and then went on.
+#[test]
+fn connections_outlast_an_endpoint_that_is_silent_for_a_second() {
+    const LONGEST_SILENCE: Duration = Duration::from_millis(1200);
+    /// Callers give a stream up after this long without an event.
+    const PATIENCE: Duration = Duration::from_secs(2);
+    let unacknowledged = socket::ENDPOINT.unacknowledged;
+    assert!(unacknowledged > LONGEST_SILENCE && unacknowledged < PATIENCE);
+}
