Lost links are noticed at low traffic too; a box with nobody to forward to does not spin

- Failures counted together within one second.
With the default limit of 1 s on connecting, the failures of a single request lie further apart, and a box with few requests noticed nothing for 30 s (seen once beside load, reach::requests_are_refused_early_*; reach_core::failures_of_a_single_request_start_a_check failed before).
A failure is still in doubt for one second.
- A request whose service was lost, and for which all known boxes were avoided or in another region, went round between waiting for a slot and looking for a box without a pause.
Found by reading.
It now waits for a box that can be used.
- An end of an endpoint is recorded 30 ms after its address refused a connection, so that other failures of the same cut start the check first.
One of 30 was recorded before, beside load.
- A box that serves a request for another one counts as busy from the sending on, is avoided also after a broken answer, and its refusal at the deadline is awaited for 50 ms.

--- a/src/scalewood/core/reach/mod.rs
+++ b/src/scalewood/core/reach/mod.rs
@@ -19,8 +19,11 @@
 
 pub use peer::{choose, offer, Peer, Peers, Report};
 
-/// The time within which failures count together.
-const FAILURE_WINDOW: Duration = Duration::from_secs(1);
+/// The time within which failures count together: longer than connecting to an endpoint takes to fail,
+/// so that those of a single request do.
+const FAILURE_WINDOW: Duration = Duration::from_secs(3);
+/// How long a failure is in doubt if no endpoint answers.
+const DOUBT: Duration = Duration::from_secs(1);
 /// The number of endpoints that have to fail for a check.
 const MIN_FAILED_ENDPOINTS: usize = 2;
 /// The number of failures that suffice for a check if all are at the same endpoint, which may be
@@ -71,7 +74,7 @@
             State::Lost(_) => true,
             State::Checking => !self.answered,
             State::Working => {
-                !self.failed.is_empty() && !self.answered && now < self.failed_at + FAILURE_WINDOW
+                !self.failed.is_empty() && !self.answered && now < self.failed_at + DOUBT
             }
         }
     }
--- a/src/scalewood/core/reach/peer.rs
+++ b/src/scalewood/core/reach/peer.rs
@@ -129,11 +129,6 @@
         self.named_for.contains(service)
     }
 
-    /// Returns whether any known box reaches a service.
-    pub fn any_reaches(&self, service: &name::Service) -> bool {
-        self.known.iter().any(|peer| !peer.lost.contains(service))
-    }
-
     /// Chooses a box that reaches a service, among those that `is_permitted` accepts: of two random
     /// ones that with fewer requests of this box, or the one in this box's zone.
     pub fn pick(
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -34,6 +34,10 @@
 /// listener refuses a connection within one round trip, also between zones.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long to wait for failures at other endpoints, which start a check of this box's links, before an
+/// end is recorded.
+const SETTLE_TIME: Duration = Duration::from_millis(30);
+
 /// After what time the caller of a request that is held back may send it again as long as it has not
 /// been tried once more.
 const RETRY_BEFORE_TRIAL: Duration = Duration::from_secs(30);
@@ -119,9 +123,13 @@
 ) {
     let broke_at = now(board);
     match probe(target.address).await {
-        // Over a link that is cut, each endpoint may refuse connections.
-        Probe::Refused if reach::is_found_lost(board, service).await => {}
-        Probe::Refused => record_crash(board, content, request, target, broke_at),
+        Probe::Refused => {
+            tokio::time::sleep(SETTLE_TIME).await;
+            // Over a link that is cut, each endpoint may refuse connections.
+            if !reach::is_found_lost(board, service).await {
+                record_crash(board, content, request, target, broke_at);
+            }
+        }
         Probe::Unanswered => {}
         Probe::Accepted => {
             let (board, content) = (board.clone(), content.clone());
--- a/src/scalewood/ops/entry/reach.rs
+++ b/src/scalewood/ops/entry/reach.rs
@@ -80,7 +80,7 @@
 /// Waits until the links to a service's endpoints are lost and another box can serve its requests.
 pub(super) async fn forwardable(board: &Shared, service: &name::Service) {
     let mut changes = board.reach_changed.subscribe();
-    while !(is_lost(board, service) && lock(&board.peers).any_reaches(service)) {
+    while !is_lost(board, service) || known_peer(board, service).is_none() {
         if changes.changed().await.is_err() {
             std::future::pending::<()>().await;
         }
@@ -99,6 +99,11 @@
         }
     };
     let _ = tokio::time::timeout(PEERS_TIMEOUT, answered).await;
+    known_peer(board, service)
+}
+
+/// Chooses one of the boxes that are known to reach a service.
+pub(super) fn known_peer(board: &Shared, service: &name::Service) -> Option<reach::Peer> {
     let regions = &board.own.regions;
     let region = regions.region_of(&board.own.zone);
     // The request must not leave the region, which may be the only one that it is allowed in.
@@ -162,12 +167,12 @@
 async fn check_once(board: &Shared, service: &name::Service) -> bool {
     let opened = opens_any(board, service, reach::CHECKED_ENDPOINTS).await;
     let failed = lock(&board.links_to_endpoints).failed(service);
-    lock(&board.peers).forget(service);
     let change = lock(&board.links_to_endpoints).finish_check(service, opened, now(board));
     if change != reach::Change::Lost {
         signal(board);
         return false;
     }
+    lock(&board.peers).forget(service);
     let failed: Vec<_> = failed.iter().map(name::Endpoint::as_str).collect();
     event!(board.log, LinksLost, "service" => %service, "failed" => failed.join(" "));
     announce(board, service, true);
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -32,6 +32,9 @@
 
 /// How long connecting to another box may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long after the request's deadline another box's answer is awaited: it refuses the request at the
+/// deadline, and only it knows whether the request has run.
+const ANSWER_GRACE: Duration = Duration::from_millis(50);
 /// The most boxes that a request is sent to before it is tried at endpoints from here.
 const MAX_BOXES: u32 = 3;
 
@@ -102,8 +105,9 @@
             event!(board.log, RequestForwarded, "id" => self.routed.head.id.as_deref(),
                 "service" => %service, "to" => %peer.name,
                 "left_ms" => self.time_left().as_millis());
-            let timeouts = (CONNECT_TIMEOUT, self.time_left());
+            let timeouts = (CONNECT_TIMEOUT, self.time_left() + ANSWER_GRACE);
             let peers = self.context.peers.clone();
+            let serving = Serving::begin(&board, &peer.name);
             let sent = peers.send(peer.address, request, timeouts, || true).await;
             match sent {
                 Ok((_, response)) if response.headers().contains_key(UNAVAILABLE_HEADER) => {
@@ -114,7 +118,7 @@
                     self.observer.counted_elsewhere();
                     let (parts, body) = response.into_parts();
                     let link = Link {
-                        _serving: Serving::begin(&board, &peer.name),
+                        _serving: serving,
                         peer,
                         sender,
                     };
@@ -125,7 +129,6 @@
                     }));
                 }
                 Err(failure) => {
-                    lock(&board.peers).avoid(&peer.name, now(&board));
                     if let Err(refusal) = self.handle_lost_box(&peer.name, failure).await {
                         return Some(Err(refusal));
                     }
@@ -135,7 +138,7 @@
         None
     }
 
-    /// Handles the loss of a box that the request was sent to; returns the final answer as an error
+    /// Handles the loss of a box that the request was sent to, or its refusal to go on; returns the final answer as an error
     /// if the request may have run and may not run again.
     pub(super) async fn handle_lost_box(
         &mut self,
@@ -143,6 +146,8 @@
         failure: Failure,
     ) -> Result<(), Response<Answer>> {
         let may_have_run = failure.verdict != verdict::Verdict::NotRun;
+        let board = &self.context.board;
+        lock(&board.peers).avoid(name, now(board));
         self.tries += 1;
         self.misses += u32::from(!may_have_run);
         self.runs += u32::from(may_have_run);
--- a/src/scalewood/ops/entry/routed/retries.rs
+++ b/src/scalewood/ops/entry/routed/retries.rs
@@ -10,7 +10,6 @@
         routed::{attempt::Request, Context},
         upstream::Failure,
     },
-    util::lock::lock,
 };
 
 /// The most attempts of a request that reach an endpoint, whether or not it runs there.
@@ -56,7 +55,7 @@
     fn is_stranded(&self) -> bool {
         let board = &self.context.board;
         let service = &self.routed.call.key.service;
-        reach::is_lost(board, service) && !lock(&board.peers).any_reaches(service)
+        reach::is_lost(board, service) && reach::known_peer(board, service).is_none()
     }
 
     /// Returns whether the service's budget holds a retry.
