Registries hold the build of each endpoint; log each stream that goes on after an event

Heartbeats state the version of an endpoint's software; it was dropped, so that no log could tell at which build a stream began or went on. Nothing is decided by it yet.

--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod audit;
 pub mod backoff;
+pub mod build;
 pub mod catchup;
 pub mod change;
 pub mod claim;
--- a/src/scalewood/core/registry/record.rs
+++ b/src/scalewood/core/registry/record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::{
-    name,
+    build, name,
     registry::{self, Reason, Refusal},
     unit, warm_up,
 };
@@ -60,6 +60,9 @@
     /// How much longer it warms up, if it reports that.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub warm_up: Option<warm_up::Remaining>,
+    /// The build of its software.
+    #[serde(default, skip_serializing_if = "build::Build::is_unstated")]
+    pub build: build::Build,
 }
 
 /// The most slots that an endpoint may have: some hundred times as many as model servers run at
@@ -94,7 +97,13 @@
     pub(super) fn rank(&self) -> impl Ord + '_ {
         let heartbeat = (self.incarnation, self.sequence, self.state);
         let location = (&self.address, &self.zone, &self.service);
-        (heartbeat, location, self.slots, self.interruptible)
+        (
+            heartbeat,
+            location,
+            self.slots,
+            self.interruptible,
+            &self.build,
+        )
     }
 
     /// Returns whether both records agree in everything that other processes have to know.
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -136,7 +136,7 @@
     /// Merges a heartbeat.
     pub(super) fn announce(&self, record: registry::Record) {
         let (name, state, sequence) = (record.name.clone(), record.state, record.sequence);
-        let service = record.service.clone();
+        let (service, build) = (record.service.clone(), record.build.clone());
         let incarnation = record.incarnation;
         let now = self.clock.now();
         let is_new_here = lock(&self.own).merge(record.clone(), now).must_propagate();
@@ -149,7 +149,7 @@
                 "incarnation" => incarnation.map(|i| i.0), "sequence" => sequence);
         }
         if merged.must_propagate() {
-            event!(self.log, EndpointAnnounced, "endpoint" => %name, "service" => %service,
+            event!(self.log, EndpointAnnounced, "endpoint" => %name, "service" => %service, "build" => %build,
                 "state" => ?state, "sequence" => sequence);
         }
         if is_new_here || merged.must_propagate() {
--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -36,6 +36,8 @@
     pub parts: Vec<Part>,
     /// The id of the last event of a stream that the caller received.
     pub last_event_id: Option<String>,
+    /// The caller's id for the request that began that stream, if it is another one.
+    pub resumes: Option<String>,
 }
 
 /// The values that are added to a caller's headers for an endpoint.
@@ -146,6 +148,8 @@
 const VERDICT_HEADER: &str = "scalewood-verdict";
 /// The id of the last event of a stream that the caller received.
 const LAST_EVENT_HEADER: &str = "last-event-id";
+/// The caller's id for the request that brought the first event of the stream that it resumes.
+const RESUMES_HEADER: &str = "scalewood-resumes";
 /// `1` if the endpoint is leaving.
 const LEAVING_HEADER: &str = "scalewood-leaving";
 
@@ -184,6 +188,7 @@
                 .and_then(parse_parts)
                 .unwrap_or_default(),
             last_event_id: text(headers, LAST_EVENT_HEADER).map(str::to_owned),
+            resumes: text(headers, RESUMES_HEADER).map(str::to_owned),
         }
     }
 
--- a/src/scalewood/ops/entry/directory.rs
+++ b/src/scalewood/ops/entry/directory.rs
@@ -416,6 +416,7 @@
 ) {
     let (name, state) = (record.name.clone(), record.state);
     let (sequence, incarnation) = (record.sequence, record.incarnation);
+    let build = record.build.clone();
     let before = registry.get(&name).and_then(|known| known.incarnation);
     let merged = registry.merge(record, now);
     if merged == registry::Merged::Restarted {
@@ -429,7 +430,7 @@
         return;
     }
     event!(board.log, EndpointAnnounced, "endpoint" => %name, "state" => ?state,
-        "sequence" => sequence);
+        "sequence" => sequence, "build" => %build);
     if let Some(by) = registry.displaced_by(&name) {
         event!(board.log, EndpointDisplaced, "endpoint" => %name, "by" => %by,
             "sequence" => sequence);
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -357,12 +357,16 @@
             })
             .ok_or(Failure::UNREACHABLE)?;
         self.sent_to = Some(target.clone());
+        let last_event_id = after.or(self.routed.head.last_event_id.as_deref());
+        if let Some(last_event_id) = last_event_id {
+            self.log_resumption(&target, last_event_id, after.is_some());
+        }
         let instruction = Instruction {
             endpoint,
             timeout: self.time_left(),
             team: self.routed.team.as_ref(),
             rank: self.routed.rank,
-            last_event_id: after.or(self.routed.head.last_event_id.as_deref()),
+            last_event_id,
         };
         let request = self.routed.outgoing.request::<D>(&instruction)?;
         let sent_at = self.now();
@@ -387,6 +391,23 @@
         self.check_head(&target, sender, response).await
     }
 
+    /// Logs that the stream goes on at an endpoint after an event, within this answer or taken up by
+    /// the caller.
+    fn log_resumption(&self, target: &Target, last_event_id: &str, within_answer: bool) {
+        let board = &self.context.board;
+        let build = lock(&board.registry)
+            .get(&target.endpoint)
+            .map(|record| record.build.to_string());
+        let way = match (within_answer, &self.routed.forwarded) {
+            (true, _) => "answer",
+            (false, None) => "caller",
+            (false, Some(_)) => "box",
+        };
+        event!(board.log, StreamResumed, "id" => self.routed.head.id.as_deref(), "way" => way,
+            "begun_by" => self.routed.head.resumes.as_deref(), "after" => last_event_id,
+            "endpoint" => %target.endpoint, "build" => build);
+    }
+
     /// Waits for data from an endpoint, for `least` or longer while the endpoint is merely busy.
     /// Returns `None` if it stays silent.
     pub(super) async fn unless_silent<T>(
--- a/tests/testsuite/incarnation.rs
+++ b/tests/testsuite/incarnation.rs
@@ -27,6 +27,7 @@
         state: State::Ready,
         sequence,
         interruptible: false,
+        build: Default::default(),
         incarnation: (incarnation > 0).then_some(unit::Incarnation(incarnation)),
         warm_up: None,
     }
--- a/tests/testsuite/pace.rs
+++ b/tests/testsuite/pace.rs
@@ -93,6 +93,7 @@
         state: State::Ready,
         sequence: 1,
         interruptible: false,
+        build: Default::default(),
         incarnation: None,
         warm_up: None,
     }
--- a/tests/testsuite/precedence/real.rs
+++ b/tests/testsuite/precedence/real.rs
@@ -300,6 +300,7 @@
         state: State::Ready,
         sequence: 1,
         interruptible: false,
+        build: Default::default(),
         incarnation: None,
         warm_up: None,
     }
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -17,6 +17,7 @@
         state,
         sequence,
         interruptible: false,
+        build: Default::default(),
         incarnation: None,
         warm_up: None,
     }
--- a/tests/testsuite/sight.rs
+++ b/tests/testsuite/sight.rs
@@ -121,6 +121,7 @@
         state: State::Ready,
         sequence,
         interruptible: false,
+        build: Default::default(),
         incarnation: Some(unit::Incarnation(1)),
         warm_up: None,
     }
--- a/tests/testsuite/support/crashing.rs
+++ b/tests/testsuite/support/crashing.rs
@@ -135,6 +135,7 @@
         state: State::Ready,
         sequence: 0,
         interruptible: false,
+        build: Default::default(),
         incarnation: None,
         warm_up: None,
     }
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -25,6 +25,7 @@
 use hyper_util::rt::TokioIo;
 use scalewood::{
     core::{
+        build,
         registry::{Record, State},
         route::{Kind, Route, Routing, Service, Share, Team},
         secret, unit,
@@ -122,10 +123,33 @@
     /// The number of its current start.
     start: Arc<AtomicU64>,
     running: Arc<AtomicUsize>,
+    /// The streams that it writes.
+    script: Arc<Mutex<Script>>,
     /// Is notified when a crashing request has begun.
     crashing_request_begun: Arc<Notify>,
 }
 
+/// The streams that an endpoint writes.
+#[derive(Clone, Debug)]
+pub(crate) struct Script {
+    /// The build that it states in heartbeats and writes into each event, if any.
+    pub(crate) build: Option<String>,
+    /// The number of events of a complete stream.
+    pub(crate) events: usize,
+    /// The pause before each event.
+    pub(crate) pause: Duration,
+}
+
+impl Default for Script {
+    fn default() -> Self {
+        Self {
+            build: None,
+            events: EVENTS,
+            pause: Duration::from_millis(5),
+        }
+    }
+}
+
 /// The room of an endpoint for requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Room {
@@ -179,6 +203,7 @@
             room: Arc::default(),
             start: Arc::new(AtomicU64::new(1)),
             running: Arc::default(),
+            script: Arc::default(),
             crashing_request_begun: Arc::default(),
         };
         let (acts, seen) = (endpoint.acts.clone(), endpoint.seen.clone());
@@ -186,6 +211,7 @@
         let start = endpoint.start.clone();
         let (room, busy) = (endpoint.room.clone(), Arc::new(AtomicUsize::new(0)));
         let running = endpoint.running.clone();
+        let script = endpoint.script.clone();
         let (crashing_request_begun, default_act) = (
             endpoint.crashing_request_begun.clone(),
             endpoint.default_act.clone(),
@@ -193,6 +219,7 @@
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (acts, seen, running) = (acts.clone(), seen.clone(), running.clone());
+                let script = script.clone();
                 let (crashing_request_begun, default_act) =
                     (crashing_request_begun.clone(), default_act.clone());
                 let (work, limit) = (work.clone(), limit.clone());
@@ -202,6 +229,7 @@
                     let (acts, seen, crashing_request_begun) =
                         (acts.clone(), seen.clone(), crashing_request_begun.clone());
                     let run = Run::begin(&running);
+                    let script = script.lock().unwrap().clone();
                     let next = acts.lock().unwrap().pop_front();
                     let act = next.or(*default_act.lock().unwrap());
                     let work = *work.lock().unwrap();
@@ -214,7 +242,7 @@
                     async move {
                         let mut answer = answer(
                             request,
-                            (act, limit, start),
+                            (act, limit, start, script),
                             &seen,
                             &crashing_request_begun,
                             run,
@@ -248,6 +276,11 @@
         *self.default_act.lock().unwrap() = act;
     }
 
+    /// Sets the streams that it writes.
+    pub(crate) fn set_script(&self, script: Script) {
+        *self.script.lock().unwrap() = script;
+    }
+
     /// Sets the time that it takes before each answer begins.
     pub(crate) fn set_work_time(&self, work: Duration) {
         *self.work.lock().unwrap() = work;
@@ -303,6 +336,13 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// Returns the build that it states.
+    fn build(&self) -> build::Build {
+        let script = self.script.lock().unwrap();
+        let build = script.build.as_deref();
+        build.map_or_else(build::Build::default, |build| build.parse().unwrap())
+    }
+
     pub(crate) fn record(&self, sequence: u64, state: State) -> Record {
         Record {
             name: self.name.parse().unwrap(),
@@ -313,6 +353,7 @@
             state,
             sequence,
             interruptible: false,
+            build: self.build(),
             incarnation: None,
             warm_up: None,
         }
@@ -321,7 +362,7 @@
 
 async fn answer(
     request: Request<Incoming>,
-    (act, limit, start): (Option<Act>, Option<&'static str>, u64),
+    (act, limit, start, script): (Option<Act>, Option<&'static str>, u64, Script),
     seen: &Mutex<Vec<Seen>>,
     crashing_request_begun: &Notify,
     run: Run,
@@ -370,7 +411,7 @@
         Some(Act::Mistaken) => plain(421, "another"),
         _ if path.starts_with("/s") => {
             let first = after.map_or(0, |id| id.to_str().unwrap().parse::<usize>().unwrap() + 1);
-            stream(first, act, run)
+            stream(first, act, &script, run)
         }
         _ => plain(200, "well"),
     };
@@ -410,10 +451,13 @@
     response
 }
 
-fn stream(first: usize, act: Option<Act>, run: Run) -> Response<Body> {
+fn stream(first: usize, act: Option<Act>, script: &Script, run: Run) -> Response<Body> {
+    let pause = script.pause;
     let mut pieces: Vec<Result<Frame<Bytes>, std::io::Error>> = Vec::new();
-    for number in first..EVENTS {
-        let event = format!("id: {number}\ndata: piece {number}\n\n");
+    for number in first..script.events {
+        let by = script.build.as_deref().map(|build| format!(" by {build}"));
+        let by = by.unwrap_or_default();
+        let event = format!("id: {number}\ndata: piece {number}{by}\n\n");
         if act == Some(Act::BreakAfter(number)) {
             pieces.push(Ok(Frame::data(Bytes::from(event[..8].to_owned()))));
             pieces.push(Err(std::io::Error::other("broken off")));
@@ -434,7 +478,7 @@
             return None;
         };
         // The pause lets each event be sent separately.
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        tokio::time::sleep(pause).await;
         Some((piece, rest))
     });
     Response::new(StreamBody::new(pieces).boxed_unsync())
--- a/tests/testsuite/warm_up.rs
+++ b/tests/testsuite/warm_up.rs
@@ -40,6 +40,7 @@
         state: State::Ready,
         sequence,
         interruptible: false,
+        build: Default::default(),
         incarnation: None,
         warm_up: left.map(Remaining),
     }
