Reproduce streams that go on at another build of their service

Real processes: three voters, four boxes, six endpoints of two or three builds that write their build into each event, 20 streams of 0.8 s a second for seven seconds, callers that take a broken stream up at the next box and name the attempt that began it.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -56,6 +56,7 @@
 mod size;
 mod soak;
 mod stop;
+mod stream_build;
 mod support;
 mod tenure;
 mod throttle;
--- /dev/null
+++ b/tests/testsuite/stream_build.rs
@@ -0,0 +1,356 @@
+//! Streams of a service whose endpoints run several builds, with real processes.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::{Duration, Instant},
+};
+
+use http_body_util::BodyExt as _;
+use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
+use scalewood::core::registry::State;
+
+use crate::support::{
+    client, deploy,
+    routed::{routing, text, Act, Endpoint, Script, System, HOST, KEY},
+};
+
+const VOTERS: usize = 3;
+const BOXES: usize = 4;
+const ENDPOINTS: usize = 6;
+/// The number of events of a stream.
+const EVENTS: usize = 20;
+/// The pause between two events.
+const PAUSE: Duration = Duration::from_millis(40);
+/// The interval between two new streams.
+const PERIOD: Duration = Duration::from_millis(50);
+/// How long new streams begin.
+const LENGTH: Duration = Duration::from_secs(7);
+/// The interval between two heartbeats of an endpoint.
+const HEARTBEAT: Duration = Duration::from_millis(700);
+/// The interval between two restarts of boxes.
+const RESTART_PERIOD: Duration = Duration::from_millis(1600);
+/// The time that a caller has for a stream, over all its attempts.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// The time between two attempts of a caller.
+const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// The fraction of the streams that endpoints break off.
+const BROKEN_FRACTION: f64 = 0.3;
+/// The least fraction of the streams taken up by their callers that must go on while boxes are killed one by one.
+const MIN_TAKEN_UP_FRACTION: f64 = 0.95;
+
+/// What happens while streams run.
+#[derive(Clone, Copy, Debug, Default)]
+struct Faults {
+    /// Endpoints break streams off.
+    breaks: bool,
+    /// This number of boxes at a time are killed and start again.
+    kills: usize,
+}
+
+/// A running system with endpoints of several builds.
+struct Site {
+    system: System,
+    boxes: Vec<Option<deploy::Process>>,
+    endpoints: Vec<Endpoint>,
+}
+
+impl Site {
+    /// Starts a system whose endpoints have these builds in turn.
+    async fn start(builds: &[&str], dir: &std::path::Path) -> Self {
+        let mut system = System::start(VOTERS, dir);
+        system.entry = None;
+        assert_eq!(system.publish(&text(&routing(7))).await, 200);
+        let mut endpoints = Vec::new();
+        for i in 0..ENDPOINTS {
+            let port = 9000 + u16::try_from(i).unwrap();
+            let address = SocketAddr::new(system.host, port);
+            let endpoint = Endpoint::start(&format!("i-{i}"), address).await;
+            endpoint.set_script(Script {
+                build: Some(builds[i % builds.len()].to_owned()),
+                events: EVENTS,
+                pause: PAUSE,
+            });
+            endpoints.push(endpoint);
+        }
+        let boxes = (0..BOXES).map(|i| Some(system.start_entry_at(i))).collect();
+        let site = Self {
+            system,
+            boxes,
+            endpoints,
+        };
+        beat(&site.system, &site.endpoints, 1).await;
+        for i in 0..BOXES {
+            deploy::wait("a box serves", || async {
+                let mut tally = Tally::default();
+                let stream = attempt(site.system.callers_at(i), None, &mut tally).await;
+                stream.is_some_and(|stream| stream.is_whole())
+            })
+            .await;
+        }
+        site
+    }
+}
+
+/// Sends one heartbeat of each endpoint.
+async fn beat(system: &System, endpoints: &[Endpoint], sequence: u64) {
+    for endpoint in endpoints {
+        system
+            .announce(0, &endpoint.record(sequence, State::Ready))
+            .await;
+    }
+}
+
+/// Sends heartbeats of all endpoints for ever.
+async fn beat_on(system: &System, endpoints: &[Endpoint]) {
+    for sequence in 2.. {
+        beat(system, endpoints, sequence).await;
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+/// Kills some boxes at a time and starts them again, for a time.
+async fn restart(
+    system: &System,
+    boxes: &mut [Option<deploy::Process>],
+    at_once: usize,
+    length: Duration,
+) {
+    let until = Instant::now() + length;
+    let mut next = 0;
+    while at_once > 0 && Instant::now() + RESTART_PERIOD < until {
+        tokio::time::sleep(RESTART_PERIOD).await;
+        let killed: Vec<_> = (next..next + at_once).map(|i| i % boxes.len()).collect();
+        next += at_once;
+        for i in &killed {
+            if let Some(process) = boxes[*i].take() {
+                process.kill();
+            }
+        }
+        for i in killed {
+            boxes[i] = Some(system.start_entry_at(i));
+        }
+    }
+}
+
+/// Lets endpoints break a part of their streams off, for a time.
+async fn break_streams(endpoints: &[Endpoint], breaks: bool, length: Duration) {
+    let mut random = SmallRng::seed_from_u64(7);
+    let until = Instant::now() + length;
+    while breaks && Instant::now() < until {
+        for endpoint in endpoints {
+            let act = Act::BreakAfter(random.random_range(1..EVENTS));
+            let breaks = random.random_bool(BROKEN_FRACTION);
+            endpoint.set_default_act(breaks.then_some(act));
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+    endpoints
+        .iter()
+        .for_each(|endpoint| endpoint.set_default_act(None));
+}
+
+/// What callers saw of attempts at streams.
+#[derive(Debug, Default)]
+struct Tally {
+    /// Attempts to begin a stream, and those that brought an event.
+    new: usize,
+    begun: usize,
+    /// Attempts to take a stream up, and those that brought an event.
+    taken_up: usize,
+    went_on: usize,
+}
+
+/// A stream as its caller received it, over one or more attempts.
+#[derive(Debug, Default)]
+struct Stream {
+    /// The attempt that brought the first event.
+    begun_by: String,
+    /// The number of events.
+    events: usize,
+    /// The builds that wrote them.
+    builds: BTreeSet<String>,
+}
+
+impl Stream {
+    fn is_whole(&self) -> bool {
+        self.events == EVENTS
+    }
+
+    /// Adds an event; each must follow the one before.
+    fn add(&mut self, event: &str) {
+        let (id, data) = event.split_once('\n').unwrap();
+        assert_eq!(id, format!("id: {}", self.events), "a piece is missing");
+        let (_, build) = data.split_once(" by ").unwrap();
+        self.builds.insert(build.to_owned());
+        self.events += 1;
+    }
+}
+
+/// Begins a stream at a box, or takes one up. Returns the stream as far as it has come, if any event has.
+async fn attempt(callers: SocketAddr, stream: Option<Stream>, tally: &mut Tally) -> Option<Stream> {
+    let id = format!("{:016x}", rand::random::<u64>());
+    let is_new = stream.is_none();
+    let mut stream = stream.unwrap_or_else(|| Stream {
+        begun_by: id.clone(),
+        ..Stream::default()
+    });
+    let before = stream.events;
+    let _ = tokio::time::timeout(DEADLINE, receive(callers, &id, &mut stream)).await;
+    let got = usize::from(stream.events > before);
+    if is_new {
+        tally.new += 1;
+        tally.begun += got;
+    } else {
+        tally.taken_up += 1;
+        tally.went_on += got;
+    }
+    (stream.events > 0).then_some(stream)
+}
+
+/// Receives events of a stream until it is whole or breaks off; `None` stands for a failure.
+async fn receive(callers: SocketAddr, id: &str, stream: &mut Stream) -> Option<()> {
+    let bearer = format!("Bearer {KEY}");
+    let last = stream.events.checked_sub(1).map(|last| last.to_string());
+    let mut headers = vec![
+        ("authorization", bearer.as_str()),
+        ("scalewood-id", id),
+        ("scalewood-deadline-ms", "4000"),
+    ];
+    let begun_by = stream.begun_by.clone();
+    if let Some(last) = &last {
+        headers.push(("last-event-id", last));
+        headers.push(("scalewood-resumes", &begun_by));
+    }
+    let mut connection = client::Connection::open(callers).await.ok()?;
+    let response = connection.send_to(HOST, "POST", "/sresume/order", &headers, "a body");
+    let response = response.await.ok()?;
+    if response.status() != 200 {
+        return None;
+    }
+    let mut body = response.into_body();
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        text.push_str(std::str::from_utf8(frame.ok()?.data_ref()?).unwrap());
+        while let Some((event, rest)) = text.split_once("\n\n") {
+            stream.add(event);
+            text = rest.to_owned();
+        }
+    }
+    Some(())
+}
+
+/// Receives a stream as a caller does that takes it up at another box until it is whole.
+async fn call(callers: Vec<SocketAddr>, first: usize) -> (Option<Stream>, Tally) {
+    let until = Instant::now() + DEADLINE;
+    let mut tally = Tally::default();
+    let mut stream = None;
+    for i in first.. {
+        stream = attempt(callers[i % callers.len()], stream, &mut tally).await;
+        let is_whole = stream.as_ref().is_some_and(Stream::is_whole);
+        if is_whole || Instant::now() + RETRY_DELAY > until {
+            break;
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+    (stream, tally)
+}
+
+/// The results of a run.
+#[derive(Debug, Default)]
+struct Results {
+    streams: usize,
+    whole: usize,
+    /// The streams with events of two builds.
+    mixed: usize,
+    tally: Tally,
+}
+
+impl Results {
+    /// Returns the fraction of the attempts to begin a stream that did.
+    fn begun_fraction(&self) -> f64 {
+        self.tally.begun as f64 / self.tally.new.max(1) as f64
+    }
+
+    /// Returns the fraction of the attempts to take a stream up that brought another event.
+    fn taken_up_fraction(&self) -> f64 {
+        self.tally.went_on as f64 / self.tally.taken_up.max(1) as f64
+    }
+}
+
+/// Begins streams at all boxes in turn for a time, and receives them.
+async fn call_all(callers: &[SocketAddr], length: Duration) -> Results {
+    let until = Instant::now() + length;
+    let sent = AtomicUsize::new(0);
+    let mut tasks = Vec::new();
+    while Instant::now() < until {
+        let first = sent.fetch_add(1, Ordering::Relaxed);
+        tasks.push(tokio::spawn(call(callers.to_vec(), first)));
+        tokio::time::sleep(PERIOD).await;
+    }
+    let mut results = Results::default();
+    for task in tasks {
+        let (stream, tally) = task.await.unwrap();
+        results.tally.new += tally.new;
+        results.tally.begun += tally.begun;
+        results.tally.taken_up += tally.taken_up;
+        results.tally.went_on += tally.went_on;
+        let Some(stream) = stream else { continue };
+        results.streams += 1;
+        results.whole += usize::from(stream.is_whole());
+        results.mixed += usize::from(stream.builds.len() > 1);
+    }
+    results
+}
+
+/// Runs a system whose endpoints have these builds, with faults.
+async fn run(builds: &[&str], faults: Faults) -> Results {
+    let dir = tempfile::tempdir().unwrap();
+    let mut site = Site::start(builds, dir.path()).await;
+    let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
+    let played = async {
+        let (results, (), ()) = tokio::join!(
+            call_all(&callers, LENGTH),
+            restart(&site.system, &mut site.boxes, faults.kills, LENGTH),
+            break_streams(&site.endpoints, faults.breaks, LENGTH)
+        );
+        results
+    };
+    let results = tokio::select! {
+        results = played => results,
+        () = beat_on(&site.system, &site.endpoints) => unreachable!("heartbeats are sent for ever"),
+    };
+    println!("{builds:?}, {faults:?}: {results:?}");
+    results
+}
+
+/// Guards against boxes that resume a broken stream, within an answer, at an endpoint of another
+/// build than the one that began it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_endpoints_break_off_holds_events_of_one_build() {
+    let faults = Faults {
+        breaks: true,
+        ..Faults::default()
+    };
+    let results = run(&["v1", "v1.1"], faults).await;
+    assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
+}
+
+/// Guards against boxes that send a stream which its caller takes up after the box was killed to an
+/// endpoint of another build than the one that began it, or refuse it while its build serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_is_taken_up_at_another_box_goes_on_at_its_build() {
+    let faults = Faults {
+        kills: 1,
+        ..Faults::default()
+    };
+    let results = run(&["v1", "v1.1", "v1.2"], faults).await;
+    assert!(
+        results.tally.taken_up >= 12,
+        "too few are taken up: {results:?}"
+    );
+    assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
+    let went_on = results.taken_up_fraction() / results.begun_fraction();
+    assert!(went_on >= MIN_TAKEN_UP_FRACTION, "{went_on}: {results:?}");
+}
