Streams of scalewood's own API go on only at the build that began them

What callers saw: after a break or a preemption, text of two builds of an engine in one answer (by the same class as on routes: what a stream began with was not remembered; ops/entry/model.rs asked for any engine).

Evidence: failure::a_stream_that_breaks_is_resumed_at_an_engine_of_its_build.

Change: the build of the engine that wrote the first event is kept in the transcript, and each further request for a slot names it. Operators state the build of a configured endpoint (`build`, left out where there is none, so that older documents stay as they are).

--- a/benches/capacity/config.rs
+++ b/benches/capacity/config.rs
@@ -40,6 +40,7 @@
             slots: unit::Slots(64),
             leaving: false,
             load: None,
+            build: Default::default(),
         };
         document
             .endpoints
--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -399,11 +399,14 @@
             .and_then(|record| record.incarnation)
     }
 
-    /// Returns the build that an endpoint states; one that is not registered states none.
+    /// Returns the build of a registered or configured endpoint.
     pub fn build_of(&self, endpoint: &name::Endpoint) -> build::Build {
-        let registry = lock(&self.registry);
-        let record = registry.get(endpoint);
-        record.map_or_else(build::Build::default, |record| record.build.clone())
+        let registered = lock(&self.registry).get(endpoint).map(|r| r.build.clone());
+        registered.unwrap_or_else(|| {
+            let document = &self.view.load().document;
+            let configured = document.endpoints.get(endpoint);
+            configured.map_or_else(build::Build::default, |e| e.build.clone())
+        })
     }
 
     /// Returns whether a registered endpoint is known here to be leaving.
--- a/src/scalewood/board/view.rs
+++ b/src/scalewood/board/view.rs
@@ -117,7 +117,10 @@
                 zone: endpoint.zone.clone(),
                 slow: false,
                 memory: None,
-                admission: self.admission(&endpoint.zone, regions),
+                admission: dispatch::Admission {
+                    build: endpoint.build.clone(),
+                    ..self.admission(&endpoint.zone, regions)
+                },
             });
         let specs = specs.chain(registered);
         let classes = self.document.classes_of(service);
--- a/src/scalewood/core/config.rs
+++ b/src/scalewood/core/config.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{name, policy, residency, route, secret, unit};
+use crate::core::{build, name, policy, residency, route, secret, unit};
 
 /// The kind of a service, by what its endpoints are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -167,6 +167,9 @@
     /// The model or adapter that an operator ordered it to load; absent for no order.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load: Option<name::Model>,
+    /// The build of its software. A stream goes on only at the build that began it.
+    #[serde(default, skip_serializing_if = "build::Build::is_unstated")]
+    pub build: build::Build,
 }
 
 /// A policy program for a service.
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    core::{attempt, dispatch, invariant, name, unit, verdict},
+    core::{attempt, build, dispatch, invariant, name, unit, verdict},
     event,
     ops::entry::{
         answer_head,
@@ -46,6 +46,8 @@
     id: Option<Value>,
     /// The attempt whose events are forwarded.
     attempt: Option<attempt::Attempt>,
+    /// The build of the engine that wrote the first event. Only engines of this build go on.
+    build: Option<build::Build>,
 }
 
 /// The fields of a stream's event that are read.
@@ -227,6 +229,7 @@
                 delivered: self.transcript.tokens,
                 preempted: history.preempted,
                 avoid: history.avoid.clone(),
+                build: self.transcript.build.clone(),
                 ..ask
             };
         }
@@ -339,6 +342,7 @@
         let body = self.prompt.body(&self.call, &self.transcript);
         let outgoing = self.prompt.request(self.path, body);
         self.transcript.attempt = Some(turn.attempt());
+        let build = self.context.board.build_of(endpoint);
         let permitted = turn.permission(endpoint);
         let opened = tokio::select! {
             opened = self.open(endpoint, address, &outgoing, &permitted) => opened,
@@ -356,7 +360,7 @@
             };
         }
         let events = response.into_body().into_data_stream().eventsource();
-        self.forward(turn, std::pin::pin!(events)).await
+        self.forward(turn, build, std::pin::pin!(events)).await
     }
 
     /// Sends the request and waits for the head of the answer.
@@ -389,7 +393,12 @@
 
     /// Forwards events to the caller until the end mark, a failure, a preemption, or until the
     /// caller disconnects.
-    async fn forward<E, S>(&mut self, turn: &mut Turn, mut events: std::pin::Pin<&mut S>) -> Outcome
+    async fn forward<E, S>(
+        &mut self,
+        turn: &mut Turn,
+        build: build::Build,
+        mut events: std::pin::Pin<&mut S>,
+    ) -> Outcome
     where
         S: Stream<Item = Result<eventsource_stream::Event, E>>,
     {
@@ -427,6 +436,7 @@
                 self.record_token(turn, own);
             }
             self.check_attempt(turn);
+            self.transcript.build.get_or_insert_with(|| build.clone());
             if !self.send(piece).await {
                 return Outcome::Disconnected;
             }
--- a/tests/testsuite/failure.rs
+++ b/tests/testsuite/failure.rs
@@ -2,11 +2,12 @@
 //! either its own complete answer or a verdict that is true.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
+use scalewood::core::change::{Answer, Edit, Item};
 use serde_json::json;
 
 use crate::{
@@ -107,6 +108,50 @@
     assert_no_breaches(&deployment).await;
 }
 
+/// Guards against a stream of scalewood's own API that breaks and is resumed at an engine of another
+/// build, whose text does not follow that of the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_is_resumed_at_an_engine_of_its_build() {
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        engines: 4,
+        ..one_zone()
+    };
+    let deployment = Deployment::start(plan, dir.path()).await;
+    let engines = deployment.standins_of(true);
+    let build_of = |i: usize| ["v1", "v2"][i % 2];
+    let edits = deployment.initial_edits().into_iter();
+    let edits = edits.filter_map(|edit| match edit {
+        Edit::Set(Item::Endpoint(name, mut item)) => {
+            let at = |i: &&usize| deployment.standins[**i].name == name.as_str();
+            item.build = build_of(*engines.iter().find(at)?).parse().unwrap();
+            Some(Edit::Set(Item::Endpoint(name, item)))
+        }
+        _ => None,
+    });
+    let answer = deployment.apply(edits.collect(), "builds").await;
+    assert!(matches!(answer, Answer::Accepted { .. }), "{answer:?}");
+    // Longer than boxes take to use a configuration.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for engine in &engines {
+        deployment
+            .faults(*engine, json!({ "breaks": 4, "break_after": 7 }))
+            .await;
+    }
+    assert_all_whole(start_streams(&deployment, "report", 8, 30, "builds")).await;
+    let mut builds: BTreeMap<String, BTreeSet<&str>> = BTreeMap::new();
+    for engine in &engines {
+        for run in deployment.runs(*engine) {
+            let what = run["what"].as_str().unwrap().to_owned();
+            builds.entry(what).or_default().insert(build_of(*engine));
+        }
+    }
+    let mixed = builds.values().filter(|builds| builds.len() > 1).count();
+    println!("{mixed} of {} streams ran at two builds", builds.len());
+    assert_eq!(mixed, 0, "streams of two builds: {builds:?}");
+    assert_no_breaches(&deployment).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_killed_mid_stream_costs_no_answer() {
     let dir = tempfile::tempdir().unwrap();
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -54,6 +54,7 @@
             slots: unit::Slots(1),
             leaving: false,
             load: Some(model.parse().unwrap()),
+            build: Default::default(),
         };
         Edit::Set(Item::Endpoint(standin.name.parse().unwrap(), item))
     };
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -563,6 +563,7 @@
                 slots: unit::Slots(self.plan.slots),
                 leaving: false,
                 load: None,
+                build: Default::default(),
             };
             edits.push(Edit::Set(Item::Endpoint(
                 standin.name.parse().expect("a name"),
