Tests of remembered origins and of dispatch by build, without processes

Books of origins (expiry, size, one id for two streams, parts, a voter told anew), what answers of voters make of a stream, and dispatch: no grant outside a build, nothing held up behind one, refused at once where nobody serves it.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::disallowed_methods)]
 
 mod admin;
+mod build_dispatch;
 mod callers;
 mod chaos;
 mod ci;
@@ -28,6 +29,7 @@
 mod load;
 mod lock;
 mod orders;
+mod origin;
 mod overload;
 mod pace;
 mod path;
