--- a/benches/decisions/ours.rs
+++ b/benches/decisions/ours.rs
@@ -196,6 +196,7 @@
                 .get(&request)
                 .and_then(|p| p.avoid)
                 .map(endpoint_name),
+            build: None,
             hold: self.known_lengths.then(|| world.hold(request)),
             backoffs: Vec::new(),
         }
@@ -211,7 +212,6 @@
             run: None,
             granted: world.now,
             avoid,
-            build: None,
         };
         self.states.insert(request, state);
         let ask = self.ask_of(world, request, attempt);
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -273,8 +273,8 @@
 }
 
 /// Initialises an empty data folder without an operator: as that of a founding voter of a new
-/// cluster, or to join an existing one.
-fn initialise_unattended(settings: &Settings, log: &slog::Logger) -> Result<(), Report<Error>> {
+/// cluster, or to join an existing one. Returns whether a new cluster begins with this start.
+fn initialise_unattended(settings: &Settings, log: &slog::Logger) -> Result<bool, Report<Error>> {
     let folder = open_folder(settings)?;
     let empty = matches!(
         identity::read(&folder, &settings.name),
@@ -282,18 +282,18 @@
     );
     drop(folder);
     if !empty {
-        return Ok(());
+        return Ok(false);
     }
     let is_founder = settings.form && settings.voters.contains(&settings.listen);
     if !is_founder {
-        return join(settings).map(drop);
+        return join(settings).map(|_| false);
     }
     let members = membership::founders(&settings.voters);
     initialise(settings, membership::FOUNDER_IDENTITY, |_| {
         raft::Persisted::bootstrap_with(members)
     })?;
     event!(log, StoreInitialised, "voters" => settings.voters.len());
-    Ok(())
+    Ok(true)
 }
 
 /// Runs a voter until the process is asked to stop. `D` defines the HTTP paths and bodies for
@@ -308,9 +308,7 @@
     path: Option<PathBuf>,
     log: slog::Logger,
 ) -> Result<(), Report<Error>> {
-    if settings.unattended {
-        initialise_unattended(&settings, &log)?;
-    }
+    let is_new_cluster = settings.unattended && initialise_unattended(&settings, &log)?;
     let clock = clock::System;
     let folder = open_folder(&settings)?;
     let node = identity::read(&folder, &settings.name).change_context(Error)?;
@@ -344,7 +342,16 @@
         .change_context(Error)?;
     let metrics = metric::Metrics::new();
     let name = settings.name.clone();
-    let soft_state = registry::SoftState::new(name, settings.timing, lender, clock, log.clone());
+    // No endpoint served before a new cluster began.
+    let knows_builds_since = (!is_new_cluster).then(|| clock.now());
+    let soft_state = registry::SoftState::new(
+        name,
+        settings.timing,
+        lender,
+        knows_builds_since,
+        clock,
+        log.clone(),
+    );
     soft_state.restore_hints(&hints);
     tokio::spawn(soft_state.clone().store_hints(store, handle.clone()));
     let registry = registry::Server {
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -93,6 +93,8 @@
     followers: watch::Sender<BTreeMap<name::Box, u64>>,
     /// When this process started.
     started_at: Duration,
+    /// Since when this voter knows all builds of endpoints that it was told of; `None` for ever.
+    knows_builds_since: Option<Duration>,
     clock: clock::System,
     log: slog::Logger,
 }
@@ -102,6 +104,7 @@
         own: name::Box,
         timing: registry::Timing,
         lender: retry::Lender,
+        knows_builds_since: Option<Duration>,
         clock: clock::System,
         log: slog::Logger,
     ) -> Self {
@@ -126,6 +129,7 @@
             next_subscription: Arc::default(),
             followers: watch::Sender::default(),
             started_at: clock.now(),
+            knows_builds_since,
             clock,
             log,
         }
--- a/src/scalewood/ops/control/registry/origins.rs
+++ b/src/scalewood/ops/control/registry/origins.rs
@@ -71,11 +71,10 @@
     }
 
     /// Returns the only build of a service that this voter has known of within a time, if there was
-    /// exactly one and the voter has run that long.
+    /// exactly one and it knows all builds of that time.
     fn sole_build(&self, service: &name::Service, within: Duration) -> Option<build::Build> {
-        let now = self.clock.now();
-        let since = now.checked_sub(within)?;
-        if since < self.started_at {
+        let since = self.clock.now().saturating_sub(within);
+        if self.knows_builds_since.is_some_and(|from| since < from) {
             return None;
         }
         let mut builds = lock(&self.registry).builds_since(service, since);
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     board::{entry::Buckets, view::View},
-    core::{attempt, config, dispatch, limit, name, policy, residency, unit},
+    core::{attempt, build, config, dispatch, limit, name, policy, residency, unit},
     event,
     ops::entry::{
         crash,
@@ -307,13 +307,15 @@
         }
     }
 
-    /// Returns the zone whose dispatcher is asked for a slot.
-    pub(super) fn zone(&self, board: &Shared) -> name::Zone {
+    /// Returns the zone whose dispatcher is asked for a slot, at a build if the request goes on with a
+    /// stream.
+    pub(super) fn zone(&self, board: &Shared, build: Option<&build::Build>) -> name::Zone {
         if self.spill {
             let document = &board.view.load().document;
             let allowed = self.source.in_force(document, &self.allowed);
             let criteria = dispatchers::Criteria {
                 allowed: &allowed,
+                build,
                 tier: self.class.tier,
                 target: self.class.target,
             };
--- a/src/scalewood/ops/entry/dispatchers.rs
+++ b/src/scalewood/ops/entry/dispatchers.rs
@@ -16,7 +16,7 @@
         entry::Report,
         view::{self, View},
     },
-    core::{attempt, config, dispatch, name, rendezvous, residency, unit},
+    core::{attempt, build, config, dispatch, name, rendezvous, residency, unit},
     event,
     ops::entry::{member, now, reach, rejection, throttle, warming, Shared},
     util::{lock::lock, metric::ServiceLabel},
@@ -632,6 +632,8 @@
 pub(super) struct Criteria<'a> {
     /// The regions in which the request may be served.
     pub(super) allowed: &'a residency::Allowed,
+    /// The only build that may run the request, if it goes on with a stream.
+    pub(super) build: Option<&'a build::Build>,
     /// The tier of the request.
     pub(super) tier: unit::Tier,
     /// The time within which the first token or the answer is due.
@@ -652,13 +654,26 @@
         let region = board.own.regions.region_of(zone);
         !view.document.cordoned.contains(zone) && criteria.allowed.permits(region)
     };
+    let is_registered = criteria.build.is_some_and(|build| {
+        let registry = lock(&board.registry);
+        let mut records = registry.records();
+        records.any(|record| record.service == *service && record.build == *build)
+    });
+    // Registered endpoints are known in all zones, configured ones in their own.
+    let has_build = |zone: &name::Zone| {
+        let is_build = |build: &build::Build| {
+            let mut configured = view.endpoints(service, zone);
+            is_registered || configured.any(|(_, e)| !e.leaving && e.build == *build)
+        };
+        criteria.build.is_none_or(is_build)
+    };
     let serves = |(_, e): (_, &config::Endpoint)| !e.leaving;
-    let served = permits(own) && view.endpoints(service, own).any(serves);
+    let served = permits(own) && has_build(own) && view.endpoints(service, own).any(serves);
     let here = member::load_in_zone(board, service).map(|load| load.summary());
     let other_zones = member::loads_in_other_zones(board, service);
     let other_zones: Vec<_> = other_zones
         .into_iter()
-        .filter(|load| permits(&load.zone))
+        .filter(|load| permits(&load.zone) && has_build(&load.zone))
         .map(|load| (load.summary(), load.zone))
         .collect();
     let other_zones = other_zones.iter().map(|(summary, zone)| (zone, summary));
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -188,7 +188,7 @@
             avoid: None,
         };
         loop {
-            let zone = self.call.zone(&board);
+            let zone = self.call.zone(&board, ask.build.as_ref());
             let mut turn = Turn::ask(
                 &board,
                 &self.call.key.service,
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -196,7 +196,7 @@
         let mut turn = Turn::ask(
             board,
             &call.key.service,
-            &call.zone(board),
+            &call.zone(board, None),
             &call.source,
             ask.clone(),
             &call.content,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -59,6 +59,7 @@
 mod soak;
 mod stop;
 mod stream_build;
+mod stream_soak;
 mod support;
 mod tenure;
 mod throttle;
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -187,7 +187,7 @@
     }
 
     /// Cuts the links and waits until the boxes in `cut` have noticed.
-    async fn cut_and_wait(&self, cut: Cut) {
+    pub(crate) async fn cut_and_wait(&self, cut: Cut) {
         self.set_cut(Some(cut));
         for i in self.cut.iter().copied() {
             deploy::wait("a box notices that its links are lost", || async {
@@ -199,7 +199,7 @@
     }
 
     /// Returns the number of requests that boxes have sent to others.
-    async fn forwarded(&self) -> u64 {
+    pub(crate) async fn forwarded(&self) -> u64 {
         let mut sum = 0;
         for i in 0..BOXES {
             sum += self.metric(i, "forwarded_requests_total").await;
--- a/tests/testsuite/reach_soak.rs
+++ b/tests/testsuite/reach_soak.rs
@@ -49,23 +49,23 @@
 
 /// The state that the drivers and callers share.
 #[derive(Default)]
-struct Account {
-    is_over: AtomicBool,
+pub(crate) struct Account {
+    pub(crate) is_over: AtomicBool,
     sent: AtomicUsize,
     whole: AtomicUsize,
     /// When each request was sent.
     sent_at: Mutex<Vec<Instant>>,
     /// The paths of the requests that were said not to have run.
     not_run: Mutex<Vec<String>>,
-    violations: Mutex<Vec<String>>,
+    pub(crate) violations: Mutex<Vec<String>>,
 }
 
 impl Account {
-    fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         self.is_over.load(Ordering::Relaxed)
     }
 
-    fn record_violation(&self, what: String) {
+    pub(crate) fn record_violation(&self, what: String) {
         self.violations.lock().unwrap().push(what);
     }
 }
@@ -154,7 +154,7 @@
 }
 
 /// Cuts and repairs the links of some boxes.
-async fn cut_links(site: &Site, seed: u64, account: &Account) {
+pub(crate) async fn cut_links(site: &Site, seed: u64, account: &Account) {
     const CUTS: [Cut; 3] = [Cut::Reset, Cut::Silent, Cut::RefusesNew];
     let mut random = SmallRng::seed_from_u64(seed ^ 0xc07);
     while !account.is_over() {
@@ -166,7 +166,7 @@
 }
 
 /// Kills, stops, pauses and restarts boxes, often two at a time.
-async fn disturb_boxes(
+pub(crate) async fn disturb_boxes(
     site: &Site,
     boxes: &Mutex<Vec<Option<deploy::Process>>>,
     seed: u64,
--- a/tests/testsuite/stream_build.rs
+++ b/tests/testsuite/stream_build.rs
@@ -9,18 +9,25 @@
 
 use http_body_util::BodyExt as _;
 use rand::{rngs::SmallRng, Rng as _, SeedableRng as _};
-use scalewood::core::registry::State;
+use scalewood::core::{
+    name,
+    registry::State,
+    route::{Service, Share},
+};
 
-use crate::support::{
-    client, deploy,
-    routed::{routing, text, Act, Endpoint, Script, System, HOST, KEY},
+use crate::{
+    reach,
+    support::{
+        client, deploy,
+        routed::{routing, text, Act, Endpoint, Script, System, HOST, KEY},
+    },
 };
 
 const VOTERS: usize = 3;
 const BOXES: usize = 4;
 const ENDPOINTS: usize = 6;
 /// The number of events of a stream.
-const EVENTS: usize = 20;
+pub(crate) const EVENTS: usize = 20;
 /// The pause between two events.
 const PAUSE: Duration = Duration::from_millis(40);
 /// The interval between two new streams.
@@ -37,8 +44,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// The fraction of the streams that endpoints break off.
 const BROKEN_FRACTION: f64 = 0.3;
-/// The least fraction of the streams taken up by their callers that must go on while boxes are killed one by one.
+/// How often streams that callers take up must go on while boxes are killed one by one, relative to how
+/// often new ones begin.
 const MIN_TAKEN_UP_FRACTION: f64 = 0.95;
+/// The same where links are lost or most boxes are killed at once.
+const MIN_FRACTION: f64 = 0.5;
 
 /// What happens while streams run.
 #[derive(Clone, Copy, Debug, Default)]
@@ -67,11 +77,7 @@
             let port = 9000 + u16::try_from(i).unwrap();
             let address = SocketAddr::new(system.host, port);
             let endpoint = Endpoint::start(&format!("i-{i}"), address).await;
-            endpoint.set_script(Script {
-                build: Some(builds[i % builds.len()].to_owned()),
-                events: EVENTS,
-                pause: PAUSE,
-            });
+            endpoint.set_script(script(builds[i % builds.len()]));
             endpoints.push(endpoint);
         }
         let boxes = (0..BOXES).map(|i| Some(system.start_entry_at(i))).collect();
@@ -93,6 +99,16 @@
     }
 }
 
+/// Returns what an endpoint of a build writes.
+pub(crate) fn script(build: &str) -> Script {
+    Script {
+        build: Some(build.to_owned()),
+        mark: Some(build.to_owned()),
+        events: EVENTS,
+        pause: PAUSE,
+    }
+}
+
 /// Sends one heartbeat of each endpoint.
 async fn beat(system: &System, endpoints: &[Endpoint], sequence: u64) {
     for endpoint in endpoints {
@@ -153,28 +169,62 @@
 
 /// What callers saw of attempts at streams.
 #[derive(Debug, Default)]
-struct Tally {
+pub(crate) struct Tally {
     /// Attempts to begin a stream, and those that brought an event.
-    new: usize,
-    begun: usize,
+    pub(crate) new: usize,
+    pub(crate) begun: usize,
     /// Attempts to take a stream up, and those that brought an event.
-    taken_up: usize,
-    went_on: usize,
+    pub(crate) taken_up: usize,
+    pub(crate) went_on: usize,
+}
+
+impl Tally {
+    /// Counts an attempt to begin a stream or to take one up, and whether it brought an event.
+    pub(crate) fn record(&mut self, is_new: bool, brought_event: bool) {
+        let brought = usize::from(brought_event);
+        if is_new {
+            self.new += 1;
+            self.begun += brought;
+        } else {
+            self.taken_up += 1;
+            self.went_on += brought;
+        }
+    }
+
+    /// Adds the counts of another one.
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.new += other.new;
+        self.begun += other.begun;
+        self.taken_up += other.taken_up;
+        self.went_on += other.went_on;
+    }
+
+    /// Returns the fraction of the attempts to begin a stream that did.
+    pub(crate) fn begun_fraction(&self) -> f64 {
+        self.begun as f64 / self.new.max(1) as f64
+    }
+
+    /// Returns the fraction of the attempts to take a stream up that brought another event.
+    pub(crate) fn taken_up_fraction(&self) -> f64 {
+        self.went_on as f64 / self.taken_up.max(1) as f64
+    }
 }
 
 /// A stream as its caller received it, over one or more attempts.
 #[derive(Debug, Default)]
-struct Stream {
+pub(crate) struct Stream {
     /// The attempt that brought the first event.
-    begun_by: String,
+    pub(crate) begun_by: String,
     /// The number of events.
-    events: usize,
+    pub(crate) events: usize,
     /// The builds that wrote them.
-    builds: BTreeSet<String>,
+    pub(crate) builds: BTreeSet<String>,
+    /// The codes with which attempts were refused.
+    pub(crate) refused: Vec<String>,
 }
 
 impl Stream {
-    fn is_whole(&self) -> bool {
+    pub(crate) fn is_whole(&self) -> bool {
         self.events == EVENTS
     }
 
@@ -189,7 +239,11 @@
 }
 
 /// Begins a stream at a box, or takes one up. Returns the stream as far as it has come, if any event has.
-async fn attempt(callers: SocketAddr, stream: Option<Stream>, tally: &mut Tally) -> Option<Stream> {
+pub(crate) async fn attempt(
+    callers: SocketAddr,
+    stream: Option<Stream>,
+    tally: &mut Tally,
+) -> Option<Stream> {
     let id = format!("{:016x}", rand::random::<u64>());
     let is_new = stream.is_none();
     let mut stream = stream.unwrap_or_else(|| Stream {
@@ -197,20 +251,21 @@
         ..Stream::default()
     });
     let before = stream.events;
-    let _ = tokio::time::timeout(DEADLINE, receive(callers, &id, &mut stream)).await;
-    let got = usize::from(stream.events > before);
-    if is_new {
-        tally.new += 1;
-        tally.begun += got;
-    } else {
-        tally.taken_up += 1;
-        tally.went_on += got;
-    }
+    let received = async {
+        let mut connection = client::Connection::open(callers).await.ok()?;
+        receive(&mut connection, &id, &mut stream).await
+    };
+    let _ = tokio::time::timeout(DEADLINE, received).await;
+    tally.record(is_new, stream.events > before);
     (stream.events > 0).then_some(stream)
 }
 
 /// Receives events of a stream until it is whole or breaks off; `None` stands for a failure.
-async fn receive(callers: SocketAddr, id: &str, stream: &mut Stream) -> Option<()> {
+pub(crate) async fn receive(
+    connection: &mut client::Connection,
+    id: &str,
+    stream: &mut Stream,
+) -> Option<()> {
     let bearer = format!("Bearer {KEY}");
     let last = stream.events.checked_sub(1).map(|last| last.to_string());
     let mut headers = vec![
@@ -223,10 +278,13 @@
         headers.push(("last-event-id", last));
         headers.push(("scalewood-resumes", &begun_by));
     }
-    let mut connection = client::Connection::open(callers).await.ok()?;
     let response = connection.send_to(HOST, "POST", "/sresume/order", &headers, "a body");
     let response = response.await.ok()?;
     if response.status() != 200 {
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let refusal: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        stream.refused.push(format!("{status} {}", refusal["code"]));
         return None;
     }
     let mut body = response.into_body();
@@ -242,7 +300,7 @@
 }
 
 /// Receives a stream as a caller does that takes it up at another box until it is whole.
-async fn call(callers: Vec<SocketAddr>, first: usize) -> (Option<Stream>, Tally) {
+pub(crate) async fn call(callers: Vec<SocketAddr>, first: usize) -> (Option<Stream>, Tally) {
     let until = Instant::now() + DEADLINE;
     let mut tally = Tally::default();
     let mut stream = None;
@@ -259,28 +317,16 @@
 
 /// The results of a run.
 #[derive(Debug, Default)]
-struct Results {
-    streams: usize,
-    whole: usize,
+pub(crate) struct Results {
+    pub(crate) streams: usize,
+    pub(crate) whole: usize,
     /// The streams with events of two builds.
-    mixed: usize,
-    tally: Tally,
-}
-
-impl Results {
-    /// Returns the fraction of the attempts to begin a stream that did.
-    fn begun_fraction(&self) -> f64 {
-        self.tally.begun as f64 / self.tally.new.max(1) as f64
-    }
-
-    /// Returns the fraction of the attempts to take a stream up that brought another event.
-    fn taken_up_fraction(&self) -> f64 {
-        self.tally.went_on as f64 / self.tally.taken_up.max(1) as f64
-    }
+    pub(crate) mixed: usize,
+    pub(crate) tally: Tally,
 }
 
 /// Begins streams at all boxes in turn for a time, and receives them.
-async fn call_all(callers: &[SocketAddr], length: Duration) -> Results {
+pub(crate) async fn call_all(callers: &[SocketAddr], length: Duration) -> Results {
     let until = Instant::now() + length;
     let sent = AtomicUsize::new(0);
     let mut tasks = Vec::new();
@@ -292,10 +338,7 @@
     let mut results = Results::default();
     for task in tasks {
         let (stream, tally) = task.await.unwrap();
-        results.tally.new += tally.new;
-        results.tally.begun += tally.begun;
-        results.tally.taken_up += tally.taken_up;
-        results.tally.went_on += tally.went_on;
+        results.tally.add(&tally);
         let Some(stream) = stream else { continue };
         results.streams += 1;
         results.whole += usize::from(stream.is_whole());
@@ -351,6 +394,142 @@
         "too few are taken up: {results:?}"
     );
     assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
-    let went_on = results.taken_up_fraction() / results.begun_fraction();
+    let went_on = results.tally.taken_up_fraction() / results.tally.begun_fraction();
     assert!(went_on >= MIN_TAKEN_UP_FRACTION, "{went_on}: {results:?}");
 }
+
+/// Guards against streams that can't go on because their build's endpoints are kept from requests after
+/// failures, or because the box that began them is killed, when both come together.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_where_endpoints_break_them_off_and_boxes_are_killed() {
+    let faults = Faults {
+        breaks: true,
+        kills: 1,
+    };
+    let results = run(&["v1", "v1.1", "v1.2"], faults).await;
+    assert!(
+        results.tally.taken_up >= 12,
+        "too few are taken up: {results:?}"
+    );
+    assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
+    let went_on = results.tally.taken_up_fraction() / results.tally.begun_fraction();
+    assert!(went_on >= MIN_TAKEN_UP_FRACTION, "{went_on}: {results:?}");
+}
+
+/// Guards against streams that are lost with most boxes of the site.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_when_three_of_four_boxes_are_killed_at_once() {
+    let faults = Faults {
+        kills: 3,
+        ..Faults::default()
+    };
+    let results = run(&["v1", "v1.1", "v1.2"], faults).await;
+    assert!(
+        results.tally.taken_up >= 12,
+        "too few are taken up: {results:?}"
+    );
+    assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
+    let went_on = results.tally.taken_up_fraction() / results.tally.begun_fraction();
+    assert!(went_on >= MIN_FRACTION, "{went_on}: {results:?}");
+}
+
+/// Guards against streams that go on at another build because their box has lost its links to the
+/// endpoints: they begin at another box, and go on through a third one or from the first one again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_through_another_box_holds_events_of_one_build() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = reach::Site::start(&[0], dir.path()).await;
+    for (i, endpoint) in site.endpoints.iter().enumerate() {
+        endpoint.set_script(script(["v1", "v2"][i % 2]));
+    }
+    let callers: Vec<_> = (0..reach::BOXES)
+        .map(|i| site.system.callers_at(i))
+        .collect();
+    // Every other attempt is made at the box that has lost its links.
+    let alternating: Vec<_> = callers[1..]
+        .iter()
+        .flat_map(|at| [callers[0], *at])
+        .collect();
+    let played = async {
+        // Longer than boxes take to hear of the builds.
+        tokio::time::sleep(2 * HEARTBEAT).await;
+        site.cut_and_wait(reach::Cut::Reset).await;
+        let (results, ()) = tokio::join!(
+            call_all(&alternating, LENGTH),
+            break_streams(&site.endpoints, true, LENGTH)
+        );
+        (results, site.forwarded().await)
+    };
+    let (results, forwarded) = tokio::select! {
+        played = played => played,
+        () = site.beat_on() => unreachable!("heartbeats are sent for ever"),
+    };
+    println!("{forwarded} forwarded: {results:?}");
+    assert!(forwarded > 40, "too few are forwarded: {forwarded}");
+    assert!(
+        results.tally.taken_up >= 6,
+        "too few are taken up: {results:?}"
+    );
+    assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
+    let went_on = results.tally.taken_up_fraction() / results.tally.begun_fraction();
+    assert!(went_on >= MIN_FRACTION, "{went_on}: {results:?}");
+}
+
+/// Guards against a route with shares that draws the service anew when a stream is taken up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_a_route_with_shares_goes_on_at_its_service() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut site = Site::start(&["v1"], dir.path()).await;
+    let mut shared = routing(8);
+    let other: name::Service = "lm2".parse().unwrap();
+    let class: name::Class = "resume".parse().unwrap();
+    shared.services.insert(other.clone(), Service::default());
+    let stream = shared.routes.get_mut(&class).unwrap();
+    stream.shares.push(Share {
+        service: other.clone(),
+        weight: 1,
+    });
+    assert_eq!(site.system.publish(&text(&shared)).await, 200);
+    deploy::wait("the first voter knows the services", || async {
+        let read = client::ask(
+            site.system.publish_address(0),
+            "GET",
+            "/v1/routing",
+            &[],
+            "",
+        );
+        read.await
+            .is_ok_and(|answer| String::from_utf8_lossy(&answer.body).contains(other.as_str()))
+    })
+    .await;
+    for i in 0..ENDPOINTS {
+        let port = 9100 + u16::try_from(i).unwrap();
+        let address = SocketAddr::new(site.system.host, port);
+        let mut endpoint = Endpoint::start(&format!("j-{i}"), address).await;
+        endpoint.service = other.to_string();
+        endpoint.set_script(Script {
+            mark: Some(other.to_string()),
+            ..script("v1")
+        });
+        site.endpoints.push(endpoint);
+    }
+    let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
+    let played = async {
+        tokio::time::sleep(2 * HEARTBEAT).await;
+        let (results, ()) = tokio::join!(
+            call_all(&callers, LENGTH),
+            restart(&site.system, &mut site.boxes, 1, LENGTH)
+        );
+        results
+    };
+    let results = tokio::select! {
+        results = played => results,
+        () = beat_on(&site.system, &site.endpoints) => unreachable!("heartbeats are sent for ever"),
+    };
+    println!("two services: {results:?}");
+    assert!(
+        results.tally.taken_up >= 12,
+        "too few are taken up: {results:?}"
+    );
+    assert_eq!(results.mixed, 0, "streams of two services: {results:?}");
+}
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -109,6 +109,8 @@
 #[derive(Debug)]
 pub(crate) struct Endpoint {
     pub(crate) name: String,
+    /// The service that it states in heartbeats.
+    pub(crate) service: String,
     pub(crate) address: SocketAddr,
     acts: Arc<Mutex<VecDeque<Act>>>,
     /// How it treats requests for which no act is queued.
@@ -132,8 +134,10 @@
 /// The streams that an endpoint writes.
 #[derive(Clone, Debug)]
 pub(crate) struct Script {
-    /// The build that it states in heartbeats and writes into each event, if any.
+    /// The build that it states in heartbeats, if any.
     pub(crate) build: Option<String>,
+    /// What it writes into each event, if anything.
+    pub(crate) mark: Option<String>,
     /// The number of events of a complete stream.
     pub(crate) events: usize,
     /// The pause before each event.
@@ -144,6 +148,7 @@
     fn default() -> Self {
         Self {
             build: None,
+            mark: None,
             events: EVENTS,
             pause: Duration::from_millis(5),
         }
@@ -194,6 +199,7 @@
         let listener = TcpListener::bind(address).await.unwrap();
         let endpoint = Self {
             name: name.to_owned(),
+            service: "lm".to_owned(),
             address,
             acts: Arc::default(),
             default_act: Arc::default(),
@@ -346,7 +352,7 @@
     pub(crate) fn record(&self, sequence: u64, state: State) -> Record {
         Record {
             name: self.name.parse().unwrap(),
-            service: "lm".parse().unwrap(),
+            service: self.service.parse().unwrap(),
             zone: "z0".parse().unwrap(),
             address: self.address,
             slots: unit::Slots(8),
@@ -455,7 +461,7 @@
     let pause = script.pause;
     let mut pieces: Vec<Result<Frame<Bytes>, std::io::Error>> = Vec::new();
     for number in first..script.events {
-        let by = script.build.as_deref().map(|build| format!(" by {build}"));
+        let by = script.mark.as_deref().map(|mark| format!(" by {mark}"));
         let by = by.unwrap_or_default();
         let event = format!("id: {number}\ndata: piece {number}{by}\n\n");
         if act == Some(Act::BreakAfter(number)) {
