Soak of streams over several builds counts only boxes that answer

Most take-ups come while boxes are down, and callers come back at once, so the two shares were of different times. A box that is down is not in touch.

--- a/tests/testsuite/stream_build.rs
+++ b/tests/testsuite/stream_build.rs
@@ -219,6 +219,8 @@
     pub(crate) events: usize,
     /// The builds that wrote them.
     pub(crate) builds: BTreeSet<String>,
+    /// Whether a box has answered the last attempt.
+    pub(crate) is_answered: bool,
     /// The codes with which attempts were refused.
     pub(crate) refused: Vec<String>,
 }
@@ -280,6 +282,7 @@
     }
     let response = connection.send_to(HOST, "POST", "/sresume/order", &headers, "a body");
     let response = response.await.ok()?;
+    stream.is_answered = true;
     if response.status() != 200 {
         let status = response.status();
         let body = response.into_body().collect().await.ok()?.to_bytes();
