A build counts as gone from the end of its last endpoint on

What could happen: a stream that no voter knows goes on at another build. Builds that ended recently keep a service's present build from being taken for the only one. The time of an end was that of the last merged record, which for a process that is only told of changes may be long past, so a build that had just ended counted as long gone there. Now the registry takes the latest time that any call has stated, with that of vouches, which come once a second.

--- a/src/scalewood/core/registry.rs
+++ b/src/scalewood/core/registry.rs
@@ -142,8 +142,8 @@
     /// The services whose endpoints have to be compared again.
     ungraded: BTreeSet<name::Service>,
     builds: builds::Builds,
-    /// The time of the last heartbeat or record.
-    heard_last_at: Duration,
+    /// The latest time that a call has stated. Ends come without a time.
+    latest: Duration,
 }
 
 impl Registry {
@@ -157,7 +157,7 @@
 
     /// Merges a heartbeat, or a record that another process received.
     pub fn merge(&mut self, record: Record, now: Duration) -> Merged {
-        self.heard_last_at = self.heard_last_at.max(now);
+        self.latest = self.latest.max(now);
         if record.state == State::Gone {
             return self.end(&record.name, record.incarnation);
         }
@@ -212,7 +212,7 @@
         self.changes.forget(entry.stamp);
         self.claims.remove(entry.record.address, name);
         let Record { service, build, .. } = &entry.record;
-        self.builds.remove(service, build, self.heard_last_at);
+        self.builds.remove(service, build, self.latest);
         if let Some(ranks) = self.ranks.get_mut(service) {
             ranks.remove(name);
         }
@@ -402,6 +402,7 @@
 
     /// Records that an endpoint was heard.
     pub fn record_heard(&mut self, name: &name::Endpoint, now: Duration) {
+        self.latest = self.latest.max(now);
         if let Some(entry) = self.entries.get_mut(name) {
             entry.heard_at = now;
             entry.restored = false;
@@ -431,6 +432,7 @@
 
     /// Records that another process says that all endpoints are alive that it vouches for.
     pub fn record_vouch(&mut self, by: Voucher, now: Duration) {
+        self.latest = self.latest.max(now);
         self.vouched.note(by, now);
     }
 
@@ -658,6 +660,7 @@
     /// Forgets the endpoints that were restored after a power loss and whose heartbeat is
     /// overdue; returns them.
     pub fn expire_restored(&mut self, now: Duration) -> Vec<Record> {
+        self.latest = self.latest.max(now);
         let timeout = self.timing.restored_timeout();
         let is_over = |entry: &Entry| entry.restored && entry.heard_at + timeout <= now;
         self.forget_matching(is_over)
@@ -674,6 +677,7 @@
 
     /// Forgets the endpoints that have been silent for too long; returns them.
     pub fn expire_silent(&mut self, now: Duration) -> Vec<Record> {
+        self.latest = self.latest.max(now);
         self.expire(now.saturating_sub(self.timing.max_silence()))
     }
 
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -387,3 +387,28 @@
         assert!(voter.for_box(&mut 0, until).is_empty());
     }
 }
+
+/// Guards against a build that counts as long gone when its last endpoint has just ended, as no
+/// heartbeat was merged here for long: a process that is only told of changes merges few.
+#[test]
+fn a_build_is_remembered_from_the_end_of_its_last_endpoint_on() {
+    let of_build = |name: &str, build: &str| Record {
+        build: build.parse().unwrap(),
+        ..record(name, 1, State::Ready)
+    };
+    let mut registry = Registry::new(Timing::default());
+    let voucher = registry.register_voucher(&"c1".parse().unwrap()).unwrap();
+    let service = record("a", 1, State::Ready).service;
+    let start = Duration::from_secs(1000);
+    registry.merge(of_build("a", "v1"), start);
+    registry.merge(of_build("b", "v2"), start);
+    let end = start + Duration::from_secs(300);
+    for name in ["a", "b"] {
+        registry.vouch_for(&name.parse().unwrap(), voucher);
+    }
+    registry.record_vouch(voucher, end);
+    registry.end(&"a".parse().unwrap(), None);
+    let builds = |registry: &Registry, since| registry.builds_since(&service, since).len();
+    assert_eq!(builds(&registry, end - Duration::from_secs(25)), 2);
+    assert_eq!(builds(&registry, end + Duration::from_secs(1)), 1);
+}
