--- a/tests/testsuite/stream_build.rs
+++ b/tests/testsuite/stream_build.rs
@@ -493,18 +493,6 @@
         weight: 1,
     });
     assert_eq!(site.system.publish(&text(&shared)).await, 200);
-    deploy::wait("the first voter knows the services", || async {
-        let read = client::ask(
-            site.system.publish_address(0),
-            "GET",
-            "/v1/routing",
-            &[],
-            "",
-        );
-        read.await
-            .is_ok_and(|answer| String::from_utf8_lossy(&answer.body).contains(other.as_str()))
-    })
-    .await;
     for i in 0..ENDPOINTS {
         let port = 9100 + u16::try_from(i).unwrap();
         let address = SocketAddr::new(site.system.host, port);
@@ -514,6 +502,14 @@
             mark: Some(other.to_string()),
             ..script("v1")
         });
+        // A voter refuses heartbeats of a service until the routing has reached it.
+        deploy::wait("the first voter takes a heartbeat", || async {
+            let body = serde_json::to_string(&endpoint.record(1, State::Ready)).unwrap();
+            let path = format!("/v1/endpoints/{}", endpoint.name);
+            let told = client::ask(site.system.publish_address(0), "PUT", &path, &[], body);
+            told.await.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
         site.endpoints.push(endpoint);
     }
     let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
