Checks of links connect to distinct addresses, those of failed endpoints last

What callers saw: a box took its links to all endpoints of a service for lost while seven of nine answered. It then sent its requests through other boxes, and recorded no end of an endpoint under a request, so that a request that ends endpoints ended one more through the next box.

Cause: a check connects to three endpoints, those that failed last. It told them apart by name. An endpoint that restarts has a new name at its address, and boxes know the old one for seven seconds, so all three could be the addresses of the two endpoints that had just failed.

Ruled out: a lost last report (no 3226, the exchange was answered), and a listener that outlives its connections.

Change: addresses are sampled, each once, and an address counts as failed if any name at it has. reach_core::a_check_connects_to_each_address_once_* fails with the choice by name.

--- a/src/scalewood/core/reach/mod.rs
+++ b/src/scalewood/core/reach/mod.rs
@@ -10,9 +10,12 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
+use rand::{seq::SliceRandom as _, Rng};
+
 use crate::core::name;
 
 mod peer;
@@ -205,3 +208,26 @@
         services.any(|links| links.state != State::Working || !links.failed.is_empty())
     }
 }
+
+/// Returns up to `count` of the endpoints' addresses at random, each once. Those at which attempts have
+/// failed come last, under whichever name: an endpoint that restarts may have a new name at its
+/// address while the old one is still known.
+pub fn sample(
+    endpoints: Vec<(name::Endpoint, SocketAddr)>,
+    failed: &BTreeSet<name::Endpoint>,
+    count: usize,
+    rng: &mut impl Rng,
+) -> Vec<SocketAddr> {
+    let has_failed = |(name, _): &&(name::Endpoint, SocketAddr)| failed.contains(name);
+    let failed: BTreeSet<_> = endpoints
+        .iter()
+        .filter(has_failed)
+        .map(|(_, at)| *at)
+        .collect();
+    let addresses: BTreeSet<_> = endpoints.into_iter().map(|(_, at)| at).collect();
+    let mut addresses: Vec<_> = addresses.into_iter().collect();
+    addresses.shuffle(rng);
+    addresses.sort_by_key(|at| failed.contains(at));
+    addresses.truncate(count);
+    addresses
+}
--- a/src/scalewood/ops/entry/reach.rs
+++ b/src/scalewood/ops/entry/reach.rs
@@ -2,7 +2,6 @@
 //! lost.
 
 use std::{
-    collections::BTreeSet,
     future::Future,
     net::{IpAddr, SocketAddr},
     pin::Pin,
@@ -10,7 +9,6 @@
     time::Duration,
 };
 
-use rand::seq::SliceRandom as _;
 use tokio::net::TcpStream;
 
 use crate::{
@@ -210,7 +208,8 @@
 /// has none. Those at which attempts have failed come last.
 async fn opens_any(board: &Shared, service: &name::Service, count: usize) -> bool {
     let failed = lock(&board.links_to_endpoints).failed(service);
-    let addresses = sample(addresses(board, service), &failed, count);
+    let endpoints = addresses(board, service);
+    let addresses = reach::sample(endpoints, &failed, count, &mut rand::rng());
     if addresses.is_empty() {
         return true;
     }
@@ -236,18 +235,6 @@
     addresses
 }
 
-/// Returns a random choice of addresses, in which those of `failed` endpoints come last.
-fn sample(
-    mut addresses: Vec<(name::Endpoint, SocketAddr)>,
-    failed: &BTreeSet<name::Endpoint>,
-    count: usize,
-) -> Vec<SocketAddr> {
-    addresses.shuffle(&mut rand::rng());
-    addresses.sort_by_key(|(name, _)| failed.contains(name));
-    let chosen = addresses.into_iter().take(count);
-    chosen.map(|(_, address)| address).collect()
-}
-
 /// Returns whether a connection to an address opens and stays open.
 async fn opens(address: SocketAddr) -> bool {
     let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/tests/testsuite/reach_core.rs
+++ b/tests/testsuite/reach_core.rs
@@ -1,12 +1,12 @@
 //! The state of a box's links to endpoints, and the boxes that hubs name to serve its requests.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use rand::Rng as _;
 use scalewood::core::{
     load::{Hub, Update},
     name,
-    reach::{Change, Peer, Report, Tracker},
+    reach::{sample, Change, Peer, Report, Tracker, CHECKED_ENDPOINTS},
 };
 
 use crate::random;
@@ -59,6 +59,38 @@
     assert!(links.record_failure(&lm, &endpoint(0), START + Duration::from_millis(600)));
 }
 
+/// Guards against links that count as lost while most endpoints are reachable: two endpoints restart again
+/// and again, and a check connects only to their addresses, under the names of their earlier starts.
+#[test]
+fn a_check_connects_to_each_address_once_and_to_failed_ones_last() {
+    const ADDRESSES: u16 = 9;
+    const STARTS: usize = 4;
+    let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], 9000 + port));
+    let name = |port: u16, start| format!("i-{port}-{start}").parse().unwrap();
+    // The first two endpoints are known under the names of all their starts.
+    let restarted =
+        (0..2).flat_map(|port| (0..STARTS).map(move |start| (name(port, start), at(port))));
+    let others = (2..ADDRESSES).map(|port| (name(port, 0), at(port)));
+    let endpoints: Vec<(name::Endpoint, _)> = restarted.chain(others).collect();
+    let failed = BTreeSet::from([name(0, STARTS - 1), name(1, STARTS - 1)]);
+    let mut random = random::random(1);
+    for _ in 0..200 {
+        let checked = sample(endpoints.clone(), &failed, CHECKED_ENDPOINTS, &mut random);
+        let distinct: BTreeSet<_> = checked.iter().collect();
+        assert_eq!(distinct.len(), CHECKED_ENDPOINTS, "{checked:?}");
+        assert!(
+            !checked.contains(&at(0)) && !checked.contains(&at(1)),
+            "{checked:?}"
+        );
+    }
+    let all = sample(endpoints, &failed, usize::from(ADDRESSES), &mut random);
+    assert_eq!(all.len(), usize::from(ADDRESSES));
+    assert!(
+        all[7..].contains(&at(0)) && all[7..].contains(&at(1)),
+        "{all:?}"
+    );
+}
+
 /// Guards against a box with few requests that never notices that its links are lost: those of one
 /// request fail a second apart, by the default limit on the time to connect.
 #[test]
