Tests: streams after a preemption and through another box that is killed; logs of failed tests are kept

- throttle: requests are sent by a schedule that catches up.
The sleeps added up: on a busy machine 315 of 540 requests were sent, and too few for the test's own bound, which stays.
- Logs of processes of a failed test are kept in the build's folder; a failure of the stop test prints what boxes logged of ends.

--- a/tests/testsuite/crash.rs
+++ b/tests/testsuite/crash.rs
@@ -178,6 +178,26 @@
     found.map(|(fingerprint, _)| fingerprint).collect()
 }
 
+/// Returns what boxes logged of ends and of requests that they held back, for a failure's message.
+fn logged_ends(dir: &std::path::Path) -> String {
+    let lines_of = |i: usize| {
+        let log = std::fs::read_to_string(dir.join(format!("e{i}.log"))).unwrap();
+        let is_told = |line: &&str| {
+            let numbers = [1001, 1003, 3210, 3226, 3228, 3312, 3314];
+            let mut numbers = numbers.iter();
+            numbers.any(|number| line.contains(&format!("\"event\":{number}")))
+        };
+        let lines: Vec<_> = log
+            .lines()
+            .filter(is_told)
+            .map(|l| format!("e{i} {l}"))
+            .collect();
+        lines.join("\n")
+    };
+    let all: Vec<_> = (1..=BOXES).map(lines_of).collect();
+    all.join("\n")
+}
+
 /// Returns the fingerprints that any box holds back, by its log.
 fn held_back_fingerprints(dir: &std::path::Path) -> BTreeSet<String> {
     let mut all = BTreeSet::new();
@@ -550,7 +570,14 @@
         // The next box is told of each end, and holds the request back after the third one.
         tokio::time::sleep(REPORTED_WITHIN).await;
         assert_ne!(site.send(1, "/sresume/crash", &body).await, Some(200));
-        assert_eq!(site.arrivals.ended(&body), 3, "round {round}");
+        let arrivals = site.arrivals.of_request(&body);
+        let ended = site.arrivals.ended(&body);
+        assert_eq!(
+            ended,
+            3,
+            "round {round}: {arrivals:#?}\n{}",
+            logged_ends(dir.path())
+        );
     }
     assert!(
         rounds_with_ends > 0,
--- a/tests/testsuite/failure.rs
+++ b/tests/testsuite/failure.rs
@@ -108,18 +108,9 @@
     assert_no_breaches(&deployment).await;
 }
 
-/// Guards against a stream of scalewood's own API that breaks and is resumed at an engine of another
-/// build, whose text does not follow that of the first.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_that_breaks_is_resumed_at_an_engine_of_its_build() {
-    let dir = tempfile::tempdir().unwrap();
-    let plan = Plan {
-        engines: 4,
-        ..one_zone()
-    };
-    let deployment = Deployment::start(plan, dir.path()).await;
+/// Gives the engines the builds v1 and v2 in turn. Returns their numbers.
+async fn set_builds(deployment: &Deployment) -> Vec<usize> {
     let engines = deployment.standins_of(true);
-    let build_of = |i: usize| ["v1", "v2"][i % 2];
     let edits = deployment.initial_edits().into_iter();
     let edits = edits.filter_map(|edit| match edit {
         Edit::Set(Item::Endpoint(name, mut item)) => {
@@ -133,14 +124,18 @@
     assert!(matches!(answer, Answer::Accepted { .. }), "{answer:?}");
     // Longer than boxes take to use a configuration.
     tokio::time::sleep(Duration::from_secs(1)).await;
-    for engine in &engines {
-        deployment
-            .faults(*engine, json!({ "breaks": 4, "break_after": 7 }))
-            .await;
-    }
-    assert_all_whole(start_streams(&deployment, "report", 8, 30, "builds")).await;
+    engines
+}
+
+/// Returns the build that [`set_builds`] gives an engine.
+fn build_of(engine: usize) -> &'static str {
+    ["v1", "v2"][engine % 2]
+}
+
+/// Checks that no prompt ran at engines of two builds.
+fn assert_one_build_each(deployment: &Deployment, engines: &[usize]) {
     let mut builds: BTreeMap<String, BTreeSet<&str>> = BTreeMap::new();
-    for engine in &engines {
+    for engine in engines {
         for run in deployment.runs(*engine) {
             let what = run["what"].as_str().unwrap().to_owned();
             builds.entry(what).or_default().insert(build_of(*engine));
@@ -149,6 +144,26 @@
     let mixed = builds.values().filter(|builds| builds.len() > 1).count();
     println!("{mixed} of {} streams ran at two builds", builds.len());
     assert_eq!(mixed, 0, "streams of two builds: {builds:?}");
+}
+
+/// Guards against a stream of scalewood's own API that breaks and is resumed at an engine of another
+/// build, whose text does not follow that of the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_is_resumed_at_an_engine_of_its_build() {
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        engines: 4,
+        ..one_zone()
+    };
+    let deployment = Deployment::start(plan, dir.path()).await;
+    let engines = set_builds(&deployment).await;
+    for engine in &engines {
+        deployment
+            .faults(*engine, json!({ "breaks": 4, "break_after": 7 }))
+            .await;
+    }
+    assert_all_whole(start_streams(&deployment, "report", 8, 30, "builds")).await;
+    assert_one_build_each(&deployment, &engines);
     assert_no_breaches(&deployment).await;
 }
 
@@ -231,6 +246,55 @@
     assert_no_breaches(&deployment).await;
 }
 
+/// Guards against a stream of scalewood's own API that is preempted and goes on at an engine of another
+/// build, since that one has a free slot first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_preempted_stream_goes_on_at_an_engine_of_its_build() {
+    const ROUNDS: usize = 3;
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        boxes: vec![1],
+        engines: 2,
+        slots: 1,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(plan, dir.path()).await;
+    let engines = set_builds(&deployment).await;
+    let callers = deployment.entries[0].callers;
+    let bulk: Vec<_> = (0..engines.len())
+        .map(|i| tokio::spawn(stream(callers, "bulk", format!("a summary {i} len=3000"))))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for round in 0..ROUNDS {
+        // One ends long before the other, so that both preempted streams could use its slot.
+        let at_counter = [20, 150].map(|length| {
+            let prompt = format!("at the counter {round} len={length}");
+            tokio::spawn(stream(callers, "counter", prompt))
+        });
+        for answer in at_counter {
+            let answer = answer.await.unwrap();
+            assert!(answer.is_complete, "{:?}", answer.error);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    for bulk in bulk {
+        let answer = bulk.await.unwrap();
+        assert!(answer.is_complete, "{:?}", answer.error);
+    }
+    let resumed: usize = engines
+        .iter()
+        .map(|engine| {
+            let runs = deployment.runs(*engine).into_iter();
+            let is_resumed = |run: &serde_json::Value| run["resumed_at"].as_u64() > Some(0);
+            runs.filter(is_resumed).count()
+        })
+        .sum();
+    println!("{resumed} resumed");
+    assert!(resumed >= 2, "{resumed} streams were preempted");
+    assert_one_build_each(&deployment, &engines);
+    assert_no_breaches(&deployment).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_dispatcher_cuts_no_stream_of_other_boxes() {
     let dir = tempfile::tempdir().unwrap();
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -174,7 +174,7 @@
     }
 
     /// Returns the value of a metric of a box.
-    async fn metric(&self, i: usize, name: &str) -> u64 {
+    pub(crate) async fn metric(&self, i: usize, name: &str) -> u64 {
         let health = SocketAddr::new(self.system.host, 8002 + 10 * u16::try_from(i).unwrap());
         let asked = client::ask(health, "GET", "/metrics", &[], "").await;
         let text = String::from_utf8_lossy(&asked.unwrap().body).into_owned();
@@ -199,7 +199,7 @@
     }
 
     /// Returns the number of requests that boxes have sent to others.
-    pub(crate) async fn forwarded(&self) -> u64 {
+    async fn forwarded(&self) -> u64 {
         let mut sum = 0;
         for i in 0..BOXES {
             sum += self.metric(i, "forwarded_requests_total").await;
--- a/tests/testsuite/stream_build.rs
+++ b/tests/testsuite/stream_build.rs
@@ -128,7 +128,7 @@
 
 /// Kills some boxes at a time and starts them again, for a time.
 async fn restart(
-    system: &System,
+    start: impl Fn(usize) -> deploy::Process,
     boxes: &mut [Option<deploy::Process>],
     at_once: usize,
     length: Duration,
@@ -145,7 +145,7 @@
             }
         }
         for i in killed {
-            boxes[i] = Some(system.start_entry_at(i));
+            boxes[i] = Some(start(i));
         }
     }
 }
@@ -355,10 +355,11 @@
     let dir = tempfile::tempdir().unwrap();
     let mut site = Site::start(builds, dir.path()).await;
     let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
+    let start = |i| site.system.start_entry_at(i);
     let played = async {
         let (results, (), ()) = tokio::join!(
             call_all(&callers, LENGTH),
-            restart(&site.system, &mut site.boxes, faults.kills, LENGTH),
+            restart(start, &mut site.boxes, faults.kills, LENGTH),
             break_streams(&site.endpoints, faults.breaks, LENGTH)
         );
         results
@@ -436,39 +437,70 @@
     assert!(went_on >= MIN_FRACTION, "{went_on}: {results:?}");
 }
 
-/// Guards against streams that go on at another build because their box has lost its links to the
-/// endpoints: they begin at another box, and go on through a third one or from the first one again.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_through_another_box_holds_events_of_one_build() {
+/// Runs a system of which one box has lost its links to the endpoints, with faults. Every other attempt is
+/// made at that box, and it is not killed.
+async fn run_through_another_box(faults: Faults) -> Results {
     let dir = tempfile::tempdir().unwrap();
-    let site = reach::Site::start(&[0], dir.path()).await;
+    let mut site = reach::Site::start(&[0], dir.path()).await;
     for (i, endpoint) in site.endpoints.iter().enumerate() {
         endpoint.set_script(script(["v1", "v2"][i % 2]));
     }
     let callers: Vec<_> = (0..reach::BOXES)
         .map(|i| site.system.callers_at(i))
         .collect();
-    // Every other attempt is made at the box that has lost its links.
     let alternating: Vec<_> = callers[1..]
         .iter()
         .flat_map(|at| [callers[0], *at])
         .collect();
+    let mut others = site.boxes.split_off(1);
+    let start = |i| site.start_box(1 + i);
     let played = async {
         // Longer than boxes take to hear of the builds.
         tokio::time::sleep(2 * HEARTBEAT).await;
         site.cut_and_wait(reach::Cut::Reset).await;
-        let (results, ()) = tokio::join!(
+        let (results, (), ()) = tokio::join!(
             call_all(&alternating, LENGTH),
-            break_streams(&site.endpoints, true, LENGTH)
+            restart(start, &mut others, faults.kills, LENGTH),
+            break_streams(&site.endpoints, faults.breaks, LENGTH)
         );
-        (results, site.forwarded().await)
+        (results, site.metric(0, "forwarded_requests_total").await)
     };
     let (results, forwarded) = tokio::select! {
         played = played => played,
         () = site.beat_on() => unreachable!("heartbeats are sent for ever"),
     };
-    println!("{forwarded} forwarded: {results:?}");
+    println!("{faults:?}, {forwarded} forwarded: {results:?}");
     assert!(forwarded > 40, "too few are forwarded: {forwarded}");
+    results
+}
+
+/// Guards against streams that go on at another build because their box has lost its links to the
+/// endpoints: they begin at another box, and go on through a third one or from the first one again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_through_another_box_holds_events_of_one_build() {
+    let faults = Faults {
+        breaks: true,
+        ..Faults::default()
+    };
+    let results = run_through_another_box(faults).await;
+    assert!(
+        results.tally.taken_up >= 6,
+        "too few are taken up: {results:?}"
+    );
+    assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
+    let went_on = results.tally.taken_up_fraction() / results.tally.begun_fraction();
+    assert!(went_on >= MIN_FRACTION, "{went_on}: {results:?}");
+}
+
+/// Guards against streams that go on at another build, or are lost, when the box is killed that began them
+/// or that served them for a box without links to the endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_through_another_box_goes_on_when_that_box_is_killed() {
+    let faults = Faults {
+        kills: 2,
+        ..Faults::default()
+    };
+    let results = run_through_another_box(faults).await;
     assert!(
         results.tally.taken_up >= 6,
         "too few are taken up: {results:?}"
@@ -513,11 +545,12 @@
         site.endpoints.push(endpoint);
     }
     let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
+    let start = |i| site.system.start_entry_at(i);
     let played = async {
         tokio::time::sleep(2 * HEARTBEAT).await;
         let (results, ()) = tokio::join!(
             call_all(&callers, LENGTH),
-            restart(&site.system, &mut site.boxes, 1, LENGTH)
+            restart(start, &mut site.boxes, 1, LENGTH)
         );
         results
     };
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -175,12 +175,30 @@
         let _ = self.child.wait();
         if std::thread::panicking() {
             self.print_last_lines(ended.ok().flatten());
+            self.keep_log();
         }
     }
 }
 
 impl Process {
-    /// Prints the end of the log, since a failed test's folder is deleted with the log.
+    /// Keeps the log of a failed test, whose own folder is deleted, in the build's folder.
+    fn keep_log(&self) {
+        let test = std::thread::current();
+        let test = test.name().unwrap_or("unnamed").replace("::", "-");
+        let run = format!("failed-{}-{test}", std::process::id());
+        let Some(folder) = option_env!("CARGO_TARGET_TMPDIR") else {
+            return;
+        };
+        let kept = Path::new(folder).join(run);
+        let copied = fs::create_dir_all(&kept)
+            .and_then(|()| fs::copy(&self.log, kept.join(format!("{}.log", self.name))));
+        match copied {
+            Ok(_) => eprintln!("the log of {} is kept in {}", self.name, kept.display()),
+            Err(error) => eprintln!("the log of {} is not kept: {error}", self.name),
+        }
+    }
+
+    /// Prints the end of the log.
     fn print_last_lines(&self, ended: Option<std::process::ExitStatus>) {
         let state = ended.map_or("ran".to_owned(), |status| status.to_string());
         eprintln!("{}, {state}, wrote last:", self.name);
--- a/tests/testsuite/throttle.rs
+++ b/tests/testsuite/throttle.rs
@@ -86,12 +86,14 @@
         let mut random = SmallRng::seed_from_u64(1);
         let until = Instant::now() + length;
         let mut sent = Vec::new();
+        // Catches up after a delay, so that the rate holds on a busy machine too.
+        let mut schedule = tokio::time::interval(Duration::from_secs(1) / per_second);
         while Instant::now() < until {
+            schedule.tick().await;
             let i = random.random_range(0..BOXES);
             let callers = self.system.callers_at(i);
             let path = PATHS[random.random_range(0..PATHS.len())];
             sent.push(tokio::spawn(send(callers, i, path)));
-            tokio::time::sleep(Duration::from_secs(1) / per_second).await;
         }
         let mut outcomes = Vec::new();
         for task in sent {
