A request that completed at one box is not suspected at the others for two seconds

Cause: a run to its end keeps an end from being recorded only at the box that saw the run. Class: what speaks against a request is merged over all boxes, what speaks for it was not.

Change: rows count the completions that cleared a request. News of one keeps ends from being recorded for as long as an own run does. An operator's release is no completion and does not (crash_book:: ends_right_after_a_release_count). Older builds pass the new field over.

--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -10,7 +10,8 @@
 };
 
 use super::{
-    max_successive, trial, End, Id, Row, Trials, ENDS_TO_HOLD_BACK, MAX_TRIALS, MIN_ENDS_FOR_GLOBAL,
+    max_successive, trial, End, Id, Row, Trials, ENDS_TO_HOLD_BACK, MAX_TRIALS,
+    MIN_ENDS_FOR_GLOBAL, RECENT,
 };
 use crate::core::fingerprint::{Fingerprint, HeadHash};
 
@@ -48,6 +49,10 @@
     /// See [`Row::arrivals`].
     arrivals: u32,
     arrival_reported_at: Duration,
+    /// See [`Row::completions`].
+    completions: u32,
+    /// When the last completion became known here.
+    completed_at: Option<Duration>,
     /// When it last arrived or changed, by the clock here.
     last_seen: Duration,
     /// The stamp of its last change.
@@ -71,6 +76,8 @@
             last_end_at: now,
             arrivals: 0,
             arrival_reported_at: Duration::ZERO,
+            completions: 0,
+            completed_at: None,
             last_seen: now,
             changed: 0,
             changed_locally: 0,
@@ -160,8 +167,19 @@
         }
     }
 
+    fn record_completion(&mut self, now: Duration) {
+        self.clear();
+        self.completions = self.completions.saturating_add(1);
+        self.completed_at = Some(now);
+    }
+
+    /// Returns whether it was reported as completed within [`RECENT`].
+    fn has_completed_recently(&self, now: Duration) -> bool {
+        self.completed_at.is_some_and(|at| now <= at + RECENT)
+    }
+
     /// Merges a row. Returns whether it had anything new.
-    fn merge(&mut self, row: Row) -> bool {
+    fn merge(&mut self, row: Row, now: Duration) -> bool {
         let mut is_news = false;
         for id in row.void {
             is_news |= self.make_void(id);
@@ -176,6 +194,11 @@
             self.arrivals = row.arrivals;
             is_news = true;
         }
+        if row.completions > self.completions {
+            self.completions = row.completions;
+            self.completed_at = Some(now);
+            is_news = true;
+        }
         is_news
     }
 }
@@ -257,21 +280,38 @@
         (rows(held_back), rows(others))
     }
 
-    /// Records that an endpoint ended under a request.
+    /// Records that an endpoint ended under a request, unless the request has completed recently.
     pub fn record_end(&mut self, fingerprint: Fingerprint, end: End, now: Duration) {
         self.sweep(now);
-        self.change(fingerprint, now, |case| case.add(end));
+        self.change(fingerprint, now, |case| {
+            !case.has_completed_recently(now) && case.add(end)
+        });
     }
 
-    /// Clears a request that completed or that an operator released. Returns whether it had any
-    /// ends.
+    /// Clears a request that completed. Returns whether it had any ends.
     pub fn clear(&mut self, fingerprint: &Fingerprint, now: Duration) -> bool {
+        self.edit_open(fingerprint, now, |case| case.record_completion(now))
+    }
+
+    /// Clears a request that an operator released, which says nothing of later ends. Returns whether it
+    /// had any ends.
+    pub fn release(&mut self, fingerprint: &Fingerprint, now: Duration) -> bool {
+        self.edit_open(fingerprint, now, Case::clear)
+    }
+
+    /// Changes a request that has ends. Returns whether it has any.
+    fn edit_open(
+        &mut self,
+        fingerprint: &Fingerprint,
+        now: Duration,
+        edit: impl FnOnce(&mut Case),
+    ) -> bool {
         let is_open = |case: &Case| !case.ends.is_empty();
         if !self.cases.get(fingerprint).is_some_and(is_open) {
             return false;
         }
         self.change(*fingerprint, now, |case| {
-            case.clear();
+            edit(case);
             true
         });
         true
@@ -336,7 +376,7 @@
             .cases
             .get(&fingerprint)
             .map(|case| case.changed_locally);
-        self.change(fingerprint, now, |case| case.merge(row));
+        self.change(fingerprint, now, |case| case.merge(row, now));
         let is_news = self.stamp > before;
         if is_news && !own {
             if let Some(case) = self.cases.get_mut(&fingerprint) {
@@ -491,5 +531,6 @@
         void: case.void.iter().copied().collect(),
         tried: case.tried.iter().copied().collect(),
         arrivals: case.arrivals,
+        completions: case.completions,
     }
 }
--- a/src/scalewood/core/crash/mod.rs
+++ b/src/scalewood/core/crash/mod.rs
@@ -7,7 +7,8 @@
 //! have ended under a request, all boxes hold it back.
 //!
 //! Harmless requests that run beside it fail with it. A request that completes anywhere is cleared,
-//! and one that completed shortly before is not recorded ([`Completions`]). Only a request that was
+//! and one that completed shortly before is not recorded ([`Completions`]); nor is one that another
+//! box has reported as completed after ends. Only a request that was
 //! present each time and never completed is held back. If it goes on arriving, one box sends it to
 //! an endpoint once more, as a trial ([`Trials`]): if it completes there, it is cleared.
 
@@ -127,4 +128,11 @@
     /// Increases while the request still arrives although it is held back.
     #[serde(rename = "h", default)]
     pub arrivals: u32,
+    /// Increases when the request completes after ends.
+    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
+    pub completions: u32,
+}
+
+fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
--- a/src/scalewood/core/load/hub.rs
+++ b/src/scalewood/core/load/hub.rs
@@ -351,7 +351,7 @@
     /// Clears a request that was held back, on an operator's order; returns whether any ends were
     /// recorded for it.
     pub fn pardon(&mut self, fingerprint: &Fingerprint, now: Duration) -> bool {
-        self.crashes.clear(fingerprint, now)
+        self.crashes.release(fingerprint, now)
     }
 
     fn take_crashes(&mut self, rows: Vec<crash::Row>, own: bool, now: Duration) {
