Requests that were held back together are tried one after the other

Change: a trial waits for the result of another suspect's with which it has an end in common, ten seconds at most. If such a suspect was nevertheless at the end of a trial, it is repeated once; a request that ends endpoints by itself is still tried once. A trial is begun once after each end, and its time differs for each, so that two boxes whose times are close do not both begin both.

--- a/src/scalewood/core/crash/book.rs
+++ b/src/scalewood/core/crash/book.rs
@@ -11,7 +11,7 @@
 
 use super::{
     max_successive, trial, End, Id, Row, Trials, ENDS_TO_HOLD_BACK, MAX_TRIALS,
-    MIN_ENDS_FOR_GLOBAL, RECENT,
+    MAX_TRIALS_BESIDE_SUSPECT, MIN_ENDS_FOR_GLOBAL, RECENT,
 };
 use crate::core::fingerprint::{Fingerprint, HeadHash};
 
@@ -29,6 +29,8 @@
 const MAX_ENDS_PER_REQUEST: usize = 2 * ENDS_TO_HOLD_BACK;
 /// The most void ends that are remembered per request.
 const MAX_VOID_PER_REQUEST: usize = 2 * MAX_ENDS_PER_REQUEST;
+/// How long a trial may run before others that wait for its result go on without it.
+const MAX_TRIAL_TIME: Duration = Duration::from_secs(10);
 /// The interval between two searches for expired requests.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The most rows that are sent at once, some 150 bytes each.
@@ -42,6 +44,8 @@
     void: VecDeque<Id>,
     /// See [`Row::tried`].
     tried: BTreeSet<Id>,
+    /// When the last trial became known here.
+    tried_at: Duration,
     /// How often it was refused here.
     refusals: u32,
     /// When the last end became known here.
@@ -72,6 +76,7 @@
             ends: Vec::new(),
             void: VecDeque::new(),
             tried: BTreeSet::new(),
+            tried_at: now,
             refusals: 0,
             last_end_at: now,
             arrivals: 0,
@@ -148,13 +153,35 @@
     }
 
     /// Records a trial that was begun when this was the last known end. Returns whether it is new.
-    fn add_trial(&mut self, last_end: Id) -> bool {
-        !self.void.contains(&last_end) && self.tried.insert(last_end)
+    fn add_trial(&mut self, last_end: Id, now: Duration) -> bool {
+        let is_new = !self.void.contains(&last_end) && self.tried.insert(last_end);
+        if is_new {
+            self.tried_at = now;
+        }
+        is_new
+    }
+
+    /// Returns whether a trial was begun after the last end, so that its result is not known.
+    fn is_on_trial(&self) -> bool {
+        let is_tried = |last: &End| self.tried.contains(&last.id);
+        self.last_end().is_some_and(is_tried)
+    }
+
+    /// Returns whether an endpoint ended under both.
+    fn shares_end(&self, other: &Self) -> bool {
+        let is_shared = |end: &End| other.ends.iter().any(|of_other| of_other.is_same(end));
+        self.ends.iter().any(is_shared)
+    }
+
+    /// Returns the last end, if there is one.
+    fn last_end(&self) -> Option<&End> {
+        self.ends.iter().max_by_key(|end| end.at_unix_ms)
     }
 
     fn standing(&self) -> trial::Standing {
         trial::Standing {
             begun: self.tried.len(),
+            is_under_way: self.is_on_trial(),
             refusals: self.refusals,
             last_end_at: self.last_end_at,
         }
@@ -188,7 +215,7 @@
             is_news |= self.add(end);
         }
         for last_end in row.tried {
-            is_news |= self.add_trial(last_end);
+            is_news |= self.add_trial(last_end, now);
         }
         if row.arrivals > self.arrivals {
             self.arrivals = row.arrivals;
@@ -320,8 +347,39 @@
     /// Returns whether this box may try a request that is held back now.
     pub fn may_try(&self, fingerprint: &Fingerprint, trials: &Trials, now: Duration) -> bool {
         let case = self.cases.get(fingerprint);
-        let case = case.filter(|case| case.is_held_back());
-        case.is_some_and(|case| trials.is_due(fingerprint, case.standing(), now))
+        let Some(case) = case.filter(|case| case.is_held_back()) else {
+            return false;
+        };
+        trials.is_due(fingerprint, case.standing(), now)
+            && case.tried.len() < self.max_trials(fingerprint, case)
+            && !self.is_another_on_trial(fingerprint, case, now)
+    }
+
+    /// Returns whether a suspect with an end in common with this one is on trial. Two trials at one
+    /// endpoint would tell nothing of the one that does not end it.
+    fn is_another_on_trial(&self, fingerprint: &Fingerprint, case: &Case, now: Duration) -> bool {
+        let others = self.suspects.iter().filter(|other| *other != fingerprint);
+        let mut others = others.filter_map(|other| self.cases.get(other));
+        others.any(|other| {
+            let is_recent = now < other.tried_at + MAX_TRIAL_TIME;
+            is_recent && other.is_on_trial() && other.shares_end(case)
+        })
+    }
+
+    /// Returns how often a request that is held back may be tried.
+    fn max_trials(&self, fingerprint: &Fingerprint, case: &Case) -> usize {
+        let last = case.last_end();
+        let was_there = |other: &Case| {
+            let mut ends = other.ends.iter();
+            ends.any(|end| last.is_some_and(|last| end.is_same(last)))
+        };
+        let others = self.suspects.iter().filter(|other| *other != fingerprint);
+        let mut others = others.filter_map(|other| self.cases.get(other));
+        if others.any(was_there) {
+            MAX_TRIALS_BESIDE_SUSPECT
+        } else {
+            MAX_TRIALS
+        }
     }
 
     /// Begins a trial of a request that is held back, if this box may try it now. Returns whether it
@@ -336,9 +394,8 @@
             return false;
         }
         self.change(*fingerprint, now, |case| {
-            let last_end = case.ends.iter().max_by_key(|end| end.at_unix_ms);
-            let last_end = last_end.map(|end| end.id);
-            last_end.is_some_and(|last_end| case.add_trial(last_end))
+            let last_end = case.last_end().map(|end| end.id);
+            last_end.is_some_and(|last_end| case.add_trial(last_end, now))
         });
         true
     }
@@ -346,7 +403,7 @@
     /// Returns whether a trial of a request that is held back is still to come.
     pub fn has_trial_left(&self, fingerprint: &Fingerprint) -> bool {
         let case = self.cases.get(fingerprint);
-        case.is_some_and(|case| case.tried.len() < MAX_TRIALS)
+        case.is_some_and(|case| case.tried.len() < self.max_trials(fingerprint, case))
     }
 
     /// Records the arrival of a request that is held back.
--- a/src/scalewood/core/crash/mod.rs
+++ b/src/scalewood/core/crash/mod.rs
@@ -31,6 +31,9 @@
 /// The most trials of a request that is held back, over all boxes. A trial of a request that crashes
 /// endpoints costs another endpoint.
 const MAX_TRIALS: usize = 1;
+/// The most trials if another suspect was at the end of the last one: either may have caused it, as
+/// requests that were held back at the same time may be tried at the same time.
+const MAX_TRIALS_BESIDE_SUSPECT: usize = 2;
 /// The number of ended endpoints from which on a request is reported to all boxes. Below it, only
 /// voters are sent it: each end adds as many requests with one end as the endpoint ran.
 const MIN_ENDS_FOR_GLOBAL: usize = ENDS_TO_HOLD_BACK - 1;
--- a/src/scalewood/core/crash/trial.rs
+++ b/src/scalewood/core/crash/trial.rs
@@ -7,7 +7,6 @@
 
 use std::time::Duration;
 
-use super::MAX_TRIALS;
 use crate::core::{fingerprint::Fingerprint, name, rendezvous};
 
 /// How often a box must have refused a request before it tries it. Callers that resend a request
@@ -24,6 +23,8 @@
 pub(super) struct Standing {
     /// The number of trials that were begun since the request completed last.
     pub(super) begun: usize,
+    /// Whether no end has become known since the last of them was begun.
+    pub(super) is_under_way: bool,
     /// How often this process has refused the request.
     pub(super) refusals: u32,
     /// When this process learnt of the last end.
@@ -47,18 +48,20 @@
         }
     }
 
-    /// Returns whether this box may try a request now.
+    /// Returns whether this box may try a request now, if another trial is allowed.
     pub(super) fn is_due(&self, request: &Fingerprint, standing: Standing, now: Duration) -> bool {
-        standing.begun < MAX_TRIALS
+        !standing.is_under_way
             && standing.refusals >= MIN_REFUSALS
-            && now >= standing.last_end_at + self.delay(request)
+            && now >= standing.last_end_at + self.delay(request, standing.begun)
     }
 
-    /// Returns how long after the last end this box tries a request: a time that is spread evenly
-    /// over the boxes.
-    fn delay(&self, request: &Fingerprint) -> Duration {
+    /// Returns how long after the last end this box tries a request that has been tried `begun` times: a
+    /// time that is spread evenly over the boxes. It differs for each trial, so that two boxes whose
+    /// times are close do not both begin each one.
+    fn delay(&self, request: &Fingerprint, begun: usize) -> Duration {
         const STEPS: u64 = 1 << 20;
-        let hash = rendezvous::hash(&[self.own.as_str(), &request.to_string()]);
+        let parts = [self.own.as_str(), &request.to_string(), &begun.to_string()];
+        let hash = rendezvous::hash(&parts);
         // The remainder is below 2^20, so the cast is exact.
         let part = (hash % STEPS) as f64 / STEPS as f64;
         MIN_DELAY + DELAY_PER_BOX.saturating_mul(self.boxes).mul_f64(part)
--- a/tests/testsuite/crash_book.rs
+++ b/tests/testsuite/crash_book.rs
@@ -193,6 +193,11 @@
     }
     assert!(!right.may_try(&one, &trials("e2"), late));
     assert!(left.is_held_back(&one) && right.is_held_back(&one));
+    // A trial whose endpoint ended was the only one.
+    let much_later = late + Duration::from_secs(60);
+    left.record_end(one, end("i-7"), late);
+    assert!(!left.may_try(&one, &trials("e1"), much_later));
+    assert!(!left.has_trial_left(&one));
     // A trial that completed clears the request; later ends and trials count anew.
     assert!(left.clear(&one, late));
     rows(&left).into_iter().for_each(|row| {
@@ -202,6 +207,36 @@
     assert!(right.has_trial_left(&one));
 }
 
+/// Guards against a harmless request that stays refused because it was tried at the same endpoint as the
+/// crashing request that was held back with it. The crashing one may not be tried without end either.
+#[test]
+fn a_trial_that_another_suspect_was_at_is_repeated_once() {
+    let (one, other) = (fingerprint("shop", "body"), fingerprint("shop", "other"));
+    let trials = Trials::new("e1".parse().unwrap(), 1);
+    let mut book = book(one, 3);
+    for i in 1..4 {
+        book.record_end(other, end(&format!("i-{i}")), NOW);
+    }
+    let mut now = NOW;
+    for name in ["i-7", "i-8"] {
+        now += Duration::from_secs(60);
+        for request in [one, other] {
+            (0..20).for_each(|_| book.record_arrival(&request, now));
+        }
+        assert!(book.begin_trial(&one, &trials, now), "{name}");
+        assert!(!book.begin_trial(&one, &trials, now), "twice, {name}");
+        // The other one waits for the result, but not for long.
+        assert!(!book.may_try(&other, &trials, now), "{name}");
+        now += Duration::from_secs(10);
+        assert!(book.begin_trial(&other, &trials, now), "{name}");
+        for request in [one, other] {
+            book.record_end(request, end_at(name, now.as_millis() as u64 * 100), now);
+        }
+    }
+    now += Duration::from_secs(60);
+    assert!(!book.may_try(&one, &trials, now) && !book.may_try(&other, &trials, now));
+}
+
 #[test]
 fn a_request_that_keeps_coming_stays_held_back_everywhere_and_one_that_does_not_is_forgotten() {
     let one = fingerprint("shop", "body");
