A box checks its own record of a stream against the voters' where several builds serve

What callers saw: a caller that had used an id for two streams at two boxes took the second one up at the first box, and got events of another build (found by reading, not in the users' record).

Cause: a box believed its own record of where a stream began without asking anybody. Voters hear of both streams and know that the id is ambiguous, but were asked only if the box knew nothing.

Change: where the box has known other builds of the service, voters are asked too, and the first that knows must not contradict. Without an answer the own record holds.

--- a/src/scalewood/ops/entry/origin.rs
+++ b/src/scalewood/ops/entry/origin.rs
@@ -99,7 +99,7 @@
 }
 
 /// Asks all voters once. The first one that knows the stream is believed.
-async fn ask_all(
+pub(super) async fn ask_all(
     board: &Shared,
     key: Option<Key>,
     service: Option<&name::Service>,
--- a/src/scalewood/ops/entry/routed/continuation.rs
+++ b/src/scalewood/ops/entry/routed/continuation.rs
@@ -1,5 +1,7 @@
 //! Streams that go on after an event: where they began, and that they go on only there.
 
+use std::time::Duration;
+
 use hyper::{header::HeaderValue, HeaderMap, StatusCode};
 use tokio::task::JoinHandle;
 
@@ -73,12 +75,15 @@
         let own = head.id.as_ref().filter(|_| forwarded.is_some());
         let key = head.resumes.as_ref().or(own);
         let key = key.map(|id| Key::new(team, id));
+        let within = origin::keep_time(route.timeout());
         match key.map_or(Found::Unknown, |key| origin::find_here(&self.board, key)) {
-            Found::Began(origin) => return check_service(route, origin).map(Continuation::Known),
+            Found::Began(origin) => {
+                let origin = self.confirm_record(key, origin, within).await?;
+                return check_service(route, origin).map(Continuation::Known);
+            }
             Found::Ambiguous => return Err(unknown()),
             Found::Unknown => {}
         }
-        let within = origin::keep_time(route.timeout());
         let service = match &route.shares[..] {
             [only] => Some(only.service.clone()),
             _ => None,
@@ -99,6 +104,27 @@
     }
 }
 
+impl<D: Dialect> Context<D> {
+    /// Checks this box's own record of a stream against those of the voters, if other builds serve: its
+    /// caller may have used its id for a stream at another box too.
+    async fn confirm_record(
+        &self,
+        key: Option<Key>,
+        origin: Origin,
+        within: Duration,
+    ) -> Result<Origin, Refusal> {
+        let sole = origin::sole_build(&self.board, &origin.service, within);
+        if sole.as_ref() == Some(&origin.build) {
+            return Ok(origin);
+        }
+        let known = origin::ask_all(&self.board, key, None, within).await;
+        match Found::Began(origin).and(known) {
+            Found::Began(origin) => Ok(origin),
+            Found::Ambiguous | Found::Unknown => Err(unknown()),
+        }
+    }
+}
+
 /// Returns the origin if a route still goes to its service.
 fn check_service(route: &route::Route, origin: Origin) -> Result<Origin, Refusal> {
     let goes_there = route.shares.iter().any(|s| s.service == origin.service);
--- a/tests/testsuite/stream_build.rs
+++ b/tests/testsuite/stream_build.rs
@@ -32,6 +32,8 @@
 const PAUSE: Duration = Duration::from_millis(40);
 /// The interval between two new streams.
 const PERIOD: Duration = Duration::from_millis(50);
+/// The same where streams use most slots of all endpoints.
+const BUSY_PERIOD: Duration = Duration::from_millis(20);
 /// How long new streams begin.
 const LENGTH: Duration = Duration::from_secs(7);
 /// The interval between two heartbeats of an endpoint.
@@ -287,7 +289,7 @@
         let status = response.status();
         let body = response.into_body().collect().await.ok()?.to_bytes();
         let refusal: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-        stream.refused.push(format!("{status} {}", refusal["code"]));
+        stream.refused.push(format!("{status} {}", refusal["error"]["code"]));
         return None;
     }
     let mut body = response.into_body();
@@ -328,15 +330,19 @@
     pub(crate) tally: Tally,
 }
 
-/// Begins streams at all boxes in turn for a time, and receives them.
-pub(crate) async fn call_all(callers: &[SocketAddr], length: Duration) -> Results {
+/// Begins a stream at the next box each `period` for a time, and receives them.
+pub(crate) async fn call_all(
+    callers: &[SocketAddr],
+    period: Duration,
+    length: Duration,
+) -> Results {
     let until = Instant::now() + length;
     let sent = AtomicUsize::new(0);
     let mut tasks = Vec::new();
     while Instant::now() < until {
         let first = sent.fetch_add(1, Ordering::Relaxed);
         tasks.push(tokio::spawn(call(callers.to_vec(), first)));
-        tokio::time::sleep(PERIOD).await;
+        tokio::time::sleep(period).await;
     }
     let mut results = Results::default();
     for task in tasks {
@@ -350,15 +356,20 @@
     results
 }
 
-/// Runs a system whose endpoints have these builds, with faults.
+/// Runs a system whose endpoints have these builds in turn, with faults.
 async fn run(builds: &[&str], faults: Faults) -> Results {
+    run_with(builds, faults, PERIOD).await
+}
+
+/// Runs a system whose endpoints have these builds in turn, with faults and a new stream each `period`.
+async fn run_with(builds: &[&str], faults: Faults, period: Duration) -> Results {
     let dir = tempfile::tempdir().unwrap();
     let mut site = Site::start(builds, dir.path()).await;
     let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
     let start = |i| site.system.start_entry_at(i);
     let played = async {
         let (results, (), ()) = tokio::join!(
-            call_all(&callers, LENGTH),
+            call_all(&callers, period, LENGTH),
             restart(start, &mut site.boxes, faults.kills, LENGTH),
             break_streams(&site.endpoints, faults.breaks, LENGTH)
         );
@@ -459,7 +470,7 @@
         tokio::time::sleep(2 * HEARTBEAT).await;
         site.cut_and_wait(reach::Cut::Reset).await;
         let (results, (), ()) = tokio::join!(
-            call_all(&alternating, LENGTH),
+            call_all(&alternating, PERIOD, LENGTH),
             restart(start, &mut others, faults.kills, LENGTH),
             break_streams(&site.endpoints, faults.breaks, LENGTH)
         );
@@ -474,6 +485,24 @@
     results
 }
 
+/// Guards against streams that are lost although their build serves: few endpoints run it, new streams use
+/// most of their slots, and most boxes are killed at once, so that many are taken up together.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_where_two_busy_endpoints_run_their_build() {
+    let faults = Faults {
+        kills: 3,
+        ..Faults::default()
+    };
+    let results = run_with(&["v1", "v2", "v2"], faults, BUSY_PERIOD).await;
+    assert!(
+        results.tally.taken_up >= 12,
+        "too few are taken up: {results:?}"
+    );
+    assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
+    let went_on = results.tally.taken_up_fraction() / results.tally.begun_fraction();
+    assert!(went_on >= MIN_FRACTION, "{went_on}: {results:?}");
+}
+
 /// Guards against streams that go on at another build because their box has lost its links to the
 /// endpoints: they begin at another box, and go on through a third one or from the first one again.
 #[tokio::test(flavor = "multi_thread")]
@@ -510,6 +539,69 @@
     assert!(went_on >= MIN_FRACTION, "{went_on}: {results:?}");
 }
 
+/// Begins a stream under an id at a box, and leaves after an event. Returns the build that wrote it.
+async fn begin(callers: SocketAddr, id: &str) -> String {
+    let mut connection = client::Connection::open(callers).await.unwrap();
+    let mut stream = Stream {
+        begun_by: id.to_owned(),
+        ..Stream::default()
+    };
+    let received = receive(&mut connection, id, &mut stream);
+    let _ = tokio::time::timeout(4 * PAUSE, received).await;
+    assert!(stream.events > 0, "no event: {stream:?}");
+    stream.builds.pop_first().unwrap()
+}
+
+/// Takes a stream up at a box after its first event, without waiting for its end. Returns it as received.
+async fn take_up(callers: SocketAddr, begun_by: &str) -> Stream {
+    let mut connection = client::Connection::open(callers).await.unwrap();
+    let mut stream = Stream {
+        begun_by: begun_by.to_owned(),
+        events: 1,
+        ..Stream::default()
+    };
+    let received = receive(&mut connection, "another", &mut stream);
+    let _ = tokio::time::timeout(DEADLINE, received).await;
+    stream
+}
+
+/// Guards against a box that believes its own record of a stream although its caller has used the same id
+/// for a stream of another build at another box.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_id_that_two_streams_began_with_is_refused_at_both_boxes() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&["v1", "v2"], dir.path()).await;
+    let played = async {
+        let mut refused = 0;
+        for i in 0..12 {
+            let id = format!("used-twice-{i}");
+            let first = begin(site.system.callers_at(0), &id).await;
+            let second = begin(site.system.callers_at(1), &id).await;
+            // Longer than voters take to hear of both.
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            for taken_up_at in 0..3 {
+                let stream = take_up(site.system.callers_at(taken_up_at), &id).await;
+                if first == second {
+                    assert!(stream.events > 1, "at box {taken_up_at}: {stream:?}");
+                } else {
+                    assert_eq!(stream.events, 1, "at box {taken_up_at}: {stream:?}");
+                    assert_eq!(
+                        stream.refused,
+                        ["503 Service Unavailable \"stream-unknown\""]
+                    );
+                    refused += 1;
+                }
+            }
+        }
+        refused
+    };
+    let refused = tokio::select! {
+        refused = played => refused,
+        () = beat_on(&site.system, &site.endpoints) => unreachable!("heartbeats are sent for ever"),
+    };
+    assert!(refused >= 3, "no id was used at two builds");
+}
+
 /// Guards against a route with shares that draws the service anew when a stream is taken up.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_of_a_route_with_shares_goes_on_at_its_service() {
@@ -549,7 +641,7 @@
     let played = async {
         tokio::time::sleep(2 * HEARTBEAT).await;
         let (results, ()) = tokio::join!(
-            call_all(&callers, LENGTH),
+            call_all(&callers, PERIOD, LENGTH),
             restart(start, &mut site.boxes, 1, LENGTH)
         );
         results
