Endpoints of the native dialect may state their build in answers

Cause: the build of an answer was taken from the registry.

Change: an answer's header scalewood-build, if there is one, goes before the registry. Endpoints that state none are believed to have the build of their last heartbeat, as before. stream_build::a_stream_does_not_go_on_at_an_endpoint_that_changed_its_build_unheard failed before.

--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -8,7 +8,7 @@
 
 use hyper::{header, HeaderMap, StatusCode};
 
-use crate::core::{name, retry, unit, verdict};
+use crate::core::{build, name, retry, unit, verdict};
 
 /// A part of a prompt that other requests may have in common, so that its KV cache is reusable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -105,6 +105,12 @@
     /// Returns whether the headers of an answer say that the endpoint is leaving.
     fn is_leaving(headers: &HeaderMap) -> bool;
 
+    /// Returns the build of the endpoint that wrote an answer, if its headers state one. An endpoint
+    /// that has just started again may run another build than its last heartbeat states.
+    fn build(_headers: &HeaderMap) -> Option<build::Build> {
+        None
+    }
+
     /// Returns the event id if a line of a stream holds one.
     fn event_id(line: &[u8]) -> Option<&[u8]> {
         line.strip_prefix(b"id:").map(<[u8]>::trim_ascii)
@@ -150,6 +156,8 @@
 const LAST_EVENT_HEADER: &str = "last-event-id";
 /// The caller's id for the request that brought the first event of the stream that it resumes.
 const RESUMES_HEADER: &str = "scalewood-resumes";
+/// The build of the endpoint that wrote the answer.
+const BUILD_HEADER: &str = "scalewood-build";
 /// `1` if the endpoint is leaving.
 const LEAVING_HEADER: &str = "scalewood-leaving";
 
@@ -233,6 +241,10 @@
         text(headers, LEAVING_HEADER) == Some("1")
     }
 
+    fn build(headers: &HeaderMap) -> Option<build::Build> {
+        text(headers, BUILD_HEADER)?.parse().ok()
+    }
+
     fn add_headers(headers: &mut HeaderMap, id: Option<&str>, verdict: verdict::Verdict) {
         set(headers, VERDICT_HEADER, Some(verdict.as_str()));
         set(headers, ID_HEADER, id);
--- a/src/scalewood/ops/entry/routed/continuation.rs
+++ b/src/scalewood/ops/entry/routed/continuation.rs
@@ -177,7 +177,7 @@
         let stated = match &opened.via {
             Via::Endpoint { .. } => Some(Origin {
                 service: self.routed.call.key.service.clone(),
-                build: self.sent_build.clone(),
+                build: D::build(&opened.parts.headers).unwrap_or_else(|| self.sent_build.clone()),
             }),
             Via::Box(_) => take_stated(&mut opened.parts.headers),
         };
--- a/tests/testsuite/stream_build.rs
+++ b/tests/testsuite/stream_build.rs
@@ -105,6 +105,7 @@
 pub(crate) fn script(build: &str) -> Script {
     Script {
         build: Some(build.to_owned()),
+        states_build: false,
         mark: Some(build.to_owned()),
         events: EVENTS,
         pause: PAUSE,
@@ -602,6 +603,32 @@
     assert!(refused >= 3, "no id was used at two builds");
 }
 
+/// Guards against streams that go on at an endpoint which has started again under its name with another
+/// build, until its heartbeat arrives: it states its build in its answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_does_not_go_on_at_an_endpoint_that_changed_its_build_unheard() {
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&["v1", "v2"], dir.path()).await;
+    let id = "begun-before";
+    let build = begin(site.system.callers_at(0), id).await;
+    // Longer than voters take to hear of it.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // All endpoints start again, each with the other build, and none has sent a heartbeat.
+    for (i, endpoint) in site.endpoints.iter().enumerate() {
+        endpoint.set_script(Script {
+            states_build: true,
+            ..script(["v2", "v1"][i % 2])
+        });
+    }
+    for taken_up_at in 0..3 {
+        let stream = take_up(site.system.callers_at(taken_up_at), id).await;
+        assert!(
+            !stream.builds.iter().any(|other| *other != build),
+            "{stream:?}"
+        );
+    }
+}
+
 /// Guards against a route with shares that draws the service anew when a stream is taken up.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_of_a_route_with_shares_goes_on_at_its_service() {
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -136,6 +136,8 @@
 pub(crate) struct Script {
     /// The build that it states in heartbeats, if any.
     pub(crate) build: Option<String>,
+    /// Whether it states its build in answers too.
+    pub(crate) states_build: bool,
     /// What it writes into each event, if anything.
     pub(crate) mark: Option<String>,
     /// The number of events of a complete stream.
@@ -148,6 +150,7 @@
     fn default() -> Self {
         Self {
             build: None,
+            states_build: false,
             mark: None,
             events: EVENTS,
             pause: Duration::from_millis(5),
@@ -487,7 +490,12 @@
         tokio::time::sleep(pause).await;
         Some((piece, rest))
     });
-    Response::new(StreamBody::new(pieces).boxed_unsync())
+    let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
+    if let Some(build) = script.build.as_deref().filter(|_| script.states_build) {
+        let headers = response.headers_mut();
+        headers.insert("scalewood-build", build.parse().unwrap());
+    }
+    response
 }
 
 /// Voters that form a cluster without an operator, and an entry box.
