--- a/tests/testsuite/reach_soak.rs
+++ b/tests/testsuite/reach_soak.rs
@@ -339,7 +339,11 @@
 }
 
 async fn soak(seed: u64, length: Duration) -> Vec<String> {
-    let dir = tempfile::tempdir().unwrap();
+    let name = format!("reach-soak-{seed}-");
+    let dir = tempfile::Builder::new()
+        .prefix(&name)
+        .tempdir_in(env!("CARGO_TARGET_TMPDIR"))
+        .unwrap();
     let mut site = Site::start(&MOST, dir.path()).await;
     let boxes = Mutex::new(std::mem::take(&mut site.boxes));
     let (site, account) = (&site, &Account::default());
@@ -375,6 +379,9 @@
             "only {whole} of {sent} requests were answered whole"
         ));
     }
+    if !violations.is_empty() {
+        println!("seed {seed}: logs in {}", dir.keep().display());
+    }
     violations
 }
 
--- a/tests/testsuite/stream_build.rs
+++ b/tests/testsuite/stream_build.rs
@@ -46,6 +46,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// The fraction of the streams that endpoints break off.
 const BROKEN_FRACTION: f64 = 0.3;
+/// The longest median time to a first event: the pause before it and less than a box waits for an answer of
+/// a voter.
+const MAX_MEDIAN_FIRST_EVENT: Duration = Duration::from_millis(200);
 /// How often streams that callers take up must go on while boxes are killed one by one, relative to how
 /// often new ones begin.
 const MIN_TAKEN_UP_FRACTION: f64 = 0.95;
@@ -55,6 +58,8 @@
 /// What happens while streams run.
 #[derive(Clone, Copy, Debug, Default)]
 struct Faults {
+    /// A voter is stopped, so that it answers nothing while its connections stay.
+    stops_voter: bool,
     /// Endpoints break streams off.
     breaks: bool,
     /// This number of boxes at a time are killed and start again.
@@ -220,6 +225,8 @@
     pub(crate) begun_by: String,
     /// The number of events.
     pub(crate) events: usize,
+    /// How long after it was asked for the first event arrived.
+    first_event: Option<Duration>,
     /// The builds that wrote them.
     pub(crate) builds: BTreeSet<String>,
     /// Whether a box has answered the last attempt.
@@ -283,6 +290,7 @@
         headers.push(("last-event-id", last));
         headers.push(("scalewood-resumes", &begun_by));
     }
+    let asked_at = Instant::now();
     let response = connection.send_to(HOST, "POST", "/sresume/order", &headers, "a body");
     let response = response.await.ok()?;
     stream.is_answered = true;
@@ -290,7 +298,9 @@
         let status = response.status();
         let body = response.into_body().collect().await.ok()?.to_bytes();
         let refusal: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-        stream.refused.push(format!("{status} {}", refusal["error"]["code"]));
+        stream
+            .refused
+            .push(format!("{status} {}", refusal["error"]["code"]));
         return None;
     }
     let mut body = response.into_body();
@@ -299,6 +309,7 @@
         text.push_str(std::str::from_utf8(frame.ok()?.data_ref()?).unwrap());
         while let Some((event, rest)) = text.split_once("\n\n") {
             stream.add(event);
+            stream.first_event.get_or_insert(asked_at.elapsed());
             text = rest.to_owned();
         }
     }
@@ -329,6 +340,8 @@
     /// The streams with events of two builds.
     pub(crate) mixed: usize,
     pub(crate) tally: Tally,
+    /// The time to the first event: the median and the 99th percentile.
+    first_event: [Duration; 2],
 }
 
 /// Begins a stream at the next box each `period` for a time, and receives them.
@@ -346,6 +359,7 @@
         tokio::time::sleep(period).await;
     }
     let mut results = Results::default();
+    let mut first_events = Vec::new();
     for task in tasks {
         let (stream, tally) = task.await.unwrap();
         results.tally.add(&tally);
@@ -353,7 +367,12 @@
         results.streams += 1;
         results.whole += usize::from(stream.is_whole());
         results.mixed += usize::from(stream.builds.len() > 1);
+        first_events.extend(stream.first_event);
     }
+    first_events.sort();
+    let last = first_events.len().saturating_sub(1) as f64;
+    let percentile = |fraction: f64| first_events.get((last * fraction) as usize).copied();
+    results.first_event = [0.5, 0.99].map(|fraction| percentile(fraction).unwrap_or_default());
     results
 }
 
@@ -367,6 +386,12 @@
     let dir = tempfile::tempdir().unwrap();
     let mut site = Site::start(builds, dir.path()).await;
     let callers: Vec<_> = (0..BOXES).map(|i| site.system.callers_at(i)).collect();
+    if faults.stops_voter {
+        site.system.voters[VOTERS - 1]
+            .as_ref()
+            .unwrap()
+            .signal("STOP");
+    }
     let start = |i| site.system.start_entry_at(i);
     let played = async {
         let (results, (), ()) = tokio::join!(
@@ -421,6 +446,7 @@
     let faults = Faults {
         breaks: true,
         kills: 1,
+        ..Faults::default()
     };
     let results = run(&["v1", "v1.1", "v1.2"], faults).await;
     assert!(
@@ -432,6 +458,22 @@
     assert!(went_on >= MIN_TAKEN_UP_FRACTION, "{went_on}: {results:?}");
 }
 
+/// Guards against new streams that are held up until voters have recorded where they began: one voter
+/// does not answer, and a wait for it would take longer than the bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_streams_wait_for_no_voter() {
+    for builds in [&["v1"][..], &["v1", "v2"]] {
+        let faults = Faults {
+            stops_voter: true,
+            ..Faults::default()
+        };
+        let results = run(builds, faults).await;
+        assert_eq!(results.mixed, 0, "streams of two builds: {results:?}");
+        let [median, _] = results.first_event;
+        assert!(median < MAX_MEDIAN_FIRST_EVENT, "{results:?}");
+    }
+}
+
 /// Guards against streams that are lost with most boxes of the site.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_when_three_of_four_boxes_are_killed_at_once() {
