A learner that hears no leader forgets it, so that it joins again after it was removed

What operators saw: a voter that had lost its disk, or was replaced, came back and never voted again; the cluster went on with two voters, and the loss of one more stopped all changes.

Cause: the leader removes a learner that does not answer for 1.5 s. A removed node is not told, so a node asks to join again when it has known of no leader for 1.2 s. A voter forgets the leader as its election timeout ends; a learner starts no election, and kept the leader for ever.

Why tests missed it: the pure runs let a node ask to join by the leader's view of the membership. They go by the node's own now, which is stricter: random::agree::voters_that_repair_themselves_* fails without the change, as does a_learner_that_was_removed_unheard_joins_again.

Change: where a voter would start an election, a learner forgets the leader. A request to join by a node that is still a member does no harm, as before.

--- a/src/scalewood/core/raft/elect.rs
+++ b/src/scalewood/core/raft/elect.rs
@@ -11,10 +11,12 @@
 };
 
 impl<S: State> Voter<S> {
-    /// Starts an election if this node is a voter, with a pre-vote first unless `real` is set.
+    /// Starts an election if this node is a voter, with a pre-vote first unless `real` is set. A learner
+    /// only forgets the leader: it may have been removed, and a removed node is not told.
     pub(super) fn start_election(&mut self, real: bool, now: Duration) {
         self.reset_election(now);
         if !self.is_voter() {
+            self.role = Role::Follower { leader: None };
             return;
         }
         self.campaign(real, false, now);
--- a/tests/testsuite/random/agree.rs
+++ b/tests/testsuite/random/agree.rs
@@ -271,7 +271,8 @@
         }
     }
 
-    /// Lets nodes that are not members ask the leader to join, as they do without an operator.
+    /// Lets nodes ask the leader to join, as they do without an operator: those that by their own view
+    /// are no members, or that know of no leader.
     fn ask_to_join(&mut self) {
         let leads =
             |member: &Member| !member.frozen && member.voter.as_ref().is_some_and(Voter::is_leader);
@@ -284,7 +285,13 @@
         let members = &status.members;
         for i in 0..self.members.len() {
             let member = &mut self.members[i];
-            let is_member = members.is_voter(&member.node) || members.is_learner(&member.node);
+            let must_join = |voter: &Voter<AppliedCommands>| {
+                let own = voter.status();
+                let is_member =
+                    own.members.is_voter(&own.node) || own.members.is_learner(&own.node);
+                !is_member || own.leader.is_none()
+            };
+            let must_join = member.voter.as_ref().is_some_and(must_join);
             let old_is_gone = member
                 .old_identity
                 .as_ref()
@@ -294,8 +301,7 @@
                 member.old_identity = None;
             }
             let cut = self.cut.contains(&(i, leader)) || self.cut.contains(&(leader, i));
-            let runs = member.voter.is_some() && !member.frozen;
-            if !is_member && runs && !cut {
+            if must_join && !member.frozen && !cut {
                 let join = Input::Join(member.node.clone(), address());
                 self.step(leader, join);
             }
@@ -619,6 +625,36 @@
     );
 }
 
+/// Guards against a node that never votes again: it was added as a learner and removed while it did not
+/// answer, and neither its log nor the leader tells it. As a learner it starts no election either.
+#[test]
+fn a_learner_that_was_removed_unheard_joins_again() {
+    let mut cluster = Cluster::with_repair(3, NODES, Some(Repair::default()));
+    cluster.advance(3000);
+    let leads = |member: &Member| member.voter.as_ref().is_some_and(Voter::is_leader);
+    let leader = cluster.members.iter().position(leads).unwrap();
+    let replaced = (leader + 1) % NODES;
+    let is_learner = |cluster: &Cluster| {
+        let member = &cluster.members[replaced];
+        let status = member.voter.as_ref().map(Voter::status);
+        status.is_some_and(|status| status.members.is_learner(&status.node))
+    };
+    cluster.run_step(Step::Replace(replaced));
+    while !is_learner(&cluster) {
+        cluster.advance(1);
+    }
+    // It knows that it is a learner, and is silent until the leader has removed it.
+    let other = (leader + 2) % NODES;
+    cluster.run_step(Step::Cut(replaced, leader));
+    cluster.run_step(Step::Cut(replaced, other));
+    cluster.advance(3000);
+    assert!(is_learner(&cluster), "it was told");
+    cluster.settle();
+    let member = &cluster.members[replaced];
+    let status = member.voter.as_ref().unwrap().status();
+    assert!(status.members.is_voter(&status.node), "{status:?}");
+}
+
 /// A shortened form of seed 20042 of the run above. If a learner counts among the responsive
 /// voters, a silent voter is removed and only two voters remain; the loss of one disk then stops
 /// all changes for good.
