--- a/tests/testsuite/stream_soak.rs
+++ b/tests/testsuite/stream_soak.rs
@@ -26,8 +26,11 @@
 use crate::{
     reach::{Site, BOXES, MOST},
     reach_soak::{cut_links, disturb_boxes, Account},
-    stream_build::{attempt, receive, script, Stream, Tally, EVENTS},
-    support::{client, routed::Act},
+    support::{
+        client,
+        routed::Act,
+        streams::{attempt, receive, script, Stream, Tally, EVENTS},
+    },
 };
 
 /// The seeds of a run without environment variables.
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -10,4 +10,5 @@
 pub(crate) mod reader;
 pub(crate) mod rewriter;
 pub(crate) mod routed;
+pub(crate) mod streams;
 pub(crate) mod voter;
