Log why no further attempt follows, and what a caller already has

A stream that was closed in the middle could not be told from an answer with status 504. Nothing is decided differently.

--- a/src/scalewood/ops/entry/observer.rs
+++ b/src/scalewood/ops/entry/observer.rs
@@ -129,6 +129,11 @@
         self.longest_pause
     }
 
+    /// Returns the number of pieces of a stream that were passed on so far; each holds one or more events.
+    pub(super) fn events(&self) -> u64 {
+        self.tokens
+    }
+
     /// Counts tokens that have to be processed again.
     pub(super) fn wasted(&self, tokens: unit::Tokens) {
         self.board
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -585,8 +585,9 @@
         event!(self.context.board.log, RequestRetried, "id" => self.routed.head.id.as_deref(),
             "endpoint" => %endpoint, "how" => ?failure.end, "tries" => self.tries,
             "budget" => self.budget_level(),
-            "rest_ms" => backoff.map(|backoff| backoff.as_millis()), "again" => wait.is_some(), "left_ms" => self.time_left().as_millis());
-        let Some(wait) = wait else {
+            "rest_ms" => backoff.map(|backoff| backoff.as_millis()), "again" => wait.is_ok(), "why" => wait.err().map(|denial| denial.as_str()),
+            "events" => self.observer.events(), "left_ms" => self.time_left().as_millis());
+        let Ok(wait) = wait else {
             return Err(match own {
                 Some((parts, body)) => self.pass_through(parts, body),
                 None => self.refuse(&reply::failed(failure.end, self.verdict)),
@@ -687,7 +688,7 @@
             "cause" => self.cause.as_ref().map(dispatch::Cause::as_str), "held_back_by" => self.held_back_by(),
             "retry_ms" => self.retry_after.map(|wait| wait.as_millis()), "tries" => self.tries,
             "first_ms" => self.observer.first_after().map(|first| first.as_millis()),
-            "pause_ms" => self.observer.longest_pause().as_millis(),
+            "pause_ms" => self.observer.longest_pause().as_millis(), "events" => self.observer.events(),
             "took_ms" => took.as_millis(), "status" => status.as_u16(), "code" => code, "verdict" => %verdict,
             "revision" => %routed.revision, "behind_ms" => behind.as_millis());
     }
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -162,8 +162,9 @@
         let wait = self.next_wait(failure);
         event!(self.context.board.log, RequestRetried, "id" => self.routed.head.id.as_deref(),
             "box" => %name, "how" => ?failure.end, "tries" => self.tries,
-            "again" => wait.is_some(), "left_ms" => self.time_left().as_millis());
-        let Some(wait) = wait else {
+            "again" => wait.is_ok(), "why" => wait.err().map(|denial| denial.as_str()),
+            "events" => self.observer.events(), "left_ms" => self.time_left().as_millis());
+        let Ok(wait) = wait else {
             return Err(self.refuse(&reply::failed(failure.end, self.verdict)));
         };
         tokio::time::sleep(wait).await;
--- a/src/scalewood/ops/entry/routed/retries.rs
+++ b/src/scalewood/ops/entry/routed/retries.rs
@@ -16,6 +16,34 @@
 const MAX_MISSES: u32 = 7;
 /// The least remaining time for which another attempt is worth while.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
+/// Why no further attempt follows a failed one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Denial {
+    /// The request may have run and may not run again.
+    NotRepeatable,
+    /// All attempts that the route or this box allows were made.
+    Attempts,
+    /// Too little of the request's time is left.
+    Time,
+    /// No endpoint is in reach, from here or from another box.
+    Unreachable,
+    /// The service's retry budget is empty.
+    Budget,
+}
+
+impl Denial {
+    /// Returns its name in the log.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Denial::NotRepeatable => "not-repeatable",
+            Denial::Attempts => "attempts",
+            Denial::Time => "time",
+            Denial::Unreachable => "unreachable",
+            Denial::Budget => "budget",
+        }
+    }
+}
+
 /// The waits before retries. They are short since requests are due within some hundred
 /// milliseconds.
 const BACKOFF: retry::Backoff = retry::Backoff {
@@ -55,37 +83,47 @@
     }
 
     /// Reserves a retry of the service's budget for the next attempt, after `tries` attempts, unless
-    /// one is reserved already. Returns how long to wait first, or `None` if there is no retry left.
-    fn reserve_retry(&mut self, tries: u32) -> Option<Duration> {
+    /// one is reserved already. Returns how long to wait first.
+    fn reserve_retry(&mut self, tries: u32) -> Result<Duration, Denial> {
         if self.retry.is_none() {
             let service = &self.routed.call.key.service;
-            self.retry = Some(retries::reserve(&self.context.board, service)?);
+            let reserved = retries::reserve(&self.context.board, service);
+            self.retry = Some(reserved.ok_or(Denial::Budget)?);
         }
-        Some(BACKOFF.wait(tries, rand::random()))
+        Ok(BACKOFF.wait(tries, rand::random()))
     }
 
-    /// Returns how long to wait before the next attempt, or `None` if no further one is allowed.
-    pub(super) fn next_wait(&mut self, failure: Failure) -> Option<Duration> {
-        let route = &self.routed.route;
-        let is_last = if failure.missed_endpoint() {
+    /// Returns how long to wait before the next attempt, or why no further one is allowed.
+    pub(super) fn next_wait(&mut self, failure: Failure) -> Result<Duration, Denial> {
+        if self.time_left() < MIN_TIME_LEFT {
+            return Err(Denial::Time);
+        }
+        if failure.missed_endpoint() {
             // Over lost links, further endpoints would be missed too.
-            self.misses > MAX_MISSES || self.is_stranded()
-        } else {
-            self.reached() >= MAX_ATTEMPTS
-        };
-        if self.time_left() < MIN_TIME_LEFT || is_last {
-            return None;
+            if self.is_stranded() {
+                return Err(Denial::Unreachable);
+            }
+            if self.misses > MAX_MISSES {
+                return Err(Denial::Attempts);
+            }
+        } else if self.reached() >= MAX_ATTEMPTS {
+            return Err(Denial::Attempts);
         }
-        let harmless = self.verdict == verdict::Verdict::NotRun;
-        if !harmless && (!route.kind.is_repeatable() || self.runs >= route.attempts) {
-            return None;
+        let route = &self.routed.route;
+        if self.verdict != verdict::Verdict::NotRun {
+            if !route.kind.is_repeatable() {
+                return Err(Denial::NotRepeatable);
+            }
+            if self.runs >= route.attempts {
+                return Err(Denial::Attempts);
+            }
         }
         match failure.end {
             // The endpoint received nothing, so the next attempt costs no budget.
-            dispatch::End::Unreachable => Some(Duration::ZERO),
+            dispatch::End::Unreachable => Ok(Duration::ZERO),
             // By the next tick the dispatcher here knows why the request was not sent, such as a
             // cordon.
-            dispatch::End::Unused => Some(dispatchers::TICK_INTERVAL),
+            dispatch::End::Unused => Ok(dispatchers::TICK_INTERVAL),
             // A wrong endpoint received the request and rejected it: this costs budget, but
             // does not count against `MAX_ATTEMPTS`.
             dispatch::End::Mistaken => self.reserve_retry(0).map(|_| Duration::ZERO),
