--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod overload;
 mod pace;
 mod path;
+mod pause;
 mod placement;
 mod placement_large;
 mod precedence;
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -32,7 +32,10 @@
     },
     ops::operate,
 };
-use tokio::{net::TcpListener, sync::Notify};
+use tokio::{
+    net::TcpListener,
+    sync::{watch, Notify},
+};
 
 use super::{client, deploy};
 
@@ -127,6 +130,8 @@
     running: Arc<AtomicUsize>,
     /// The streams that it writes.
     script: Arc<Mutex<Script>>,
+    /// Whether it writes nothing, as a process that got no processor time.
+    paused: watch::Sender<bool>,
     /// Is notified when a crashing request has begun.
     crashing_request_begun: Arc<Notify>,
 }
@@ -213,6 +218,7 @@
             start: Arc::new(AtomicU64::new(1)),
             running: Arc::default(),
             script: Arc::default(),
+            paused: watch::Sender::new(false),
             crashing_request_begun: Arc::default(),
         };
         let (acts, seen) = (endpoint.acts.clone(), endpoint.seen.clone());
@@ -221,6 +227,7 @@
         let (room, busy) = (endpoint.room.clone(), Arc::new(AtomicUsize::new(0)));
         let running = endpoint.running.clone();
         let script = endpoint.script.clone();
+        let paused = endpoint.paused.clone();
         let (crashing_request_begun, default_act) = (
             endpoint.crashing_request_begun.clone(),
             endpoint.default_act.clone(),
@@ -228,7 +235,7 @@
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (acts, seen, running) = (acts.clone(), seen.clone(), running.clone());
-                let script = script.clone();
+                let (script, paused) = (script.clone(), paused.clone());
                 let (crashing_request_begun, default_act) =
                     (crashing_request_begun.clone(), default_act.clone());
                 let (work, limit) = (work.clone(), limit.clone());
@@ -239,6 +246,7 @@
                         (acts.clone(), seen.clone(), crashing_request_begun.clone());
                     let run = Run::begin(&running);
                     let script = script.lock().unwrap().clone();
+                    let mut paused = paused.subscribe();
                     let next = acts.lock().unwrap().pop_front();
                     let act = next.or(*default_act.lock().unwrap());
                     let work = *work.lock().unwrap();
@@ -251,7 +259,7 @@
                     async move {
                         let mut answer = answer(
                             request,
-                            (act, limit, start, script),
+                            (act, limit, start, script, paused.clone()),
                             &seen,
                             &crashing_request_begun,
                             run,
@@ -265,6 +273,7 @@
                         if !is_full {
                             tokio::time::sleep(work).await;
                         }
+                        wait_unpaused(&mut paused).await;
                         drop(place);
                         Ok::<_, Infallible>(answer)
                     }
@@ -290,6 +299,11 @@
         *self.script.lock().unwrap() = script;
     }
 
+    /// Pauses it or lets it go on. While paused it receives requests and writes nothing.
+    pub(crate) fn set_paused(&self, paused: bool) {
+        self.paused.send_replace(paused);
+    }
+
     /// Sets the time that it takes before each answer begins.
     pub(crate) fn set_work_time(&self, work: Duration) {
         *self.work.lock().unwrap() = work;
@@ -369,9 +383,21 @@
     }
 }
 
+/// Waits until an endpoint is not paused.
+async fn wait_unpaused(paused: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the endpoint; nothing pauses one that is gone.
+    let _ = paused.wait_for(|paused| !paused).await;
+}
+
 async fn answer(
     request: Request<Incoming>,
-    (act, limit, start, script): (Option<Act>, Option<&'static str>, u64, Script),
+    (act, limit, start, script, paused): (
+        Option<Act>,
+        Option<&'static str>,
+        u64,
+        Script,
+        watch::Receiver<bool>,
+    ),
     seen: &Mutex<Vec<Seen>>,
     crashing_request_begun: &Notify,
     run: Run,
@@ -420,8 +446,9 @@
         Some(Act::Mistaken) => plain(421, "another"),
         _ if path.starts_with("/s") => {
             let first = after.map_or(0, |id| id.to_str().unwrap().parse::<usize>().unwrap() + 1);
-            stream(first, act, &script, run)
+            stream(first, (act, &script), run, paused)
         }
+        _ if path.contains("/pieces/") => in_pieces(run, paused),
         _ => plain(200, "well"),
     };
     let id = match act {
@@ -460,8 +487,21 @@
     response
 }
 
-fn stream(first: usize, act: Option<Act>, script: &Script, run: Run) -> Response<Body> {
-    let pause = script.pause;
+/// The time between two pieces of a body that is sent in pieces.
+const PIECE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Returns an answer whose body is sent in pieces.
+fn in_pieces(run: Run, paused: watch::Receiver<bool>) -> Response<Body> {
+    let pieces = ["we", "ll"].map(|piece| Ok(Frame::data(Bytes::from(piece))));
+    body_of(pieces.into(), (PIECE_INTERVAL, false), run, paused)
+}
+
+fn stream(
+    first: usize,
+    (act, script): (Option<Act>, &Script),
+    run: Run,
+    paused: watch::Receiver<bool>,
+) -> Response<Body> {
     let mut pieces: Vec<Result<Frame<Bytes>, std::io::Error>> = Vec::new();
     for number in first..script.events {
         let by = script.mark.as_deref().map(|mark| format!(" by {mark}"));
@@ -478,7 +518,22 @@
         pieces.push(Ok(Frame::data(Bytes::from(event))));
     }
     let stalls = matches!(act, Some(Act::StallAfter(_)));
-    let rest = (pieces.into_iter(), run);
+    let mut response = body_of(pieces, (script.pause, stalls), run, paused);
+    if let Some(build) = script.build.as_deref().filter(|_| script.states_build) {
+        let headers = response.headers_mut();
+        headers.insert("scalewood-build", build.parse().unwrap());
+    }
+    response
+}
+
+/// Returns an answer with a body of pieces, which ends after the last one unless it stalls there.
+fn body_of(
+    pieces: Vec<Result<Frame<Bytes>, std::io::Error>>,
+    (interval, stalls): (Duration, bool),
+    run: Run,
+    paused: watch::Receiver<bool>,
+) -> Response<Body> {
+    let rest = (pieces.into_iter(), run, paused);
     let pieces = futures_util::stream::unfold(rest, move |mut rest| async move {
         let Some(piece) = rest.0.next() else {
             if stalls {
@@ -486,16 +541,12 @@
             }
             return None;
         };
-        // The pause lets each event be sent separately.
-        tokio::time::sleep(pause).await;
+        // The interval lets each piece be sent separately.
+        tokio::time::sleep(interval).await;
+        wait_unpaused(&mut rest.2).await;
         Some((piece, rest))
     });
-    let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
-    if let Some(build) = script.build.as_deref().filter(|_| script.states_build) {
-        let headers = response.headers_mut();
-        headers.insert("scalewood-build", build.parse().unwrap());
-    }
-    response
+    Response::new(StreamBody::new(pieces).boxed_unsync())
 }
 
 /// Voters that form a cluster without an operator, and an entry box.
@@ -763,7 +814,7 @@
     }
 
     /// Returns how many endpoints the dispatcher of the first box knows.
-    async fn known_endpoints(&self) -> f64 {
+    pub(crate) async fn known_endpoints(&self) -> f64 {
         self.service_metric("endpoints_known").await
     }
 
