Leave a silent endpoint only for another one that has answered

What callers saw: streams were closed in the middle, and repeatable requests got 504, about a second after their sound endpoint had paused, while it went on 20 to 400 ms later.

Cause: an endpoint that sent no event for 1.2 s, or no head for a second, counted as failed whatever was left for another attempt. The box closed its connection, which ended the run, and only then asked for a retry. With an empty budget, used-up attempts or a refused ask the answer ended. For heads the budget was looked at when the request was sent, a second earlier. Class: to give up what one has for a replacement that is not there yet.

The fix: a silent endpoint keeps its run and its connection. It is reported silent to its dispatcher at the same moment as before, and if attempts, time and budget allow it another endpoint (or box) is asked beside it. The first that answers serves the request, and the other runs end. An ask that is shed, a second endpoint that refuses, breaks, is silent too or answers with an error, and a stream that can't go on elsewhere end nothing. If no retry is left, that is checked again each 100 ms, so a dead endpoint is left as soon as one is earned. Attempts that are under way count against the route's attempts.

--- a/src/scalewood/ops/entry/routed/continuation.rs
+++ b/src/scalewood/ops/entry/routed/continuation.rs
@@ -16,7 +16,8 @@
         origin,
         reply::Refusal,
         routed::{
-            attempt::{Opened, Request, Via},
+            attempt::{Opened, Via},
+            request::Request,
             Context,
         },
     },
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -20,8 +20,9 @@
         now, reach,
         reply::Refusal,
         routed::{
-            attempt::{self, Opened, Via},
-            reply, Context,
+            attempt::{Opened, Via},
+            request::{self, Ending},
+            Context,
         },
         upstream::{self, Failure},
         Shared,
@@ -81,7 +82,7 @@
     }
 }
 
-impl<D: Dialect> attempt::Request<D> {
+impl<D: Dialect> request::Request<D> {
     /// Returns whether the request goes to another box rather than to an endpoint.
     pub(super) fn is_forwardable(&self) -> bool {
         let service = &self.routed.call.key.service;
@@ -91,16 +92,13 @@
     }
 
     /// Sends the request to another box if this one has lost its links to the endpoints. Returns its
-    /// answer, or a refusal as an error; `None` if no other box takes the request.
-    pub(super) async fn forward(
-        &mut self,
-        after: Option<&str>,
-    ) -> Option<Result<Opened, Response<Answer>>> {
+    /// answer, or why there is none; `None` if no other box takes the request.
+    pub(super) async fn forward(&mut self, after: Option<&str>) -> Option<Result<Opened, Ending>> {
         let board = self.context.board.clone();
         let service = self.routed.call.key.service.clone();
         while self.is_forwardable() {
             if let Err(refusal) = self.settle_origin().await {
-                return Some(Err(self.refuse(&refusal)));
+                return Some(Err(Ending::Refused(refusal)));
             }
             let peer = reach::pick_peer(&board, &service).await?;
             self.forwards += 1;
@@ -111,9 +109,11 @@
             let timeouts = (CONNECT_TIMEOUT, self.time_left() + ANSWER_GRACE);
             let peers = self.context.peers.clone();
             let serving = Serving::begin(&board, &peer.name);
+            self.in_flight += 1;
             let sent = peers.send(peer.address, request, timeouts, || true).await;
             match sent {
                 Ok((_, response)) if response.headers().contains_key(UNAVAILABLE_HEADER) => {
+                    self.in_flight -= 1;
                     lock(&board.peers).avoid(&peer.name, now(&board));
                 }
                 Ok((sender, response)) => {
@@ -133,8 +133,8 @@
                     }));
                 }
                 Err(failure) => {
-                    if let Err(refusal) = self.handle_lost_box(&peer.name, failure).await {
-                        return Some(Err(refusal));
+                    if let Err(ending) = self.handle_lost_box(&peer.name, failure).await {
+                        return Some(Err(ending));
                     }
                 }
             }
@@ -142,19 +142,20 @@
         None
     }
 
-    /// Handles the loss of a box that the request was sent to, or its refusal to go on; returns the final answer as an error
+    /// Handles the loss of a box that the request was sent to, or its refusal to go on; returns an error
     /// if the request may have run and may not run again.
     pub(super) async fn handle_lost_box(
         &mut self,
         name: &name::Box,
         failure: Failure,
-    ) -> Result<(), Response<Answer>> {
+    ) -> Result<(), Ending> {
         let may_have_run = failure.verdict != verdict::Verdict::NotRun;
         if failure.may_have_arrived() {
             self.spend_retry();
         }
         let board = &self.context.board;
         lock(&board.peers).avoid(name, now(board));
+        self.in_flight -= 1;
         self.tries += 1;
         self.misses += u32::from(!may_have_run);
         self.runs += u32::from(may_have_run);
@@ -165,7 +166,7 @@
             "again" => wait.is_ok(), "why" => wait.err().map(|denial| denial.as_str()),
             "events" => self.observer.events(), "left_ms" => self.time_left().as_millis());
         let Ok(wait) = wait else {
-            return Err(self.refuse(&reply::failed(failure.end, self.verdict)));
+            return Err(Ending::Failed(failure.end));
         };
         tokio::time::sleep(wait).await;
         Ok(())
@@ -207,7 +208,7 @@
             by: self.context.board.own.name.clone(),
             revision: routed.revision,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            runs: self.runs,
+            runs: self.runs + self.in_flight,
             counted: self.observer.is_counted(),
             returned: routed.call.is_client_retry,
             origin: self.origin.clone(),
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! - `outgoing`: the head and body that are sent to an endpoint.
 //! - `pool`: idle connections to endpoints.
-//! - `attempt`: attempts at endpoints, until one answers or no further one is allowed.
+//! - `request`: attempts, until one is answered or no further one is allowed.
+//! - `attempt`: one attempt at an endpoint, to the head of its answer.
 //! - `retries`: decides whether and when another attempt follows.
 //! - `continuation`: where a stream began that goes on, and that it goes on only there.
 //! - `forward`: has another box serve a request while this one reaches no endpoint.
@@ -39,6 +40,7 @@
 mod outgoing;
 mod pool;
 mod reply;
+mod request;
 mod retries;
 mod returning;
 mod stream;
@@ -167,7 +169,7 @@
             );
             return self.refuse(&gone, id.as_deref());
         }
-        let request = attempt::Request::new(self.clone(), routed);
+        let request = request::Request::new(self.clone(), routed);
         if request.is_stream() {
             stream::serve(request).await
         } else {
--- a/src/scalewood/ops/entry/routed/retries.rs
+++ b/src/scalewood/ops/entry/routed/retries.rs
@@ -5,7 +5,7 @@
 use crate::{
     core::{dispatch, retry, verdict},
     ops::entry::{
-        dialect::Dialect, dispatchers, reach, retries, routed::attempt::Request, upstream::Failure,
+        dialect::Dialect, dispatchers, reach, retries, routed::request::Request, upstream::Failure,
     },
 };
 
@@ -52,11 +52,11 @@
 };
 
 impl<D: Dialect> Request<D> {
-    /// Returns whether the request may be sent again if this attempt may have run.
+    /// Returns whether the request may be sent again if the next attempt may have run.
     pub(super) fn may_run_again(&self) -> bool {
         let route = &self.routed.route;
         route.kind.is_repeatable()
-            && self.runs + 1 < route.attempts
+            && self.runs + self.in_flight + 1 < route.attempts
             && self.reached() < MAX_ATTEMPTS
     }
 
@@ -110,11 +110,11 @@
             return Err(Denial::Attempts);
         }
         let route = &self.routed.route;
-        if self.verdict != verdict::Verdict::NotRun {
+        if self.verdict != verdict::Verdict::NotRun || self.in_flight > 0 {
             if !route.kind.is_repeatable() {
                 return Err(Denial::NotRepeatable);
             }
-            if self.runs >= route.attempts {
+            if self.runs + self.in_flight >= route.attempts {
                 return Err(Denial::Attempts);
             }
         }
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -1,5 +1,8 @@
 //! Relays a stream to the caller, event by event, and resumes it at another endpoint on failure.
 //!
+//! While its endpoint is silent, another one is asked to resume the stream beside it. The stream goes on at
+//! the one that answers first, and the run at the other one ends.
+//!
 //! Only whole events are relayed, so that a stream that breaks off can be resumed after the
 //! last event that was relayed. A stream that can't be resumed is cut off without its regular
 //! end, so the caller never takes it for complete.
@@ -8,18 +11,23 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::{body::Incoming, http::response, Response};
+use hyper::{
+    body::{Frame, Incoming},
+    http::response,
+    Response,
+};
 use tokio::sync::mpsc;
 
 use crate::{
-    core::{dispatch, name, pace, unit, verdict},
+    core::{dispatch, pace, unit, verdict},
     ops::entry::{
         body::{self, Answer, Piece, Truncated},
         dialect::Dialect,
         now,
         routed::{
-            attempt::{Opened, Request, Via},
-            continuation, pool, reply,
+            attempt::{Opened, Run, Via},
+            continuation, reply,
+            request::{Ending, Request, RECHECK_INTERVAL},
         },
         upstream::Failure,
     },
@@ -27,7 +35,7 @@
 };
 
 /// The longest pause of a resumable stream, at an endpoint where nothing waits for prefill,
-/// before another endpoint is tried.
+/// before another endpoint is tried too.
 const MAX_PAUSE: Duration = Duration::from_millis(1200);
 
 /// Serves a request whose answer is a stream.
@@ -35,10 +43,10 @@
     loop {
         let mut opened = match request.open(None).await {
             Ok(opened) => opened,
-            Err(response) => return response,
+            Err(ending) => return request.conclude(ending),
         };
         if !opened.parts.status.is_success() {
-            // An error status of the endpoint comes with a plain body, not a stream.
+            // A status other than success comes with a plain body, not a stream.
             match request.finish_whole(opened).await {
                 Some(response) => return response,
                 None => continue,
@@ -79,61 +87,78 @@
     events: u64,
 }
 
+/// How the relaying of an answer ended.
+enum Relayed {
+    /// The stream is complete.
+    Complete(Via, response::Parts),
+    /// The answer failed.
+    Failed(Via, Failure),
+    /// The stream goes on with the answer of another endpoint.
+    Replaced(Opened),
+}
+
+/// What follows in an answer.
+enum Next {
+    /// A part of the answer, or its end.
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// The answer of another endpoint, which goes on with the stream.
+    Replacement(Opened),
+    /// Nothing until the request's deadline.
+    Nothing,
+}
+
 impl<D: Dialect> Relay<D> {
     async fn run(mut self, first: Opened) {
         let mut opened = first;
         loop {
-            let Opened { via, parts, body } = opened;
-            let passed = if parts.status.is_success() {
-                self.relay_events(&via, body).await
-            } else {
-                Err(match via {
-                    Via::Endpoint { .. } => Failure::BROKEN,
-                    Via::Box(_) => Failure::REFUSED,
-                })
-            };
-            match passed {
-                Ok(()) => return self.done(via, &parts),
-                Err(failure) => {
-                    if self.handle_failure(via, failure).await.is_err() {
-                        return self.cut().await;
+            opened = match self.relay_events(opened).await {
+                Relayed::Complete(via, parts) => return self.done(via, &parts),
+                Relayed::Replaced(opened) => opened,
+                Relayed::Failed(via, failure) => {
+                    let reopened = match self.handle_failure(via, failure).await {
+                        Ok(()) => self.reopen().await,
+                        Err(ending) => Err(ending),
+                    };
+                    match reopened {
+                        Ok(opened) => opened,
+                        Err(ending) => return self.cut(ending).await,
                     }
                 }
-            }
-            if self.events > 0 {
-                self.request.renew_patience();
-            }
-            opened = match self.reopen().await {
-                Some(opened) => opened,
-                None => return self.cut().await,
             };
         }
     }
 
-    /// Goes on after the last event, only where the stream began; returns `None` if that is not possible.
-    async fn reopen(&mut self) -> Option<Opened> {
-        if self.events > 0 && self.request.origin.is_none() {
-            return None;
+    /// Goes on after the last event, only where the stream began.
+    async fn reopen(&mut self) -> Result<Opened, Ending> {
+        if self.events > 0 {
+            if self.request.origin.is_none() {
+                return Err(Ending::Failed(dispatch::End::Broken));
+            }
+            self.request.renew_patience();
         }
         let after = self.last_id.clone();
-        let mut opened = self.request.open(after.as_deref()).await.ok()?;
-        if opened.parts.status.is_success() {
-            self.request.confirm_origin(&mut opened).await.ok()?;
+        loop {
+            let mut opened = self.request.open(after.as_deref()).await?;
+            if opened.parts.status.is_success() {
+                let confirmed = self.request.confirm_origin(&mut opened).await;
+                return confirmed.map(|()| opened).map_err(Ending::Refused);
+            }
+            let failure = match opened.via {
+                Via::Endpoint { .. } => Failure::BROKEN,
+                Via::Box(_) => Failure::REFUSED,
+            };
+            self.handle_failure(opened.via, failure).await?;
         }
-        Some(opened)
     }
 
     /// Ends the request after the stream has arrived completely.
     fn done(&mut self, via: Via, parts: &response::Parts) {
         self.request.observer.done(unit::Tokens(self.events));
         match via {
-            Via::Endpoint {
-                turn,
-                endpoint,
-                sender,
-            } => {
-                turn.end(dispatch::End::Done);
-                self.keep_connection(&endpoint, sender, &parts.headers);
+            Via::Endpoint { run, sender } => {
+                run.turn.end(dispatch::End::Done);
+                let context = &self.request.context;
+                context.keep_connection(&run.target.endpoint, sender, &parts.headers);
             }
             Via::Box(link) => link.keep(&self.request.context.peers),
         }
@@ -141,18 +166,13 @@
         self.request.log_end(parts.status, "done", verdict);
     }
 
-    /// Prepares the next attempt after one that failed; returns an error if there is none.
-    async fn handle_failure(&mut self, via: Via, failure: Failure) -> Result<(), Response<Answer>> {
+    /// Waits until the next attempt after one that failed; returns an error if there is none.
+    async fn handle_failure(&mut self, via: Via, failure: Failure) -> Result<(), Ending> {
         match via {
-            Via::Endpoint {
-                turn,
-                endpoint,
-                sender,
-            } => {
+            Via::Endpoint { run, sender } => {
                 // Closing the connection ends the run at the endpoint.
                 drop(sender);
-                let failed = self.request.handle_failure(turn, &endpoint, failure.into());
-                failed.await
+                self.request.handle_failure(run, failure).await
             }
             Via::Box(link) => {
                 let name = link.name().clone();
@@ -162,90 +182,148 @@
         }
     }
 
-    fn keep_connection(
-        &self,
-        endpoint: &name::Endpoint,
-        sender: pool::Sender,
-        headers: &hyper::HeaderMap,
-    ) {
-        let now = now(&self.request.context.board);
-        let keep = pool::keep_alive_time(headers);
-        self.request
-            .context
-            .pool
-            .give_back(endpoint, sender, keep, now);
-    }
-
     /// Ends the caller's stream with an error, so that the connection is closed.
-    async fn cut(self) {
+    async fn cut(mut self, ending: Ending) {
+        // The caller has the head of an answer already, and gets no other one.
+        let _ = self.request.conclude(ending);
         let _ = self.pieces.send(Err(Truncated)).await;
     }
 
     /// Relays whole events until the stream ends.
-    async fn relay_events(&mut self, via: &Via, mut body: Incoming) -> Result<(), Failure> {
+    async fn relay_events(&mut self, opened: Opened) -> Relayed {
+        let Opened {
+            mut via,
+            parts,
+            mut body,
+        } = opened;
         let mut buffer = BytesMut::new();
         let mut sampler = pace::Sampler::default();
-        let gap = self.request.routed.call.class.gap();
         let mut paused = false;
         loop {
-            let left = self.request.time_left();
-            let pause = if self.request.routed.route.kind.is_repeatable() {
-                left.min(MAX_PAUSE)
-            } else {
-                left
-            };
-            let next = match via {
-                Via::Endpoint { endpoint, .. } => {
-                    let next = self.request.unless_silent(endpoint, pause, body.frame());
-                    next.await
+            let frame = match self.next(&mut via, &mut body).await {
+                Next::Replacement(opened) => return Relayed::Replaced(opened),
+                Next::Nothing => return Relayed::Failed(via, Failure::SILENT),
+                Next::Frame(None) if buffer.iter().all(u8::is_ascii_whitespace) => {
+                    return Relayed::Complete(via, parts);
                 }
-                // The other box watches the endpoint, and the system the connection to the box.
-                Via::Box(_) => tokio::time::timeout(left, body.frame()).await.ok(),
-            };
-            let frame = match next {
-                None => return Err(Failure::SILENT),
-                Some(None) if buffer.iter().all(u8::is_ascii_whitespace) => return Ok(()),
-                Some(None | Some(Err(_))) => return Err(Failure::BROKEN),
-                Some(Some(Ok(frame))) => frame,
+                Next::Frame(None | Some(Err(_))) => return Relayed::Failed(via, Failure::BROKEN),
+                Next::Frame(Some(Ok(frame))) => frame,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             buffer.extend_from_slice(&data);
-            if let Some(events) = self.take_events(&mut buffer) {
-                self.events += 1;
-                self.request.observer.token();
-                if let Via::Endpoint { turn, endpoint, .. } = via {
-                    if self.events == 1 {
-                        turn.report_first_token();
-                    }
-                    let pause = self.request.observer.longest_pause();
-                    if !paused && gap.is_some_and(|gap| pause > gap) {
-                        paused = true;
-                        turn.report_pause();
+            let Some(events) = self.take_events(&mut buffer) else {
+                continue;
+            };
+            self.events += 1;
+            self.request.observer.token();
+            if let Via::Endpoint { run, .. } = &via {
+                self.observe(run, &mut sampler, &mut paused);
+            }
+            let taken =
+                tokio::time::timeout(self.request.time_left(), self.pieces.send(Ok(events)));
+            match taken.await {
+                Ok(Ok(())) => {}
+                // The caller is gone; the other branch of the `select` ends this task.
+                Ok(Err(_)) => std::future::pending().await,
+                Err(_) => return Relayed::Failed(via, Failure::UNREAD),
+            }
+        }
+    }
+
+    /// Waits for the next part of an answer, and beside an endpoint that is silent for long for another one
+    /// that goes on with the stream.
+    async fn next(&mut self, via: &mut Via, body: &mut Incoming) -> Next {
+        let request = &self.request;
+        let left = request.time_left();
+        let run = match via {
+            Via::Endpoint { run, .. } if request.routed.route.kind.is_repeatable() => run,
+            // The other box watches the endpoint, and the system the connection to the box.
+            Via::Endpoint { .. } | Via::Box(_) => {
+                let frame = tokio::time::timeout(left, body.frame()).await;
+                return frame.map_or(Next::Nothing, Next::Frame);
+            }
+        };
+        let endpoint = run.target.endpoint.clone();
+        let (context, routed) = (&request.context, &request.routed);
+        let least = left.min(MAX_PAUSE);
+        let frame = context.unless_silent(routed, &endpoint, least, body.frame());
+        if let Some(frame) = frame.await {
+            return Next::Frame(frame);
+        }
+        if request.time_left().is_zero() {
+            return Next::Nothing;
+        }
+        context.report_silence(routed, run);
+        let reported_at = now(&context.board);
+        let next = self.next_beside(body).await;
+        // The attempts beside this one, or this one if it was replaced, have ended.
+        self.request.end_others(1);
+        if matches!(next, Next::Frame(Some(Ok(_)))) {
+            let Request {
+                context, routed, ..
+            } = &self.request;
+            context.report_return(routed, run, reported_at);
+        }
+        next
+    }
+
+    /// Waits for the next part of a silent endpoint's answer, and for another endpoint that goes on with the
+    /// stream.
+    async fn next_beside(&mut self, body: &mut Incoming) -> Next {
+        let left = self.request.time_left();
+        tokio::select! {
+            biased;
+            frame = body.frame() => Next::Frame(frame),
+            opened = self.replacement() => Next::Replacement(opened),
+            () = tokio::time::sleep(left) => Next::Nothing,
+        }
+    }
+
+    /// Waits until another endpoint goes on with the stream of a silent one.
+    async fn replacement(&mut self) -> Opened {
+        let mut wait = self.request.next_wait(Failure::SILENT);
+        self.request.log_silence(wait);
+        loop {
+            let retry_after = match wait {
+                Ok(wait) => {
+                    tokio::time::sleep(wait).await;
+                    match self.reopen().await {
+                        Ok(opened) => return opened,
+                        Err(ending) => ending.retry_after(),
                     }
-                    self.measure(&mut sampler, endpoint);
-                }
-                let taken =
-                    tokio::time::timeout(self.request.time_left(), self.pieces.send(Ok(events)));
-                match taken.await {
-                    Ok(Ok(())) => {}
-                    // The caller is gone; the other branch of the `select` ends this task.
-                    Ok(Err(_)) => std::future::pending().await,
-                    Err(_) => return Err(Failure::UNREAD),
                 }
+                Err(_) => RECHECK_INTERVAL,
+            };
+            // Attempts that ended without an answer are no longer in flight, and the retry is free.
+            self.request.end_others(1);
+            tokio::time::sleep(retry_after).await;
+            while !self.request.has_budget() {
+                tokio::time::sleep(RECHECK_INTERVAL).await;
             }
+            wait = self.request.next_wait(Failure::SILENT);
         }
     }
 
-    /// Records an event for the endpoint's pace.
-    fn measure(&self, sampler: &mut pace::Sampler, endpoint: &name::Endpoint) {
+    /// Records an event for the endpoint: its first token, a pause that is too long, and its pace.
+    fn observe(&self, run: &Run, sampler: &mut pace::Sampler, paused: &mut bool) {
+        if self.events == 1 {
+            run.turn.report_first_token();
+        }
+        let gap = self.request.routed.call.class.gap();
+        let pause = self.request.observer.longest_pause();
+        if !*paused && gap.is_some_and(|gap| pause > gap) {
+            *paused = true;
+            run.turn.report_pause();
+        }
         let board = &self.request.context.board;
         let now = now(board);
         if let Some(pace) = sampler.record_event(now) {
             let call = &self.request.routed.call;
             let long = call.prompt >= dispatch::LONG_PROMPT;
-            lock(&board.paces).observe(&call.key.service, endpoint, pace, long, now);
+            let (service, endpoint) = (&call.key.service, &run.target.endpoint);
+            lock(&board.paces).observe(service, endpoint, pace, long, now);
         }
     }
 
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -47,6 +47,8 @@
     tokens: unit::Tokens,
     /// Whether the run may be preempted; only then its progress is reported to the dispatcher.
     preemptible: bool,
+    /// Whether the endpoint's silence was reported, so that the end of the run says no more of it.
+    is_silent: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,6 +105,7 @@
             state: State::Waiting,
             tokens: unit::Tokens(0),
             preemptible,
+            is_silent: false,
         }
     }
 
@@ -290,6 +293,35 @@
         self.report(dispatch::Report::First(self.attempt));
     }
 
+    /// Reports that the endpoint is silent, while the run goes on there: ends the attempt as silent and
+    /// announces the run anew, as one that is not answered yet. The run then belongs to a request of its
+    /// own, so that its caller's request can ask for a slot at another endpoint meanwhile.
+    pub(super) fn report_silence(&mut self) {
+        let request = self.attempt.request;
+        let ticket = self.board.tickets.shard(&request).remove(&request);
+        let Some(mut ticket) = ticket else { return };
+        let now = now(&self.board);
+        let ended = dispatch::Report::End(ticket.ask.attempt, dispatch::End::Silent, self.tokens);
+        ticket.ask.attempt.request = dispatchers::new_request();
+        ticket.ask.age += now.saturating_sub(ticket.asked_at);
+        ticket.asked_at = now;
+        ticket.tokens = unit::Tokens(0);
+        if let Some((_, since)) = &mut ticket.held_at {
+            *since = now;
+        }
+        let held = ticket.report_again(now);
+        self.attempt = ticket.ask.attempt;
+        self.is_silent = true;
+        let known = (ticket.dispatcher.clone(), ticket.service.clone());
+        let request = self.attempt.request;
+        self.board.tickets.shard(&request).insert(request, ticket);
+        if let (Some(to), service) = known {
+            for report in [ended, held] {
+                dispatchers::send_report(&self.board, &to, &service, report);
+            }
+        }
+    }
+
     /// Reports that the stream paused for longer than its class allows.
     pub(super) fn report_pause(&self) {
         self.report(dispatch::Report::Paused(self.attempt));
@@ -322,6 +354,10 @@
 
     /// Releases the slot.
     pub(super) fn end(mut self, end: dispatch::End) {
+        let end = match end {
+            dispatch::End::Silent if self.is_silent => dispatch::End::Preempted,
+            end => end,
+        };
         if end == dispatch::End::Done {
             crash::record_completed(&self.board, &self.content);
         }
@@ -456,9 +492,13 @@
                 self.finish(|attempt, _| dispatch::Report::Withdraw(attempt));
             }
             State::Running => {
-                self.finish(|attempt, tokens| {
-                    dispatch::Report::End(attempt, dispatch::End::Cancelled, tokens)
-                });
+                // A caller that leaves a silent endpoint says nothing new of it.
+                let end = if self.is_silent {
+                    dispatch::End::Preempted
+                } else {
+                    dispatch::End::Cancelled
+                };
+                self.finish(|attempt, tokens| dispatch::Report::End(attempt, end, tokens));
             }
             State::Ended => {}
         }
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -148,6 +148,8 @@
     GrantUnused = 3315, Info, "a grant was declined because the endpoint is backing off, leaving, limiting its requests or of another build";
     RequestForwarded = 3316, Info, "a request is sent to another box, since this one reaches no endpoint of its service";
     StreamResumed = 3317, Info, "a stream goes on at an endpoint after an event";
+    EndpointSilent = 3318, Info, "an endpoint sends nothing for a request, which may be tried at another one beside it";
+    EndpointReturned = 3319, Info, "an endpoint goes on with an answer after it was silent";
     ClaimsSettled = 3401, Info, "this box has read back its claims and votes again";
 }
 
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -98,6 +98,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of a service and of a stage of endpoints' silences.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SilenceLabel {
+    /// The service.
+    pub service: String,
+    /// `begun`, or `ended` if the endpoint went on with the answer.
+    pub stage: &'static str,
+}
+
 /// The label of an invariant.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RuleLabel {
@@ -191,6 +200,8 @@
     pub retries_left: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// The most retries that a service's budget can hold.
     pub retries_capacity: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    /// Answers during which an endpoint sent nothing for long, by stage.
+    pub silences: Family<SilenceLabel, Counter>,
     /// Requests that are held back because endpoints ended under them.
     pub held_back: Gauge,
     /// Whether this process accepts new work.
@@ -238,6 +249,7 @@
             retries: Family::default(),
             retries_left: Family::default(),
             retries_capacity: Family::default(),
+            silences: Family::default(),
             held_back: Gauge::default(),
             ready: Gauge::default(),
             breaches: Family::default(),
@@ -451,6 +463,11 @@
             "The most retries that a service's budget can hold",
             self.retries_capacity.clone(),
         );
+        r.register(
+            "silences",
+            "Answers during which an endpoint sent nothing for long: those begun, and ended as it went on",
+            self.silences.clone(),
+        );
     }
 
     /// Returns all metrics as text.
