--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -444,11 +444,11 @@
             response
         }
         Some(Act::Mistaken) => plain(421, "another"),
+        _ if path.contains("/pieces/") => in_pieces(run, paused),
         _ if path.starts_with("/s") => {
             let first = after.map_or(0, |id| id.to_str().unwrap().parse::<usize>().unwrap() + 1);
             stream(first, (act, &script), run, paused)
         }
-        _ if path.contains("/pieces/") => in_pieces(run, paused),
         _ => plain(200, "well"),
     };
     let id = match act {
