A refused attempt beside a silent endpoint is no lost request

A dispatcher counted each refused second attempt as a request that was lost for lack of capacity, which bounds less urgent classes at all boxes. An attempt beside a silent endpoint loses nothing: its request is still being served. Found by reading, in a review; not measured by itself.

--- a/benches/decisions/cost.rs
+++ b/benches/decisions/cost.rs
@@ -46,6 +46,7 @@
         allowed: Default::default(),
         preemptible: tier > 2,
         preempted: 0,
+        is_hedge: false,
         avoid: None,
         build: None,
         backoffs: Vec::new(),
--- a/benches/decisions/ours.rs
+++ b/benches/decisions/ours.rs
@@ -191,6 +191,7 @@
             allowed: Default::default(),
             preemptible: world.service.model && class.config.preemptible,
             preempted: progress.preempted,
+            is_hedge: false,
             avoid: self
                 .states
                 .get(&request)
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -54,7 +54,11 @@
     pub preemptible: bool,
     /// How often the request has been preempted.
     pub preempted: u32,
-    /// The endpoint that the last attempt failed at.
+    /// Whether the request goes on at another endpoint meanwhile, so that refusing this attempt loses
+    /// nothing.
+    #[serde(rename = "hedged", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_hedge: bool,
+    /// The endpoint that the last attempt failed at, or that is silent.
     pub avoid: Option<name::Endpoint>,
     /// How long the run will hold its slot, if that is known in advance.
     pub hold: Option<Duration>,
--- a/src/scalewood/core/dispatch/precedence.rs
+++ b/src/scalewood/core/dispatch/precedence.rs
@@ -133,6 +133,9 @@
     /// Counts a request that was refused for lack of capacity and may be retried after `retry`; as
     /// lost if its caller can't retry then.
     pub(super) fn record_refused(&mut self, ask: &message::Ask, retry: Duration, now: Duration) {
+        if ask.is_hedge {
+            return;
+        }
         if !ask.client_may_retry(retry) {
             return self.record_lost(ask, now);
         }
@@ -146,6 +149,9 @@
 
     /// Counts a request that failed for good for lack of capacity.
     pub(super) fn record_lost(&mut self, ask: &message::Ask, now: Duration) {
+        if ask.is_hedge {
+            return;
+        }
         let counts = load::ClassCounts {
             lost: 1,
             lost_tokens: ask.prompt.0,
--- a/src/scalewood/ops/entry/call.rs
+++ b/src/scalewood/ops/entry/call.rs
@@ -301,6 +301,7 @@
             preemptible: preemptible && self.class.preemptible,
             preempted: 0,
             build: None,
+            is_hedge: false,
             avoid: None,
             hold: None,
             backoffs: Vec::new(),
--- a/src/scalewood/ops/entry/routed/request.rs
+++ b/src/scalewood/ops/entry/routed/request.rs
@@ -430,6 +430,7 @@
         let routed = self.routed.clone();
         let service = &routed.call.key.service;
         self.ask.age = self.age();
+        self.ask.is_hedge = self.in_flight > 0;
         if std::mem::replace(&mut self.is_asking, true) {
             // A grant for an ask that was given up may be on its way.
             self.ask.attempt.request = dispatchers::new_request();
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -92,6 +92,7 @@
         }),
         preemptible: false,
         preempted: 0,
+        is_hedge: false,
         avoid: None,
         build: None,
         backoffs: Vec::new(),
--- a/tests/testsuite/precedence/world.rs
+++ b/tests/testsuite/precedence/world.rs
@@ -395,6 +395,7 @@
             allowed: Default::default(),
             preemptible: false,
             preempted: 0,
+            is_hedge: false,
             avoid: None,
             build: None,
             hold: None,
--- a/tests/testsuite/random/dispatch.rs
+++ b/tests/testsuite/random/dispatch.rs
@@ -539,6 +539,7 @@
             }),
             preemptible: tier > 1,
             preempted: 0,
+            is_hedge: false,
             avoid: None,
             build: None,
             backoffs: Vec::new(),
--- a/tests/testsuite/rest_dispatch.rs
+++ b/tests/testsuite/rest_dispatch.rs
@@ -83,6 +83,7 @@
         allowed: Default::default(),
         preemptible: false,
         preempted: 0,
+        is_hedge: false,
         avoid: None,
         build: None,
         hold: None,
--- a/tests/testsuite/size.rs
+++ b/tests/testsuite/size.rs
@@ -241,6 +241,7 @@
             }),
             preemptible: false,
             preempted: 0,
+            is_hedge: false,
             avoid,
             build: None,
             hold: None,
--- a/tests/testsuite/throttle_dispatch.rs
+++ b/tests/testsuite/throttle_dispatch.rs
@@ -93,6 +93,7 @@
         allowed: Default::default(),
         preemptible: true,
         preempted: 0,
+        is_hedge: false,
         avoid: None,
         build: None,
         hold: Some(Duration::from_millis(500)),
