Tests: the box has a retry before the one that serves its stream is killed

reach::a_forwarded_stream_goes_on_* failed once, load 10: the box had used its only retry to notice that its links were lost (3312, why: budget), and the stream needs another. The test now waits until the budget is full, and checks the same.

--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -533,6 +533,7 @@
     for endpoint in &site.endpoints {
         endpoint.set_default_act(Some(Act::StallAfter(3)));
     }
+    site.system.wait_retries().await;
     let callers = site.system.callers_at(0);
     let call = tokio::spawn(send(callers, 0, "/sresume/on".to_owned()));
     deploy::wait("an endpoint runs the stream", || async {
