--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -115,27 +115,49 @@
     }
 }
 
-/// The retry that an attempt uses, if it is one: spent once the request may have been written.
+/// What an attempt costs: the retry that it uses, if it is one, and one of the route's attempts. Both are
+/// spent once the request may have been written.
 #[derive(Debug)]
-struct Charge {
+pub(super) struct Charge {
     retry: Option<retries::Reserved>,
-    is_written: AtomicBool,
+    pub(super) is_written: AtomicBool,
+    /// Whether the outcome of the attempt is known.
+    is_settled: bool,
+    /// The number of a request's attempts that were written and dropped before their outcome was known.
+    dropped: Arc<AtomicU32>,
 }
 
 impl Charge {
-    /// Returns the retry if the request arrived nowhere.
-    fn take_back(&mut self) -> Option<retries::Reserved> {
-        self.is_written.store(false, Ordering::Relaxed);
+    pub(super) fn new(retry: Option<retries::Reserved>, dropped: &Arc<AtomicU32>) -> Self {
+        Self {
+            retry,
+            is_written: AtomicBool::new(false),
+            is_settled: false,
+            dropped: dropped.clone(),
+        }
+    }
+
+    /// Ends the charge of an attempt whose outcome is known. Returns the retry if the request arrived nowhere.
+    pub(super) fn settle(mut self, has_arrived: bool) -> Option<retries::Reserved> {
+        self.is_settled = true;
+        self.is_written.store(has_arrived, Ordering::Relaxed);
+        if has_arrived {
+            return None;
+        }
         self.retry.take()
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
+        if !self.is_written.load(Ordering::Relaxed) {
+            return;
+        }
         if let Some(retry) = self.retry.take() {
-            if self.is_written.load(Ordering::Relaxed) {
-                retry.spend();
-            }
+            retry.spend();
+        }
+        if !self.is_settled {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
@@ -158,7 +180,7 @@
     pub(super) fn new(
         (context, routed): (&Context<D>, &Arc<Routed>),
         run: Run,
-        retry: Option<retries::Reserved>,
+        charge: Charge,
         patience: Option<Duration>,
         silence: &Arc<Silence>,
     ) -> Self {
@@ -166,10 +188,7 @@
             context: context.clone(),
             routed: routed.clone(),
             run: Box::new(run),
-            charge: Charge {
-                retry,
-                is_written: AtomicBool::new(false),
-            },
+            charge,
             patience,
             silence: silence.clone(),
             is_silent: false,
@@ -182,6 +201,7 @@
         match self.answer(request).await {
             Ok((sender, response)) if !response.status().is_server_error() => {
                 let (parts, body) = response.into_parts();
+                self.charge.settle(true);
                 let run = self.run;
                 let via = Via::Endpoint { run, sender };
                 Ok(Opened { via, parts, body })
@@ -212,12 +232,8 @@
     }
 
     /// Ends the attempt after a failure.
-    async fn fail(mut self, failure: Failure, own: Option<Box<ErrorAnswer>>) -> Failed {
-        let retry = if failure.may_have_arrived() {
-            None
-        } else {
-            self.charge.take_back()
-        };
+    async fn fail(self, failure: Failure, own: Option<Box<ErrorAnswer>>) -> Failed {
+        let retry = self.charge.settle(failure.may_have_arrived());
         if self.is_silent {
             self.silence.end();
         }
@@ -423,8 +439,9 @@
     }
 
     /// Reports that the endpoint of a run goes on after it was reported silent at `reported_at`.
-    pub(super) fn report_return(&self, routed: &Routed, run: &Run, reported_at: Duration) {
-        run.turn.report_first_token();
+    pub(super) fn report_return(&self, routed: &Routed, run: &mut Run, reported_at: Duration) {
+        run.turn.report_return();
+        reach::record_answer(&self.board, &routed.call.key.service, false);
         self.count_silence(routed, "ended");
         let since = now(&self.board).saturating_sub(reported_at);
         event!(self.board.log, EndpointReturned, "id" => routed.head.id.as_deref(),
--- a/src/scalewood/ops/entry/routed/continuation.rs
+++ b/src/scalewood/ops/entry/routed/continuation.rs
@@ -162,10 +162,12 @@
 
     /// Waits for the voters' answer if the origin was only assumed.
     pub(super) async fn settle_origin(&mut self) -> Result<(), Refusal> {
-        let Some(lookup) = self.lookup.take() else {
+        let Some(lookup) = &mut self.lookup else {
             return Ok(());
         };
-        match lookup.await {
+        let found = lookup.await;
+        self.lookup = None;
+        match found {
             Ok(Found::Began(origin)) if Some(&origin) == self.origin.as_ref() => Ok(()),
             Ok(Found::Began(_)) => Err(ended()),
             Ok(Found::Ambiguous | Found::Unknown) | Err(_) => Err(unknown()),
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -110,14 +110,17 @@
             let peers = self.context.peers.clone();
             let serving = Serving::begin(&board, &peer.name);
             self.in_flight += 1;
+            let charge = self.charge();
+            charge.is_written.store(true, Ordering::Relaxed);
             let sent = peers.send(peer.address, request, timeouts, || true).await;
             match sent {
                 Ok((_, response)) if response.headers().contains_key(UNAVAILABLE_HEADER) => {
                     self.in_flight -= 1;
+                    self.retry = charge.settle(false);
                     lock(&board.peers).avoid(&peer.name, now(&board));
                 }
                 Ok((sender, response)) => {
-                    self.spend_retry();
+                    charge.settle(true);
                     board.metrics.forwarded.inc();
                     self.observer.counted_elsewhere();
                     let (parts, body) = response.into_parts();
@@ -133,6 +136,7 @@
                     }));
                 }
                 Err(failure) => {
+                    self.retry = charge.settle(failure.may_have_arrived());
                     if let Err(ending) = self.handle_lost_box(&peer.name, failure).await {
                         return Some(Err(ending));
                     }
@@ -149,17 +153,7 @@
         name: &name::Box,
         failure: Failure,
     ) -> Result<(), Ending> {
-        let may_have_run = failure.verdict != verdict::Verdict::NotRun;
-        if failure.may_have_arrived() {
-            self.spend_retry();
-        }
-        let board = &self.context.board;
-        lock(&board.peers).avoid(name, now(board));
-        self.in_flight -= 1;
-        self.tries += 1;
-        self.misses += u32::from(!may_have_run);
-        self.runs += u32::from(may_have_run);
-        self.verdict = self.verdict.and(failure.verdict);
+        self.end_at_box(name, failure);
         let wait = self.next_wait(failure);
         event!(self.context.board.log, RequestRetried, "id" => self.routed.head.id.as_deref(),
             "box" => %name, "how" => ?failure.end, "tries" => self.tries,
@@ -172,6 +166,18 @@
         Ok(())
     }
 
+    /// Counts an attempt that failed at another box, which is avoided for a while.
+    pub(super) fn end_at_box(&mut self, name: &name::Box, failure: Failure) {
+        let may_have_run = failure.verdict != verdict::Verdict::NotRun;
+        let board = &self.context.board;
+        lock(&board.peers).avoid(name, now(board));
+        self.in_flight -= 1;
+        self.tries += 1;
+        self.misses += u32::from(!may_have_run);
+        self.runs += u32::from(may_have_run);
+        self.verdict = self.verdict.and(failure.verdict);
+    }
+
     /// Returns whether an answer of another box says that a request did not run that may have run
     /// before it was forwarded.
     pub(super) fn contradicts(&self, status: StatusCode) -> bool {
@@ -225,7 +231,7 @@
 }
 
 /// Returns whether answers with a status are given only to requests that did not run.
-fn says_not_run(status: StatusCode) -> bool {
+pub(super) fn says_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::SERVICE_UNAVAILABLE
--- a/src/scalewood/ops/entry/routed/request.rs
+++ b/src/scalewood/ops/entry/routed/request.rs
@@ -4,7 +4,15 @@
 //! budget allow that. The first that answers serves the request, and the others end. Without another
 //! attempt the silent endpoint is waited for.
 
-use std::{future::Future, ops::ControlFlow, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    ops::ControlFlow,
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
@@ -25,7 +33,7 @@
         reply::Refusal,
         retries,
         routed::{
-            attempt::{Attempt, ErrorAnswer, Failed, Opened, Run, Silence, Via},
+            attempt::{Attempt, Charge, ErrorAnswer, Failed, Opened, Run, Silence, Via},
             continuation::Continuation,
             forward, reply,
             retries::Denial,
@@ -42,9 +50,14 @@
 const MIN_HEAD_WAIT: Duration = Duration::from_millis(1000);
 /// How long a repeatable request waits for a silent endpoint, as a multiple of its route's target.
 const HEAD_WAIT_IN_TARGETS: u32 = 4;
+/// The wait stated to callers whose request got no slot before its deadline.
+const LATE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// How long after a refused attempt beside a silent endpoint another one is made at the earliest, and how often it
 /// is checked whether one is allowed.
-pub(super) const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The latest time after a refused attempt at which another one is made: the dispatcher names a time after which
+/// callers may come back, and an endpoint may be free before.
+const MAX_RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Why a request gets no answer of an endpoint.
 #[derive(Debug)]
@@ -70,7 +83,7 @@
             Ending::Refused(refusal) => refusal.retry_after.unwrap_or_default(),
             Ending::Failed(_) | Ending::Own(_) => Duration::ZERO,
         };
-        stated.max(RECHECK_INTERVAL)
+        stated.clamp(MIN_RECHECK_INTERVAL, MAX_RECHECK_INTERVAL)
     }
 }
 
@@ -97,11 +110,13 @@
     pub(super) runs: u32,
     /// The number of attempts that have not ended.
     pub(super) in_flight: u32,
+    /// The number of attempts that were written and dropped, and are not counted in `runs` yet.
+    dropped: Arc<AtomicU32>,
     /// The number of other boxes that it was sent to.
     pub(super) forwards: u32,
     /// Whether the request may have run, over all attempts.
     pub(super) verdict: verdict::Verdict,
-    last_endpoint: Option<name::Endpoint>,
+    pub(super) last_endpoint: Option<name::Endpoint>,
     /// Where the stream that is asked for began, once that is known.
     pub(super) origin: Option<origin::Origin>,
     /// The voters' answer where the stream began, while `origin` is only assumed.
@@ -151,6 +166,7 @@
             misses: 0,
             runs,
             in_flight: 0,
+            dropped: Arc::default(),
             forwards: 0,
             verdict,
             last_endpoint: None,
@@ -271,14 +287,14 @@
         opened
     }
 
-    /// Accounts for attempts that were ended without an answer; `kept` are still in flight.
+    /// Accounts for attempts that were dropped before their outcome was known, and gives up the retry that is
+    /// reserved; `kept` attempts are still in flight.
     pub(super) fn end_others(&mut self, kept: u32) {
-        let ended = self.in_flight.saturating_sub(kept);
-        if ended > 0 {
-            self.in_flight = kept;
-            self.runs += ended;
+        self.in_flight = kept;
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            self.runs += dropped;
             self.verdict = self.verdict.and(verdict::Verdict::MayHaveRun);
-            self.spend_retry();
         }
         self.retry = None;
     }
@@ -314,7 +330,24 @@
             }
             let mut retry_at = None;
             match placed {
-                Ok(Place::Box(opened)) => return Ok(opened),
+                Ok(Place::Box(opened))
+                    if waiting.is_empty() || opened.parts.status.is_success() =>
+                {
+                    return Ok(opened);
+                }
+                Ok(Place::Box(opened)) => {
+                    // The endpoints that are silent may still answer.
+                    let failure = if forward::says_not_run(opened.parts.status) {
+                        Failure::REFUSED
+                    } else {
+                        Failure::BROKEN
+                    };
+                    if let Via::Box(link) = &opened.via {
+                        self.end_at_box(link.name(), failure);
+                    }
+                    self.retry = None;
+                    retry_at = Some(self.now() + MAX_RECHECK_INTERVAL);
+                }
                 Ok(Place::Endpoint(turn, endpoint)) => {
                     let begun = self.begin(turn, &endpoint, after, &silence);
                     self.in_flight += 1;
@@ -402,7 +435,7 @@
             if let Ok(wait) = next {
                 return Ok(ControlFlow::Continue(wait));
             }
-            retry_at = Some(self.now() + RECHECK_INTERVAL);
+            retry_at = Some(self.now() + MIN_RECHECK_INTERVAL);
         }
     }
 
@@ -453,14 +486,16 @@
             Some(Decision::Granted(endpoint)) => {
                 self.is_asking = false;
                 self.ask.attempt = turn.attempt().next();
-                self.ask.avoid = Some(endpoint.clone());
+                if self.in_flight == 0 {
+                    self.ask.avoid = Some(endpoint.clone());
+                }
                 Ok(Place::Endpoint(turn, endpoint))
             }
             Some(Decision::Shed(reason, retry, cause)) => Err(Ending::Shed(reason, retry, cause)),
             Some(Decision::HeldBack(retry)) => Err(Ending::HeldBack(retry)),
             None => {
                 let reason = dispatch::Reason::Deadline;
-                Err(Ending::Shed(reason, MIN_HEAD_WAIT, None))
+                Err(Ending::Shed(reason, LATE_RETRY_AFTER, None))
             }
         })
     }
@@ -513,12 +548,17 @@
             basis: self.basis,
         };
         let patience = self.head_wait();
-        let retry = self.retry.take();
+        let charge = self.charge();
         let of = (&self.context, &self.routed);
-        let attempt = Attempt::new(of, run, retry, patience, silence);
+        let attempt = Attempt::new(of, run, charge, patience, silence);
         Ok((attempt, request))
     }
 
+    /// Returns the charge of the next attempt.
+    pub(super) fn charge(&mut self) -> Charge {
+        Charge::new(self.retry.take(), &self.dropped)
+    }
+
     /// Ends an attempt that can't be sent.
     fn unsent(&mut self, turn: Turn, endpoint: &name::Endpoint, failure: Failure) -> Failed {
         turn.end(failure.end);
@@ -620,13 +660,6 @@
             "left_ms" => self.time_left().as_millis());
     }
 
-    /// Records that the attempt, if it was a retry, was sent.
-    pub(super) fn spend_retry(&mut self) {
-        if let Some(retry) = self.retry.take() {
-            retry.spend();
-        }
-    }
-
     /// Lets all further attempts go only where the stream began.
     pub(super) fn keep_to(&mut self, origin: Option<origin::Origin>) {
         self.ask.build = origin.as_ref().map(|origin| origin.build.clone());
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -7,7 +7,10 @@
 //! last event that was relayed. A stream that can't be resumed is cut off without its regular
 //! end, so the caller never takes it for complete.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
@@ -27,7 +30,7 @@
         routed::{
             attempt::{Opened, Run, Via},
             continuation, reply,
-            request::{Ending, Request, RECHECK_INTERVAL},
+            request::{Ending, Request, MIN_RECHECK_INTERVAL},
         },
         upstream::Failure,
     },
@@ -97,12 +100,22 @@
     Replaced(Opened),
 }
 
+/// The attempt at another endpoint beside a silent one.
+#[derive(Default)]
+struct Hedge {
+    /// Whether another endpoint is being asked.
+    is_asking: AtomicBool,
+    /// Whether no further one is to be asked after that.
+    is_last: AtomicBool,
+}
+
 /// What follows in an answer.
 enum Next {
     /// A part of the answer, or its end.
     Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
-    /// The answer of another endpoint, which goes on with the stream.
-    Replacement(Opened),
+    /// The answer of another endpoint, which goes on with the stream; and whether the answer that it replaces
+    /// broke off meanwhile.
+    Replacement(Opened, bool),
     /// Nothing until the request's deadline.
     Nothing,
 }
@@ -200,12 +213,16 @@
         let mut sampler = pace::Sampler::default();
         let mut paused = false;
         loop {
-            let frame = match self.next(&mut via, &mut body).await {
-                Next::Replacement(opened) => return Relayed::Replaced(opened),
-                Next::Nothing => return Relayed::Failed(via, Failure::SILENT),
-                Next::Frame(None) if buffer.iter().all(u8::is_ascii_whitespace) => {
-                    return Relayed::Complete(via, parts);
+            let is_between_events = buffer.iter().all(u8::is_ascii_whitespace);
+            let frame = match self.next(&mut via, &mut body, is_between_events).await {
+                Next::Replacement(opened, has_broken) => {
+                    if has_broken {
+                        self.end_broken(via);
+                    }
+                    return Relayed::Replaced(opened);
                 }
+                Next::Nothing => return Relayed::Failed(via, Failure::SILENT),
+                Next::Frame(None) if is_between_events => return Relayed::Complete(via, parts),
                 Next::Frame(None | Some(Err(_))) => return Relayed::Failed(via, Failure::BROKEN),
                 Next::Frame(Some(Ok(frame))) => frame,
             };
@@ -233,8 +250,8 @@
     }
 
     /// Waits for the next part of an answer, and beside an endpoint that is silent for long for another one
-    /// that goes on with the stream.
-    async fn next(&mut self, via: &mut Via, body: &mut Incoming) -> Next {
+    /// that goes on with the stream. `may_end` states whether the stream is complete if the answer ends here.
+    async fn next(&mut self, via: &mut Via, body: &mut Incoming, may_end: bool) -> Next {
         let request = &self.request;
         let left = request.time_left();
         let run = match via {
@@ -257,10 +274,14 @@
         }
         context.report_silence(routed, run);
         let reported_at = now(&context.board);
-        let next = self.next_beside(body).await;
+        let next = self.next_beside(body, may_end).await;
         // The attempts beside this one, or this one if it was replaced, have ended.
         self.request.end_others(1);
+        if matches!(next, Next::Replacement(..)) {
+            self.request.runs += 1;
+        }
         if matches!(next, Next::Frame(Some(Ok(_)))) {
+            self.request.last_endpoint = Some(endpoint);
             let Request {
                 context, routed, ..
             } = &self.request;
@@ -270,42 +291,79 @@
     }
 
     /// Waits for the next part of a silent endpoint's answer, and for another endpoint that goes on with the
-    /// stream.
-    async fn next_beside(&mut self, body: &mut Incoming) -> Next {
-        let left = self.request.time_left();
-        tokio::select! {
-            biased;
-            frame = body.frame() => Next::Frame(frame),
-            opened = self.replacement() => Next::Replacement(opened),
-            () = tokio::time::sleep(left) => Next::Nothing,
+    /// stream. If the answer breaks off while another endpoint is being asked, only that one is waited for.
+    async fn next_beside(&mut self, body: &mut Incoming, may_end: bool) -> Next {
+        let deadline = tokio::time::sleep(self.request.time_left());
+        let hedge = Hedge::default();
+        let mut deadline = std::pin::pin!(deadline);
+        let mut replacement = std::pin::pin!(self.replacement(&hedge));
+        let mut broken = None;
+        loop {
+            tokio::select! {
+                biased;
+                frame = body.frame(), if broken.is_none() => {
+                    let has_broken = match &frame {
+                        None => !may_end,
+                        Some(frame) => frame.is_err(),
+                    };
+                    if !has_broken || !hedge.is_asking.load(Ordering::Relaxed) {
+                        return Next::Frame(frame);
+                    }
+                    hedge.is_last.store(true, Ordering::Relaxed);
+                    broken = Some(frame);
+                }
+                opened = replacement.as_mut() => {
+                    return match (opened, broken) {
+                        (Some(opened), broken) => Next::Replacement(opened, broken.is_some()),
+                        (None, broken) => Next::Frame(broken.flatten()),
+                    };
+                }
+                () = deadline.as_mut() => return Next::Nothing,
+            }
         }
     }
 
-    /// Waits until another endpoint goes on with the stream of a silent one.
-    async fn replacement(&mut self) -> Opened {
+    /// Waits until another endpoint goes on with the stream of a silent one. Returns `None` if no endpoint does
+    /// and no further one is to be asked.
+    async fn replacement(&mut self, hedge: &Hedge) -> Option<Opened> {
         let mut wait = self.request.next_wait(Failure::SILENT);
         self.request.log_silence(wait);
         loop {
             let retry_after = match wait {
                 Ok(wait) => {
+                    hedge.is_asking.store(true, Ordering::Relaxed);
                     tokio::time::sleep(wait).await;
-                    match self.reopen().await {
-                        Ok(opened) => return opened,
+                    let reopened = self.reopen().await;
+                    hedge.is_asking.store(false, Ordering::Relaxed);
+                    match reopened {
+                        Ok(opened) => return Some(opened),
+                        Err(_) if hedge.is_last.load(Ordering::Relaxed) => return None,
                         Err(ending) => ending.retry_after(),
                     }
                 }
-                Err(_) => RECHECK_INTERVAL,
+                Err(_) => MIN_RECHECK_INTERVAL,
             };
             // Attempts that ended without an answer are no longer in flight, and the retry is free.
             self.request.end_others(1);
             tokio::time::sleep(retry_after).await;
             while !self.request.has_budget() {
-                tokio::time::sleep(RECHECK_INTERVAL).await;
+                tokio::time::sleep(MIN_RECHECK_INTERVAL).await;
             }
             wait = self.request.next_wait(Failure::SILENT);
         }
     }
 
+    /// Ends a run that broke off, in the background.
+    fn end_broken(&self, via: Via) {
+        let Via::Endpoint { run, .. } = via else {
+            return;
+        };
+        let (context, routed) = (self.request.context.clone(), self.request.routed.clone());
+        tokio::spawn(async move {
+            run.fail(&context, &routed, Failure::BROKEN, false).await;
+        });
+    }
+
     /// Records an event for the endpoint: its first token, a pause that is too long, and its pace.
     fn observe(&self, run: &Run, sampler: &mut pace::Sampler, paused: &mut bool) {
         if self.events == 1 {
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -322,6 +322,12 @@
         }
     }
 
+    /// Reports that the endpoint goes on after its silence was reported.
+    pub(super) fn report_return(&mut self) {
+        self.is_silent = false;
+        self.report_first_token();
+    }
+
     /// Reports that the stream paused for longer than its class allows.
     pub(super) fn report_pause(&self) {
         self.report(dispatch::Report::Paused(self.attempt));
--- a/tests/testsuite/pause.rs
+++ b/tests/testsuite/pause.rs
@@ -10,6 +10,7 @@
     reach::{Cut, Site, MOST},
     support::{
         client, deploy,
+        forwarder::Forwarder,
         routed::{routing, seen, text, Act, Endpoint, Script, System, HOST, KEY},
     },
 };
@@ -33,19 +34,35 @@
 
 /// Starts a system with one voter, one box with additional settings, and endpoints.
 async fn start(endpoints: u16, dir: &std::path::Path, more: &str) -> (System, Vec<Endpoint>) {
+    let (system, endpoints, _) = start_linked(endpoints, dir, more, false).await;
+    (system, endpoints)
+}
+
+/// Does what [`start`] does, and lets the box reach the endpoints over links if `is_linked`.
+async fn start_linked(
+    endpoints: u16,
+    dir: &std::path::Path,
+    more: &str,
+    is_linked: bool,
+) -> (System, Vec<Endpoint>, Vec<Forwarder>) {
     let system = System::start_with(1, dir, more);
     let mut routing = routing(7);
     for route in routing.routes.values_mut() {
         route.timeout_ms = 8000;
     }
     assert_eq!(system.publish(&text(&routing)).await, 200);
-    let mut started = Vec::new();
+    let (mut started, mut links) = (Vec::new(), Vec::new());
     for i in 0..endpoints {
         let address = (system.host, 9000 + i).into();
         let endpoint = Endpoint::start(&format!("i-{i}"), address).await;
         endpoint.set_script(script());
         endpoint.set_work_time(Duration::from_millis(100));
-        system.announce(0, &endpoint.record(1, State::Ready)).await;
+        let mut record = endpoint.record(1, State::Ready);
+        if is_linked {
+            record.address = (system.host, 9500 + i).into();
+            links.push(Forwarder::start(record.address, address).await);
+        }
+        system.announce(0, &record).await;
         started.push(endpoint);
     }
     system.wait_served().await;
@@ -53,7 +70,7 @@
         system.known_endpoints().await >= f64::from(endpoints)
     })
     .await;
-    (system, started)
+    (system, started, links)
 }
 
 /// Pauses endpoints once requests run there, and lets them go on.
@@ -292,3 +309,34 @@
         () = beats => unreachable!("heartbeats are sent for ever"),
     }
 }
+
+/// Guards against streams that are closed as their silent endpoint breaks off while another one is about to go on
+/// with them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_if_its_silent_endpoint_breaks_off() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints, links) = start_linked(2, dir.path(), "", true).await;
+    system.wait_retries().await;
+    for endpoint in &endpoints {
+        endpoint.set_work_time(Duration::from_millis(600));
+    }
+    let path = "/sresume/breaks";
+    let breaking = async {
+        deploy::wait("the stream runs", || async {
+            endpoints.iter().any(|e| e.running() > 0)
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(850)).await;
+        let first = endpoints.iter().position(|e| e.running() > 0).unwrap();
+        links[first].silence();
+        deploy::wait("the other endpoint is tried", || async {
+            seen(std::slice::from_ref(&endpoints[1 - first]), path) > 0
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        links[first].set_connected(false);
+    };
+    let call = call_all(&system, "POST", vec![path.to_owned()]);
+    let (lost, ()) = tokio::join!(call, breaking);
+    assert_eq!(lost, Vec::<String>::new());
+}
