Tell of writes to the data folder that take long

Operations on the data folder are now noted before they begin (store/latency.rs, around the folder's files and the hints), and a task of its own asks for those that take a second or more: 2208 while they are under way, again each time their duration has doubled, and at their end. At most one operation gets a first line in 10 s, the others are counted (`untold`). Two metrics: scalewood_store_seconds{operation} and scalewood_store_under_way_seconds. The monitor's clock is passed in.

All four fail without the part that they are about: without the task the real voter tells nothing for 60 s, without the note of a sync there are no notices of it, without that of its end none at its end.

--- a/src/scalewood/ops/control/metric.rs
+++ b/src/scalewood/ops/control/metric.rs
@@ -1,6 +1,9 @@
 //! A voter's metrics, in the text format of Prometheus.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{atomic::AtomicU64, Arc},
+    time::Duration,
+};
 
 use prometheus_client::{
     encoding::{text, EncodeLabelSet},
@@ -11,6 +14,8 @@
 use crate::{
     core::registry as endpoint,
     ops::control::{registry::SoftState, Handle},
+    store::latency,
+    util::clock,
 };
 
 /// The outcome of a publication or of an order to cordon or uncordon a zone.
@@ -46,11 +51,25 @@
     members: Gauge,
     endpoints: Gauge,
     followers: Gauge,
+    /// Measures the writes to the data folder.
+    monitor: latency::Monitor<clock::System>,
+    store_under_way: Gauge<f64, AtomicU64>,
 }
 
 impl Metrics {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(monitor: latency::Monitor<clock::System>) -> Self {
         let mut registry = Registry::with_prefix("scalewood");
+        registry.register(
+            "store_seconds",
+            "Operations on the data folder that have ended",
+            monitor.seconds().clone(),
+        );
+        let store_under_way = Gauge::default();
+        registry.register(
+            "store_under_way_seconds",
+            "For how long the oldest operation on the data folder has been under way",
+            store_under_way.clone(),
+        );
         let publications = Family::<OutcomeLabel, Counter>::default();
         let publication_seconds = Histogram::new(DURATION_BUCKETS_SECONDS);
         registry.register("publications", "Routings, by outcome", publications.clone());
@@ -98,6 +117,8 @@
             refused,
             cordons,
             cordon_seconds,
+            monitor,
+            store_under_way,
         }
     }
 
@@ -142,6 +163,8 @@
             .set(i64::try_from(cordoned).unwrap_or(i64::MAX));
         let members = status.members.addresses().count();
         self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
+        self.store_under_way
+            .set(self.monitor.under_way().as_secs_f64());
         let (known, followers) = soft_state.counts();
         self.endpoints.set(i64::try_from(known).unwrap_or(i64::MAX));
         self.followers.set(i64::from(followers));
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -16,7 +16,7 @@
     core::{ledger, name, raft, region, registry as core_registry, retry, secret, unit},
     event,
     ops::{breach, reload, rpc, source, stall},
-    store::{folder, hints, identity, journal},
+    store::{folder, hints, identity, journal, latency},
     util::{
         clock::{self, Clock as _},
         settings, signal,
@@ -41,6 +41,7 @@
 mod scaling;
 mod server;
 mod share;
+mod slow;
 mod usage;
 
 pub use replica::{Handle, Published};
@@ -226,7 +227,8 @@
 /// Fails if the folder was initialised before or can't be written.
 pub fn init(settings: &Settings) -> Result<raft::Node, Report<Error>> {
     let address = settings.listen;
-    initialise(settings, raft::Identity(rand::random()), |node| {
+    let monitor = latency::Monitor::new(clock::System);
+    initialise(settings, &monitor, raft::Identity(rand::random()), |node| {
         raft::Persisted::bootstrap(node, address)
     })
 }
@@ -237,7 +239,15 @@
 ///
 /// Fails if the folder was initialised before or can't be written.
 pub fn join(settings: &Settings) -> Result<raft::Node, Report<Error>> {
-    initialise(settings, raft::Identity(rand::random()), |_| {
+    join_measured(settings, &latency::Monitor::new(clock::System))
+}
+
+/// Initialises a data folder as that of a voter that joins, and measures the writes.
+fn join_measured(
+    settings: &Settings,
+    monitor: &latency::Monitor<clock::System>,
+) -> Result<raft::Node, Report<Error>> {
+    initialise(settings, monitor, raft::Identity(rand::random()), |_| {
         raft::Persisted::default()
     })
 }
@@ -245,10 +255,11 @@
 /// Writes the journal and the identity to an unused data folder.
 fn initialise(
     settings: &Settings,
+    monitor: &latency::Monitor<clock::System>,
     identity: raft::Identity,
     initial_state: impl FnOnce(raft::Node) -> raft::Persisted<ledger::Ledger>,
 ) -> Result<raft::Node, Report<Error>> {
-    let folder = open_folder(settings)?;
+    let folder = open_folder(settings, monitor)?;
     identity::check_unused(&folder).change_context(Error)?;
     let node = raft::Node {
         name: settings.name.clone(),
@@ -260,22 +271,30 @@
     identity::create(&mut folder, &settings.name, identity).change_context(Error)
 }
 
-/// Opens the data folder.
-fn open_folder(settings: &Settings) -> Result<folder::Folder, Report<Error>> {
-    folder::Folder::open(&settings.data)
+/// Opens the data folder, whose writes are then measured.
+fn open_folder(
+    settings: &Settings,
+    monitor: &latency::Monitor<clock::System>,
+) -> Result<latency::Media<folder::Folder, clock::System>, Report<Error>> {
+    let folder = folder::Folder::open(&settings.data)
         .change_context(Error)
         .attach_with(|| {
             format!(
                 "the data folder {} can't be opened",
                 settings.data.display()
             )
-        })
+        })?;
+    Ok(latency::Media::new(folder, monitor.clone()))
 }
 
 /// Initialises an empty data folder without an operator: as that of a founding voter of a new
 /// cluster, or to join an existing one. Returns whether a new cluster begins with this start.
-fn initialise_unattended(settings: &Settings, log: &slog::Logger) -> Result<bool, Report<Error>> {
-    let folder = open_folder(settings)?;
+fn initialise_unattended(
+    settings: &Settings,
+    monitor: &latency::Monitor<clock::System>,
+    log: &slog::Logger,
+) -> Result<bool, Report<Error>> {
+    let folder = open_folder(settings, monitor)?;
     let empty = matches!(
         identity::read(&folder, &settings.name),
         Err(identity::Error::Empty)
@@ -286,10 +305,10 @@
     }
     let is_founder = settings.form && settings.voters.contains(&settings.listen);
     if !is_founder {
-        return join(settings).map(|_| false);
+        return join_measured(settings, monitor).map(|_| false);
     }
     let members = membership::founders(&settings.voters);
-    initialise(settings, membership::FOUNDER_IDENTITY, |_| {
+    initialise(settings, monitor, membership::FOUNDER_IDENTITY, |_| {
         raft::Persisted::bootstrap_with(members)
     })?;
     event!(log, StoreInitialised, "voters" => settings.voters.len());
@@ -308,9 +327,11 @@
     path: Option<PathBuf>,
     log: slog::Logger,
 ) -> Result<(), Report<Error>> {
-    let is_new_cluster = settings.unattended && initialise_unattended(&settings, &log)?;
     let clock = clock::System;
-    let folder = open_folder(&settings)?;
+    let monitor = latency::Monitor::new(clock);
+    tokio::spawn(slow::watch(monitor.clone(), log.clone()));
+    let is_new_cluster = settings.unattended && initialise_unattended(&settings, &monitor, &log)?;
+    let folder = open_folder(&settings, &monitor)?;
     let node = identity::read(&folder, &settings.name).change_context(Error)?;
     let opened = journal::Journal::open(folder).change_context(Error)?;
     event!(log, StoreOpened, "node" => %node, "bytes" => opened.journal.len());
@@ -329,8 +350,11 @@
     let (mut handle, failed) = replica::start(
         &settings,
         node,
-        writer,
-        hints.committed,
+        replica::Stored {
+            writer,
+            committed: hints.committed,
+            monitor: monitor.clone(),
+        },
         feed.clone(),
         clock,
         log.clone(),
@@ -340,7 +364,7 @@
     methods
         .merge(source::Server::new(feed.clone()).into_rpc())
         .change_context(Error)?;
-    let metrics = metric::Metrics::new();
+    let metrics = metric::Metrics::new(monitor.clone());
     let name = settings.name.clone();
     // No endpoint served before a new cluster began.
     let knows_builds_since = (!is_new_cluster).then(|| clock.now());
@@ -353,7 +377,11 @@
         log.clone(),
     );
     soft_state.restore_hints(&hints);
-    tokio::spawn(soft_state.clone().store_hints(store, handle.clone()));
+    tokio::spawn(
+        soft_state
+            .clone()
+            .store_hints(store, monitor.clone(), handle.clone()),
+    );
     let registry = registry::Server {
         soft_state: soft_state.clone(),
         feed,
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -18,7 +18,7 @@
     core::{load, name, origin, pace, raft, registry, retry, throttle, unit, usage, wall_clock},
     event,
     ops::control::Handle,
-    store::hints,
+    store::{hints, latency},
     util::{
         clock::{self, Clock as _},
         lock::lock,
@@ -263,7 +263,12 @@
     }
 
     /// Writes the hints to the data folder whenever they have changed, for ever.
-    pub(super) async fn store_hints(self, store: hints::Store, handle: Handle) {
+    pub(super) async fn store_hints(
+        self,
+        store: hints::Store,
+        monitor: latency::Monitor<clock::System>,
+        handle: Handle,
+    ) {
         let mut stored = hints::Hints::default();
         let mut failing = false;
         loop {
@@ -273,8 +278,14 @@
                 continue;
             }
             let (store, written) = (store.clone(), fresh.clone());
+            let monitor = monitor.clone();
+            let save = move || {
+                monitor.measure("hints", latency::Operation::Replace, || {
+                    store.save(&written)
+                })
+            };
             // A disk that hangs blocks this task only.
-            let saved = tokio::task::spawn_blocking(move || store.save(&written)).await;
+            let saved = tokio::task::spawn_blocking(save).await;
             match saved {
                 Ok(Ok(())) => {
                     stored = fresh;
--- a/src/scalewood/ops/control/replica.rs
+++ b/src/scalewood/ops/control/replica.rs
@@ -22,7 +22,7 @@
     core::{change, ledger, name, raft},
     event,
     ops::control::{self, link},
-    store::{folder, journal},
+    store::{folder, journal, latency},
     util::{
         clock::{self, Clock as _},
         lock::lock,
@@ -39,7 +39,8 @@
 const REOPEN_PERIOD: Duration = Duration::from_millis(250);
 
 type Ledger = ledger::Ledger;
-type Writer = journal::Writer<folder::Folder, Ledger>;
+type Media = latency::Media<folder::Folder, clock::System>;
+type Writer = journal::Writer<Media, Ledger>;
 type Outcome = raft::Outcome<change::Answer>;
 
 /// A command to a voter's thread.
@@ -277,20 +278,29 @@
     }
 }
 
-/// Starts a voter's thread from its journal and the last entry that was known to be committed
-/// before the start. The receiver yields the reason if the thread fails.
+/// What a voter starts from.
+#[derive(Debug)]
+pub(super) struct Stored {
+    /// The journal.
+    pub(super) writer: Writer,
+    /// The last entry that was known to be committed before the start.
+    pub(super) committed: raft::Index,
+    /// Measures the writes to the data folder.
+    pub(super) monitor: latency::Monitor<clock::System>,
+}
+
+/// Starts a voter's thread from what is stored. The receiver yields the reason if the thread fails.
 pub(super) fn start(
     settings: &control::Settings,
     node: raft::Node,
-    writer: Writer,
-    committed: raft::Index,
+    stored: Stored,
     feed: Arc<feed::Feed>,
     clock: clock::System,
     log: slog::Logger,
 ) -> (Handle, oneshot::Receiver<String>) {
     let (commands, receiver) = mpsc::sync_channel(4096);
     let (fail, failed) = oneshot::channel();
-    let persisted = writer.persisted().clone();
+    let persisted = stored.writer.persisted().clone();
     let mut voter = raft::Voter::new(
         settings.raft.clone(),
         node,
@@ -298,7 +308,7 @@
         rand::random(),
         clock.now(),
     );
-    voter.apply_known_committed(committed);
+    voter.apply_known_committed(stored.committed);
     let first = Published {
         status: voter.status(),
         ledger: Arc::new(voter.state().clone()),
@@ -318,7 +328,8 @@
     let thread = Thread {
         voter,
         settings: settings.clone(),
-        writer: Some(writer),
+        writer: Some(stored.writer),
+        monitor: stored.monitor,
         feed,
         clock,
         log,
@@ -336,9 +347,12 @@
 }
 
 /// Opens the journal again after its disk failed.
-fn reopen(path: &Path) -> Result<Writer, journal::Error> {
+fn reopen(
+    path: &Path,
+    monitor: &latency::Monitor<clock::System>,
+) -> Result<Writer, journal::Error> {
     let folder = folder::Folder::open(path)?;
-    let opened = journal::Journal::open(folder)?;
+    let opened = journal::Journal::open(latency::Media::new(folder, monitor.clone()))?;
     Ok(journal::Writer::new(opened.journal, opened.persisted))
 }
 
@@ -348,6 +362,7 @@
     settings: control::Settings,
     /// The journal, or `None` while its disk can't be used.
     writer: Option<Writer>,
+    monitor: latency::Monitor<clock::System>,
     feed: Arc<feed::Feed>,
     clock: clock::System,
     log: slog::Logger,
@@ -422,7 +437,7 @@
                     Err(mpsc::RecvTimeoutError::Disconnected) => return false,
                 }
             }
-            if let Ok(writer) = reopen(&self.settings.data) {
+            if let Ok(writer) = reopen(&self.settings.data, &self.monitor) {
                 self.restart(writer);
                 return true;
             }
--- a/src/scalewood/store/mod.rs
+++ b/src/scalewood/store/mod.rs
@@ -4,4 +4,5 @@
 pub mod hints;
 pub mod identity;
 pub mod journal;
+pub mod latency;
 pub mod media;
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -71,6 +71,7 @@
     StoreRecovered = 2205, Info, "the data folder can be written again";
     HintsFailed = 2206, Warning, "hints can't be kept over a restart";
     HintsRead = 2207, Info, "hints from before the start were read";
+    StoreSlow = 2208, Warning, "a write to the data folder takes long";
     BecameLeader = 2301, Info, "this voter is now the leader";
     LostLead = 2302, Warning, "this voter is no longer the leader";
     VoterUnreachable = 2303, Warning, "a voter can't be reached";
--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -408,3 +408,70 @@
     let process = deployment.voters[0].process.as_mut().unwrap();
     assert!(process.is_running(), "the voter has ended");
 }
+
+/// Guards against a voter that stands still without a line since its journal hangs, as systems of
+/// one voter did that elected nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_voter_whose_journal_hangs_says_so_while_it_hangs_and_goes_on_afterwards() {
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = Deployment::start(voters(1), dir.path()).await;
+    accept(&deployment, "before").await;
+    // After some entries the journal is rewritten into this file. A pipe that nobody reads makes
+    // the rewrite hang.
+    let pipe = deployment.voters[0].data.join("journal.new");
+    let made = std::process::Command::new("mkfifo").arg(&pipe).status();
+    assert!(made.is_ok_and(|status| status.success()));
+    let log = dir.path().join("c0.log");
+    let has_line = |parts: &[&str]| {
+        let text = fs::read_to_string(&log).unwrap_or_default();
+        text.lines()
+            .any(|line| parts.iter().all(|part| line.contains(part)))
+    };
+    let hangs = || {
+        has_line(&[
+            "\"event\":2208",
+            "\"operation\":\"replace\"",
+            "\"file\":\"journal\"",
+            "\"ended\":false",
+        ])
+    };
+    let client = deployment.operator();
+    let until = Instant::now() + Duration::from_secs(60);
+    for i in 0.. {
+        if hangs() {
+            break;
+        }
+        assert!(
+            Instant::now() < until,
+            "nothing is told of a journal that hangs"
+        );
+        let Ok(config) = client.config().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let edits = vec![set_service(&format!("filled-{i}"))];
+        let change = operate::new_change(config.revision, "a test".into(), edits);
+        let _ = client.change(&change).await;
+    }
+    let admin = deployment.voters[0].admin;
+    let answer = client::ask(admin, "GET", "/metrics", &[], "")
+        .await
+        .unwrap();
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let under_way = text
+        .lines()
+        .find_map(|line| line.strip_prefix("scalewood_store_under_way_seconds "));
+    let under_way: f64 = under_way.expect("the metric").parse().unwrap();
+    assert!(under_way >= 1.0, "{under_way}");
+    // The pipe takes the bytes but can't be synced, so the rewrite fails and the voter recovers.
+    let mut reader = fs::File::open(&pipe).unwrap();
+    fs::remove_file(&pipe).unwrap();
+    let reader = std::thread::spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+    accept(&deployment, "after").await;
+    assert!(reader.join().unwrap().is_ok());
+    deploy::wait("the end is told of", || async {
+        has_line(&["\"event\":2208", "\"ended\":true"])
+    })
+    .await;
+    assert_contains(&deployment, &["before".into(), "after".into()]).await;
+}
--- a/tests/testsuite/journal.rs
+++ b/tests/testsuite/journal.rs
@@ -4,7 +4,11 @@
 use std::{
     collections::BTreeMap,
     io,
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc, Mutex,
+    },
+    time::Duration,
 };
 
 use rand::Rng as _;
@@ -13,8 +17,10 @@
     store::{
         identity,
         journal::{Error, Journal, Writer},
+        latency::{self, Monitor, Notice, Operation},
         media::Media,
     },
+    util::clock::Clock,
 };
 
 use crate::random::{agree::AppliedCommands, random, runs};
@@ -273,3 +279,146 @@
     };
     assert_eq!(again, node);
 }
+
+/// A clock that a test sets, in milliseconds.
+#[derive(Clone, Debug, Default)]
+struct Watch(Arc<AtomicU64>);
+
+impl Clock for Watch {
+    fn now(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::Relaxed))
+    }
+
+    fn unix_ms(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Watch {
+    fn pass(&self, ms: u64) {
+        self.0.fetch_add(ms, Ordering::Relaxed);
+    }
+}
+
+/// A disk whose syncs take as long as a test says. It collects the notices that are due each 250 ms
+/// meanwhile, as another thread would.
+#[derive(Clone, Debug)]
+struct Slow {
+    memory: Memory,
+    clock: Watch,
+    monitor: Monitor<Watch>,
+    sync_ms: Arc<AtomicU64>,
+    meanwhile: Arc<Mutex<Vec<Notice>>>,
+}
+
+impl Slow {
+    fn new() -> Self {
+        let clock = Watch::default();
+        Self {
+            memory: Memory::default(),
+            monitor: Monitor::new(clock.clone()),
+            clock,
+            sync_ms: Arc::default(),
+            meanwhile: Arc::default(),
+        }
+    }
+
+    /// Returns a writer of a journal on this disk.
+    fn writer(&self) -> Writer<latency::Media<Slow, Watch>, AppliedCommands> {
+        let media = latency::Media::new(self.clone(), self.monitor.clone());
+        let kept = Persisted::<AppliedCommands>::default();
+        let journal = Journal::create(media, kept.clone()).unwrap();
+        Writer::new(journal, kept)
+    }
+
+    /// Writes a step whose sync takes so long. Returns the notices from its begin to its end.
+    fn write(
+        &self,
+        writer: &mut Writer<latency::Media<Slow, Watch>, AppliedCommands>,
+        sync_ms: u64,
+    ) -> Vec<Notice> {
+        self.sync_ms.store(sync_ms, Ordering::Relaxed);
+        writer.write(vec![Write::Vote(Term(1), None)]).unwrap();
+        let mut notices = std::mem::take(&mut *self.meanwhile.lock().unwrap());
+        notices.extend(self.monitor.notices());
+        notices
+    }
+}
+
+impl Media for Slow {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        self.memory.read(name)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.memory.append(name, bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        for _ in 0..self.sync_ms.load(Ordering::Relaxed) / 250 {
+            self.clock.pass(250);
+            let notices = self.monitor.notices();
+            self.meanwhile.lock().unwrap().extend(notices);
+        }
+        self.memory.sync(name)
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.memory.replace(name, bytes)
+    }
+}
+
+/// Returns a notice of a sync of the journal.
+fn sync_notice(ms: u64, has_ended: bool, untold: u64) -> Notice {
+    Notice {
+        file: "journal".into(),
+        operation: Operation::Sync,
+        duration: Duration::from_millis(ms),
+        has_ended,
+        untold,
+    }
+}
+
+/// Guards against a voter that elects nobody for as long as a sync of its journal hangs and logs
+/// nothing of it: the thread that would log was the one that hung.
+#[test]
+fn a_sync_that_hangs_is_told_of_while_it_hangs_and_when_it_ends() {
+    let disk = Slow::new();
+    let mut writer = disk.writer();
+    assert_eq!(disk.write(&mut writer, 750), []);
+    let told = disk.write(&mut writer, 30_000);
+    let expected = [1, 2, 4, 8, 16].map(|s| sync_notice(s * 1_000, false, 0));
+    assert_eq!(told[..5], expected);
+    assert_eq!(told[5..], [sync_notice(30_000, true, 0)]);
+    assert_eq!(disk.monitor.under_way(), Duration::ZERO);
+}
+
+/// Guards against a slow disk that fills the log: each sync that takes long would add lines.
+#[test]
+fn syncs_that_take_long_one_after_the_other_are_counted_not_each_told_of() {
+    let disk = Slow::new();
+    let mut writer = disk.writer();
+    assert_eq!(
+        disk.write(&mut writer, 1_500),
+        [sync_notice(1_000, false, 0), sync_notice(1_500, true, 0)]
+    );
+    for _ in 0..5 {
+        assert_eq!(disk.write(&mut writer, 1_500), []);
+    }
+    disk.clock.pass(10_000);
+    assert_eq!(
+        disk.write(&mut writer, 1_500),
+        [sync_notice(1_000, false, 5), sync_notice(1_500, true, 0)]
+    );
+}
+
+/// Guards against a sync whose length nobody learns, since nothing asked for notices while it went
+/// on: the process was stopped too.
+#[test]
+fn a_sync_that_took_long_unseen_is_told_of_at_its_end() {
+    let clock = Watch::default();
+    let monitor = Monitor::new(clock.clone());
+    monitor.measure("journal", Operation::Sync, || clock.pass(5_000));
+    assert_eq!(monitor.notices(), [sync_notice(5_000, true, 0)]);
+    assert_eq!(monitor.notices(), []);
+}
