Tests: answers of scalewood's own API outlast a pause of their endpoint (failing)

Endpoints are stopped for 2 s, with a limit of half a second on their silence. Streams, whole answers and calls that may not run twice, and streams with an empty retry budget, end with an error as endpoint-silent; a request of an endpoint that never answers ends after half a second instead of at its deadline.

--- /dev/null
+++ b/tests/testsuite/api_pause.rs
@@ -0,0 +1,175 @@
+//! Sound endpoints of scalewood's own API that pause for longer than `limits.silence` and then go on, with
+//! real processes: what callers get of the answers that were due meanwhile.
+
+use std::time::{Duration, Instant};
+
+use scalewood::core::{
+    change::{Answer, Edit, Item},
+    config,
+};
+use serde_json::json;
+
+use crate::{
+    path::expected,
+    support::{
+        client::{self, ask, bearer, chat, Streamed},
+        deploy::{self, Deployment, Plan},
+    },
+};
+
+/// How long endpoints pause: longer than `limits.silence`, and shorter than the deadline of any class.
+const PAUSE: Duration = Duration::from_millis(2000);
+/// How long requests run before the pause begins.
+const BEFORE: Duration = Duration::from_millis(250);
+/// The tokens of an answer that takes longer than [`BEFORE`].
+const TOKENS: usize = 400;
+
+/// Returns the plan of one box that leaves endpoints for their silence after half a second.
+fn plan() -> Plan {
+    Plan {
+        boxes: vec![1],
+        engines: 2,
+        limits: r#""silence": "500ms", "arrival": "1s", "body": "1MiB""#,
+        ..Plan::default()
+    }
+}
+
+/// Stops all endpoints after a time, and lets them go on after a pause. Their kernel keeps all
+/// connections.
+async fn pause(deployment: &Deployment, after: Duration, pause: Duration) {
+    let signal = |signal| {
+        let processes = deployment
+            .standins
+            .iter()
+            .filter_map(|s| s.process.as_ref());
+        processes.for_each(|process| process.signal(signal));
+    };
+    tokio::time::sleep(after).await;
+    signal("STOP");
+    tokio::time::sleep(pause).await;
+    signal("CONT");
+}
+
+/// Sets the class `lm/report` to one whose requests may not run twice.
+async fn forbid_repetition(deployment: &Deployment, deadline: Duration) {
+    let class = config::Class {
+        repeatable: false,
+        deadline,
+        ..config::Class::default()
+    };
+    let edit = Edit::Set(Item::Class("lm/report".parse().unwrap(), class));
+    let answer = deployment.apply(vec![edit], "once").await;
+    assert!(matches!(answer, Answer::Accepted { .. }), "{answer:?}");
+    // Longer than boxes take to use a configuration.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+}
+
+async fn stream(deployment: &Deployment, class: &str, prompt: &str) -> Streamed {
+    let callers = deployment.entries[0].callers;
+    let mut connection = client::Connection::open(callers).await.unwrap();
+    let body = chat(deploy::MODEL, prompt, true);
+    client::stream(&mut connection, deploy::TEAM, class, body)
+        .await
+        .unwrap()
+}
+
+/// Makes requests fail until one is not tried again, and then lets engines answer correctly.
+async fn empty_budget(deployment: &Deployment) {
+    const MAX_REQUESTS: usize = 60;
+    let engines = deployment.standins_of(true);
+    for engine in &engines {
+        let faults = json!({ "breaks": 10_000, "break_after": 0 });
+        deployment.faults(*engine, faults).await;
+    }
+    let runs = || -> usize { engines.iter().map(|i| deployment.runs(*i).len()).sum() };
+    let mut is_empty = false;
+    for i in 0..MAX_REQUESTS {
+        let before = runs();
+        let answer = stream(deployment, "counter", &format!("fails {i} len=5")).await;
+        assert!(!answer.is_complete);
+        is_empty = runs() == before + 1 && answer.status == 502;
+        if is_empty {
+            break;
+        }
+    }
+    assert!(is_empty, "failed requests are tried again without an end");
+    for engine in &engines {
+        deployment.faults(*engine, json!({})).await;
+    }
+    deployment.wait_ready().await;
+}
+
+/// Guards against streams that end with an error since their sound endpoint paused for longer than
+/// `limits.silence` while the budget held no retry with which to go on elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_stream_ends_for_a_pause_without_a_retry() {
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = Deployment::start(plan(), dir.path()).await;
+    empty_budget(&deployment).await;
+    let prompts: Vec<_> = (0..4).map(|i| format!("paused {i} len={TOKENS}")).collect();
+    let streams = prompts
+        .iter()
+        .map(|prompt| stream(&deployment, "counter", prompt));
+    let streams = futures_util::future::join_all(streams);
+    let (answers, ()) = tokio::join!(streams, pause(&deployment, BEFORE, PAUSE));
+    for (prompt, answer) in prompts.iter().zip(answers) {
+        assert!(answer.is_complete, "{prompt}: {:?}", answer.error);
+        assert_eq!(answer.text, expected(prompt));
+    }
+}
+
+/// Guards against answers that end since their sound endpoint paused for longer than `limits.silence`,
+/// though no other endpoint may get the request: before the head, between events and in a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_that_may_not_run_twice_ends_for_a_pause() {
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = Deployment::start(plan(), dir.path()).await;
+    forbid_repetition(&deployment, Duration::from_secs(10)).await;
+    let callers = deployment.entries[0].callers;
+    let token = bearer(deploy::TEAM);
+    let headers = |class| {
+        [
+            ("authorization", token.as_str()),
+            ("scalewood-class", class),
+        ]
+    };
+    let (report, record) = (headers("report"), headers("record"));
+
+    let prompt = format!("paused len={TOKENS}");
+    let body = chat(deploy::MODEL, &prompt, false);
+    let whole = ask(callers, "POST", "/v1/chat/completions", &report, body);
+    let streamed = stream(&deployment, "report", &prompt);
+    let (whole, streamed, ()) = tokio::join!(whole, streamed, pause(&deployment, BEFORE, PAUSE));
+    let whole = whole.unwrap();
+    assert!(streamed.is_complete, "{:?}", streamed.error);
+    assert_eq!(streamed.text, expected(&prompt));
+    assert_eq!(whole.status, 200, "{:?}", whole.json());
+
+    let begun = async {
+        tokio::time::sleep(BEFORE).await;
+        ask(callers, "POST", "/services/stock/x", &record, "a call").await
+    };
+    let (answer, ()) = tokio::join!(begun, pause(&deployment, Duration::ZERO, PAUSE));
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, 200, "{:?}", answer.json());
+}
+
+/// Guards against requests without another attempt whose silent endpoint is given up before their
+/// deadline, or awaited for longer than that.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_another_attempt_ends_at_its_deadline() {
+    const DEADLINE: Duration = Duration::from_secs(2);
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = Deployment::start(plan(), dir.path()).await;
+    forbid_repetition(&deployment, DEADLINE).await;
+    for engine in deployment.standins_of(true) {
+        deployment.faults(engine, json!({ "hang": true })).await;
+    }
+    let since = Instant::now();
+    let answer = stream(&deployment, "report", "hung len=5").await;
+    let took = since.elapsed();
+    assert_eq!(answer.status, 504);
+    assert_eq!(answer.verdict.as_deref(), Some("may-have-run"));
+    assert!(took >= DEADLINE, "{took:?}");
+    assert!(took < DEADLINE + Duration::from_secs(1), "{took:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::disallowed_methods)]
 
 mod admin;
+mod api_pause;
 mod build_dispatch;
 mod callers;
 mod chaos;
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -229,6 +229,8 @@
     pub(crate) retention: &'static str,
     /// How long callers are accepted after the signal to stop.
     pub(crate) grace: &'static str,
+    /// The limits of boxes, as their settings name them.
+    pub(crate) limits: &'static str,
     /// The port under which the first voter is listed as a member, if it is not its own but that of
     /// a link.
     pub(crate) listed_port: Option<u16>,
@@ -248,6 +250,7 @@
             token_us: 2000,
             retention: "2s",
             grace: "200ms",
+            limits: r#""silence": "3s", "arrival": "1s", "body": "64KiB""#,
             listed_port: None,
             provider: None,
         }
@@ -518,13 +521,16 @@
             .map(|v| format!("{{ \"address\": \"{}\" }}", v.listen));
         let voters = voters.collect::<Vec<_>>().join(", ");
         let Plan {
-            retention, grace, ..
+            retention,
+            grace,
+            limits,
+            ..
         } = &self.plan;
         let text = format!(
             "{{\n  \"box\": \"{name}\",\n  \"zone\": \"{zone}\",\n  \"callers\": \"{callers}\",\n  \
              \"listen\": \"{listen}\",\n  \"health\": \"{health}\",\n  \"voters\": [{voters}],\n  \
              \"usage_window\": \"1s\", \"claim_retention\": \"{retention}\",\n  \"stop_grace\": \"{grace}\",\n  \
-             \"limits\": {{ \"silence\": \"3s\", \"arrival\": \"1s\", \"body\": \"64KiB\" }},\n}}\n"
+             \"limits\": {{ {limits} }},\n}}\n"
         );
         self.write(&format!("{name}.json"), &text)
     }
