Tests: a long request outlasts an endpoint that reads nothing for seconds (failing)

A link that holds data back for 2.5 s, and a stopped process: the box closes the connection 1.5 s after the receive window closed, and callers get 502 for requests that may not run twice. Both fail on the code as it is.

--- a/tests/testsuite/api_pause.rs
+++ b/tests/testsuite/api_pause.rs
@@ -173,3 +173,29 @@
     assert!(took >= DEADLINE, "{took:?}");
     assert!(took < DEADLINE + Duration::from_secs(1), "{took:?}");
 }
+
+/// Guards against calls that are lost since their paused endpoint reads none of a long body for some
+/// seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_call_outlasts_an_endpoint_that_reads_nothing_for_seconds() {
+    const LONG_PAUSE: Duration = Duration::from_millis(3000);
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        limits: r#""silence": "15s", "arrival": "1s", "body": "1MiB""#,
+        ..plan()
+    };
+    let deployment = Deployment::start(plan, dir.path()).await;
+    let token = bearer(deploy::TEAM);
+    let headers = [
+        ("authorization", token.as_str()),
+        ("scalewood-class", "record"),
+    ];
+    let body = "x".repeat(900 << 10);
+    let callers = deployment.entries[0].callers;
+    let call = async {
+        tokio::time::sleep(BEFORE).await;
+        ask(callers, "POST", "/services/stock/x", &headers, body).await
+    };
+    let (answer, ()) = tokio::join!(call, pause(&deployment, Duration::ZERO, LONG_PAUSE));
+    assert_eq!(answer.unwrap().status, 200);
+}
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -11,7 +11,7 @@
 
 use crate::support::{
     client,
-    forwarder::{Forwarder, Port},
+    forwarder::{Forwarder, Mode, Port},
     routed::{routing, text, Endpoint, System, HOST, KEY},
 };
 
@@ -106,6 +106,39 @@
     assert_eq!(answer.headers()["scalewood-verdict"], "not-run");
 }
 
+/// The length of a body that fits into no buffer of a socket that is not read.
+const LONG_BODY: usize = 3 << 20;
+
+/// Guards against requests that are lost since their sound endpoint reads none of a long body for some
+/// seconds: on Linux the time without acknowledgement also bounds how long a peer may keep its receive
+/// window closed, though it answers each probe.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_request_outlasts_an_endpoint_that_reads_nothing_for_seconds() {
+    const PAUSE: Duration = Duration::from_millis(2500);
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, link) = start_behind_link(0, dir.path()).await;
+    let bearer = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("scalewood-id", "long"),
+        ("scalewood-deadline-ms", "5000"),
+    ];
+    link.set(Mode::Silent);
+    let mut connection = client::Connection::open(system.callers()).await.unwrap();
+    let body = "x".repeat(LONG_BODY);
+    let call = connection.send_to(HOST, "POST", "/unsafe/long", &headers, body);
+    let pause = async {
+        tokio::time::sleep(PAUSE).await;
+        link.set(Mode::Whole);
+    };
+    let (answer, ()) = tokio::join!(call, pause);
+    assert_eq!(answer.unwrap().status(), 200);
+    let seen = endpoint.seen();
+    let seen = seen.iter().filter(|seen| seen.path == "/unsafe/long");
+    let lengths: Vec<_> = seen.map(|seen| seen.body.len()).collect();
+    assert_eq!(lengths, [LONG_BODY]);
+}
+
 /// Guards against connections that a single lost probe closes: on Linux the time without
 /// acknowledgement decides when probes give up, whatever their number. A caller that waits for its answer
 /// over a lossy link then loses it.
