Own API: leave a silent endpoint only with a retry in hand

Callers of scalewood's own API got endpoint-silent, or a stream with an error event, once their sound endpoint had paused for limits.silence, though no other attempt could follow: the class may not run twice, the stream can't be resumed, or the budget held no retry. The endpoint was given up first and the retry looked for afterwards.

Now the wait ends only once a retry is reserved for the next attempt, which then uses it; else at the class's deadline, counted from the arrival or from a stream's last event, and never before limits.silence is over. A preemption and a caller that leaves end the wait at once.

--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -26,6 +26,7 @@
         dialect::Disposition,
         now,
         observer::Observer,
+        patience::{self, Patience as _, Retries},
         plain::{self, Context, Outgoing},
         prompt::Prompt,
         reply::Refusal,
@@ -108,6 +109,7 @@
         prompt,
         transcript: Transcript::default(),
         observer: Observer::new(&context.board, call),
+        retries: Retries::default(),
         pieces: pieces.clone(),
         head: Some(head),
     };
@@ -150,6 +152,7 @@
     prompt: Prompt,
     transcript: Transcript,
     observer: Observer,
+    retries: Retries,
     pieces: mpsc::Sender<Piece>,
     /// Reports to the handler whether the answer starts or is refused; `None` once reported.
     head: Option<oneshot::Sender<Result<(), Refusal>>>,
@@ -214,6 +217,7 @@
             };
             let attempt = turn.attempt();
             let sent_at = now(&board);
+            self.retries.begin(history.failures + 1);
             let outcome = self.attempt(&mut turn, &endpoint).await;
             if !self
                 .finish_attempt(turn, (endpoint, sent_at), outcome, &mut history)
@@ -298,10 +302,8 @@
     }
 
     /// Waits for the next attempt, or returns the refusal if there is to be none.
-    async fn wait_for_retry(&self, failure: Failure, history: &History) -> Result<(), Refusal> {
-        let begun = self.transcript.tokens.0 > 0;
-        let board = &self.context.board;
-        if begun && !self.prompt.is_resumable() {
+    async fn wait_for_retry(&mut self, failure: Failure, history: &History) -> Result<(), Refusal> {
+        if !self.may_go_on() {
             return Err(Refusal {
                 status: StatusCode::BAD_GATEWAY,
                 code: "stream-broke",
@@ -311,15 +313,34 @@
             });
         }
         plain::wait_for_retry(
-            board,
+            &self.context.board,
             &self.call,
             failure,
             history.verdict,
-            history.failures,
+            &mut self.retries,
         )
         .await
     }
 
+    /// Returns whether another attempt could go on with what was delivered so far.
+    fn may_go_on(&self) -> bool {
+        self.transcript.tokens.0 == 0 || self.prompt.is_resumable()
+    }
+
+    /// Returns the patience with the endpoint of the running attempt.
+    fn patience(&mut self) -> patience::Endpoint<'_> {
+        let deadline = self.call.arrived_at + self.deadline();
+        let is_repeatable = self.call.class.repeatable && self.may_go_on();
+        patience::Endpoint {
+            board: &self.context.board,
+            call: &self.call,
+            retries: &mut self.retries,
+            max_silence: self.context.limits.max_silence,
+            deadline,
+            is_repeatable,
+        }
+    }
+
     /// Ends the request with an error. The error is the response if the stream has not started,
     /// else an event, after which the connection is closed.
     async fn fail(&mut self, refusal: Refusal) {
@@ -365,24 +386,22 @@
 
     /// Sends the request and waits for the head of the answer.
     async fn open(
-        &self,
+        &mut self,
         endpoint: &name::Endpoint,
         address: SocketAddr,
         outgoing: &Outgoing,
         is_permitted: impl Fn() -> bool,
     ) -> Result<Response<hyper::body::Incoming>, Failure> {
         let request = outgoing.request(address, &self.call)?;
-        let board = &self.context.board;
-        let target = plain::target(board, endpoint, address);
-        let limits = &self.context.limits;
-        let sent = self.context.pool.send(
-            address,
-            request,
-            (limits.connect_timeout, limits.max_silence),
-            is_permitted,
+        let target = plain::target(&self.context.board, endpoint, address);
+        let (pool, connect) = (
+            self.context.pool.clone(),
+            self.context.limits.connect_timeout,
         );
+        let sent = pool.send(address, request, (connect, self.patience()), is_permitted);
         // The connection is not reused, because a stream is seldom read to its last byte.
         let (_, response) = sent.await?;
+        let board = &self.context.board;
         let disposition =
             answer_head::observe_native(board, &self.call.key.service, &target, &response);
         if disposition == Disposition::Refused {
@@ -400,20 +419,20 @@
         mut events: std::pin::Pin<&mut S>,
     ) -> Outcome
     where
-        S: Stream<Item = Result<eventsource_stream::Event, E>>,
+        S: Stream<Item = Result<eventsource_stream::Event, E>> + Send,
     {
-        let silence = self.context.limits.max_silence;
         let resumed = self.transcript.tokens.0 > 0;
         let mut own = 0;
         loop {
+            let mut patience = self.patience();
             let next = tokio::select! {
-                next = tokio::time::timeout(silence, events.next()) => next,
+                next = patience.wait(events.next()) => next,
                 () = turn.preempted() => return Outcome::Preempted,
             };
             let event = match next {
-                Err(_) => return Outcome::Failed(Failure::SILENT),
-                Ok(None | Some(Err(_))) => return Outcome::Failed(Failure::BROKEN),
-                Ok(Some(Ok(event))) => event,
+                None => return Outcome::Failed(Failure::SILENT),
+                Some(None | Some(Err(_))) => return Outcome::Failed(Failure::BROKEN),
+                Some(Some(Ok(event))) => event,
             };
             if event.data == END_MARK {
                 return if self.send("data: [DONE]\n\n".into()).await {
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -7,11 +7,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{body::Incoming, header, HeaderMap, Method, Request, Response, StatusCode};
 
 use crate::{
-    core::{self, config, dispatch, invariant, name, retry, unit, verdict},
+    core::{self, config, dispatch, invariant, name, unit, verdict},
     event,
     ops::entry::{
         answer_head,
@@ -22,6 +22,7 @@
         dialect::Disposition,
         now,
         observer::Observer,
+        patience::{self, Patience as _, Retries},
         prompt,
         reply::{Refusal, REQUEST_HEADER, VERDICT_HEADER},
         turn::{Decision, Turn},
@@ -192,6 +193,7 @@
     let mut ask = call.first_ask(board, false);
     let mut observer = Observer::new(board, call);
     let mut verdict_so_far = verdict::Verdict::NotRun;
+    let mut retries = Retries::default();
     loop {
         let mut turn = Turn::ask(
             board,
@@ -233,7 +235,8 @@
             invariant::Rule::KeyOnce,
             || format!("{attempt} sends a keyed call that may have run"),
         );
-        match exchange(context, call, outgoing, (&turn, &endpoint)).await {
+        retries.begin(attempt.number + 1);
+        match exchange(context, call, outgoing, (&turn, &endpoint), &mut retries).await {
             Ok(answer) => {
                 turn.report_first_token();
                 observer.first();
@@ -249,7 +252,7 @@
                 record_if_crashed(board, call, (&endpoint, sent_at), failure).await;
                 verdict_so_far = verdict_so_far.and(failure.verdict);
                 if let Err(refusal) =
-                    wait_for_retry(board, call, failure, verdict_so_far, attempt.number + 1).await
+                    wait_for_retry(board, call, failure, verdict_so_far, &mut retries).await
                 {
                     observer.refused(&refusal);
                     return Err(refusal);
@@ -295,18 +298,11 @@
     call: &Call,
     failure: Failure,
     verdict_so_far: verdict::Verdict,
-    attempts: u32,
+    retries: &mut Retries,
 ) -> Result<(), Refusal> {
     let did_not_run = failure.verdict == verdict::Verdict::NotRun;
     let wait = if did_not_run || call.class.repeatable {
-        let mut shard = board.api_budgets.shard(&call.key.service);
-        let budget = shard
-            .entry(call.key.service.clone())
-            .or_insert_with(|| retry::LocalBudget::new(retry::Settings::default()));
-        if attempts == 1 {
-            budget.earn();
-        }
-        budget.spend(attempts, rand::random())
+        retries.reserve(board, call)
     } else {
         None
     };
@@ -390,19 +386,28 @@
     call: &Call,
     outgoing: &Outgoing,
     (turn, endpoint): (&Turn, &name::Endpoint),
+    retries: &mut Retries,
 ) -> Result<Reply, Failure> {
     let address = address(&context.board, endpoint)?;
     let request = outgoing.request(address, call)?;
     let Limits {
         connect_timeout: connect,
-        max_silence: silence,
-        max_answer: answer,
+        max_silence,
+        max_answer,
         ..
     } = context.limits;
+    let mut patience = patience::Endpoint {
+        board: &context.board,
+        call,
+        retries,
+        max_silence,
+        deadline: call.arrived_at + call.class.deadline,
+        is_repeatable: call.class.repeatable,
+    };
     let target = target(&context.board, endpoint, address);
     let (sender, response) = context
         .pool
-        .send(address, request, (connect, silence), || {
+        .send(address, request, (connect, &mut patience), || {
             turn.permits(endpoint)
         })
         .await?;
@@ -412,7 +417,7 @@
         return Err(Failure::REFUSED);
     }
     let (parts, body) = response.into_parts();
-    let body = read(body, answer, silence).await?;
+    let body = read(body, max_answer, &mut patience).await?;
     context.pool.give_back(address, sender);
     let kind = context
         .board
@@ -459,12 +464,15 @@
 }
 
 /// Reads an answer's body within the limits on size and time.
-async fn read(body: Incoming, max: unit::Size, silence: Duration) -> Result<Bytes, Failure> {
+async fn read(
+    body: Incoming,
+    max: unit::Size,
+    patience: &mut patience::Endpoint<'_>,
+) -> Result<Bytes, Failure> {
     let whole = Limited::new(body, max.0).collect();
-    match tokio::time::timeout(silence, whole).await {
-        Err(_) => Err(Failure::SILENT),
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Failure::BROKEN),
-        Ok(Err(_)) => Err(Failure::BROKEN),
+    match patience.wait(whole).await {
+        None => Err(Failure::SILENT),
+        Some(Ok(whole)) => Ok(whole.to_bytes()),
+        Some(Err(_)) => Err(Failure::BROKEN),
     }
 }
--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     core::{dispatch, verdict},
+    ops::entry::patience::Patience,
     util::{lock::lock, socket},
 };
 
@@ -158,7 +159,7 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        (connect, silence): (Duration, Duration),
+        (connect, mut patience): (Duration, impl Patience),
         is_permitted: impl Fn() -> bool,
     ) -> Result<(Sender, Response<Incoming>), Failure> {
         let mut request = request;
@@ -168,7 +169,7 @@
             if !is_permitted() {
                 return Err(Failure::NOT_PERMITTED);
             }
-            match send_over(sender, request, silence).await {
+            match send_over(sender, request, &mut patience).await {
                 Ok(answered) => return Ok(answered),
                 Err(SendError::NotWritten(returned)) => request = *returned,
                 Err(SendError::Failed(failure)) => return Err(failure),
@@ -178,7 +179,7 @@
         if !is_permitted() {
             return Err(Failure::NOT_PERMITTED);
         }
-        send_over(sender, request, silence)
+        send_over(sender, request, &mut patience)
             .await
             .map_err(|error| match error {
                 SendError::NotWritten(_) => Failure::UNREACHABLE,
@@ -199,13 +200,12 @@
 async fn send_over(
     mut sender: Sender,
     request: Request<Full<Bytes>>,
-    silence: Duration,
+    patience: &mut impl Patience,
 ) -> Result<(Sender, Response<Incoming>), SendError> {
-    let sent = tokio::time::timeout(silence, sender.try_send_request(request)).await;
-    match sent {
-        Err(_) => Err(SendError::Failed(Failure::SILENT)),
-        Ok(Ok(response)) => Ok((sender, response)),
-        Ok(Err(mut error)) => Err(match error.take_message() {
+    match patience.wait(sender.try_send_request(request)).await {
+        None => Err(SendError::Failed(Failure::SILENT)),
+        Some(Ok(response)) => Ok((sender, response)),
+        Some(Err(mut error)) => Err(match error.take_message() {
             Some(request) => SendError::NotWritten(Box::new(request)),
             None => SendError::Failed(Failure::BROKEN),
         }),
--- a/tests/testsuite/api_pause.rs
+++ b/tests/testsuite/api_pause.rs
@@ -174,6 +174,40 @@
     assert!(took < DEADLINE + Duration::from_secs(1), "{took:?}");
 }
 
+/// Guards against slots that stay taken by a request whose caller has left, while its silent endpoint is
+/// awaited beyond `limits.silence`.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_the_wait_for_a_silent_endpoint() {
+    const LEAVE_AFTER: Duration = Duration::from_secs(1);
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        engines: 1,
+        slots: 1,
+        ..plan()
+    };
+    let deployment = Deployment::start(plan, dir.path()).await;
+    forbid_repetition(&deployment, Duration::from_secs(10)).await;
+    let engine = deployment.standins_of(true)[0];
+    for streamed in [true, false] {
+        deployment.faults(engine, json!({ "hang": true })).await;
+        let token = bearer(deploy::TEAM);
+        let headers = [
+            ("authorization", token.as_str()),
+            ("scalewood-class", "report"),
+        ];
+        let callers = deployment.entries[0].callers;
+        let body = chat(deploy::MODEL, "left len=5", streamed);
+        let hung = ask(callers, "POST", "/v1/chat/completions", &headers, body);
+        let hung = tokio::time::timeout(LEAVE_AFTER, hung).await;
+        assert!(hung.is_err(), "{hung:?}");
+        deployment.faults(engine, json!({})).await;
+        let since = Instant::now();
+        let answer = stream(&deployment, "report", "next len=5").await;
+        assert!(answer.is_complete, "{:?}", answer.error);
+        assert!(since.elapsed() < Duration::from_millis(500));
+    }
+}
+
 /// Guards against calls that are lost since their paused endpoint reads none of a long body for some
 /// seconds.
 #[tokio::test(flavor = "multi_thread")]
