Long requests: no limit on how long an endpoint may read nothing of them

Callers got 502 for long requests that may not run twice, and others lost an attempt, as their sound endpoint read nothing for 1.5 s.

Cause: TCP_USER_TIMEOUT. On Linux it bounds not only how long bytes stay unacknowledged but also how long a peer keeps its receive window closed, though its kernel acknowledges each probe: a process that pauses is then taken for a dead machine. A body of 900 KiB, which fits into the send buffer and not into the window, was enough. Connections between boxes have the same limit, at 3 s.

The limit is lifted from when more than 16 KiB were sent for one request, less than a Linux peer's first window, until the next request on the connection; short requests find a dead peer as before. The request's own time bounds the wait of a long one. The state of the connection (TCP_INFO) would tell a closed window from a dead peer, but no safe interface to it is among the dependencies.

--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -99,9 +99,7 @@
     let open = async {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        // Without this limit on the time without acknowledgement a dead peer is detected late; a
-        // failure to set it only delays that.
-        let _ = timeouts.apply(&stream);
+        let stream = socket::Stream::new(stream, timeouts);
         http1::handshake(TokioIo::new(stream)).await.ok()
     };
     let opened = tokio::time::timeout(within, open).await.ok().flatten();
--- a/src/scalewood/util/socket.rs
+++ b/src/scalewood/util/socket.rs
@@ -1,9 +1,21 @@
 //! Detection of dead TCP connections. A connection can stop carrying data without either end being
 //! notified, while new connections between the same two hosts work.
 
-use std::{mem::MaybeUninit, os::fd::AsFd, sync::Arc, time::Duration};
+use std::{
+    io::{self, IoSlice},
+    mem::MaybeUninit,
+    os::fd::{AsFd, BorrowedFd},
+    pin::Pin,
+    sync::Arc,
+    task::{ready, Context, Poll},
+    time::Duration,
+};
 
 use socket2::{SockRef, Socket, TcpKeepalive};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
 
 /// The timeouts between processes of the system: after one second without traffic the peer is
 /// probed, and two seconds later the connection is closed. This is no longer than the three seconds
@@ -24,7 +36,7 @@
 /// queueing delay of a saturated link. A sound endpoint may be silent for about a second, and what may
 /// run only once would be lost if its connection were closed before it goes on. An endpoint sends
 /// nothing while it computes, and is not probed: a response that a network partition delays may still
-/// arrive.
+/// arrive. Long requests are excepted, see [`Stream`].
 pub const ENDPOINT: Timeouts = Timeouts {
     unacknowledged: Duration::from_millis(1500),
     probe_after: None,
@@ -73,6 +85,108 @@
     }
 }
 
+/// How much a peer that reads nothing surely acknowledges: less than the receive window of a new
+/// connection.
+const MIN_WINDOW: usize = 16 << 10;
+
+/// A connection over which requests are sent.
+///
+/// On Linux the time for which bytes may stay unacknowledged also bounds how long a peer may keep its
+/// receive window closed, though it answers each probe. A sound process that pauses would lose each request
+/// that is longer than the window. So that time is unbounded from when more than `MIN_WINDOW` bytes were sent
+/// for one request until the next one, and the request's own time bounds the wait.
+#[derive(Debug)]
+pub struct Stream {
+    inner: TcpStream,
+    timeouts: Timeouts,
+    /// The number of bytes written since the peer last sent any before a write.
+    sent: usize,
+    /// Whether the peer has sent anything since the last write.
+    has_answered: bool,
+}
+
+impl Stream {
+    /// Sets the timeouts on a connection. If the operating system refuses them, a dead connection is
+    /// detected late.
+    pub fn new(inner: TcpStream, timeouts: Timeouts) -> Self {
+        let _ = timeouts.apply(&inner);
+        Self {
+            inner,
+            timeouts,
+            sent: 0,
+            has_answered: false,
+        }
+    }
+
+    /// Counts written bytes.
+    fn record_sent(&mut self, count: usize) {
+        let was_long = self.sent > MIN_WINDOW;
+        if std::mem::take(&mut self.has_answered) {
+            self.sent = 0;
+        }
+        self.sent += count;
+        let is_long = self.sent > MIN_WINDOW;
+        if is_long != was_long {
+            let limit = (!is_long).then_some(self.timeouts.unacknowledged);
+            // A failure leaves the limit as it was.
+            let _ = SockRef::from(&self.inner).set_tcp_user_timeout(limit);
+        }
+    }
+}
+
+impl AsFd for Stream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.inner.as_fd()
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = ready!(Pin::new(&mut self.inner).poll_read(context, buffer));
+        self.has_answered |= buffer.filled().len() > before;
+        Poll::Ready(read)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.inner).poll_write(context, bytes));
+        self.record_sent(*written.as_ref().unwrap_or(&0));
+        Poll::Ready(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.inner).poll_write_vectored(context, slices));
+        self.record_sent(*written.as_ref().unwrap_or(&0));
+        Poll::Ready(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
+
 /// Detects whether the peer has closed a connection, while other code reads from it.
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -9,6 +9,12 @@
     wire::registry::{RegistryClient as _, RegistryUpdate},
 };
 
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+
 use crate::support::{
     client,
     forwarder::{Forwarder, Mode, Port},
@@ -139,6 +145,43 @@
     assert_eq!(lengths, [LONG_BODY]);
 }
 
+/// Guards against connections to sound peers, boxes included, that are closed as these read none of a long
+/// request for longer than bytes may stay unacknowledged; and against later requests over such a connection
+/// that find out late that the peer is dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_a_long_request_may_stay_unread() {
+    for timeouts in [socket::ENDPOINT, socket::PROCESS] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await;
+        let mut stream = socket::Stream::new(stream.unwrap(), timeouts);
+        let (mut peer, _) = listener.accept().await.unwrap();
+        let limit = |stream: &socket::Stream| SockRef::from(stream).tcp_user_timeout().unwrap();
+        stream.write_all(b"short").await.unwrap();
+        assert_eq!(limit(&stream), Some(timeouts.unacknowledged));
+        let mut got = vec![0; 5];
+        peer.read_exact(&mut got).await.unwrap();
+        peer.write_all(b"answer").await.unwrap();
+        stream.read_exact(&mut [0; 6]).await.unwrap();
+
+        let wait = timeouts.unacknowledged + Duration::from_secs(2);
+        let long = vec![b'x'; LONG_BODY];
+        let mut got = vec![0; LONG_BODY];
+        let read = async {
+            tokio::time::sleep(wait).await;
+            peer.read_exact(&mut got).await
+        };
+        let (written, read) = tokio::join!(stream.write_all(&long), read);
+        written.unwrap();
+        assert_eq!(read.unwrap(), LONG_BODY);
+        assert_eq!(limit(&stream), None);
+
+        peer.write_all(b"answer").await.unwrap();
+        stream.read_exact(&mut [0; 6]).await.unwrap();
+        stream.write_all(b"short").await.unwrap();
+        assert_eq!(limit(&stream), Some(timeouts.unacknowledged));
+    }
+}
+
 /// Guards against connections that a single lost probe closes: on Linux the time without
 /// acknowledgement decides when probes give up, whatever their number. A caller that waits for its answer
 /// over a lossy link then loses it.
