Tests: pauses beside changes of the configuration and missed heartbeats

Nothing was found: a stream and a request that may run only once survive that their route is dropped, times are shortened, settings are reloaded, or their endpoint is forgotten for missed heartbeats while it pauses.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod pace;
 mod path;
 mod pause;
+mod pause_changes;
 mod placement;
 mod placement_large;
 mod precedence;
