--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::disallowed_methods)]
 
 mod admin;
+mod api_pause;
 mod build_dispatch;
 mod callers;
 mod chaos;
@@ -34,6 +35,7 @@
 mod pace;
 mod path;
 mod pause;
+mod pause_changes;
 mod placement;
 mod placement_large;
 mod precedence;
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -9,9 +9,15 @@
     wire::registry::{RegistryClient as _, RegistryUpdate},
 };
 
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+
 use crate::support::{
     client,
-    forwarder::{Forwarder, Port},
+    forwarder::{Forwarder, Mode, Port},
     routed::{routing, text, Endpoint, System, HOST, KEY},
 };
 
@@ -106,6 +112,76 @@
     assert_eq!(answer.headers()["scalewood-verdict"], "not-run");
 }
 
+/// The length of a body that fits into no buffer of a socket that is not read.
+const LONG_BODY: usize = 3 << 20;
+
+/// Guards against requests that are lost since their sound endpoint reads none of a long body for some
+/// seconds: on Linux the time without acknowledgement also bounds how long a peer may keep its receive
+/// window closed, though it answers each probe.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_request_outlasts_an_endpoint_that_reads_nothing_for_seconds() {
+    const PAUSE: Duration = Duration::from_millis(2500);
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, link) = start_behind_link(0, dir.path()).await;
+    let bearer = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("scalewood-id", "long"),
+        ("scalewood-deadline-ms", "5000"),
+    ];
+    link.set(Mode::Silent);
+    let mut connection = client::Connection::open(system.callers()).await.unwrap();
+    let body = "x".repeat(LONG_BODY);
+    let call = connection.send_to(HOST, "POST", "/unsafe/long", &headers, body);
+    let pause = async {
+        tokio::time::sleep(PAUSE).await;
+        link.set(Mode::Whole);
+    };
+    let (answer, ()) = tokio::join!(call, pause);
+    assert_eq!(answer.unwrap().status(), 200);
+    let seen = endpoint.seen();
+    let seen = seen.iter().filter(|seen| seen.path == "/unsafe/long");
+    let lengths: Vec<_> = seen.map(|seen| seen.body.len()).collect();
+    assert_eq!(lengths, [LONG_BODY]);
+}
+
+/// Guards against connections to sound peers, boxes included, that are closed as these read none of a long
+/// request for longer than bytes may stay unacknowledged; and against later requests over such a connection
+/// that find out late that the peer is dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_a_long_request_may_stay_unread() {
+    for timeouts in [socket::ENDPOINT, socket::PROCESS] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await;
+        let mut stream = socket::Stream::new(stream.unwrap(), timeouts);
+        let (mut peer, _) = listener.accept().await.unwrap();
+        let limit = |stream: &socket::Stream| SockRef::from(stream).tcp_user_timeout().unwrap();
+        stream.write_all(b"short").await.unwrap();
+        assert_eq!(limit(&stream), Some(timeouts.unacknowledged));
+        let mut got = vec![0; 5];
+        peer.read_exact(&mut got).await.unwrap();
+        peer.write_all(b"answer").await.unwrap();
+        stream.read_exact(&mut [0; 6]).await.unwrap();
+
+        let wait = timeouts.unacknowledged + Duration::from_secs(2);
+        let long = vec![b'x'; LONG_BODY];
+        let mut got = vec![0; LONG_BODY];
+        let read = async {
+            tokio::time::sleep(wait).await;
+            peer.read_exact(&mut got).await
+        };
+        let (written, read) = tokio::join!(stream.write_all(&long), read);
+        written.unwrap();
+        assert_eq!(read.unwrap(), LONG_BODY);
+        assert_eq!(limit(&stream), None);
+
+        peer.write_all(b"answer").await.unwrap();
+        stream.read_exact(&mut [0; 6]).await.unwrap();
+        stream.write_all(b"short").await.unwrap();
+        assert_eq!(limit(&stream), Some(timeouts.unacknowledged));
+    }
+}
+
 /// Guards against connections that a single lost probe closes: on Linux the time without
 /// acknowledgement decides when probes give up, whatever their number. A caller that waits for its answer
 /// over a lossy link then loses it.
