A long request to a dead machine fails as soon as the machine takes no connection

The connection of a long request has no limit on the time without acknowledgement, so that a paused endpoint may leave it unread. Such a request to a dead machine then waited for its deadline. Requests up to 32 KiB, below the receive window of a new connection, keep the limit and are not checked.

--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -490,7 +490,7 @@
                 return Err(Failure::NOT_PERMITTED);
             }
             is_written.store(true, Ordering::Relaxed);
-            match pool::send(&mut sender, request).await {
+            match pool::send(&mut sender, target.address, request).await {
                 Ok(response) => {
                     reach::record_answer(&self.board, service, false);
                     return Ok((sender, response));
@@ -513,7 +513,7 @@
         }
         let mut sender = pool::Sender::new(target.start, requests);
         is_written.store(true, Ordering::Relaxed);
-        match pool::send(&mut sender, request).await {
+        match pool::send(&mut sender, target.address, request).await {
             Ok(response) => {
                 reach::record_answer(&self.board, service, true);
                 Ok((sender, response))
--- a/src/scalewood/ops/entry/routed/pool.rs
+++ b/src/scalewood/ops/entry/routed/pool.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -16,6 +17,7 @@
 
 use crate::{
     core::{name, registry},
+    ops::entry::upstream,
     util::lock::lock,
 };
 
@@ -144,12 +146,19 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer.
+/// Sends a request to an endpoint at an address and waits for the head of the answer.
 pub(super) async fn send(
     sender: &mut Sender,
+    address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, Unsent> {
-    let sent = sender.requests.try_send_request(request).await;
+    let sent = if upstream::is_long(&request) {
+        let answer = sender.requests.try_send_request(request);
+        let answer = upstream::unless_dead(address, answer).await;
+        answer.ok_or(Unsent::Broken)?
+    } else {
+        sender.requests.try_send_request(request).await
+    };
     sent.map_err(|mut error| match error.take_message() {
         Some(request) => Unsent::NotWritten(Box::new(request)),
         None => Unsent::Broken,
--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::HashMap,
+    future::Future,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -13,7 +14,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1, Request, Response};
+use hyper::{
+    body::{Body as _, Incoming},
+    client::conn::http1,
+    Request, Response,
+};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -111,6 +116,41 @@
     Ok(sender)
 }
 
+/// The time after which the peer of a long request that it has not answered is checked. It doubles with each
+/// check.
+const FIRST_CHECK: Duration = Duration::from_millis(500);
+/// How long a peer may take to accept a connection in a check. The machine of a paused process accepts it at
+/// once.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Returns whether a request is so long that its peer's machine has to be checked, see [`socket::Stream`].
+pub(super) fn is_long(request: &Request<Full<Bytes>>) -> bool {
+    request.body().size_hint().lower() > socket::MIN_WINDOW as u64
+}
+
+/// Waits for the answer to a long request. Returns `None` if the peer's machine is found dead before.
+pub(super) async fn unless_dead<T>(
+    address: SocketAddr,
+    answer: impl Future<Output = T>,
+) -> Option<T> {
+    let mut answer = std::pin::pin!(answer);
+    let mut wait = FIRST_CHECK;
+    loop {
+        if let Ok(answer) = tokio::time::timeout(wait, answer.as_mut()).await {
+            return Some(answer);
+        }
+        wait *= 2;
+        let accepted = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address));
+        tokio::select! {
+            biased;
+            answer = answer.as_mut() => return Some(answer),
+            accepted = accepted => if !matches!(accepted, Ok(Ok(_))) {
+                return None;
+            },
+        }
+    }
+}
+
 /// A connection over which requests are sent one after another.
 pub(super) type Sender = http1::SendRequest<Full<Bytes>>;
 
@@ -167,7 +207,7 @@
             if !is_permitted() {
                 return Err(Failure::NOT_PERMITTED);
             }
-            match send_over(sender, request, &mut patience).await {
+            match send_over(sender, address, request, &mut patience).await {
                 Ok(answered) => return Ok(answered),
                 Err(SendError::NotWritten(returned)) => request = *returned,
                 Err(SendError::Failed(failure)) => return Err(failure),
@@ -177,7 +217,7 @@
         if !is_permitted() {
             return Err(Failure::NOT_PERMITTED);
         }
-        send_over(sender, request, &mut patience)
+        send_over(sender, address, request, &mut patience)
             .await
             .map_err(|error| match error {
                 SendError::NotWritten(_) => Failure::UNREACHABLE,
@@ -197,10 +237,20 @@
 /// Sends a request over a connection and waits for the answer's head.
 async fn send_over(
     mut sender: Sender,
+    address: SocketAddr,
     request: Request<Full<Bytes>>,
     patience: &mut impl Patience,
 ) -> Result<(Sender, Response<Incoming>), SendError> {
-    match patience.wait(sender.try_send_request(request)).await {
+    let answered = if is_long(&request) {
+        let answer = unless_dead(address, sender.try_send_request(request));
+        match patience.wait(answer).await {
+            Some(None) => return Err(SendError::Failed(Failure::BROKEN)),
+            answered => answered.flatten(),
+        }
+    } else {
+        patience.wait(sender.try_send_request(request)).await
+    };
+    match answered {
         None => Err(SendError::Failed(Failure::SILENT)),
         Some(Ok(response)) => Ok((sender, response)),
         Some(Err(mut error)) => Err(match error.take_message() {
--- a/src/scalewood/util/socket.rs
+++ b/src/scalewood/util/socket.rs
@@ -87,14 +87,15 @@
 
 /// How much a peer that reads nothing surely acknowledges: less than the receive window of a new
 /// connection.
-const MIN_WINDOW: usize = 16 << 10;
+pub const MIN_WINDOW: usize = 32 << 10;
 
 /// A connection over which requests are sent.
 ///
 /// On Linux the time for which bytes may stay unacknowledged also bounds how long a peer may keep its
 /// receive window closed, though it answers each probe. A sound process that pauses would lose each request
 /// that is longer than the window. So that time is unbounded from when more than `MIN_WINDOW` bytes were sent
-/// for one request until the next one, and the request's own time bounds the wait.
+/// for one request until the next one. Who sends such a request has to find out by itself that the peer's machine
+/// is dead.
 #[derive(Debug)]
 pub struct Stream {
     inner: TcpStream,
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -145,6 +145,29 @@
     assert_eq!(lengths, [LONG_BODY]);
 }
 
+/// Guards against long requests that wait for a dead machine until their deadline: connections that carry
+/// them have no limit on the time without acknowledgement.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_request_to_a_dead_machine_fails_soon() {
+    const FOUND_WITHIN: Duration = Duration::from_millis(2500);
+    let dir = tempfile::tempdir().unwrap();
+    let (system, _endpoint, link) = start_behind_link(1, dir.path()).await;
+    let bearer = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("scalewood-id", "long"),
+        ("scalewood-deadline-ms", "5000"),
+    ];
+    link.set(Mode::Silent);
+    link.set_port(Port::Hangs);
+    let mut connection = client::Connection::open(system.callers()).await.unwrap();
+    let body = "x".repeat(LONG_BODY);
+    let since = Instant::now();
+    let call = connection.send_to(HOST, "POST", "/unsafe/dead", &headers, body);
+    assert_eq!(call.await.unwrap().status(), 502);
+    assert!(since.elapsed() < FOUND_WITHIN, "{:?}", since.elapsed());
+}
+
 /// Guards against connections to sound peers, boxes included, that are closed as these read none of a long
 /// request for longer than bytes may stay unacknowledged; and against later requests over such a connection
 /// that find out late that the peer is dead.
