Safe answers whose body has begun are hedged like streams

Cause: the whole body was read under the request's deadline alone; only heads and events of streams were watched for silence.

Fix: what waits for the next part of an answer, beside a silent endpoint for another one, is a module of its own, and whole answers read by it too: nothing has reached the caller yet, so the answer of another endpoint takes the place of the first one's. pause::a_dead_endpoint_is_left_* covers it with an answer in pieces; that part was not run before.

--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -4,6 +4,7 @@
 //! - `pool`: idle connections to endpoints.
 //! - `request`: attempts, until one is answered or no further one is allowed.
 //! - `attempt`: one attempt at an endpoint, to the head of its answer.
+//! - `hedge`: another attempt beside one whose answer has begun and pauses.
 //! - `retries`: decides whether and when another attempt follows.
 //! - `continuation`: where a stream began that goes on, and that it goes on only there.
 //! - `forward`: has another box serve a request while this one reaches no endpoint.
@@ -37,6 +38,7 @@
 mod attempt;
 mod continuation;
 mod forward;
+mod hedge;
 mod outgoing;
 mod pool;
 mod reply;
--- a/src/scalewood/ops/entry/routed/request.rs
+++ b/src/scalewood/ops/entry/routed/request.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use http_body_util::Full;
 use hyper::{http::response, Response, StatusCode};
@@ -35,7 +35,9 @@
         routed::{
             attempt::{Attempt, Charge, ErrorAnswer, Failed, Opened, Run, Silence, Via},
             continuation::Continuation,
-            forward, reply,
+            forward,
+            hedge::{Next, Progress},
+            reply,
             retries::Denial,
             Context, Routed,
         },
@@ -214,10 +216,15 @@
 
     /// Reads an answer to its end and returns it, or `None` if another attempt follows.
     pub(super) async fn finish_whole(&mut self, opened: Opened) -> Option<Response<Answer>> {
-        let Opened { via, parts, body } = opened;
         // The endpoint has run the request, whatever the status.
         self.observer.begun();
-        let read = self.context.read(&self.routed, body).await;
+        let mut opened = opened;
+        let (via, parts, read) = loop {
+            match self.read_whole(opened).await {
+                ControlFlow::Break(ended) => break ended,
+                ControlFlow::Continue(replacement) => opened = replacement,
+            }
+        };
         match via {
             Via::Endpoint { run, sender } => match read {
                 Ok(body) => {
@@ -235,6 +242,49 @@
         }
     }
 
+    /// Reads an answer to its end, or until the answer of another endpoint takes its place.
+    async fn read_whole(
+        &mut self,
+        opened: Opened,
+    ) -> ControlFlow<(Via, response::Parts, Result<Bytes, Failure>), Opened> {
+        let Opened {
+            mut via,
+            parts,
+            mut body,
+        } = opened;
+        if self.is_stream() {
+            // A stream can't take the place of an answer with a whole body.
+            let read = self.context.read(&self.routed, body).await;
+            return ControlFlow::Break((via, parts, read));
+        }
+        let max_bytes = self.context.limits.max_answer.0;
+        let (patience, progress) = (self.patience(), Progress::default());
+        let mut whole = BytesMut::new();
+        let read = loop {
+            let answer = (&mut via, &mut body);
+            let next = self.next(answer, patience, &progress, true);
+            let frame = match next.await {
+                Next::Replacement(opened, has_broken) => {
+                    if has_broken {
+                        self.end_broken(via);
+                    }
+                    return ControlFlow::Continue(opened);
+                }
+                Next::Nothing => break Err(Failure::SILENT),
+                Next::Frame(None) => break Ok(whole.freeze()),
+                Next::Frame(Some(Err(_))) => break Err(Failure::BROKEN),
+                Next::Frame(Some(Ok(frame))) => frame,
+            };
+            if let Ok(data) = frame.into_data() {
+                whole.extend_from_slice(&data);
+            }
+            if whole.len() > max_bytes {
+                break Err(Failure::BROKEN);
+            }
+        };
+        ControlFlow::Break((via, parts, read))
+    }
+
     /// Returns another box's whole answer, or `None` if another attempt follows.
     async fn finish_at_box(
         &mut self,
@@ -577,8 +627,13 @@
     /// Returns how long to wait for the head of an attempt's answer before another endpoint may be tried, or
     /// `None` if the request may not run again.
     fn head_wait(&self) -> Option<Duration> {
+        self.may_run_again().then(|| self.patience())
+    }
+
+    /// Returns how long an endpoint may be silent before another one may be tried, unless it streams.
+    fn patience(&self) -> Duration {
         let wait = self.routed.route.target() * HEAD_WAIT_IN_TARGETS;
-        self.may_run_again().then(|| wait.max(MIN_HEAD_WAIT))
+        wait.max(MIN_HEAD_WAIT)
     }
 
     /// Logs that the stream goes on at an endpoint after an event, within this answer or taken up by
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -7,18 +7,10 @@
 //! last event that was relayed. A stream that can't be resumed is cut off without its regular
 //! end, so the caller never takes it for complete.
 
-use std::{
-    sync::atomic::{AtomicBool, Ordering},
-    time::Duration,
-};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt as _;
-use hyper::{
-    body::{Frame, Incoming},
-    http::response,
-    Response,
-};
+use hyper::{http::response, Response};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -29,8 +21,10 @@
         now,
         routed::{
             attempt::{Opened, Run, Via},
-            continuation, reply,
-            request::{Ending, Request, MIN_RECHECK_INTERVAL},
+            continuation,
+            hedge::{Next, Progress},
+            reply,
+            request::{Ending, Request},
         },
         upstream::Failure,
     },
@@ -66,8 +60,7 @@
         let relay = Relay {
             request,
             pieces: pieces.clone(),
-            last_id: None,
-            events: 0,
+            progress: Progress::default(),
         };
         tokio::spawn(async move {
             tokio::select! {
@@ -84,10 +77,7 @@
 struct Relay<D> {
     request: Request<D>,
     pieces: mpsc::Sender<Piece>,
-    /// The id of the last event that was relayed.
-    last_id: Option<String>,
-    /// The number of pieces that were relayed; each holds one or more events.
-    events: u64,
+    progress: Progress,
 }
 
 /// How the relaying of an answer ended.
@@ -100,26 +90,6 @@
     Replaced(Opened),
 }
 
-/// The attempt at another endpoint beside a silent one.
-#[derive(Default)]
-struct Hedge {
-    /// Whether another endpoint is being asked.
-    is_asking: AtomicBool,
-    /// Whether no further one is to be asked after that.
-    is_last: AtomicBool,
-}
-
-/// What follows in an answer.
-enum Next {
-    /// A part of the answer, or its end.
-    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
-    /// The answer of another endpoint, which goes on with the stream; and whether the answer that it replaces
-    /// broke off meanwhile.
-    Replacement(Opened, bool),
-    /// Nothing until the request's deadline.
-    Nothing,
-}
-
 impl<D: Dialect> Relay<D> {
     async fn run(mut self, first: Opened) {
         let mut opened = first;
@@ -128,8 +98,8 @@
                 Relayed::Complete(via, parts) => return self.done(via, &parts),
                 Relayed::Replaced(opened) => opened,
                 Relayed::Failed(via, failure) => {
-                    let reopened = match self.handle_failure(via, failure).await {
-                        Ok(()) => self.reopen().await,
+                    let reopened = match self.request.end_answer(via, failure).await {
+                        Ok(()) => self.request.reopen(&self.progress).await,
                         Err(ending) => Err(ending),
                     };
                     match reopened {
@@ -141,32 +111,11 @@
         }
     }
 
-    /// Goes on after the last event, only where the stream began.
-    async fn reopen(&mut self) -> Result<Opened, Ending> {
-        if self.events > 0 {
-            if self.request.origin.is_none() {
-                return Err(Ending::Failed(dispatch::End::Broken));
-            }
-            self.request.renew_patience();
-        }
-        let after = self.last_id.clone();
-        loop {
-            let mut opened = self.request.open(after.as_deref()).await?;
-            if opened.parts.status.is_success() {
-                let confirmed = self.request.confirm_origin(&mut opened).await;
-                return confirmed.map(|()| opened).map_err(Ending::Refused);
-            }
-            let failure = match opened.via {
-                Via::Endpoint { .. } => Failure::BROKEN,
-                Via::Box(_) => Failure::REFUSED,
-            };
-            self.handle_failure(opened.via, failure).await?;
-        }
-    }
-
     /// Ends the request after the stream has arrived completely.
     fn done(&mut self, via: Via, parts: &response::Parts) {
-        self.request.observer.done(unit::Tokens(self.events));
+        self.request
+            .observer
+            .done(unit::Tokens(self.progress.events));
         match via {
             Via::Endpoint { run, sender } => {
                 run.turn.end(dispatch::End::Done);
@@ -179,22 +128,6 @@
         self.request.log_end(parts.status, "done", verdict);
     }
 
-    /// Waits until the next attempt after one that failed; returns an error if there is none.
-    async fn handle_failure(&mut self, via: Via, failure: Failure) -> Result<(), Ending> {
-        match via {
-            Via::Endpoint { run, sender } => {
-                // Closing the connection ends the run at the endpoint.
-                drop(sender);
-                self.request.handle_failure(run, failure).await
-            }
-            Via::Box(link) => {
-                let name = link.name().clone();
-                drop(link);
-                self.request.handle_lost_box(&name, failure).await
-            }
-        }
-    }
-
     /// Ends the caller's stream with an error, so that the connection is closed.
     async fn cut(mut self, ending: Ending) {
         // The caller has the head of an answer already, and gets no other one.
@@ -214,10 +147,14 @@
         let mut paused = false;
         loop {
             let is_between_events = buffer.iter().all(u8::is_ascii_whitespace);
-            let frame = match self.next(&mut via, &mut body, is_between_events).await {
+            let answer = (&mut via, &mut body);
+            let next = self
+                .request
+                .next(answer, MAX_PAUSE, &self.progress, is_between_events);
+            let frame = match next.await {
                 Next::Replacement(opened, has_broken) => {
                     if has_broken {
-                        self.end_broken(via);
+                        self.request.end_broken(via);
                     }
                     return Relayed::Replaced(opened);
                 }
@@ -233,7 +170,7 @@
             let Some(events) = self.take_events(&mut buffer) else {
                 continue;
             };
-            self.events += 1;
+            self.progress.events += 1;
             self.request.observer.token();
             if let Via::Endpoint { run, .. } = &via {
                 self.observe(run, &mut sampler, &mut paused);
@@ -249,124 +186,9 @@
         }
     }
 
-    /// Waits for the next part of an answer, and beside an endpoint that is silent for long for another one
-    /// that goes on with the stream. `may_end` states whether the stream is complete if the answer ends here.
-    async fn next(&mut self, via: &mut Via, body: &mut Incoming, may_end: bool) -> Next {
-        let request = &self.request;
-        let left = request.time_left();
-        let run = match via {
-            Via::Endpoint { run, .. } if request.routed.route.kind.is_repeatable() => run,
-            // The other box watches the endpoint, and the system the connection to the box.
-            Via::Endpoint { .. } | Via::Box(_) => {
-                let frame = tokio::time::timeout(left, body.frame()).await;
-                return frame.map_or(Next::Nothing, Next::Frame);
-            }
-        };
-        let endpoint = run.target.endpoint.clone();
-        let (context, routed) = (&request.context, &request.routed);
-        let least = left.min(MAX_PAUSE);
-        let frame = context.unless_silent(routed, &endpoint, least, body.frame());
-        if let Some(frame) = frame.await {
-            return Next::Frame(frame);
-        }
-        if request.time_left().is_zero() {
-            return Next::Nothing;
-        }
-        context.report_silence(routed, run);
-        let reported_at = now(&context.board);
-        let next = self.next_beside(body, may_end).await;
-        // The attempts beside this one, or this one if it was replaced, have ended.
-        self.request.end_others(1);
-        if matches!(next, Next::Replacement(..)) {
-            self.request.runs += 1;
-        }
-        if matches!(next, Next::Frame(Some(Ok(_)))) {
-            self.request.last_endpoint = Some(endpoint);
-            let Request {
-                context, routed, ..
-            } = &self.request;
-            context.report_return(routed, run, reported_at);
-        }
-        next
-    }
-
-    /// Waits for the next part of a silent endpoint's answer, and for another endpoint that goes on with the
-    /// stream. If the answer breaks off while another endpoint is being asked, only that one is waited for.
-    async fn next_beside(&mut self, body: &mut Incoming, may_end: bool) -> Next {
-        let deadline = tokio::time::sleep(self.request.time_left());
-        let hedge = Hedge::default();
-        let mut deadline = std::pin::pin!(deadline);
-        let mut replacement = std::pin::pin!(self.replacement(&hedge));
-        let mut broken = None;
-        loop {
-            tokio::select! {
-                biased;
-                frame = body.frame(), if broken.is_none() => {
-                    let has_broken = match &frame {
-                        None => !may_end,
-                        Some(frame) => frame.is_err(),
-                    };
-                    if !has_broken || !hedge.is_asking.load(Ordering::Relaxed) {
-                        return Next::Frame(frame);
-                    }
-                    hedge.is_last.store(true, Ordering::Relaxed);
-                    broken = Some(frame);
-                }
-                opened = replacement.as_mut() => {
-                    return match (opened, broken) {
-                        (Some(opened), broken) => Next::Replacement(opened, broken.is_some()),
-                        (None, broken) => Next::Frame(broken.flatten()),
-                    };
-                }
-                () = deadline.as_mut() => return Next::Nothing,
-            }
-        }
-    }
-
-    /// Waits until another endpoint goes on with the stream of a silent one. Returns `None` if no endpoint does
-    /// and no further one is to be asked.
-    async fn replacement(&mut self, hedge: &Hedge) -> Option<Opened> {
-        let mut wait = self.request.next_wait(Failure::SILENT);
-        self.request.log_silence(wait);
-        loop {
-            let retry_after = match wait {
-                Ok(wait) => {
-                    hedge.is_asking.store(true, Ordering::Relaxed);
-                    tokio::time::sleep(wait).await;
-                    let reopened = self.reopen().await;
-                    hedge.is_asking.store(false, Ordering::Relaxed);
-                    match reopened {
-                        Ok(opened) => return Some(opened),
-                        Err(_) if hedge.is_last.load(Ordering::Relaxed) => return None,
-                        Err(ending) => ending.retry_after(),
-                    }
-                }
-                Err(_) => MIN_RECHECK_INTERVAL,
-            };
-            // Attempts that ended without an answer are no longer in flight, and the retry is free.
-            self.request.end_others(1);
-            tokio::time::sleep(retry_after).await;
-            while !self.request.has_budget() {
-                tokio::time::sleep(MIN_RECHECK_INTERVAL).await;
-            }
-            wait = self.request.next_wait(Failure::SILENT);
-        }
-    }
-
-    /// Ends a run that broke off, in the background.
-    fn end_broken(&self, via: Via) {
-        let Via::Endpoint { run, .. } = via else {
-            return;
-        };
-        let (context, routed) = (self.request.context.clone(), self.request.routed.clone());
-        tokio::spawn(async move {
-            run.fail(&context, &routed, Failure::BROKEN, false).await;
-        });
-    }
-
     /// Records an event for the endpoint: its first token, a pause that is too long, and its pace.
     fn observe(&self, run: &Run, sampler: &mut pace::Sampler, paused: &mut bool) {
-        if self.events == 1 {
+        if self.progress.events == 1 {
             run.turn.report_first_token();
         }
         let gap = self.request.routed.call.class.gap();
@@ -392,7 +214,7 @@
         let mut lines = events.rsplit(|byte| *byte == b'\n');
         let id = lines.find_map(|line| D::event_id(line));
         if let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()) {
-            self.last_id = Some(id.to_owned());
+            self.progress.last_id = Some(id.to_owned());
         }
         Some(events)
     }
--- a/tests/testsuite/pause.rs
+++ b/tests/testsuite/pause.rs
@@ -197,7 +197,12 @@
 async fn a_dead_endpoint_is_left_as_soon_as_another_one_answers() {
     /// The longest silence, and the time to ask another endpoint.
     const LEFT_WITHIN: Duration = Duration::from_millis(1500);
-    for path in ["/sresume/dead", "/safe/dead"] {
+    for (path, after) in [
+        ("/sresume/dead", Duration::ZERO),
+        ("/safe/dead", Duration::ZERO),
+        // A piece of the body has arrived then.
+        ("/safe/pieces/dead", Duration::from_millis(550)),
+    ] {
         let dir = tempfile::tempdir().unwrap();
         let (system, endpoints) = start(2, dir.path(), "").await;
         system.wait_retries().await;
@@ -206,6 +211,7 @@
                 endpoints.iter().any(|e| e.running() > 0)
             })
             .await;
+            tokio::time::sleep(after).await;
             let first = endpoints.iter().find(|e| e.running() > 0).unwrap();
             first.set_paused(true);
             let since = Instant::now();
