Requests of routes: opening an answer is a module of its own

Nothing is decided differently: what finds an endpoint and waits for an answer's head moved from routed/request to routed/opening, and one of two intervals of the same name is renamed.

--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -37,7 +37,7 @@
 /// stay unacknowledged breaks later.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 /// How often it is checked whether a silent endpoint is merely busy.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the body of a refusal may take to arrive, for its connection to be kept.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -425,7 +425,7 @@
             if self.time_left(routed).is_zero() || since + max_silence <= now(&self.board) {
                 return None;
             }
-            until = now(&self.board) + RECHECK_INTERVAL;
+            until = now(&self.board) + BUSY_CHECK_INTERVAL;
         }
     }
 
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! - `outgoing`: the head and body that are sent to an endpoint.
 //! - `pool`: idle connections to endpoints.
-//! - `request`: attempts, until one is answered or no further one is allowed.
+//! - `request`: a request, from its first attempt to its final answer.
+//! - `opening`: attempts, until one is answered or no further one is allowed.
 //! - `attempt`: one attempt at an endpoint, to the head of its answer.
 //! - `hedge`: another attempt beside one whose answer has begun and pauses.
 //! - `retries`: decides whether and when another attempt follows.
@@ -39,6 +40,7 @@
 mod continuation;
 mod forward;
 mod hedge;
+mod opening;
 mod outgoing;
 mod pool;
 mod reply;
