Requests of routes: an attempt takes over only once its answer has begun

Beside a silent endpoint another one was asked, and served as soon as its head had arrived; the silent run was ended. If the second endpoint then broke before its first event or byte, the caller's answer ended (streams were closed, others got 502), although the first one would have gone on.

A single attempt still serves with its head. Of several that are open, or beside an answer that has begun, the first serves that has delivered a whole event, or the first bytes or the regular end of a body that is no stream. Until then all are read, and an endpoint that is silent after its head counts as silent. The same holds for the answer of another box. What was read ahead is relayed first, so no event is lost or comes twice.

--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -1,7 +1,8 @@
-//! One attempt of a request at an endpoint, from the grant of its slot to the head of its answer.
+//! One attempt of a request at an endpoint, from the grant of its slot until its answer serves the request.
 //!
 //! An endpoint that sends nothing for long may be dead or may have paused. Its attempt goes on, and says
-//! so, so that the request can be tried at another endpoint beside it.
+//! so, so that the request can be tried at another endpoint beside it. The first of several attempts whose answer
+//! has begun with more than its head serves: after its head alone an endpoint may still break off.
 
 use std::{
     future::Future,
@@ -14,8 +15,13 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{body::Incoming, header, http::response, Request, Response};
-use tokio::sync::Notify;
+use hyper::{
+    body::{Body, Incoming},
+    header,
+    http::response,
+    Request, Response,
+};
+use tokio::sync::{watch, Notify};
 
 use crate::{
     core::{build, dispatch, name},
@@ -25,7 +31,7 @@
         crash::Target,
         dialect::{Dialect, Disposition},
         dispatchers, now, reach, retries,
-        routed::{forward, pool, Context, Routed},
+        routed::{forward, incoming, pool, Context, Routed},
         turn::Turn,
         upstream::{self, Failure},
     },
@@ -61,12 +67,12 @@
     Box(forward::Link),
 }
 
-/// An answer whose head has arrived.
+/// An answer that serves the request; its head has arrived.
 #[derive(Debug)]
 pub(super) struct Opened {
     pub(super) via: Via,
     pub(super) parts: response::Parts,
-    pub(super) body: Incoming,
+    pub(super) body: incoming::Body,
 }
 
 /// An error with which an endpoint answered.
@@ -87,31 +93,55 @@
     pub(super) retry: Option<retries::Reserved>,
 }
 
-/// The attempts of a request whose endpoints are silent.
-#[derive(Debug, Default)]
-pub(super) struct Silence {
-    count: AtomicU32,
-    begun: Notify,
+/// The attempts of a request that are open at the same time.
+#[derive(Debug)]
+pub(super) struct Race {
+    /// The number of attempts whose outcome is not known.
+    open: watch::Sender<usize>,
+    /// Whether an answer that has begun may still go on.
+    has_answer: bool,
+    /// The number of attempts whose endpoints are silent.
+    silent: AtomicU32,
+    silence_begun: Notify,
 }
 
-impl Silence {
+impl Race {
+    /// Creates a race without attempts, beside an answer that has begun if there is one.
+    pub(super) fn new(has_answer: bool) -> Self {
+        Self {
+            open: watch::Sender::new(0),
+            has_answer,
+            silent: AtomicU32::new(0),
+            silence_begun: Notify::new(),
+        }
+    }
+
     /// Returns the number of attempts whose endpoints are silent.
-    pub(super) fn count(&self) -> usize {
-        self.count.load(Ordering::Relaxed) as usize
+    pub(super) fn silent(&self) -> usize {
+        self.silent.load(Ordering::Relaxed) as usize
     }
 
     /// Waits until another endpoint is silent.
-    pub(super) async fn begun(&self) {
-        self.begun.notified().await;
+    pub(super) async fn silence_begun(&self) {
+        self.silence_begun.notified().await;
+    }
+
+    /// Waits until no more than `count` attempts are left, and no answer beside them.
+    pub(super) async fn narrowed_to(&self, count: usize) {
+        if self.has_answer {
+            std::future::pending().await
+        }
+        // The sender lives as long as the race.
+        let _ = self.open.subscribe().wait_for(|open| *open <= count).await;
     }
 
-    fn begin(&self) {
-        self.count.fetch_add(1, Ordering::Relaxed);
-        self.begun.notify_one();
+    fn begin_silence(&self) {
+        self.silent.fetch_add(1, Ordering::Relaxed);
+        self.silence_begun.notify_one();
     }
 
-    fn end(&self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
+    fn end_silence(&self) {
+        self.silent.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -120,7 +150,7 @@
 #[derive(Debug)]
 pub(super) struct Charge {
     retry: Option<retries::Reserved>,
-    pub(super) is_written: AtomicBool,
+    pub(super) is_written: Arc<AtomicBool>,
     /// Whether the outcome of the attempt is known.
     is_settled: bool,
     /// The number of a request's attempts that were written and dropped before their outcome was known.
@@ -131,7 +161,7 @@
     pub(super) fn new(retry: Option<retries::Reserved>, dropped: &Arc<AtomicU32>) -> Self {
         Self {
             retry,
-            is_written: AtomicBool::new(false),
+            is_written: Arc::default(),
             is_settled: false,
             dropped: dropped.clone(),
         }
@@ -162,7 +192,7 @@
     }
 }
 
-/// An attempt at an endpoint whose answer has not begun.
+/// An attempt at an endpoint whose answer does not serve the request yet.
 #[derive(Debug)]
 pub(super) struct Attempt<D> {
     context: Context<D>,
@@ -171,7 +201,7 @@
     charge: Charge,
     /// How long the endpoint may send nothing before another one may be tried; `None` if none may.
     patience: Option<Duration>,
-    silence: Arc<Silence>,
+    race: Arc<Race>,
     /// Whether the endpoint is silent.
     is_silent: bool,
 }
@@ -182,25 +212,31 @@
         run: Run,
         charge: Charge,
         patience: Option<Duration>,
-        silence: &Arc<Silence>,
+        race: &Arc<Race>,
     ) -> Self {
+        race.open.send_modify(|open| *open += 1);
         Self {
             context: context.clone(),
             routed: routed.clone(),
             run: Box::new(run),
             charge,
             patience,
-            silence: silence.clone(),
+            race: race.clone(),
             is_silent: false,
         }
     }
 
-    /// Sends the request and waits for the head of its answer, at most until the request's deadline. Dropping the future
-    /// ends the run. An answer with a server error counts as a failure, with its whole body.
+    /// Sends the request and waits until its answer serves the request, at most until the request's deadline: with
+    /// its head if no other attempt is open, and once it has begun with more than that otherwise. Dropping the
+    /// future ends the run. An answer with a server error counts as a failure, with its whole body.
     pub(super) async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Opened, Failed> {
         match self.answer(request).await {
             Ok((sender, response)) if !response.status().is_server_error() => {
                 let (parts, body) = response.into_parts();
+                let mut body = body.into();
+                if let Err(failure) = self.begin(&parts, &mut body).await {
+                    return Err(self.fail(failure, None).await);
+                }
                 self.charge.settle(true);
                 let run = self.run;
                 let via = Via::Endpoint { run, sender };
@@ -235,8 +271,9 @@
     async fn fail(self, failure: Failure, own: Option<Box<ErrorAnswer>>) -> Failed {
         let retry = self.charge.settle(failure.may_have_arrived());
         if self.is_silent {
-            self.silence.end();
+            self.race.end_silence();
         }
+        self.race.open.send_modify(|open| *open -= 1);
         let endpoint = self.run.target.endpoint.clone();
         let ending = self
             .run
@@ -266,25 +303,15 @@
         self.check_head(sender, response).await
     }
 
-    /// Sends the request and waits for the head of the answer. Reports an endpoint that is silent for
-    /// long, and goes on waiting.
+    /// Sends the request and waits for the head of the answer.
     async fn head(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
-        let Self {
-            context,
-            routed,
-            run,
-            charge,
-            patience,
-            silence,
-            is_silent,
-        } = self;
-        let permits = run.turn.permission(&run.target.endpoint);
-        let (target, is_written) = (run.target.clone(), &charge.is_written);
-        let sent = context.send(routed, &target, request, (&permits, is_written));
-        let mut sent = std::pin::pin!(sent);
+        let (context, routed) = (self.context.clone(), self.routed.clone());
+        let permits = self.run.turn.permission(&self.run.target.endpoint);
+        let (target, is_written) = (self.run.target.clone(), self.charge.is_written.clone());
+        let sent = context.send(&routed, &target, request, (&permits, &is_written));
         // Nothing is written before there is a connection.
         let failure = || {
             if is_written.load(Ordering::Relaxed) {
@@ -293,25 +320,66 @@
                 Failure::UNREACHABLE
             }
         };
+        self.unless_late(sent, failure).await
+    }
+
+    /// Waits until an answer whose head has arrived has begun, or no other attempt is open.
+    async fn begin(
+        &mut self,
+        parts: &response::Parts,
+        body: &mut incoming::Body,
+    ) -> Result<(), Failure> {
+        let is_stream = self.routed.route.kind.is_stream() && parts.status.is_success();
+        let race = self.race.clone();
+        let begun = async {
+            tokio::select! {
+                biased;
+                () = race.narrowed_to(1) => Ok(()),
+                begun = body.begin(is_stream) => begun,
+            }
+        };
+        self.unless_late(begun, || Failure::SILENT).await
+    }
+
+    /// Waits for data from the endpoint until the request's deadline; `failure` states how it fails then.
+    /// Reports an endpoint that is silent for long, and goes on waiting.
+    async fn unless_late<T>(
+        &mut self,
+        awaited: impl Future<Output = Result<T, Failure>>,
+        failure: impl Fn() -> Failure,
+    ) -> Result<T, Failure> {
+        let Self {
+            context,
+            routed,
+            run,
+            patience,
+            race,
+            is_silent,
+            ..
+        } = self;
+        let mut awaited = std::pin::pin!(awaited);
         if let Some(least) = *patience {
-            let patient = context.unless_silent(routed, &target.endpoint, least, sent.as_mut());
+            let endpoint = run.target.endpoint.clone();
+            let patient = context.unless_silent(routed, &endpoint, least, awaited.as_mut());
             match patient.await {
-                Some(answered) => return answered,
+                Some(got) => return got,
                 None if failure() == Failure::UNREACHABLE => return Err(Failure::UNREACHABLE),
                 None if context.time_left(routed).is_zero() => return Err(Failure::SILENT),
                 None => {}
             }
             context.report_silence(routed, run);
             *is_silent = true;
-            silence.begin();
+            race.begin_silence();
         }
         let reported_at = now(&context.board);
-        let answered = tokio::time::timeout(context.time_left(routed), sent).await;
-        let answered = answered.unwrap_or_else(|_| Err(failure()));
-        if *is_silent && answered.is_ok() {
+        let got = tokio::time::timeout(context.time_left(routed), awaited).await;
+        let got = got.unwrap_or_else(|_| Err(failure()));
+        if *is_silent && got.is_ok() {
+            *is_silent = false;
+            race.end_silence();
             context.report_return(routed, run, reported_at);
         }
-        answered
+        got
     }
 
     /// Returns the answer if its head shows that the endpoint answered this request.
@@ -381,7 +449,11 @@
     }
 
     /// Reads an endpoint's body to its end, at most until the request's deadline.
-    pub(super) async fn read(&self, routed: &Routed, body: Incoming) -> Result<Bytes, Failure> {
+    pub(super) async fn read(
+        &self,
+        routed: &Routed,
+        body: impl Body<Data = Bytes, Error = hyper::Error>,
+    ) -> Result<Bytes, Failure> {
         let whole = Limited::new(body, self.limits.max_answer.0).collect();
         match tokio::time::timeout(self.time_left(routed), whole).await {
             Err(_) => Err(Failure::SILENT),
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -132,7 +132,7 @@
                     return Some(Ok(Opened {
                         via: Via::Box(link),
                         parts,
-                        body,
+                        body: body.into(),
                     }));
                 }
                 Err(failure) => {
--- a/src/scalewood/ops/entry/routed/hedge.rs
+++ b/src/scalewood/ops/entry/routed/hedge.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
 use crate::{
     core::dispatch,
@@ -17,6 +17,7 @@
         now,
         routed::{
             attempt::{Opened, Via},
+            incoming,
             request::{Ending, Request, MIN_RECHECK_INTERVAL},
         },
         upstream::Failure,
@@ -38,7 +39,7 @@
     Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
     /// The answer of another endpoint, which takes the place of this one; and whether this one broke off
     /// meanwhile.
-    Replacement(Opened, bool),
+    Replacement(Box<Opened>, bool),
     /// Nothing until the request's deadline.
     Nothing,
 }
@@ -57,7 +58,7 @@
     /// another one that takes its place. `may_end` states whether the answer is complete if it ends here.
     pub(super) async fn next(
         &mut self,
-        (via, body): (&mut Via, &mut Incoming),
+        (via, body): (&mut Via, &mut incoming::Body),
         patience: Duration,
         progress: &Progress,
         may_end: bool,
@@ -102,7 +103,7 @@
     /// answer breaks off while another endpoint is being asked, only that one is waited for.
     async fn next_beside(
         &mut self,
-        body: &mut Incoming,
+        body: &mut incoming::Body,
         progress: &Progress,
         may_end: bool,
     ) -> Next {
@@ -127,7 +128,9 @@
                 }
                 opened = replacement.as_mut() => {
                     return match (opened, broken) {
-                        (Some(opened), broken) => Next::Replacement(opened, broken.is_some()),
+                        (Some(opened), broken) => {
+                            Next::Replacement(Box::new(opened), broken.is_some())
+                        },
                         (None, broken) => Next::Frame(broken.flatten()),
                     };
                 }
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -4,7 +4,8 @@
 //! - `pool`: idle connections to endpoints.
 //! - `request`: a request, from its first attempt to its final answer.
 //! - `opening`: attempts, until one is answered or no further one is allowed.
-//! - `attempt`: one attempt at an endpoint, to the head of its answer.
+//! - `attempt`: one attempt at an endpoint, until its answer has begun.
+//! - `incoming`: the body of an answer, the beginning of which may be read ahead.
 //! - `hedge`: another attempt beside one whose answer has begun and pauses.
 //! - `retries`: decides whether and when another attempt follows.
 //! - `continuation`: where a stream began that goes on, and that it goes on only there.
@@ -40,6 +41,7 @@
 mod continuation;
 mod forward;
 mod hedge;
+mod incoming;
 mod opening;
 mod outgoing;
 mod pool;
--- a/src/scalewood/ops/entry/routed/opening.rs
+++ b/src/scalewood/ops/entry/routed/opening.rs
@@ -19,7 +19,7 @@
         dialect::{Dialect, Instruction},
         dispatchers, now, reach,
         routed::{
-            attempt::{Attempt, Charge, ErrorAnswer, Failed, Opened, Run, Silence, Via},
+            attempt::{Attempt, Charge, ErrorAnswer, Failed, Opened, Race, Run, Via},
             forward,
             request::{Ending, Request, MAX_RECHECK_INTERVAL, MIN_RECHECK_INTERVAL},
             retries::Denial,
@@ -43,7 +43,7 @@
     /// At an endpoint that grants a slot.
     Endpoint(Turn, name::Endpoint),
     /// At another box, which has answered.
-    Box(Opened),
+    Box(Box<Opened>),
 }
 
 impl<D: Dialect> Request<D> {
@@ -81,7 +81,7 @@
 
     /// Makes attempts until one is answered.
     async fn first_answer(&mut self, after: Option<&str>) -> Result<Opened, Ending> {
-        let silence = Arc::<Silence>::default();
+        let race = Arc::new(Race::new(self.in_flight > 0));
         let mut waiting = FuturesUnordered::new();
         let mut delay = Duration::ZERO;
         // An endpoint's error that came while others were silent.
@@ -89,7 +89,7 @@
         loop {
             let mut failed = Vec::new();
             let placed = {
-                let mut placing = std::pin::pin!(self.place(after, delay));
+                let mut placing = std::pin::pin!(self.place(after, delay, &race));
                 loop {
                     tokio::select! {
                         biased;
@@ -113,7 +113,7 @@
                 Ok(Place::Box(opened))
                     if waiting.is_empty() || opened.parts.status.is_success() =>
                 {
-                    return Ok(opened);
+                    return Ok(*opened);
                 }
                 Ok(Place::Box(opened)) => {
                     // The endpoints that are silent may still answer.
@@ -129,7 +129,7 @@
                     retry_at = Some(self.now() + MAX_RECHECK_INTERVAL);
                 }
                 Ok(Place::Endpoint(turn, endpoint)) => {
-                    let begun = self.begin(turn, &endpoint, after, &silence);
+                    let begun = self.begin(turn, &endpoint, after, &race);
                     self.in_flight += 1;
                     waiting.push(send(begun));
                 }
@@ -142,10 +142,7 @@
                     retry_at = Some(self.now() + ending.retry_after());
                 }
             }
-            match self
-                .step(&mut waiting, &silence, (&mut own, retry_at))
-                .await?
-            {
+            match self.step(&mut waiting, &race, (&mut own, retry_at)).await? {
                 ControlFlow::Break(opened) => return Ok(opened),
                 ControlFlow::Continue(wait) => delay = wait,
             }
@@ -157,7 +154,7 @@
     async fn step<F>(
         &mut self,
         waiting: &mut FuturesUnordered<F>,
-        silence: &Silence,
+        race: &Race,
         (own, mut retry_at): (&mut Option<Box<ErrorAnswer>>, Option<Duration>),
     ) -> Result<ControlFlow<Opened, Duration>, Ending>
     where
@@ -179,7 +176,7 @@
                         Err(attempt) => attempt,
                     };
                     self.count_failed(&mut attempt);
-                    if waiting.len() > silence.count() {
+                    if waiting.len() > race.silent() {
                         // Another attempt was made beside this one already.
                         self.log_failed(&attempt, Ok(Duration::ZERO));
                         *own = attempt.own.or(own.take());
@@ -196,8 +193,8 @@
                     }
                     wait
                 }
-                () = silence.begun() => {
-                    if waiting.len() > silence.count() {
+                () = race.silence_begun() => {
+                    if waiting.len() > race.silent() {
                         continue;
                     }
                     let wait = self.next_wait(Failure::SILENT);
@@ -220,13 +217,23 @@
     }
 
     /// Finds where the next attempt is made, after a delay.
-    async fn place(&mut self, after: Option<&str>, delay: Duration) -> Result<Place, Ending> {
+    async fn place(
+        &mut self,
+        after: Option<&str>,
+        delay: Duration,
+        race: &Race,
+    ) -> Result<Place, Ending> {
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
         loop {
             if let Some(forwarded) = self.forward(after).await {
-                return forwarded.map(Place::Box);
+                let mut opened = forwarded?;
+                let Err(failure) = self.begin_at_box(&mut opened, race).await else {
+                    return Ok(Place::Box(Box::new(opened)));
+                };
+                self.end_answer(opened.via, failure).await?;
+                continue;
             }
             self.check_origin_service().map_err(Ending::Refused)?;
             if let Some(granted) = self.turn().await {
@@ -235,6 +242,23 @@
         }
     }
 
+    /// Waits until another box's answer has begun, or no other attempt is open. What is no success is judged by its
+    /// head.
+    async fn begin_at_box(&self, opened: &mut Opened, race: &Race) -> Result<(), Failure> {
+        if !opened.parts.status.is_success() {
+            return Ok(());
+        }
+        let begun = async {
+            tokio::select! {
+                biased;
+                () = race.narrowed_to(0) => Ok(()),
+                begun = opened.body.begin(self.is_stream()) => begun,
+            }
+        };
+        let begun = tokio::time::timeout(self.time_left(), begun).await;
+        begun.unwrap_or(Err(Failure::SILENT))
+    }
+
     /// Asks the dispatcher for a slot at an endpoint, and waits for it. Returns `None` if another box can serve the
     /// request meanwhile.
     async fn turn(&mut self) -> Option<Result<Place, Ending>> {
@@ -286,7 +310,7 @@
         turn: Turn,
         endpoint: &name::Endpoint,
         after: Option<&str>,
-        silence: &Arc<Silence>,
+        race: &Arc<Race>,
     ) -> Result<(Attempt<D>, hyper::Request<Full<Bytes>>), Failed> {
         self.tries += 1;
         self.last_endpoint = Some(endpoint.clone());
@@ -330,7 +354,7 @@
         let patience = self.head_wait();
         let charge = self.charge();
         let of = (&self.context, &self.routed);
-        let attempt = Attempt::new(of, run, charge, patience, silence);
+        let attempt = Attempt::new(of, run, charge, patience, race);
         Ok((attempt, request))
     }
 
--- a/src/scalewood/ops/entry/routed/request.rs
+++ b/src/scalewood/ops/entry/routed/request.rs
@@ -244,7 +244,7 @@
                     if has_broken {
                         self.end_broken(via);
                     }
-                    return ControlFlow::Continue(opened);
+                    return ControlFlow::Continue(*opened);
                 }
                 Next::Nothing => break Err(Failure::SILENT),
                 Next::Frame(None) => break Ok(whole.freeze()),
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -156,7 +156,7 @@
                     if has_broken {
                         self.request.end_broken(via);
                     }
-                    return Relayed::Replaced(opened);
+                    return Relayed::Replaced(*opened);
                 }
                 Next::Nothing => return Relayed::Failed(via, Failure::SILENT),
                 Next::Frame(None) if is_between_events => return Relayed::Complete(via, parts),
@@ -221,7 +221,7 @@
 }
 
 /// Returns the position after the last whole event of a buffer.
-fn end_of_events(buffer: &[u8]) -> Option<usize> {
+pub(super) fn end_of_events(buffer: &[u8]) -> Option<usize> {
     let lf = buffer.windows(2).rposition(|pair| pair == b"\n\n");
     let crlf = buffer.windows(4).rposition(|four| four == b"\r\n\r\n");
     let lf = lf.map(|at| at + 2);
--- a/tests/testsuite/pause.rs
+++ b/tests/testsuite/pause.rs
@@ -191,6 +191,23 @@
     }
 }
 
+/// Guards against answers that end since a paused endpoint was left for one that then sends no more than the head of
+/// its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pause_is_outlasted_where_the_other_endpoint_ends_after_its_head() {
+    for (method, path, work) in [
+        ("POST", "/sresume/event", Duration::ZERO),
+        ("POST", "/sresume/head", BEFORE * 2),
+        ("GET", "/safe/pieces/body", Duration::ZERO),
+        ("GET", "/safe/pieces/head", BEFORE * 2),
+    ] {
+        let acts = [Act::BreakAtHead, Act::StallAtHead];
+        let calls = acts.map(|act| call_beside(method, path, work, act));
+        let lost = join_all(calls).await;
+        assert_eq!(lost.concat(), Vec::<String>::new(), "{path}");
+    }
+}
+
 /// Guards against requests that stay with an endpoint that is dead though a retry is there, and against runs
 /// that are left there.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -55,6 +55,10 @@
     BreakAfter(usize),
     /// Stalls the stream after this number of events.
     StallAfter(usize),
+    /// Sends the head of an answer, and breaks off before its body.
+    BreakAtHead,
+    /// Sends the head of an answer, and nothing more.
+    StallAtHead,
     /// Runs the request and answers with status 500.
     Fail,
     /// Answers that it is not the endpoint that the request was meant for.
@@ -455,6 +459,11 @@
             response
         }
         Some(Act::Mistaken) => plain(421, "another"),
+        Some(Act::BreakAtHead) => {
+            let broken = Err(std::io::Error::other("broken off"));
+            body_of(vec![broken], (script.pause, false), run, paused)
+        }
+        Some(Act::StallAtHead) => body_of(Vec::new(), (script.pause, true), run, paused),
         _ if path.contains("/pieces/") => in_pieces(run, paused),
         _ if path.starts_with("/s") => {
             let first = after.map_or(0, |id| id.to_str().unwrap().parse::<usize>().unwrap() + 1);
