Requests of routes: attempts that were ended for another one no longer bar later ones

An attempt that was made beside a silent endpoint counted against the route's attempts for ever, also if the silent one went on. If that one broke off later, nothing followed (why: attempts) and the caller's stream was closed, although never more than two endpoints would have worked on it.

Attempts that were ended since another one serves are now counted apart, and only while an attempt is open. Requests that may run only once are not concerned: they get no second attempt after one that may have run.

--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -214,7 +214,7 @@
             by: self.context.board.own.name.clone(),
             revision: routed.revision,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            runs: self.runs + self.in_flight,
+            runs: self.runs + self.ended + self.in_flight,
             counted: self.observer.is_counted(),
             returned: routed.call.is_client_retry,
             origin: self.origin.clone(),
--- a/src/scalewood/ops/entry/routed/hedge.rs
+++ b/src/scalewood/ops/entry/routed/hedge.rs
@@ -93,7 +93,8 @@
                 self.last_endpoint = Some(endpoint);
                 self.context.report_return(&self.routed, run, reported_at);
             }
-            Next::Replacement(..) => self.runs += 1,
+            Next::Replacement(_, true) => self.runs += 1,
+            Next::Replacement(_, false) => self.ended += 1,
             Next::Frame(_) | Next::Nothing => {}
         }
         next
--- a/src/scalewood/ops/entry/routed/opening.rs
+++ b/src/scalewood/ops/entry/routed/opening.rs
@@ -73,7 +73,7 @@
         self.in_flight = kept;
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            self.runs += dropped;
+            self.ended += dropped;
             self.verdict = self.verdict.and(verdict::Verdict::MayHaveRun);
         }
         self.retry = None;
--- a/src/scalewood/ops/entry/routed/request.rs
+++ b/src/scalewood/ops/entry/routed/request.rs
@@ -84,11 +84,13 @@
     pub(super) tries: u32,
     /// The number of attempts that did not reach their endpoint.
     pub(super) misses: u32,
-    /// The number of attempts that have ended and may have run.
+    /// The number of attempts that have ended by themselves and may have run.
     pub(super) runs: u32,
+    /// The number of attempts that were ended since another one serves.
+    pub(super) ended: u32,
     /// The number of attempts that have not ended.
     pub(super) in_flight: u32,
-    /// The number of attempts that were written and dropped, and are not counted in `runs` yet.
+    /// The number of attempts that were written and dropped, and are not counted in `ended` yet.
     pub(super) dropped: Arc<AtomicU32>,
     /// The number of other boxes that it was sent to.
     pub(super) forwards: u32,
@@ -143,6 +145,7 @@
             tries: 0,
             misses: 0,
             runs,
+            ended: 0,
             in_flight: 0,
             dropped: Arc::default(),
             forwards: 0,
--- a/src/scalewood/ops/entry/routed/retries.rs
+++ b/src/scalewood/ops/entry/routed/retries.rs
@@ -56,7 +56,7 @@
     pub(super) fn may_run_again(&self) -> bool {
         let route = &self.routed.route;
         route.kind.is_repeatable()
-            && self.runs + self.in_flight + 1 < route.attempts
+            && self.runs + self.ended + self.in_flight + 1 < route.attempts
             && self.reached() < MAX_ATTEMPTS
     }
 
@@ -65,6 +65,15 @@
         self.tries - self.misses
     }
 
+    /// Returns the number of attempts that count against the route's. Those that were ended since another one
+    /// served count only while one is in flight: they bound the attempts beside it, not those after it.
+    fn counted(&self) -> u32 {
+        match self.in_flight {
+            0 => self.runs,
+            open => self.runs + self.ended + open,
+        }
+    }
+
     /// Returns whether the links to the endpoints are lost and no other box is known to reach them.
     fn is_stranded(&self) -> bool {
         let board = &self.context.board;
@@ -114,7 +123,7 @@
             if !route.kind.is_repeatable() {
                 return Err(Denial::NotRepeatable);
             }
-            if self.runs + self.in_flight >= route.attempts {
+            if self.counted() >= route.attempts {
                 return Err(Denial::Attempts);
             }
         }
--- a/tests/testsuite/pause.rs
+++ b/tests/testsuite/pause.rs
@@ -208,6 +208,36 @@
     }
 }
 
+/// Guards against streams that end with an endpoint that had paused before, since the endpoint that was asked beside
+/// it meanwhile counts as an attempt for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_elsewhere_after_it_outlasted_a_pause() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints, links) = start_linked(2, dir.path(), "", true).await;
+    system.wait_retries().await;
+    let path = "/sresume/later";
+    let breaking = async {
+        deploy::wait("the stream runs", || async {
+            endpoints.iter().any(|e| e.running() > 0)
+        })
+        .await;
+        let first = endpoints.iter().position(|e| e.running() > 0).unwrap();
+        endpoints[1 - first].next(Act::Hang);
+        pause(&endpoints[first..=first], BEFORE).await;
+        let other = &endpoints[1 - first];
+        assert_eq!(seen(std::slice::from_ref(other), path), 1);
+        deploy::wait("the run beside the paused one has ended", || async {
+            other.running() == 0
+        })
+        .await;
+        assert_eq!(endpoints[first].running(), 1);
+        links[first].set_connected(false);
+    };
+    let call = call_all(&system, "POST", vec![path.to_owned()]);
+    let (lost, ()) = tokio::join!(call, breaking);
+    assert_eq!(lost, Vec::<String>::new());
+}
+
 /// Guards against requests that stay with an endpoint that is dead though a retry is there, and against runs
 /// that are left there.
 #[tokio::test(flavor = "multi_thread")]
