A long request outlasts an endpoint that takes no new connection

Callers got 502 for a request of over 32 KiB, which may have run, while its sound endpoint worked on it: an endpoint that is about to stop closes its listener and finishes what it runs.

Cause: whether the endpoint's machine is alive is asked by a new connection, and each failure of that counted as a dead machine: a refusal, a lack of file descriptors or local ports in the box itself, and one lost packet, as the time limit is that after which a first packet is sent again. The run was given up for a condition that says nothing of it.

A refusal shows that the machine answers. Only no answer to two attempts half a second apart within the second, or an unreachable host or network, counts as dead. A process that has ended has its connections reset.

The lack of descriptors and the lost packet: by reading.

--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::HashMap,
     future::Future,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -119,9 +120,11 @@
 /// The time after which the peer of a long request that it has not answered is checked. It doubles with each
 /// check.
 const FIRST_CHECK: Duration = Duration::from_millis(500);
-/// How long a peer may take to accept a connection in a check. The machine of a paused process accepts it at
+/// How long a peer may take to answer a connection in a check. The machine of a paused process accepts it at
 /// once.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// The time after which a second connection is tried in a check, as the first packet may be lost.
+const SECOND_TRY: Duration = Duration::from_millis(500);
 
 /// Returns whether a request is so long that its peer's machine has to be checked, see [`socket::Stream`].
 pub(super) fn is_long(request: &Request<Full<Bytes>>) -> bool {
@@ -140,17 +143,46 @@
             return Some(answer);
         }
         wait *= 2;
-        let accepted = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address));
         tokio::select! {
             biased;
             answer = answer.as_mut() => return Some(answer),
-            accepted = accepted => if !matches!(accepted, Ok(Ok(_))) {
+            is_alive = is_alive(address) => if !is_alive {
                 return None;
             },
         }
     }
 }
 
+/// Returns whether the machine at an address answers.
+async fn is_alive(address: SocketAddr) -> bool {
+    let again = async {
+        tokio::time::sleep(SECOND_TRY).await;
+        answered(address).await;
+    };
+    let either = async {
+        tokio::select! {
+            () = answered(address) => {}
+            () = again => {}
+        }
+    };
+    tokio::time::timeout(CHECK_TIMEOUT, either).await.is_ok()
+}
+
+/// Waits until the machine at an address answers a connection. A refusal is an answer too: a process that is about
+/// to stop may finish its requests and take no new ones, and one that has ended has its connections reset.
+async fn answered(address: SocketAddr) {
+    let Err(error) = TcpStream::connect(address).await else {
+        return;
+    };
+    let is_unreachable = matches!(
+        error.kind(),
+        ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable | ErrorKind::TimedOut
+    );
+    if is_unreachable {
+        std::future::pending().await
+    }
+}
+
 /// A connection over which requests are sent one after another.
 pub(super) type Sender = http1::SendRequest<Full<Bytes>>;
 
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -168,6 +168,30 @@
     assert!(since.elapsed() < FOUND_WITHIN, "{:?}", since.elapsed());
 }
 
+/// Guards against long requests that are broken off since their sound endpoint accepts no new connection, as one
+/// that is about to stop and finishes what it runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_request_is_finished_by_an_endpoint_that_refuses_new_connections() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, link) = start_behind_link(0, dir.path()).await;
+    endpoint.set_work_time(Duration::from_secs(2));
+    let bearer = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("scalewood-id", "long"),
+        ("scalewood-deadline-ms", "5000"),
+    ];
+    let mut connection = client::Connection::open(system.callers()).await.unwrap();
+    let body = "x".repeat(LONG_BODY);
+    let call = connection.send_to(HOST, "POST", "/unsafe/leaving", &headers, body);
+    let close = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        link.set_port(Port::Refuses);
+    };
+    let (answer, ()) = tokio::join!(call, close);
+    assert_eq!(answer.unwrap().status(), 200);
+}
+
 /// Guards against connections to sound peers, boxes included, that are closed as these read none of a long
 /// request for longer than bytes may stay unacknowledged; and against later requests over such a connection
 /// that find out late that the peer is dead.
