An answer that begins early leaves the rest of a long request unlimited

A connection to a sound endpoint was closed in the middle of a long request, and an answer that had begun there with it: the endpoint had begun to answer before it read all of the request, and then read nothing for 1.5 s (another box: 3 s).

Cause: anything that the peer sent counted as the end of the request, so that the next write brought the limit on the time without acknowledgement back, with the receive window closed.

A message now ends only with a write that leaves nothing of its buffers.

silence::the_rest_of_a_long_request_may_stay_unread_after_its_answer_has_begun failed with socket.rs of (`Broken pipe`; trial in a scratch package) and passes; silence::only_a_long_request_may_stay_unread, where the limit returns with the next request, still passes.

--- a/src/scalewood/util/socket.rs
+++ b/src/scalewood/util/socket.rs
@@ -100,10 +100,14 @@
 pub struct Stream {
     inner: TcpStream,
     timeouts: Timeouts,
-    /// The number of bytes written since the peer last sent any before a write.
+    /// The limit on the time for which bytes may stay unacknowledged that is in force.
+    limit: Option<Duration>,
+    /// The number of bytes written of the current message.
     sent: usize,
-    /// Whether the peer has sent anything since the last write.
+    /// Whether the peer has sent anything since the current message began.
     has_answered: bool,
+    /// Whether the last write left bytes of the current message unwritten.
+    is_partial: bool,
 }
 
 impl Stream {
@@ -114,25 +118,38 @@
         Self {
             inner,
             timeouts,
+            limit: Some(timeouts.unacknowledged),
             sent: 0,
             has_answered: false,
+            is_partial: false,
         }
     }
 
-    /// Counts written bytes.
-    fn record_sent(&mut self, count: usize) {
-        let was_long = self.sent > MIN_WINDOW;
-        if std::mem::take(&mut self.has_answered) {
+    /// Counts the written bytes of those that were to be written. A message ends with its last byte, though the
+    /// peer may have answered before.
+    fn record_sent(&mut self, count: usize, of: usize) {
+        if !self.is_partial && std::mem::take(&mut self.has_answered) {
             self.sent = 0;
         }
+        self.is_partial = count < of;
         self.sent += count;
         let is_long = self.sent > MIN_WINDOW;
-        if is_long != was_long {
-            let limit = (!is_long).then_some(self.timeouts.unacknowledged);
+        let limit = (!is_long).then_some(self.timeouts.unacknowledged);
+        if limit != self.limit {
+            self.limit = limit;
             // A failure leaves the limit as it was.
             let _ = SockRef::from(&self.inner).set_tcp_user_timeout(limit);
         }
     }
+
+    /// Records the outcome of a write of so many bytes.
+    fn record_write(&mut self, written: &Poll<io::Result<usize>>, of: usize) {
+        match written {
+            Poll::Ready(Ok(count)) => self.record_sent(*count, of),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.is_partial = true,
+        }
+    }
 }
 
 impl AsFd for Stream {
@@ -160,9 +177,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.inner).poll_write(context, bytes));
-        self.record_sent(*written.as_ref().unwrap_or(&0));
-        Poll::Ready(written)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.record_write(&written, bytes.len());
+        written
     }
 
     fn poll_write_vectored(
@@ -170,9 +187,10 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.inner).poll_write_vectored(context, slices));
-        self.record_sent(*written.as_ref().unwrap_or(&0));
-        Poll::Ready(written)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        let of = slices.iter().map(|slice| slice.len()).sum();
+        self.record_write(&written, of);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -1,6 +1,9 @@
 //! Connections that stop carrying data without being closed or reset, while new ones work.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::{Duration, Instant},
+};
 
 use scalewood::{
     core::registry::State,
@@ -192,6 +195,55 @@
     assert_eq!(answer.unwrap().status(), 200);
 }
 
+/// Guards against connections to sound peers that are closed in the middle of a long request: an answer that
+/// begins before the request was read to its end is not taken for the end of the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_rest_of_a_long_request_may_stay_unread_after_its_answer_has_begun() {
+    const BUFFER: usize = 16 << 10;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    // The connections that a listener accepts inherit its buffers.
+    SockRef::from(&listener)
+        .set_recv_buffer_size(BUFFER)
+        .unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await;
+    let stream = stream.unwrap();
+    SockRef::from(&stream).set_send_buffer_size(BUFFER).unwrap();
+    let stream = socket::Stream::new(stream, socket::ENDPOINT);
+    let (mut peer, _) = listener.accept().await.unwrap();
+    let (mut answers, mut requests) = tokio::io::split(stream);
+    let written = AtomicUsize::new(0);
+    let long = vec![b'x'; LONG_BODY];
+    let write = async {
+        let mut at = 0;
+        while at < long.len() {
+            at += requests.write(&long[at..]).await.unwrap();
+            written.store(at, Ordering::Relaxed);
+        }
+    };
+    let work = async {
+        // The buffers fill before the answer begins.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        peer.write_all(b"head").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let before = written.load(Ordering::Relaxed);
+        let mut read = 0;
+        while written.load(Ordering::Relaxed) == before {
+            read += peer.read(&mut [0; 1024]).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        // The peer reads nothing for longer than bytes may stay unacknowledged.
+        tokio::time::sleep(socket::ENDPOINT.unacknowledged + Duration::from_secs(1)).await;
+        let mut rest = vec![0; LONG_BODY - read];
+        peer.read_exact(&mut rest).await.unwrap();
+        peer.write_all(b"body").await.unwrap();
+    };
+    let mut answer = [0; 8];
+    let answered = answers.read_exact(&mut answer);
+    let ((), (), answered) = tokio::join!(write, work, answered);
+    answered.unwrap();
+    assert_eq!(answer, *b"headbody");
+}
+
 /// Guards against connections to sound peers, boxes included, that are closed as these read none of a long
 /// request for longer than bytes may stay unacknowledged; and against later requests over such a connection
 /// that find out late that the peer is dead.
