An answer that has begun is not given up for another box's refusal

A repeatable request whose answer had begun got 502 or 503 in place of the rest: its endpoint fell silent, its box had lost its links meanwhile, and the box that was asked beside it refused. 503 even says that it did not run.

Cause: the attempt beside an answer that is no stream took any head of another box for the answer.

As for streams, only a success of another box takes the place of what has begun; what an endpoint answers is still taken, as a hedge does.

--- a/src/scalewood/ops/entry/routed/hedge.rs
+++ b/src/scalewood/ops/entry/routed/hedge.rs
@@ -166,11 +166,9 @@
         }
     }
 
-    /// Opens another answer. A stream goes on after its last event, only where it began.
+    /// Opens another answer. A stream goes on after its last event, only where it began. Another box's refusal
+    /// takes the place of no answer.
     pub(super) async fn reopen(&mut self, progress: &Progress) -> Result<Opened, Ending> {
-        if !self.is_stream() {
-            return self.open(None).await;
-        }
         if progress.events > 0 {
             if self.origin.is_none() {
                 return Err(Ending::Failed(dispatch::End::Broken));
@@ -179,9 +177,15 @@
         }
         loop {
             let mut opened = self.open(progress.last_id.as_deref()).await?;
+            if !self.is_stream() && matches!(opened.via, Via::Endpoint { .. }) {
+                return Ok(opened);
+            }
             if opened.parts.status.is_success() {
-                let confirmed = self.confirm_origin(&mut opened).await;
-                return confirmed.map(|()| opened).map_err(Ending::Refused);
+                if self.is_stream() {
+                    let confirmed = self.confirm_origin(&mut opened).await;
+                    confirmed.map_err(Ending::Refused)?;
+                }
+                return Ok(opened);
             }
             let failure = match opened.via {
                 Via::Endpoint { .. } => Failure::BROKEN,
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -73,7 +73,12 @@
 impl Site {
     /// Starts a system in which the links of some boxes can be cut.
     pub(crate) async fn start(cut: &'static [usize], dir: &std::path::Path) -> Self {
-        let mut system = System::start(VOTERS, dir);
+        Self::start_with(cut, dir, "").await
+    }
+
+    /// Does what [`Site::start`] does with additional settings of the boxes.
+    async fn start_with(cut: &'static [usize], dir: &std::path::Path, more: &str) -> Self {
+        let mut system = System::start_with(VOTERS, dir, more);
         system.entry = None;
         assert_eq!(system.publish(&text(&routing(7))).await, 200);
         let mut rules: Vec<_> = vec![rule(7000, CUT_VOTER_PORT)];
@@ -601,6 +606,57 @@
     }
 }
 
+/// Guards against answers that have begun and are given up for the refusal of another box, as the links of their
+/// box fail while their endpoint is silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_has_begun_is_not_given_up_for_a_refusal_of_another_box() {
+    const PATH: &str = "/safe/pieces/begun";
+    /// When the links fail: the first piece has arrived by then, and the second has not.
+    const CUT_AFTER: Duration = Duration::from_millis(450);
+    const RETRIES: &str = r#""retries": { "ratio": 2, "slack": 60 }"#;
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start_with(&[0], dir.path(), RETRIES).await;
+    let played = async {
+        let cut = async {
+            deploy::wait("an endpoint runs the request", || async {
+                site.running() > 0
+            })
+            .await;
+            tokio::time::sleep(CUT_AFTER).await;
+            for link in &site.cut_links {
+                link.set_port(Port::Refuses);
+                link.set(Mode::Silent);
+            }
+            for endpoint in &site.endpoints {
+                endpoint.set_default_act(Some(Act::Refuse));
+            }
+            deploy::wait("the box notices that its links are lost", || async {
+                futures_util::future::join_all((0..4).map(|_| {
+                    let notice = site.send(0, "/safe/notice");
+                    tokio::time::timeout(Duration::from_millis(100), notice)
+                }))
+                .await;
+                site.metric(0, "services_unreachable").await == 1
+            })
+            .await;
+            deploy::wait("another box refuses the request", || async {
+                site.seen(PATH).len() > 1
+            })
+            .await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            for link in &site.cut_links {
+                link.set(Mode::Whole);
+            }
+        };
+        let (outcome, ()) = tokio::join!(site.send(0, PATH), cut);
+        assert!(outcome.is_served(), "{outcome:?}");
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
+
 /// Sends a request to the port of a box for requests of other boxes, with a header that such requests
 /// have.
 async fn forward(site: &Site, i: usize, path: &str, forwarded: Option<&str>) -> client::Answer {
