A forwarded request keeps the time that its first box allows

Where a configuration shortened a route's timeout, a request that had arrived before, and that its box forwarded to one where the new timeout was in force, got 504, or its stream was cut, before the time was over that applied at its arrival.

Cause: the box that serves it applied its own route's timeout, counted from the arrival, to what the first one had left. The first one states the smaller of the caller's deadline and its route's timeout already.

A stream was not tried.

--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -233,14 +233,15 @@
             Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-service", why)
         })?;
         let content = crash::Content::new(&caller, &parts, body.clone());
-        // The caller's deadline is what is left of it, and the route's timeout counts from the
-        // arrival at the first box.
+        // The route's timeout counts from the arrival at the first box, which states what is left of it as the
+        // deadline. Here another timeout may be in force already.
         let age = forwarded.as_ref().map_or(0, |forwarded| forwarded.age_ms);
         let age = Duration::from_millis(age);
-        let time_limit = head
-            .deadline
-            .unwrap_or(Duration::MAX)
-            .min(route.timeout().saturating_sub(age));
+        let timeout = match (&forwarded, head.deadline) {
+            (Some(_), Some(left)) => left,
+            _ => route.timeout().saturating_sub(age),
+        };
+        let time_limit = head.deadline.unwrap_or(Duration::MAX).min(timeout);
         let rank = view.routes.rank(route.tier, rights.tier);
         let mut call = call(
             &head,
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -657,6 +657,26 @@
     }
 }
 
+/// Guards against requests that lose the time that the configuration allowed when they arrived, as they are
+/// forwarded to a box where a shorter timeout is in force already.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_request_keeps_the_time_that_its_first_box_states() {
+    const OLD: &str = r#"{"by":"e1","revision":1,"age_ms":3950,"runs":0}"#;
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&[0], dir.path()).await;
+    for endpoint in &site.endpoints {
+        endpoint.set_work_time(REQUEST_TIME);
+    }
+    let played = async {
+        let served = forward(&site, 1, "/safe/old", Some(OLD)).await;
+        assert_eq!(served.status, 200);
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
+
 /// Sends a request to the port of a box for requests of other boxes, with a header that such requests
 /// have.
 async fn forward(site: &Site, i: usize, path: &str, forwarded: Option<&str>) -> client::Answer {
