A long request is read before it is given back

A request that its box forwards may count as possibly run, so that its caller gets 502 or it costs a retry, though the other box did not take it: it was behind the configuration, not ready or about to stop.

Cause: the other box answered before it had read the body, and then closed the connection with unread bytes, which resets it. Whether the answer or the failed write was seen first was chance.

The body is read, within the limits on size and time, and then the request is given back.

--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -21,6 +21,7 @@
         reply::Refusal,
         routed::{
             attempt::{Opened, Via},
+            read,
             request::{self, Ending},
             Context,
         },
@@ -256,6 +257,11 @@
         };
         let is_behind = self.board.view.load().revision < forwarded.revision;
         if is_behind || self.board.is_draining() || !self.board.ready.load(Ordering::Relaxed) {
+            // Bytes that are left unread would reset the connection, and the answer could be lost.
+            let view = self.board.view.load_full();
+            let routing = view.document.routing.as_deref();
+            let max_bytes = routing.map_or(self.limits.max_body.0, |r| r.limits.body_bytes);
+            let _ = read(request.into_body(), max_bytes, self.limits.arrival_timeout).await;
             return self.give_back();
         }
         self.serve_from(request, caller, Some(forwarded)).await
--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -677,9 +677,42 @@
     }
 }
 
+/// Guards against long requests that count as possibly run, as the box that gives them back closes the
+/// connection before it has read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_request_is_read_before_it_is_given_back() {
+    const NEWER: &str = r#"{"by":"e1","revision":9,"age_ms":10,"runs":0}"#;
+    const LONG_BODY: usize = 900 << 10;
+    const TRIES: usize = 20;
+    let dir = tempfile::tempdir().unwrap();
+    let site = Site::start(&[0], dir.path()).await;
+    let played = async {
+        for _ in 0..TRIES {
+            let body = "x".repeat(LONG_BODY);
+            let back = forward_body(&site, 1, "/unsafe/back", Some(NEWER), body).await;
+            assert_eq!(back.header("scalewood-unavailable"), Some("1"));
+        }
+    };
+    tokio::select! {
+        () = played => {}
+        () = site.beat_on() => unreachable!(),
+    }
+}
+
 /// Sends a request to the port of a box for requests of other boxes, with a header that such requests
 /// have.
 async fn forward(site: &Site, i: usize, path: &str, forwarded: Option<&str>) -> client::Answer {
+    forward_body(site, i, path, forwarded, "a body".to_owned()).await
+}
+
+/// Does what [`forward`] does with a body.
+async fn forward_body(
+    site: &Site,
+    i: usize,
+    path: &str,
+    forwarded: Option<&str>,
+    body: String,
+) -> client::Answer {
     let log = site.system.dir.join(format!("e{}.log", i + 1));
     let log = std::fs::read_to_string(log).unwrap();
     let line = log
@@ -695,9 +728,7 @@
     ];
     headers.extend(forwarded.map(|forwarded| ("scalewood-forwarded", forwarded)));
     let mut connection = client::Connection::open(address).await.unwrap();
-    let response = connection
-        .send_to(HOST, "POST", path, &headers, "a body")
-        .await;
+    let response = connection.send_to(HOST, "POST", path, &headers, body).await;
     let (parts, body) = response.unwrap().into_parts();
     client::Answer {
         status: parts.status.as_u16(),
