Retries: beside silent endpoints, the request that has waited longest is next

Repeatable requests waited at a dead endpoint to their deadline and got 504 (why: budget all the time), although their box had retries to give in between: requests beside silent endpoints looked for one each 100 ms, and whoever became silent or looked first took it.

Requests that stay with a silent endpoint now queue for their service's retries at their box. Those whose endpoint pauses leave the queue when it goes on, so the ones at a dead endpoint come to its head. A request that has lost its endpoint doesn't wait and takes a retry at once, as before. How many retries there are is unchanged.

--- a/src/scalewood/core/retry/budget.rs
+++ b/src/scalewood/core/retry/budget.rs
@@ -1,7 +1,7 @@
 //! The retries that one box may send to a service.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -15,6 +15,10 @@
 /// How old a lease is when a new one is asked for.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The place of a request among those that wait for a retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place(u64);
+
 /// The retries that a service has left at one box.
 ///
 /// A retry is reserved when it is decided, and counts against the capacity until it has been sent: a
@@ -31,6 +35,9 @@
     recent: VecDeque<Duration>,
     /// The capacity lent by each voter.
     leases: BTreeMap<SocketAddr, Lease>,
+    /// The requests that wait for a retry.
+    waiting: BTreeSet<Place>,
+    next_place: Place,
 }
 
 impl Budget {
@@ -43,6 +50,8 @@
             filled_at: Duration::ZERO,
             recent: VecDeque::new(),
             leases: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            next_place: Place(0),
         }
     }
 
@@ -91,6 +100,25 @@
         true
     }
 
+    /// Lets a request wait for a retry, behind all that wait already. Followed by [`Budget::leave`].
+    #[must_use]
+    pub fn join(&mut self) -> Place {
+        let place = self.next_place;
+        self.next_place = Place(place.0 + 1);
+        self.waiting.insert(place);
+        place
+    }
+
+    /// Ends the wait of a request.
+    pub fn leave(&mut self, place: Place) {
+        self.waiting.remove(&place);
+    }
+
+    /// Returns whether no other request has waited longer than the one at a place, or waits at all if it has none.
+    pub fn is_next(&self, place: Option<Place>) -> bool {
+        self.waiting.first().copied().or(place) == place
+    }
+
     /// Records that a reserved retry was sent.
     pub fn spend(&mut self) {
         self.reserved -= 1;
--- a/src/scalewood/core/retry/mod.rs
+++ b/src/scalewood/core/retry/mod.rs
@@ -18,7 +18,7 @@
 mod lease;
 mod local;
 
-pub use budget::Budget;
+pub use budget::{Budget, Place};
 pub use lease::{Capacity, Lender, Lent, Want, LEASE_DURATION};
 pub use local::{LocalBudget, Settings};
 
--- a/src/scalewood/ops/entry/retries.rs
+++ b/src/scalewood/ops/entry/retries.rs
@@ -39,6 +39,41 @@
     }
 }
 
+/// The place of a request that waits for a retry of a service's budget; it is given up when dropped.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    board: Shared,
+    service: name::Service,
+    place: retry::Place,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut shard = self.board.budgets.shard(&self.service);
+        if let Some(budget) = shard.get_mut(&self.service) {
+            budget.leave(self.place);
+        }
+    }
+}
+
+/// Lets a request wait for a retry of a service's budget.
+pub(super) fn wait(board: &Shared, service: &name::Service) -> Waiting {
+    let mut shard = board.budgets.shard(service);
+    let place = budget(board, &mut shard, service).join();
+    Waiting {
+        board: board.clone(),
+        service: service.clone(),
+        place,
+    }
+}
+
+/// Returns whether the next retry of a service's budget is for the request with this place, or without one.
+pub(super) fn is_next(board: &Shared, service: &name::Service, waiting: Option<&Waiting>) -> bool {
+    let mut shard = board.budgets.shard(service);
+    let budget = budget(board, &mut shard, service);
+    budget.is_next(waiting.map(|waiting| waiting.place))
+}
+
 /// Adds what a request that arrived from its caller earns to its service's budget.
 pub(super) fn earn(board: &Shared, service: &name::Service) {
     let now = now(board);
--- a/src/scalewood/ops/entry/routed/hedge.rs
+++ b/src/scalewood/ops/entry/routed/hedge.rs
@@ -152,6 +152,10 @@
                     tokio::time::sleep(wait).await;
                     let reopened = self.reopen(progress).await;
                     hedge.is_asking.store(false, Ordering::Relaxed);
+                    // Attempts that ended without an answer are no longer in flight, and the retry is free.
+                    if reopened.is_err() {
+                        self.end_others(1);
+                    }
                     match reopened {
                         Ok(opened) => return Some(opened),
                         Err(_) if hedge.is_last.load(Ordering::Relaxed) => return None,
@@ -160,8 +164,6 @@
                 }
                 Err(_) => MIN_RECHECK_INTERVAL,
             };
-            // Attempts that ended without an answer are no longer in flight, and the retry is free.
-            self.end_others(1);
             tokio::time::sleep(retry_after).await;
             while !self.has_budget() {
                 tokio::time::sleep(MIN_RECHECK_INTERVAL).await;
--- a/src/scalewood/ops/entry/routed/opening.rs
+++ b/src/scalewood/ops/entry/routed/opening.rs
@@ -68,7 +68,7 @@
     }
 
     /// Accounts for attempts that were dropped before their outcome was known, and gives up the retry that is
-    /// reserved; `kept` attempts are still in flight.
+    /// reserved or waited for; `kept` attempts are still in flight.
     pub(super) fn end_others(&mut self, kept: u32) {
         self.in_flight = kept;
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
@@ -77,6 +77,7 @@
             self.verdict = self.verdict.and(verdict::Verdict::MayHaveRun);
         }
         self.retry = None;
+        self.waiting = None;
     }
 
     /// Makes attempts until one is answered.
--- a/src/scalewood/ops/entry/routed/request.rs
+++ b/src/scalewood/ops/entry/routed/request.rs
@@ -105,6 +105,8 @@
     pub(super) sent_build: build::Build,
     /// The retry that the next attempt uses, if it is one.
     pub(super) retry: Option<retries::Reserved>,
+    /// Its place among the requests that wait for a retry beside a silent endpoint, if it does.
+    pub(super) waiting: Option<retries::Waiting>,
     /// Whether a slot was asked for last, and not granted.
     pub(super) is_asking: bool,
     /// The estimates by which the last endpoint was chosen.
@@ -156,6 +158,7 @@
             sent_build: build::Build::default(),
             is_asking: false,
             retry: None,
+            waiting: None,
             basis: dispatch::Basis::default(),
             retry_after: None,
             cause: None,
--- a/src/scalewood/ops/entry/routed/retries.rs
+++ b/src/scalewood/ops/entry/routed/retries.rs
@@ -81,9 +81,16 @@
         reach::is_lost(board, service) && reach::known_peer(board, service).is_none()
     }
 
-    /// Returns whether the service's budget holds a retry.
+    /// Returns whether the service's budget holds a retry for a request beside a silent endpoint.
     pub(super) fn has_budget(&self) -> bool {
-        retries::has_any(&self.context.board, &self.routed.call.key.service)
+        retries::has_any(&self.context.board, &self.routed.call.key.service) && self.is_next()
+    }
+
+    /// Returns whether no request has waited longer for a retry than this one, if it stays with a silent
+    /// endpoint. Those that have lost their endpoint do not wait.
+    fn is_next(&self) -> bool {
+        let (board, service) = (&self.context.board, &self.routed.call.key.service);
+        self.in_flight == 0 || retries::is_next(board, service, self.waiting.as_ref())
     }
 
     /// Returns the level of the service's budget, for the log.
@@ -92,18 +99,33 @@
     }
 
     /// Reserves a retry of the service's budget for the next attempt, after `tries` attempts, unless
-    /// one is reserved already. Returns how long to wait first.
+    /// one is reserved already. Returns how long to wait first. Beside a silent endpoint the request waits for a retry
+    /// if there is none.
     fn reserve_retry(&mut self, tries: u32) -> Result<Duration, Denial> {
         if self.retry.is_none() {
-            let service = &self.routed.call.key.service;
-            let reserved = retries::reserve(&self.context.board, service);
-            self.retry = Some(reserved.ok_or(Denial::Budget)?);
+            let (board, service) = (&self.context.board, &self.routed.call.key.service);
+            let is_next = self.is_next();
+            self.retry = is_next.then(|| retries::reserve(board, service)).flatten();
+            if self.retry.is_none() {
+                if self.in_flight > 0 && self.waiting.is_none() {
+                    self.waiting = Some(retries::wait(board, service));
+                }
+                return Err(Denial::Budget);
+            }
         }
         Ok(BACKOFF.wait(tries, rand::random()))
     }
 
     /// Returns how long to wait before the next attempt, or why no further one is allowed.
     pub(super) fn next_wait(&mut self, failure: Failure) -> Result<Duration, Denial> {
+        let wait = self.decide(failure);
+        if wait != Err(Denial::Budget) {
+            self.waiting = None;
+        }
+        wait
+    }
+
+    fn decide(&mut self, failure: Failure) -> Result<Duration, Denial> {
         if self.time_left() < MIN_TIME_LEFT {
             return Err(Denial::Time);
         }
--- a/tests/testsuite/pause.rs
+++ b/tests/testsuite/pause.rs
@@ -238,6 +238,60 @@
     assert_eq!(lost, Vec::<String>::new());
 }
 
+/// Guards against requests that stay with a dead endpoint to their deadline, since each retry that their box earns goes
+/// to a request whose endpoint is silent for a shorter time.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_retry_is_for_the_request_that_has_waited_longest() {
+    /// Requests earn 0.18 retries each, which are kept for a second.
+    const RETRIES: &str = r#""retries": { "ratio": 0.2, "slack": 0.0 }"#;
+    /// The requests that wait for less than a retry, and those that earn one together.
+    const LATER: usize = 5;
+    const EARNING: usize = 6;
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoints) = start(1, dir.path(), RETRIES).await;
+    let dead = &endpoints[0];
+    // What the start of the test has earned is gone after a second.
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    dead.set_paused(true);
+    let later = paths("/safe/later", LATER);
+    let calls = async {
+        let first = call_all(&system, "GET", vec!["/safe/first".to_owned()]);
+        let rest = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            call_all(&system, "GET", later.clone()).await
+        };
+        let (first, rest) = tokio::join!(first, rest);
+        [first, rest].concat()
+    };
+    let retry = async {
+        tokio::time::sleep(Duration::from_millis(1800)).await;
+        assert_eq!(dead.running(), LATER + 1, "a request is elsewhere");
+        let other = Endpoint::start("i-9", (system.host, 9009).into()).await;
+        system.announce(0, &other.record(1, State::Ready)).await;
+        deploy::wait("the dispatcher knows both", || async {
+            system.known_endpoints().await >= 2.0
+        })
+        .await;
+        let earning = call_all(&system, "GET", paths("/safe/earning", EARNING));
+        let tried = async {
+            let others = std::slice::from_ref(&other);
+            let tried = || {
+                seen(others, "/safe/first") + later.iter().map(|p| seen(others, p)).sum::<usize>()
+            };
+            deploy::wait("a request is tried at the other endpoint", || async {
+                tried() > 0
+            })
+            .await;
+            dead.set_paused(false);
+            seen(others, "/safe/first")
+        };
+        tokio::join!(earning, tried)
+    };
+    let (lost, (earning, first)) = tokio::join!(calls, retry);
+    assert_eq!((lost, earning), (Vec::new(), Vec::new()));
+    assert_eq!(first, 1, "a request that waited less got the retry");
+}
+
 /// Guards against requests that stay with an endpoint that is dead though a retry is there, and against runs
 /// that are left there.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/retry_core.rs
+++ b/tests/testsuite/retry_core.rs
@@ -223,3 +223,21 @@
     assert!(budget.needs_lease(voter(0), now + 500 * MS));
     assert!(budget.needs_lease(voter(1), now));
 }
+
+/// Guards against requests that wait for a retry and are passed by others, and against a place that is given up
+/// and still bars them.
+#[test]
+fn requests_get_retries_in_the_order_in_which_they_wait() {
+    let mut budget = Budget::new(allowance(0.0));
+    assert!(budget.is_next(None));
+    let places = [(); 3].map(|()| budget.join());
+    let [first, second, third] = places.map(Some);
+    assert!(!budget.is_next(None));
+    assert!(budget.is_next(first) && !budget.is_next(second) && !budget.is_next(third));
+    budget.leave(places[1]);
+    assert!(budget.is_next(first) && !budget.is_next(third));
+    budget.leave(places[0]);
+    assert!(budget.is_next(third) && !budget.is_next(None));
+    budget.leave(places[2]);
+    assert!(budget.is_next(None));
+}
