Tests: own API gives up a paused endpoint before another one has answered

Callers of scalewood's own API whose endpoint pauses for longer than `limits.silence` lose its answer if the second endpoint has no slot, refuses or breaks off.

--- a/tests/testsuite/api_pause.rs
+++ b/tests/testsuite/api_pause.rs
@@ -19,6 +19,8 @@
 
 /// How long endpoints pause: longer than `limits.silence`, and shorter than the deadline of any class.
 const PAUSE: Duration = Duration::from_millis(2000);
+/// How long one endpoint pauses beside another one that does not answer.
+const OTHER_PAUSE: Duration = Duration::from_millis(1600);
 /// How long requests run before the pause begins.
 const BEFORE: Duration = Duration::from_millis(250);
 /// The tokens of an answer that takes longer than [`BEFORE`].
@@ -208,6 +210,198 @@
     }
 }
 
+/// Why the endpoint that is asked beside a silent one does not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Why {
+    /// All its slots are taken.
+    Full,
+    /// It refuses each request.
+    Refuses,
+    /// It breaks off each answer.
+    Breaks,
+}
+
+/// Returns the stand-in that runs a request whose record contains a text, and the other one of its service.
+async fn runner(deployment: &Deployment, model: bool, text: &str) -> (usize, usize) {
+    let all = deployment.standins_of(model);
+    for _ in 0..300 {
+        for (i, standin) in all.iter().enumerate() {
+            if count_runs(deployment, *standin, text) > 0 {
+                return (*standin, all[1 - i]);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("no endpoint runs {text}");
+}
+
+/// Returns how often a stand-in began a request whose record contains a text.
+fn count_runs(deployment: &Deployment, standin: usize, text: &str) -> usize {
+    let runs = deployment.runs(standin);
+    runs.iter()
+        .filter(|run| run.to_string().contains(text))
+        .count()
+}
+
+/// Pauses the endpoint that runs a request, beside which the other one does not answer. Returns the paused one.
+async fn pause_beside(deployment: &Deployment, model: bool, text: &str, why: Why) -> usize {
+    let (paused, other) = runner(deployment, model, text).await;
+    let faults = match why {
+        Why::Full => json!({}),
+        Why::Refuses => json!({ "rest_ms": 200 }),
+        Why::Breaks => json!({ "breaks": 10_000, "break_after": 0, "cut_after_run": true }),
+    };
+    deployment.faults(other, faults).await;
+    tokio::time::sleep(BEFORE).await;
+    let process = deployment.standins[paused].process.as_ref().unwrap();
+    process.signal("STOP");
+    tokio::time::sleep(OTHER_PAUSE).await;
+    process.signal("CONT");
+    paused
+}
+
+/// Returns what is wrong with an answer that is due from a paused endpoint, if anything is.
+fn check(
+    deployment: &Deployment,
+    paused: usize,
+    why: Why,
+    is_whole: bool,
+    got: &str,
+) -> Option<String> {
+    let runs = count_runs(deployment, paused, "paused");
+    let is_sound = is_whole && runs == 1;
+    (!is_sound)
+        .then(|| format!("{why:?}: whole: {is_whole}, {runs} runs at the paused endpoint, {got}"))
+}
+
+/// Returns the plan of [`plan`] with two endpoints of each service that have one slot each.
+fn plan_of_two(first_us: u64) -> Plan {
+    Plan {
+        replicas: 2,
+        slots: 1,
+        first_us,
+        ..plan()
+    }
+}
+
+/// Takes the slot of an endpoint of a service until the returned task is aborted or the answer ends.
+async fn occupy(deployment: &Deployment, model: bool) -> tokio::task::JoinHandle<()> {
+    let callers = deployment.entries[0].callers;
+    let task = tokio::spawn(async move {
+        let token = bearer(deploy::TEAM);
+        let headers = [
+            ("authorization", token.as_str()),
+            ("scalewood-class", if model { "counter" } else { "record" }),
+        ];
+        let body = chat(deploy::MODEL, "occupies len=4000", false);
+        let path = if model {
+            "/v1/chat/completions"
+        } else {
+            "/services/stock/occupies"
+        };
+        let _ = ask(callers, "POST", path, &headers, body).await;
+    });
+    runner(deployment, model, "occupies").await;
+    task
+}
+
+/// Guards against streams of models that are cut since the endpoint that was asked beside a paused one has no
+/// slot, refuses the request or breaks off.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_outlasts_a_pause_where_the_other_endpoint_fails() {
+    let mut lost = Vec::new();
+    for why in [Why::Full, Why::Refuses, Why::Breaks] {
+        let dir = tempfile::tempdir().unwrap();
+        let deployment = Deployment::start(plan_of_two(5000), dir.path()).await;
+        let occupant = match why {
+            Why::Full => Some(occupy(&deployment, true).await),
+            Why::Refuses | Why::Breaks => None,
+        };
+        let prompt = format!("paused len={TOKENS}");
+        let streamed = stream(&deployment, "counter", &prompt);
+        let paused = pause_beside(&deployment, true, "paused", why);
+        let (streamed, paused) = tokio::join!(streamed, paused);
+        let is_whole = streamed.is_complete && streamed.text == expected(&prompt);
+        let got = format!("{:?}", streamed.error);
+        lost.extend(check(&deployment, paused, why, is_whole, &got));
+        occupant.inspect(|task| task.abort());
+    }
+    assert_eq!(lost, Vec::<String>::new());
+}
+
+/// Guards against whole answers of models that are lost for the same reasons.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_answer_outlasts_a_pause_where_the_other_endpoint_fails() {
+    let mut lost = Vec::new();
+    for why in [Why::Full, Why::Refuses, Why::Breaks] {
+        let dir = tempfile::tempdir().unwrap();
+        let deployment = Deployment::start(plan_of_two(5000), dir.path()).await;
+        let occupant = match why {
+            Why::Full => Some(occupy(&deployment, true).await),
+            Why::Refuses | Why::Breaks => None,
+        };
+        let token = bearer(deploy::TEAM);
+        let headers = [
+            ("authorization", token.as_str()),
+            ("scalewood-class", "counter"),
+        ];
+        let prompt = format!("paused len={TOKENS}");
+        let body = chat(deploy::MODEL, &prompt, false);
+        let callers = deployment.entries[0].callers;
+        let call = ask(callers, "POST", "/v1/chat/completions", &headers, body);
+        let paused = pause_beside(&deployment, true, "paused", why);
+        let (answer, paused) = tokio::join!(call, paused);
+        let answer = answer.unwrap();
+        let (is_whole, got) = (answer.status == 200, answer.json().to_string());
+        lost.extend(check(&deployment, paused, why, is_whole, &got));
+        occupant.inspect(|task| task.abort());
+    }
+    assert_eq!(lost, Vec::<String>::new());
+}
+
+/// Guards against calls of plain services that are lost for the same reasons.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_call_outlasts_a_pause_where_the_other_endpoint_fails() {
+    let mut lost = Vec::new();
+    // Longer than the pause begins after, and for the one that is busy longer than the pause.
+    for (why, first_us) in [
+        (Why::Full, 3_000_000),
+        (Why::Refuses, 400_000),
+        (Why::Breaks, 400_000),
+    ] {
+        let dir = tempfile::tempdir().unwrap();
+        let plan = Plan {
+            first_us,
+            ..plan_of_two(5000)
+        };
+        let deployment = Deployment::start(plan, dir.path()).await;
+        let occupant = match why {
+            Why::Full => Some(occupy(&deployment, false).await),
+            Why::Refuses | Why::Breaks => None,
+        };
+        let token = bearer(deploy::TEAM);
+        let headers = [
+            ("authorization", token.as_str()),
+            ("scalewood-class", "lookup"),
+        ];
+        let callers = deployment.entries[0].callers;
+        let call = ask(
+            callers,
+            "POST",
+            "/services/stock/paused",
+            &headers,
+            "a call",
+        );
+        let paused = pause_beside(&deployment, false, "paused", why);
+        let (answer, paused) = tokio::join!(call, paused);
+        let answer = answer.unwrap();
+        let (is_whole, got) = (answer.status == 200, answer.json().to_string());
+        lost.extend(check(&deployment, paused, why, is_whole, &got));
+        occupant.inspect(|task| task.abort());
+    }
+    assert_eq!(lost, Vec::<String>::new());
+}
+
 /// Guards against calls that are lost since their paused endpoint reads none of a long body for some
 /// seconds.
 #[tokio::test(flavor = "multi_thread")]
