--- a/tests/testsuite/api_pause.rs
+++ b/tests/testsuite/api_pause.rs
@@ -19,6 +19,8 @@
 
 /// How long endpoints pause: longer than `limits.silence`, and shorter than the deadline of any class.
 const PAUSE: Duration = Duration::from_millis(2000);
+/// How long one endpoint pauses beside another one that does not answer.
+const OTHER_PAUSE: Duration = Duration::from_millis(1600);
 /// How long requests run before the pause begins.
 const BEFORE: Duration = Duration::from_millis(250);
 /// The tokens of an answer that takes longer than [`BEFORE`].
@@ -208,6 +210,273 @@
     }
 }
 
+/// Why the endpoint that is asked beside a silent one does not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Why {
+    /// All its slots are taken.
+    Full,
+    /// It refuses each request.
+    Refuses,
+    /// It breaks off each answer.
+    Breaks,
+}
+
+/// Returns the stand-in that runs a request whose record contains a text, and the other one of its service.
+async fn runner(deployment: &Deployment, model: bool, text: &str) -> (usize, usize) {
+    let all = deployment.standins_of(model);
+    for _ in 0..300 {
+        for (i, standin) in all.iter().enumerate() {
+            if count_runs(deployment, *standin, text) > 0 {
+                return (*standin, all[1 - i]);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("no endpoint runs {text}");
+}
+
+/// Returns how often a stand-in began a request whose record contains a text.
+fn count_runs(deployment: &Deployment, standin: usize, text: &str) -> usize {
+    let runs = deployment.runs(standin);
+    runs.iter()
+        .filter(|run| run.to_string().contains(text))
+        .count()
+}
+
+/// Pauses the endpoint that runs a request, beside which the other one does not answer. Returns the paused one.
+async fn pause_beside(deployment: &Deployment, model: bool, text: &str, why: Why) -> usize {
+    let (paused, other) = runner(deployment, model, text).await;
+    let faults = match why {
+        Why::Full => json!({}),
+        Why::Refuses => json!({ "rest_ms": 200 }),
+        Why::Breaks => json!({ "breaks": 10_000, "break_after": 0, "cut_after_run": true }),
+    };
+    deployment.faults(other, faults).await;
+    tokio::time::sleep(BEFORE).await;
+    let process = deployment.standins[paused].process.as_ref().unwrap();
+    process.signal("STOP");
+    tokio::time::sleep(OTHER_PAUSE).await;
+    process.signal("CONT");
+    paused
+}
+
+/// Returns what is wrong with an answer that is due from a paused endpoint, if anything is.
+fn check(
+    deployment: &Deployment,
+    paused: usize,
+    why: Why,
+    is_whole: bool,
+    got: &str,
+) -> Option<String> {
+    let runs = count_runs(deployment, paused, "paused");
+    let is_sound = is_whole && runs == 1;
+    (!is_sound)
+        .then(|| format!("{why:?}: whole: {is_whole}, {runs} runs at the paused endpoint, {got}"))
+}
+
+/// Returns the plan of [`plan`] with two endpoints of each service that have one slot each.
+fn plan_of_two(first_us: u64) -> Plan {
+    Plan {
+        replicas: 2,
+        slots: 1,
+        first_us,
+        ..plan()
+    }
+}
+
+/// Takes the slot of an endpoint of a service until the returned task is aborted or the answer ends.
+async fn occupy(deployment: &Deployment, model: bool) -> tokio::task::JoinHandle<()> {
+    let callers = deployment.entries[0].callers;
+    let task = tokio::spawn(async move {
+        let token = bearer(deploy::TEAM);
+        let headers = [
+            ("authorization", token.as_str()),
+            ("scalewood-class", if model { "counter" } else { "record" }),
+        ];
+        let body = chat(deploy::MODEL, "occupies len=4000", false);
+        let path = if model {
+            "/v1/chat/completions"
+        } else {
+            "/services/stock/occupies"
+        };
+        let _ = ask(callers, "POST", path, &headers, body).await;
+    });
+    runner(deployment, model, "occupies").await;
+    task
+}
+
+/// Guards against streams of models that are cut since the endpoint that was asked beside a paused one has no
+/// slot, refuses the request or breaks off.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_outlasts_a_pause_where_the_other_endpoint_fails() {
+    let mut lost = Vec::new();
+    for why in [Why::Full, Why::Refuses, Why::Breaks] {
+        let dir = tempfile::tempdir().unwrap();
+        let deployment = Deployment::start(plan_of_two(5000), dir.path()).await;
+        let occupant = match why {
+            Why::Full => Some(occupy(&deployment, true).await),
+            Why::Refuses | Why::Breaks => None,
+        };
+        let prompt = format!("paused len={TOKENS}");
+        let streamed = stream(&deployment, "counter", &prompt);
+        let paused = pause_beside(&deployment, true, "paused", why);
+        let (streamed, paused) = tokio::join!(streamed, paused);
+        let is_whole = streamed.is_complete && streamed.text == expected(&prompt);
+        let got = format!("{:?}", streamed.error);
+        lost.extend(check(&deployment, paused, why, is_whole, &got));
+        occupant.inspect(|task| task.abort());
+    }
+    assert_eq!(lost, Vec::<String>::new());
+}
+
+/// Guards against whole answers of models that are lost for the same reasons.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_answer_outlasts_a_pause_where_the_other_endpoint_fails() {
+    let mut lost = Vec::new();
+    for why in [Why::Full, Why::Refuses, Why::Breaks] {
+        let dir = tempfile::tempdir().unwrap();
+        let deployment = Deployment::start(plan_of_two(5000), dir.path()).await;
+        let occupant = match why {
+            Why::Full => Some(occupy(&deployment, true).await),
+            Why::Refuses | Why::Breaks => None,
+        };
+        let token = bearer(deploy::TEAM);
+        let headers = [
+            ("authorization", token.as_str()),
+            ("scalewood-class", "counter"),
+        ];
+        let prompt = format!("paused len={TOKENS}");
+        let body = chat(deploy::MODEL, &prompt, false);
+        let callers = deployment.entries[0].callers;
+        let call = ask(callers, "POST", "/v1/chat/completions", &headers, body);
+        let paused = pause_beside(&deployment, true, "paused", why);
+        let (answer, paused) = tokio::join!(call, paused);
+        let answer = answer.unwrap();
+        let (is_whole, got) = (answer.status == 200, answer.json().to_string());
+        lost.extend(check(&deployment, paused, why, is_whole, &got));
+        occupant.inspect(|task| task.abort());
+    }
+    assert_eq!(lost, Vec::<String>::new());
+}
+
+/// Guards against calls of plain services that are lost for the same reasons.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_call_outlasts_a_pause_where_the_other_endpoint_fails() {
+    let mut lost = Vec::new();
+    // Longer than the pause begins after, and for the one that is busy longer than the pause.
+    for (why, first_us) in [
+        (Why::Full, 3_000_000),
+        (Why::Refuses, 400_000),
+        (Why::Breaks, 400_000),
+    ] {
+        let dir = tempfile::tempdir().unwrap();
+        let plan = Plan {
+            first_us,
+            ..plan_of_two(5000)
+        };
+        let deployment = Deployment::start(plan, dir.path()).await;
+        let occupant = match why {
+            Why::Full => Some(occupy(&deployment, false).await),
+            Why::Refuses | Why::Breaks => None,
+        };
+        let token = bearer(deploy::TEAM);
+        let headers = [
+            ("authorization", token.as_str()),
+            ("scalewood-class", "lookup"),
+        ];
+        let callers = deployment.entries[0].callers;
+        let call = ask(
+            callers,
+            "POST",
+            "/services/stock/paused",
+            &headers,
+            "a call",
+        );
+        let paused = pause_beside(&deployment, false, "paused", why);
+        let (answer, paused) = tokio::join!(call, paused);
+        let answer = answer.unwrap();
+        let (is_whole, got) = (answer.status == 200, answer.json().to_string());
+        lost.extend(check(&deployment, paused, why, is_whole, &got));
+        occupant.inspect(|task| task.abort());
+    }
+    assert_eq!(lost, Vec::<String>::new());
+}
+
+/// Guards against runs that go on at the paused endpoint, or at the one beside it, after the caller has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_the_attempts_at_silent_endpoints() {
+    /// When both endpoints have been silent for longer than `limits.silence`.
+    const LEAVE_AFTER: Duration = Duration::from_millis(1500);
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = Deployment::start(plan_of_two(5000), dir.path()).await;
+    let engines = deployment.standins_of(true);
+    for (streamed, prompt) in [(true, "left stream len=5"), (false, "left whole len=5")] {
+        for engine in &engines {
+            deployment.faults(*engine, json!({ "hang": true })).await;
+        }
+        let token = bearer(deploy::TEAM);
+        let headers = [
+            ("authorization", token.as_str()),
+            ("scalewood-class", "counter"),
+        ];
+        let callers = deployment.entries[0].callers;
+        let body = chat(deploy::MODEL, prompt, streamed);
+        let hung = ask(callers, "POST", "/v1/chat/completions", &headers, body);
+        let hung = tokio::time::timeout(LEAVE_AFTER, hung).await;
+        assert!(hung.is_err(), "{hung:?}");
+        for engine in &engines {
+            let runs = count_runs(&deployment, *engine, prompt);
+            assert_eq!(runs, 1, "{prompt} at {engine}");
+            deployment.faults(*engine, json!({})).await;
+        }
+        // Both slots are free.
+        let since = Instant::now();
+        let next = ["next a len=5", "next b len=5"].map(|p| stream(&deployment, "counter", p));
+        for answer in futures_util::future::join_all(next).await {
+            assert!(answer.is_complete, "{:?}", answer.error);
+        }
+        let took = since.elapsed();
+        assert!(took < Duration::from_millis(500), "{took:?}");
+    }
+}
+
+/// Guards against attempts of own calls whose failure, silence and return the log does not state with the
+/// call's id.
+#[tokio::test(flavor = "multi_thread")]
+async fn attempts_of_own_calls_are_logged_as_those_of_routes() {
+    let dir = tempfile::tempdir().unwrap();
+    let deployment = Deployment::start(plan_of_two(5000), dir.path()).await;
+    let streamed = stream(&deployment, "counter", "paused len=400");
+    let paused = pause_beside(&deployment, true, "paused", Why::Breaks);
+    let (streamed, paused) = tokio::join!(streamed, paused);
+    assert!(streamed.is_complete, "{:?}", streamed.error);
+    let log = dir
+        .path()
+        .join(format!("{}.log", deployment.entries[0].name));
+    let log = std::fs::read_to_string(log).unwrap();
+    let lines = |number: u32| -> Vec<serde_json::Value> {
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        let is_asked = |line: &serde_json::Value| line["event"] == number;
+        lines.filter(is_asked).collect()
+    };
+    let (failed, silent, back) = (lines(3312), lines(3318), lines(3319));
+    assert!(!failed.is_empty(), "{log}");
+    assert_eq!(silent.len(), 1, "{silent:?}");
+    assert_eq!(back.len(), 1, "{back:?}");
+    let name = &deployment.standins[paused].name;
+    assert_eq!(back[0]["endpoint"], **name);
+    assert_eq!(silent[0]["endpoint"], **name);
+    assert_eq!(silent[0]["again"], true);
+    for line in &failed {
+        assert_eq!(line["how"], "Broken", "{line}");
+        assert_ne!(line["endpoint"], **name, "{line}");
+        assert_eq!(line["id"], silent[0]["id"]);
+    }
+    assert_eq!(back[0]["id"], silent[0]["id"]);
+}
+
 /// Guards against calls that are lost since their paused endpoint reads none of a long body for some
 /// seconds.
 #[tokio::test(flavor = "multi_thread")]
