--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod path;
 mod pause;
 mod pause_changes;
+mod pause_dispatch;
 mod pause_soak;
 mod placement;
 mod placement_large;
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -102,7 +102,12 @@
 
 /// Returns the endpoint that a request is granted. If `completes`, the request completes there at
 /// once.
-fn grant(dispatcher: &mut Dispatcher, ask: Ask, completes: bool, now: Duration) -> String {
+pub(crate) fn grant(
+    dispatcher: &mut Dispatcher,
+    ask: Ask,
+    completes: bool,
+    now: Duration,
+) -> String {
     let own: name::Box = "e1".parse().unwrap();
     let attempt = ask.attempt;
     let orders = dispatcher.step(Input::Report(own.clone(), Report::Ask(ask)), now);
