New requests leave a paused endpoint within tenths of a second

Cause: an endpoint was known to be silent 1.0 to 1.3 s after its pause began, and got its share of new requests until then; and each endpoint known to fail counted as a step away from a prefix's home, so that the first sound one cost more than a likely failure.

Now a box reports a stream's pause while it lasts, once it is longer than its class allows and than 250 ms, to the dispatcher, which counts it as a failure once per endpoint and avoids the endpoint until it gives a sign of life; other boxes hear of both as outcomes, as of any request. Endpoints that likely fail are no steps away from home. No new message: `Paused` is sent earlier, `First` again when the stream goes on.

Ruled out as the cause: hedges (the class has one attempt).

--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -27,6 +27,7 @@
 mod cost;
 mod eligible;
 mod health;
+mod pause;
 mod restart;
 mod ring;
 mod select;
@@ -181,6 +182,8 @@
     bias: u64,
     /// When the last first token came or, if that is later, when `pending_runs` last rose from 0.
     waiting_since: Duration,
+    /// When a stream there was last reported to pause, unless there was a sign of life since.
+    paused_at: Option<Duration>,
     /// Its key in `ready`, if it is in there.
     score: Option<Score>,
     /// Its contribution to `Set::allowed`.
@@ -275,6 +278,8 @@
     busy: BTreeSet<Index>,
     /// The endpoints with outcomes that are not reported to other boxes yet.
     unreported: BTreeSet<Index>,
+    /// The endpoints with a pause that is not counted as a failure yet.
+    newly_paused: BTreeSet<Index>,
     /// Whether any endpoint may be warming up.
     any_warming: bool,
     hints: HashMap<message::Prefix, slots::Hint>,
@@ -483,6 +488,7 @@
             outcomes: load::OutcomeCounts::default(),
             bias,
             waiting_since: Duration::ZERO,
+            paused_at: None,
             score: None,
             counted_allowed: 0,
         });
@@ -641,6 +647,8 @@
             hint.index = moved.unwrap_or(hint.index);
             moved.is_some()
         });
+        // No stream is left that could pause.
+        self.newly_paused.clear();
         self.ready.clear();
         self.allowed = 0;
         self.endpoints.retain(|e| e.configured);
--- a/src/scalewood/core/dispatch/endpoint/cost.rs
+++ b/src/scalewood/core/dispatch/endpoint/cost.rs
@@ -281,11 +281,18 @@
     prefill.time(backlog).mul_f64(slowness(endpoint))
 }
 
+/// Returns whether a request is more likely to fail at an endpoint than not.
+pub(super) fn is_likely_to_fail(endpoint: &Endpoint, model: &Model<'_>, now: Duration) -> bool {
+    const MIN_SUCCESS: f64 = 0.5;
+    let stalled = stalled_risk(endpoint, model.prefill, now);
+    (1.0 - endpoint.risk.get(now)) * (1.0 - stalled) < MIN_SUCCESS
+}
+
 /// Returns the risk of losing a request because the endpoint has stalled.
 fn stalled_risk(endpoint: &Endpoint, prefill: &prefill::Estimate, now: Duration) -> f64 {
     let expected = backlog_time(endpoint, prefill) * STALL_BACKLOG_FACTOR + STALL_GRACE;
     let stalled = endpoint.pending_runs > 0 && now > endpoint.waiting_since + expected;
-    if stalled {
+    if stalled || endpoint.is_paused(now) {
         STALLED_RISK
     } else {
         0.0
--- a/src/scalewood/core/dispatch/endpoint/health.rs
+++ b/src/scalewood/core/dispatch/endpoint/health.rs
@@ -23,14 +23,14 @@
 
 impl Endpoint {
     /// Records a failed request; `weight`, from 0 to 1, scales its effect on the risk.
-    fn raise_risk(&mut self, weight: f64, now: Duration) {
+    pub(super) fn raise_risk(&mut self, weight: f64, now: Duration) {
         self.risk.record_failure(weight, now);
         self.outcomes.failed += 1;
         self.refresh_risk_penalty(now);
     }
 
     /// Records a request that got its first token.
-    fn lower_risk(&mut self, now: Duration) {
+    pub(super) fn lower_risk(&mut self, now: Duration) {
         self.risk.record_answer(now);
         self.outcomes.answered += 1;
         self.refresh_risk_penalty(now);
@@ -58,6 +58,7 @@
 
     /// Records that an attempt succeeded.
     pub(in crate::core::dispatch) fn record_success(&mut self, index: Index) {
+        self.end_pause(index);
         let endpoint = &mut self.endpoints[index.0];
         endpoint.failures = 0;
         endpoint.state = State::Active;
@@ -76,6 +77,7 @@
         prompt: Prefill,
         now: Duration,
     ) {
+        self.end_pause(index);
         let endpoint = &mut self.endpoints[index.0];
         endpoint.subtract_pending_prefill(prompt);
         endpoint.pending_runs = endpoint.pending_runs.saturating_sub(1);
@@ -183,6 +185,7 @@
                 endpoint.ejections = 0;
                 endpoint.ramp = settings.ramp;
             }
+            self.end_pause(Index(i));
             self.rescore(Index(i));
         }
         if !lost {
@@ -213,10 +216,11 @@
         outcomes
     }
 
-    /// Ends backoffs, starts to probe ejected endpoints, and periodically updates hints, risk
+    /// Ends backoffs, counts pauses, starts to probe ejected endpoints, and periodically updates hints, risk
     /// penalties and speeds.
     pub(in crate::core::dispatch) fn tick(&mut self, now: Duration) {
         self.end_backoffs(now);
+        self.count_pauses(now);
         if self.probe_at.is_some_and(|at| at <= now) {
             self.probe_ejected(now);
         }
--- a/src/scalewood/core/dispatch/endpoint/select.rs
+++ b/src/scalewood/core/dispatch/endpoint/select.rs
@@ -179,7 +179,8 @@
             if !is_cached {
                 let steps = &mut steps[usize::from(foreign)];
                 distance_cost = step_cost * *steps;
-                *steps += 1;
+                // Prompts that pass such an endpoint are together again at the next one.
+                *steps += Cost::from(!cost::is_likely_to_fail(endpoint, model, now));
             }
             let avoided = avoid == Some(&endpoint.name);
             let is_suspect = endpoint.in_other_zone && self.zones.is_suspect(&endpoint.zone, now);
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -144,9 +144,10 @@
     Withdraw(attempt::Attempt),
     /// The attempt uses its grant.
     Started(attempt::Attempt),
-    /// The first token arrived.
+    /// The first token arrived, or the first one after `Paused`.
     First(attempt::Attempt),
-    /// The stream paused for longer than its class allows.
+    /// The stream has paused for longer than its class allows. `First` follows when it goes on, which may
+    /// already be the case.
     Paused(attempt::Attempt),
     /// The tokens that the attempt has delivered so far.
     Progress(attempt::Attempt, unit::Tokens),
--- a/src/scalewood/core/dispatch/mod.rs
+++ b/src/scalewood/core/dispatch/mod.rs
@@ -357,7 +357,7 @@
             Report::Withdraw(attempt) => drop(self.queue.remove(attempt)),
             Report::Started(attempt) => self.runs.set_started(attempt),
             Report::First(attempt) => self.first_token(attempt, now),
-            Report::Paused(attempt) => self.runs.set_paused(attempt),
+            Report::Paused(attempt) => self.pause(attempt, now),
             Report::Progress(attempt, tokens) => self.runs.set_tokens(attempt, tokens),
             Report::End(attempt, end, tokens) => self.end(attempt, end, tokens, now),
             Report::Held(held) => self.adopt(origin, held, now),
@@ -400,15 +400,23 @@
         let Some(run) = self.runs.get(attempt) else {
             return;
         };
+        if already {
+            return self.endpoints.record_resumed(run.endpoint, now);
+        }
         let (name, tier) = (run.ask.class.clone(), run.ask.tier);
         let waited = now.saturating_sub(run.granted);
         let (endpoint, prompt) = (run.endpoint, run.prompt());
-        if !already && run.place.is_some_and(|place| !place.slow) {
+        if run.place.is_some_and(|place| !place.slow) {
             self.prefill.observe(run.ahead, prompt.tokens, waited);
         }
         self.class(&name, tier).observe_first_token(waited);
-        if !already {
-            self.endpoints.record_first_token(endpoint, prompt, now);
+        self.endpoints.record_first_token(endpoint, prompt, now);
+    }
+
+    fn pause(&mut self, attempt: attempt::Attempt, now: Duration) {
+        self.runs.set_paused(attempt);
+        if let Some(run) = self.runs.get(attempt) {
+            self.endpoints.record_pause(run.endpoint, now);
         }
     }
 
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -7,7 +7,7 @@
 //! last event that was relayed. A stream that can't be resumed is cut off without its regular
 //! end, so the caller never takes it for complete.
 
-use std::time::Duration;
+use std::{future::Future, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use hyper::{http::response, Response};
@@ -34,6 +34,8 @@
 /// The longest pause of a resumable stream, at an endpoint where nothing waits for prefill,
 /// before another endpoint is tried too.
 const MAX_PAUSE: Duration = Duration::from_millis(1200);
+/// The shortest pause that is reported while it lasts, so that new requests avoid the endpoint.
+const MIN_REPORTED_PAUSE: Duration = Duration::from_millis(250);
 
 /// Serves a request whose answer is a stream.
 pub(super) async fn serve<D: Dialect>(mut request: Request<D>) -> Response<Answer> {
@@ -144,14 +146,15 @@
         } = opened;
         let mut buffer = BytesMut::new();
         let mut sampler = pace::Sampler::default();
-        let mut paused = false;
+        let mut paused = Paused::default();
         loop {
             let is_between_events = buffer.iter().all(u8::is_ascii_whitespace);
+            let report = self.pause_report(&via, &paused);
             let answer = (&mut via, &mut body);
             let next = self
                 .request
                 .next(answer, MAX_PAUSE, &self.progress, is_between_events);
-            let frame = match next.await {
+            let frame = match paused.watch(next, report).await {
                 Next::Replacement(opened, has_broken) => {
                     if has_broken {
                         self.request.end_broken(via);
@@ -186,16 +189,31 @@
         }
     }
 
+    /// Returns after which time without an event a pause is too long, and the function that reports it, if the
+    /// endpoint is due to send events.
+    fn pause_report(
+        &self,
+        via: &Via,
+        paused: &Paused,
+    ) -> Option<(Duration, impl FnOnce() + use<D>)> {
+        let Via::Endpoint { run, .. } = via else {
+            return None;
+        };
+        let gap = self.request.routed.call.class.gap()?;
+        let is_due = self.progress.events > 0 && !paused.now;
+        is_due.then(|| (gap.max(MIN_REPORTED_PAUSE), run.turn.pause_report()))
+    }
+
     /// Records an event for the endpoint: its first token, a pause that is too long, and its pace.
-    fn observe(&self, run: &Run, sampler: &mut pace::Sampler, paused: &mut bool) {
-        if self.progress.events == 1 {
-            run.turn.report_first_token();
-        }
+    fn observe(&self, run: &Run, sampler: &mut pace::Sampler, paused: &mut Paused) {
         let gap = self.request.routed.call.class.gap();
         let pause = self.request.observer.longest_pause();
-        if !*paused && gap.is_some_and(|gap| pause > gap) {
-            *paused = true;
-            run.turn.report_pause();
+        if !paused.ever && gap.is_some_and(|gap| pause > gap) {
+            (paused.ever, paused.now) = (true, true);
+            run.turn.pause_report()();
+        }
+        if std::mem::take(&mut paused.now) || self.progress.events == 1 {
+            run.turn.report_first_token();
         }
         let board = &self.request.context.board;
         let now = now(board);
@@ -220,6 +238,34 @@
     }
 }
 
+/// Whether a stream pauses for too long.
+#[derive(Debug, Default)]
+struct Paused {
+    /// Whether it does so now.
+    now: bool,
+    /// Whether it ever did.
+    ever: bool,
+}
+
+impl Paused {
+    /// Waits for the next part of a stream, and reports a pause that is too long.
+    async fn watch<T>(
+        &mut self,
+        next: impl Future<Output = T>,
+        report: Option<(Duration, impl FnOnce())>,
+    ) -> T {
+        let mut next = std::pin::pin!(next);
+        if let Some((limit, report)) = report {
+            if let Ok(next) = tokio::time::timeout(limit, next.as_mut()).await {
+                return next;
+            }
+            (self.ever, self.now) = (true, true);
+            report();
+        }
+        next.await
+    }
+}
+
 /// Returns the position after the last whole event of a buffer.
 fn end_of_events(buffer: &[u8]) -> Option<usize> {
     let lf = buffer.windows(2).rposition(|pair| pair == b"\n\n");
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -288,7 +288,7 @@
         self.attempt
     }
 
-    /// Reports the first token to the dispatcher.
+    /// Reports the first token, or the first one after a pause, to the dispatcher.
     pub(super) fn report_first_token(&self) {
         self.report(dispatch::Report::First(self.attempt));
     }
@@ -328,9 +328,11 @@
         self.report_first_token();
     }
 
-    /// Reports that the stream paused for longer than its class allows.
-    pub(super) fn report_pause(&self) {
-        self.report(dispatch::Report::Paused(self.attempt));
+    /// Returns a function that reports that the stream has paused for longer than its class allows, which can
+    /// be called while the turn is borrowed. [`Turn::report_first_token`] reports that it goes on.
+    pub(super) fn pause_report(&self) -> impl FnOnce() + use<> {
+        let (board, attempt) = (self.board.clone(), self.attempt);
+        move || report(&board, attempt, dispatch::Report::Paused(attempt))
     }
 
     /// Records the tokens that this attempt has delivered, and reports them now and then if the run
@@ -372,10 +374,7 @@
 
     /// Sends a report to the request's dispatcher, if one is known.
     fn report(&self, report: dispatch::Report) {
-        let known = self.with_ticket(|t| (t.dispatcher.clone(), t.service.clone()));
-        if let Some((Some(to), service)) = known {
-            dispatchers::send_report(&self.board, &to, &service, report);
-        }
+        self::report(&self.board, self.attempt, report);
     }
 
     /// Ends the turn: removes the ticket and sends a last report to the dispatcher.
@@ -409,6 +408,18 @@
     }
 }
 
+/// Sends a report to the dispatcher of an attempt's request, if one is known.
+fn report(board: &Shared, attempt: attempt::Attempt, report: dispatch::Report) {
+    let known = {
+        let shard = board.tickets.shard(&attempt.request);
+        let ticket = shard.get(&attempt.request);
+        ticket.map(|ticket| (ticket.dispatcher.clone(), ticket.service.clone()))
+    };
+    if let Some((Some(to), service)) = known {
+        dispatchers::send_report(board, &to, &service, report);
+    }
+}
+
 /// Why a waiting or running request may not be sent to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Bar {
