--- a/tests/testsuite/pause_dispatch.rs
+++ b/tests/testsuite/pause_dispatch.rs
@@ -5,7 +5,7 @@
 use scalewood::core::{
     attempt::{Attempt, Request},
     dispatch::{Dispatcher, Input, Report},
-    load::{OutcomeCounts, Risk},
+    load::{Load, Loads, OutcomeCounts, Risk},
     name,
     registry::State,
     risk,
@@ -62,6 +62,34 @@
     }
 }
 
+/// Guards against requests that are sent to an endpoint which all but certainly loses them, as the sound ones would
+/// serve them late.
+#[test]
+fn a_prompt_is_served_late_rather_than_lost() {
+    let failing: Vec<_> = (0..6).map(|place| format!("i-{place}")).collect();
+    let load = Load {
+        pending_prefill: 40_000,
+        running: 32,
+        ..Load::default()
+    };
+    let sound = (6..ENDPOINTS).map(|place| (format!("i-{place}").parse().unwrap(), load));
+    let loads: Loads = sound.collect();
+    for prefix in 0..40 {
+        let mut dispatcher = dispatcher();
+        let risk = |name: &String| Risk {
+            endpoint: name.parse().unwrap(),
+            chance: risk::Chance(900),
+        };
+        dispatcher.step(Input::Risks(failing.iter().map(risk).collect()), START);
+        dispatcher.step(Input::OtherLoads(Some(loads.clone())), START);
+        let chosen = grant(&mut dispatcher, ask(prefix, "short", prefix), true, START);
+        assert!(
+            !failing.contains(&chosen),
+            "prefix {prefix} went to {chosen}"
+        );
+    }
+}
+
 /// Guards against requests that are sent to a paused endpoint for a second, as only requests without a first token
 /// showed that it gives no sign of life.
 #[test]
