--- a/src/scalewood/core/dispatch/endpoint.rs
+++ b/src/scalewood/core/dispatch/endpoint.rs
@@ -182,7 +182,7 @@
     bias: u64,
     /// When the last first token came or, if that is later, when `pending_runs` last rose from 0.
     waiting_since: Duration,
-    /// When a pause of a stream there was last counted, unless there was a sign of life since.
+    /// When a stream there was last reported to pause, unless there was a sign of life since.
     paused_at: Option<Duration>,
     /// Its key in `ready`, if it is in there.
     score: Option<Score>,
--- a/src/scalewood/core/dispatch/endpoint/pause.rs
+++ b/src/scalewood/core/dispatch/endpoint/pause.rs
@@ -8,11 +8,9 @@
 
 use super::{Endpoint, Index, Set};
 
-/// How long a pause counts after it was last reported.
+/// How long a pause counts without any further sign. By then the requests at the endpoint are so late that they
+/// count against it themselves.
 const MAX_AGE: Duration = Duration::from_secs(2);
-/// The least time between two reports that are counted: the streams of an endpoint pause together, and each
-/// repeats its report.
-const MIN_COUNT_INTERVAL: Duration = Duration::from_millis(900);
 
 impl Endpoint {
     /// Returns whether its streams pause.
@@ -27,11 +25,11 @@
         if self.links_lost {
             return;
         }
-        let paused_at = &mut self.endpoints[index.0].paused_at;
-        if paused_at.is_none_or(|at| now >= at + MIN_COUNT_INTERVAL) {
-            *paused_at = Some(now);
+        let endpoint = &mut self.endpoints[index.0];
+        if !endpoint.is_paused(now) {
             self.newly_paused.insert(index);
         }
+        endpoint.paused_at = Some(now);
     }
 
     /// Records that a stream there goes on after a pause.
--- a/src/scalewood/core/dispatch/message.rs
+++ b/src/scalewood/core/dispatch/message.rs
@@ -146,8 +146,8 @@
     Started(attempt::Attempt),
     /// The first token arrived, or the first one after `Paused`.
     First(attempt::Attempt),
-    /// The stream has paused for longer than its class allows. Repeated while the pause lasts;
-    /// `First` follows when the stream goes on, which may already be the case.
+    /// The stream has paused for longer than its class allows. `First` follows when it goes on, which may
+    /// already be the case.
     Paused(attempt::Attempt),
     /// The tokens that the attempt has delivered so far.
     Progress(attempt::Attempt, unit::Tokens),
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -36,8 +36,6 @@
 const MAX_PAUSE: Duration = Duration::from_millis(1200);
 /// The shortest pause that is reported while it lasts, so that new requests avoid the endpoint.
 const MIN_REPORTED_PAUSE: Duration = Duration::from_millis(250);
-/// The interval at which a pause is reported again while it lasts.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Serves a request whose answer is a stream.
 pub(super) async fn serve<D: Dialect>(mut request: Request<D>) -> Response<Answer> {
@@ -193,7 +191,11 @@
 
     /// Returns after which time without an event a pause is too long, and the function that reports it, if the
     /// endpoint is due to send events.
-    fn pause_report(&self, via: &Via, paused: &Paused) -> Option<(Duration, impl Fn() + use<D>)> {
+    fn pause_report(
+        &self,
+        via: &Via,
+        paused: &Paused,
+    ) -> Option<(Duration, impl FnOnce() + use<D>)> {
         let Via::Endpoint { run, .. } = via else {
             return None;
         };
@@ -250,20 +252,17 @@
     async fn watch<T>(
         &mut self,
         next: impl Future<Output = T>,
-        report: Option<(Duration, impl Fn())>,
+        report: Option<(Duration, impl FnOnce())>,
     ) -> T {
         let mut next = std::pin::pin!(next);
-        let Some((mut limit, report)) = report else {
-            return next.await;
-        };
-        loop {
+        if let Some((limit, report)) = report {
             if let Ok(next) = tokio::time::timeout(limit, next.as_mut()).await {
                 return next;
             }
             (self.ever, self.now) = (true, true);
             report();
-            limit = REPORT_INTERVAL;
         }
+        next.await
     }
 }
 
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -328,7 +328,7 @@
 
     /// Returns a function that reports that the stream has paused for longer than its class allows, which can
     /// be called while the turn is borrowed. [`Turn::report_first_token`] reports that it goes on.
-    pub(super) fn pause_report(&self) -> impl Fn() + use<> {
+    pub(super) fn pause_report(&self) -> impl FnOnce() + use<> {
         let (board, attempt) = (self.board.clone(), self.attempt);
         move || report(&board, attempt, dispatch::Report::Paused(attempt))
     }
--- a/tests/testsuite/pause_dispatch.rs
+++ b/tests/testsuite/pause_dispatch.rs
@@ -119,35 +119,6 @@
     }
 }
 
-/// Guards against requests that are sent to a paused endpoint again after a second or two, as one failure is soon
-/// forgotten; and against an endpoint whose many streams pause together counting as many failures.
-#[test]
-fn a_pause_counts_again_while_it_lasts() {
-    let mut dispatcher = dispatcher();
-    let (one, home) = start_stream(&mut dispatcher, 1, 7);
-    let (other, same) = start_stream(&mut dispatcher, 2, 7);
-    assert_eq!(home, same);
-    let mut counts = Vec::new();
-    for millis in [300, 1300, 2300] {
-        let now = START + Duration::from_millis(millis);
-        for (attempt, later) in [(one, Duration::ZERO), (other, 2 * TICK)] {
-            report(&mut dispatcher, Report::Paused(attempt), now + later);
-            dispatcher.step(Input::Tick, now + later + TICK);
-        }
-        let told = outcomes(&mut dispatcher);
-        counts.push(told.get(&home).map(|count| count.failed));
-        let request = 10 + millis;
-        let next = grant(
-            &mut dispatcher,
-            ask(request, "short", 7),
-            true,
-            now + 3 * TICK,
-        );
-        assert_ne!(next, home, "after {millis} ms");
-    }
-    assert_eq!(counts, [Some(1); 3]);
-}
-
 /// Guards against endpoints that are avoided after a pause which was over when it was reported.
 #[test]
 fn a_pause_that_is_over_moves_no_prompts() {
