Requests of routes: a request whose hedge failed waits for the next retry again

A repeatable request beside a dead endpoint may get no further retry until its deadline, and 504: once an attempt beside it had failed or its ask was shed, it gave its place among those that wait for a retry up and never joined again while any other request waited.

After an ask or an attempt the request asks for a retry at once, which lets it join the others at their end.

--- a/src/scalewood/ops/entry/routed/hedge.rs
+++ b/src/scalewood/ops/entry/routed/hedge.rs
@@ -165,7 +165,8 @@
                 Err(_) => MIN_RECHECK_INTERVAL,
             };
             tokio::time::sleep(retry_after).await;
-            while !self.has_budget() {
+            // After an attempt the request has to join those that wait for a retry again.
+            while wait.is_err() && !self.has_budget() {
                 tokio::time::sleep(MIN_RECHECK_INTERVAL).await;
             }
             wait = self.next_wait(Failure::SILENT);
--- a/src/scalewood/ops/entry/routed/opening.rs
+++ b/src/scalewood/ops/entry/routed/opening.rs
@@ -161,6 +161,7 @@
     where
         F: Future<Output = Result<Opened, Failed>>,
     {
+        let mut has_asked = retry_at.is_some();
         loop {
             let wait = retry_at.map(|at| at.saturating_sub(self.now()));
             let recheck = async move {
@@ -203,7 +204,8 @@
                     wait
                 }
                 () = recheck => {
-                    if self.has_budget() {
+                    // After an ask the request has to join those that wait for a retry again.
+                    if std::mem::take(&mut has_asked) || self.has_budget() {
                         self.next_wait(Failure::SILENT)
                     } else {
                         Err(Denial::Budget)
