Own API: a retry that is held beside a silent endpoint goes back once that goes on

A stream that paused once held a retry of its service until its end. Twenty such streams left none, and requests whose endpoint broke got 502.

--- a/src/scalewood/core/retry/local.rs
+++ b/src/scalewood/core/retry/local.rs
@@ -63,6 +63,7 @@
         let Settings { base, cap, .. } = self.settings;
         Some(Backoff { base, cap }.wait(attempts, random))
     }
+
     /// Returns a retry that was not used.
     pub fn give_back(&mut self) {
         self.available = (self.available + 1.0).min(self.settings.capacity);
--- a/src/scalewood/ops/entry/hedge.rs
+++ b/src/scalewood/ops/entry/hedge.rs
@@ -481,6 +481,8 @@
             return;
         };
         attempt.turn.report_return();
+        // The stream may go on for long, and other requests need the retry.
+        self.allowance.give_back();
         count_silence(&self.board, &self.call, "ended");
         event!(self.board.log, EndpointReturned, "id" => %self.call.request,
             "endpoint" => %attempt.endpoint, "after_ms" => now.saturating_sub(since).as_millis());
--- a/src/scalewood/ops/entry/retries.rs
+++ b/src/scalewood/ops/entry/retries.rs
@@ -221,6 +221,13 @@
         self.reserved
     }
 
+    /// Returns the retry that is reserved, if there is one.
+    pub(super) fn give_back(&mut self) {
+        if self.reserved.take().is_some() {
+            self.with_budget(retry::LocalBudget::give_back);
+        }
+    }
+
     /// Returns why no further attempt follows after `attempts` attempts, if none does.
     pub(super) fn denial(&self, attempts: u32) -> Option<&'static str> {
         if self.reserved.is_some() {
@@ -241,8 +248,6 @@
 
 impl Drop for Allowance {
     fn drop(&mut self) {
-        if self.reserved.take().is_some() {
-            self.with_budget(retry::LocalBudget::give_back);
-        }
+        self.give_back();
     }
 }
