--- a/src/scalewood/ops/entry/hedge.rs
+++ b/src/scalewood/ops/entry/hedge.rs
@@ -5,16 +5,12 @@
 //! asked beside it if the retry budget and the attempts allow that. The first from which a part of the answer
 //! arrives serves the request, and the others end. Dropping [`Attempts`] ends all of them.
 
-use std::{
-    future::Future,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::{future::Future, time::Duration};
 
 use tokio::sync::mpsc;
 
 use crate::{
-    core::{attempt, build, dispatch, name, verdict},
+    core::{attempt, dispatch, name, verdict},
     event,
     ops::entry::{
         call::Call,
@@ -29,6 +25,11 @@
     util::metric,
 };
 
+mod channel;
+
+use channel::{receive, Attempt, Task};
+pub(super) use channel::{Message, Sink};
+
 /// How often it is checked whether another endpoint may be asked beside a silent one, and how long after a
 /// refused ask that is at the earliest.
 const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -39,24 +40,6 @@
 /// The most messages of an attempt that are queued.
 const MAX_QUEUED: usize = 4;
 
-/// What an attempt receives from its endpoint.
-#[derive(Debug)]
-pub(super) enum Message<P> {
-    /// Something that shows that the endpoint is at work, such as the head of an answer.
-    Progress,
-    /// A part of the answer: from now on this attempt serves the request.
-    Part(P),
-    /// An error with which the endpoint answered. It is the answer if no other attempt is open.
-    Error(P),
-    /// The attempt has failed.
-    Failed(Failure),
-    /// The dispatcher preempts the run.
-    Preempted,
-}
-
-/// Sends what an attempt receives.
-pub(super) type Sink<P> = mpsc::Sender<Message<P>>;
-
 /// What differs between kinds of requests.
 pub(super) trait Request: Send {
     /// A part of an answer.
@@ -87,58 +70,6 @@
     ) -> impl Future<Output = Result<(), Failure>> + Send + 'static;
 }
 
-/// A task that ends when this is dropped.
-#[derive(Debug)]
-struct Task(tokio::task::JoinHandle<()>);
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-/// An attempt that has not ended.
-#[derive(Debug)]
-pub(super) struct Attempt<P> {
-    pub(super) turn: Turn,
-    /// The endpoint's build.
-    pub(super) build: build::Build,
-    /// The number of the request's attempts before this one.
-    pub(super) serial: u32,
-    endpoint: name::Endpoint,
-    sent_at: Duration,
-    /// When the endpoint sent something last.
-    heard_at: Duration,
-    /// Since when the endpoint is reported silent, if it is.
-    silent_since: Option<Duration>,
-    messages: mpsc::Receiver<Message<P>>,
-    /// Holds the connection.
-    _task: Task,
-}
-
-impl<P> Attempt<P> {
-    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Message<P>> {
-        if self.turn.poll_preempted(context).is_ready() {
-            return Poll::Ready(Message::Preempted);
-        }
-        let received = self.messages.poll_recv(context);
-        received.map(|message| message.unwrap_or(Message::Failed(Failure::BROKEN)))
-    }
-}
-
-/// Waits for the next message of any attempt, and returns the attempt's index with it.
-async fn receive<P>(open: &mut [Attempt<P>]) -> (usize, Message<P>) {
-    std::future::poll_fn(|context| {
-        for (i, attempt) in open.iter_mut().enumerate() {
-            if let Poll::Ready(message) = attempt.poll(context) {
-                return Poll::Ready((i, message));
-            }
-        }
-        Poll::Pending
-    })
-    .await
-}
-
 /// The attempts of a request.
 #[derive(Debug)]
 pub(super) struct Attempts<P> {
