Retries: voters that lend fewer retries than there are boxes serve different boxes

What callers saw: at some boxes no repeatable request was ever tried again beside a silent or after a broken endpoint (why: budget; 0.0 of 0.0 to 0.9 of 0.9 retries), and requests at a dead endpoint waited to their deadline, while other boxes held two or three whole retries.

Cause: where an equal share of a voter's capacity is less than one retry, whole ones go to the boxes that rank first, and all voters ranked them alike. With two voters and six boxes the same two boxes had none for good.

Evidence: reach::a_forwarded_stream_goes_on_after_the_box_that_serves_it_is_killed failed twice beside load, waiting in vain for the budget of box e1; by itself it passes, as e1 holds what it got before the other boxes asked. The new test failed before: six boxes held 2.0, 0.0, 2.0, 2.0, 2.0 and 0.0.

Each voter now goes on with the boxes where the one before it ends, by its position among the voters. What a voter lends in sum is unchanged, so the allowance holds whatever positions voters believe in. retry_core, random::retry and retry_budget pass.

--- a/src/scalewood/core/retry/lease.rs
+++ b/src/scalewood/core/retry/lease.rs
@@ -219,6 +219,8 @@
 #[derive(Debug)]
 pub struct Lender {
     voters: usize,
+    /// This voter's position among all voters.
+    position: usize,
     /// Until when leases of an earlier process, or lent while there was another number of voters, may be
     /// valid.
     unknown_until: Duration,
@@ -232,6 +234,7 @@
     pub fn new(now: Duration) -> Self {
         Self {
             voters: 1,
+            position: 0,
             unknown_until: now + LEASE_DURATION + CLOCK_MARGIN,
             is_new: false,
             pools: BTreeMap::new(),
@@ -259,6 +262,12 @@
         }
     }
 
+    /// Sets this voter's position among all voters, from 0 on. It decides which boxes it serves where there are more
+    /// of them than retries.
+    pub fn set_position(&mut self, position: usize) {
+        self.position = position;
+    }
+
     /// Lends a box capacity for the services that it wants it for. Services for which it neither holds
     /// nor gets any are left out.
     pub fn lend(&mut self, to: &name::Box, wants: &[Want], now: Duration) -> Vec<Lent> {
@@ -284,7 +293,7 @@
         let account = pool.accounts.entry(to.clone()).or_default();
         account.record(want, now);
         let held = account.held(now);
-        let mut amount = pool.amount_for(to, &want.service, lendable, now);
+        let mut amount = pool.amount_for(to, &want.service, (lendable, self.position), now);
         let is_early = self.is_new && now < pool.since + GATHERING;
         if is_early || now < self.unknown_until {
             amount = amount.min(held);
@@ -327,20 +336,21 @@
         &self,
         to: &name::Box,
         service: &name::Service,
-        lendable: Capacity,
+        (lendable, position): (Capacity, usize),
         now: Duration,
     ) -> Capacity {
         let others = self.accounts.iter().filter(|(name, _)| *name != to);
         let lent = Capacity(others.map(|(_, account)| account.held(now).0).sum());
-        let share = share(lendable, to, service, &self.accounts, now);
+        let share = share((lendable, position), to, service, &self.accounts, now);
         share.min(lendable.saturating_sub(lent))
     }
 }
 
-/// Returns a box's share of the capacity. Where an equal share is less than one retry, some boxes get a
-/// whole one and the others none.
+/// Returns a box's share of the capacity that the voter at a position lends. Where an equal share is less than one
+/// retry, some boxes get a whole one and the others none: each voter goes on with the boxes where the one before it
+/// ends.
 fn share(
-    pool: Capacity,
+    (pool, position): (Capacity, usize),
     of: &name::Box,
     service: &name::Service,
     accounts: &BTreeMap<name::Box, Account>,
@@ -355,8 +365,9 @@
     let rank = |name: &name::Box| rendezvous::hash(&[service.as_str(), name.as_str()]);
     let own = rank(of);
     let before = boxes.iter().filter(|name| rank(name) < own).count();
-    let is_served = before < (pool.0 / Capacity::ONE.0) as usize;
-    if is_served {
+    let served = (pool.0 / Capacity::ONE.0) as usize;
+    let first = position * served % boxes.len();
+    if (before + boxes.len() - first) % boxes.len() < served {
         Capacity::ONE
     } else {
         Capacity::default()
--- a/src/scalewood/ops/control/registry/server.rs
+++ b/src/scalewood/ops/control/registry/server.rs
@@ -217,11 +217,12 @@
         issuer
     }
 
-    /// Returns the lender of capacity for retry budgets, set to the current number of voters.
+    /// Returns the lender of capacity for retry budgets, set to the current voters.
     fn lender(&self, now: Duration) -> lock::Guard<'_, retry::Lender> {
         let voters = self.handle.voter_count();
         let mut lender = lock(&self.soft_state.lender);
         lender.set_voters(voters, now);
+        lender.set_position(self.handle.voter_position());
         lender
     }
 
--- a/src/scalewood/ops/control/replica.rs
+++ b/src/scalewood/ops/control/replica.rs
@@ -102,6 +102,17 @@
         self.published.borrow().status.members.voters().count()
     }
 
+    /// Returns the position of this node among the voters, 0 if it is none of them.
+    pub(super) fn voter_position(&self) -> usize {
+        let published = self.published.borrow();
+        let status = &published.status;
+        let position = status
+            .members
+            .voters()
+            .position(|voter| *voter == status.node);
+        position.unwrap_or_default()
+    }
+
     /// Returns a receiver that is notified when the published state changes.
     pub fn watch(&self) -> watch::Receiver<Published> {
         self.published.clone()
--- a/tests/testsuite/retry_core.rs
+++ b/tests/testsuite/retry_core.rs
@@ -190,6 +190,36 @@
     assert!(held.iter().all(|held| *held == 0.0 || *held == 1.0));
 }
 
+/// Guards against a box that never has a whole retry, as all voters lend theirs to the same boxes.
+#[test]
+fn voters_with_fewer_retries_than_boxes_serve_different_ones() {
+    for (voters, boxes) in [(2, 6), (3, 6), (3, 9), (5, 7)] {
+        let mut lenders: Vec<_> = (0..voters).map(|_| Lender::new(Duration::ZERO)).collect();
+        for (position, lender) in lenders.iter_mut().enumerate() {
+            lender.set_voters(voters, Duration::ZERO);
+            lender.set_position(position);
+        }
+        let mut budgets: Vec<_> = (0..boxes).map(|_| Budget::new(allowance(20.0))).collect();
+        for round in 0..40 {
+            let now = LEASES_OVER + round * 100 * MS;
+            for (i, budget) in budgets.iter_mut().enumerate() {
+                for (from, lender) in (0..).zip(&mut lenders) {
+                    exchange(i, budget, lender, from, now);
+                }
+            }
+        }
+        let now = LEASES_OVER + 39 * 100 * MS;
+        let held: Vec<_> = budgets.iter_mut().map(|b| b.capacity(now)).collect();
+        // All voters together lend nine, less what is no whole retry at one of them.
+        let whole = voters * (9 / voters);
+        let least = if whole >= boxes { 1.0 } else { 0.0 };
+        assert!(
+            held.iter().all(|held| (least..=2.0).contains(held)),
+            "{held:?}"
+        );
+    }
+}
+
 /// Guards against callers of a new system whose requests are not tried again, since no request has earned a retry.
 #[test]
 fn what_a_new_voter_lends_first_is_full() {
