Events: 3312 names the connection of an attempt at an endpoint

Whether a refused request was sent over the same connection again could not be told from the log. For a request of a route, 3312 now has `connection`, the number of the connection among all that the box has opened to endpoints, and `earlier`, how many requests were sent over it before.

--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -91,6 +91,8 @@
     pub(super) own: Option<Box<ErrorAnswer>>,
     /// The retry that the attempt would have used, if it arrived nowhere.
     pub(super) retry: Option<retries::Reserved>,
+    /// The connection over which the request was sent, if it is known.
+    pub(super) used: Option<pool::Use>,
 }
 
 /// The attempts of a request that are open at the same time.
@@ -204,6 +206,8 @@
     race: Arc<Race>,
     /// Whether the endpoint is silent.
     is_silent: bool,
+    /// The connection over which the request was sent last.
+    used: Option<pool::Use>,
 }
 
 impl<D: Dialect> Attempt<D> {
@@ -223,6 +227,7 @@
             patience,
             race: race.clone(),
             is_silent: false,
+            used: None,
         }
     }
 
@@ -274,7 +279,7 @@
             self.race.end_silence();
         }
         self.race.open.send_modify(|open| *open -= 1);
-        let endpoint = self.run.target.endpoint.clone();
+        let (endpoint, used) = (self.run.target.endpoint.clone(), self.used);
         let ending = self
             .run
             .fail(&self.context, &self.routed, failure, own.is_some());
@@ -284,6 +289,7 @@
             failure,
             own,
             retry,
+            used,
         }
     }
 
@@ -311,7 +317,9 @@
         let (context, routed) = (self.context.clone(), self.routed.clone());
         let permits = self.run.turn.permission(&self.run.target.endpoint);
         let (target, is_written) = (self.run.target.clone(), self.charge.is_written.clone());
-        let sent = context.send(&routed, &target, request, (&permits, &is_written));
+        let mut used = None;
+        let sending = (&permits, &*is_written, &mut used);
+        let sent = context.send(&routed, &target, request, sending);
         // Nothing is written before there is a connection.
         let failure = || {
             if is_written.load(Ordering::Relaxed) {
@@ -320,7 +328,9 @@
                 Failure::UNREACHABLE
             }
         };
-        self.unless_late(sent, failure).await
+        let sent = self.unless_late(sent, failure).await;
+        self.used = used;
+        sent
     }
 
     /// Waits until an answer whose head has arrived has begun, or no other attempt is open.
@@ -544,13 +554,13 @@
     }
 
     /// Sends a request over an idle connection or a new one and waits for the head of the answer.
-    /// Sets `is_written` while the request may have been written.
+    /// Sets `is_written` while the request may have been written, and `used` to the connection.
     async fn send(
         &self,
         routed: &Routed,
         target: &Target,
         request: Request<Full<Bytes>>,
-        (permits, is_written): (&impl Fn() -> bool, &AtomicBool),
+        (permits, is_written, used): (&impl Fn() -> bool, &AtomicBool, &mut Option<pool::Use>),
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
         let mut request = request;
         let service = &routed.call.key.service;
@@ -562,6 +572,7 @@
                 return Err(Failure::NOT_PERMITTED);
             }
             is_written.store(true, Ordering::Relaxed);
+            *used = Some(sender.begin_use());
             match pool::send(&mut sender, target.address, request).await {
                 Ok(response) => {
                     reach::record_answer(&self.board, service, false);
@@ -585,6 +596,7 @@
         }
         let mut sender = pool::Sender::new(target.start, requests);
         is_written.store(true, Ordering::Relaxed);
+        *used = Some(sender.begin_use());
         match pool::send(&mut sender, target.address, request).await {
             Ok(response) => {
                 reach::record_answer(&self.board, service, true);
--- a/src/scalewood/ops/entry/routed/opening.rs
+++ b/src/scalewood/ops/entry/routed/opening.rs
@@ -378,6 +378,7 @@
             failure,
             own: None,
             retry: self.retry.take(),
+            used: None,
         }
     }
 
@@ -437,6 +438,7 @@
             failure,
             own: None,
             retry: None,
+            used: None,
         };
         self.count_failed(&mut attempt);
         let wait = self.next_wait(failure);
@@ -466,6 +468,8 @@
         let backoff = board.remaining_backoff(&attempt.endpoint);
         event!(board.log, RequestRetried, "id" => self.routed.head.id.as_deref(),
             "endpoint" => %attempt.endpoint, "how" => ?attempt.failure.end, "tries" => self.tries,
+            "connection" => attempt.used.map(|used| used.serial.to_string()),
+            "earlier" => attempt.used.map(|used| used.earlier),
             "budget" => self.budget_level(),
             "rest_ms" => backoff.map(|backoff| backoff.as_millis()), "again" => wait.is_ok(),
             "why" => wait.err().map(Denial::as_str), "events" => self.observer.events(),
--- a/src/scalewood/ops/entry/routed/pool.rs
+++ b/src/scalewood/ops/entry/routed/pool.rs
@@ -6,8 +6,12 @@
 
 use std::{
     collections::HashMap,
+    fmt,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc, Mutex,
+    },
     time::Duration,
 };
 
@@ -28,23 +32,66 @@
 /// How long before the endpoint would close an idle connection it is no longer used.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// A connection, numbered among all that this process has opened to endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Serial(u64);
+
+impl Serial {
+    fn next() -> Self {
+        static LAST: AtomicU64 = AtomicU64::new(0);
+        Self(LAST.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+}
+
+impl fmt::Display for Serial {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// The connection over which a request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Use {
+    pub(super) serial: Serial,
+    /// The number of requests that were sent over the connection before.
+    pub(super) earlier: u32,
+}
+
 /// A connection to one start of an endpoint.
 #[derive(Debug)]
 pub(super) struct Sender {
     start: registry::Start,
     requests: http1::SendRequest<Full<Bytes>>,
+    serial: Serial,
+    /// The number of requests that were sent over it.
+    sent: u32,
 }
 
 impl Sender {
     /// Wraps a new connection.
     pub(super) fn new(start: registry::Start, requests: http1::SendRequest<Full<Bytes>>) -> Self {
-        Self { start, requests }
+        Self {
+            start,
+            requests,
+            serial: Serial::next(),
+            sent: 0,
+        }
     }
 
     /// Returns the start of the endpoint to which the connection was made.
     pub(super) fn start(&self) -> registry::Start {
         self.start
     }
+
+    /// Counts a request that is about to be sent, and returns its use of the connection.
+    pub(super) fn begin_use(&mut self) -> Use {
+        let earlier = self.sent;
+        self.sent += 1;
+        Use {
+            serial: self.serial,
+            earlier,
+        }
+    }
 }
 
 #[derive(Debug)]
