Connections to endpoints carry no two requests of the same id

Cause: a request that an endpoint has rejected is tried again, and the connection of the rejection is kept meanwhile. The pool returned the newest idle connection, whatever it had carried. An endpoint that sends the rejection again, in the place of the next answer due there, so answers the later attempt of the same request: the copy bears the id of both, and only the id tells whose answer it is. The box took an attempt that the endpoint had just begun to run for rejected.

Fix: a connection remembers the hashes of the ids that it has carried and is not taken for a request of one of them; it is closed after 256 requests, so the list is bounded. Two answers on one connection that bear the same id thus come from one request, and a copy can be told from the answer to any other one. The rule is kept by the pool, so it holds for retries, for attempts beside a silent endpoint, for resumed streams, after an endpoint's own error, and for a request that another box forwards again, whose attempts here share nothing but the id. It holds for callers who use an id twice as well.

Tests: surplus::*, five; all failed before this change, on (ran twice; 503 although it ran; 500 in place of the next attempt's 200; a stream cut; the answer to an earlier request of the same id) and pass with it.

--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -567,12 +567,14 @@
         // The endpoint may have closed an idle connection. hyper returns a request of which it has
         // written nothing, so it can be sent on another connection.
         let pool = &self.pool;
-        while let Some(mut sender) = pool.take(&target.endpoint, target.start, now(&self.board)) {
+        let id = routed.head.id.as_deref().map(|id| pool.id(id));
+        let to = (&target.endpoint, target.start);
+        while let Some(mut sender) = pool.take(to, id, now(&self.board)) {
             if !permits() {
                 return Err(Failure::NOT_PERMITTED);
             }
             is_written.store(true, Ordering::Relaxed);
-            *used = Some(sender.begin_use());
+            *used = Some(sender.begin_use(id));
             match pool::send(&mut sender, target.address, request).await {
                 Ok(response) => {
                     reach::record_answer(&self.board, service, false);
@@ -596,7 +598,7 @@
         }
         let mut sender = pool::Sender::new(target.start, requests);
         is_written.store(true, Ordering::Relaxed);
-        *used = Some(sender.begin_use());
+        *used = Some(sender.begin_use(id));
         match pool::send(&mut sender, target.address, request).await {
             Ok(response) => {
                 reach::record_answer(&self.board, service, true);
--- a/src/scalewood/ops/entry/routed/pool.rs
+++ b/src/scalewood/ops/entry/routed/pool.rs
@@ -3,10 +3,15 @@
 //! A connection belongs to one start of an endpoint, not to an address, since an address may pass
 //! to another endpoint. It is reused only if its last answer was read to the end, no data
 //! followed, and the endpoint is not about to close it.
+//!
+//! An endpoint may send an answer again in the place of the next one due on the connection. Only the
+//! request's id tells whose answer it is, so a connection carries no two requests of the same id, whether
+//! they are attempts of one request, come from another box, or share an id by their callers' choice.
 
 use std::{
     collections::HashMap,
     fmt,
+    hash::{BuildHasher as _, RandomState},
     net::SocketAddr,
     sync::{
         atomic::{AtomicU64, Ordering},
@@ -31,6 +36,8 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// How long before the endpoint would close an idle connection it is no longer used.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// The most requests that are sent over a connection, which remembers the ids of all of them.
+const MAX_REQUESTS: usize = 256;
 
 /// A connection, numbered among all that this process has opened to endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,12 +56,16 @@
     }
 }
 
+/// The hash of a request's id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Id(u64);
+
 /// The connection over which a request was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Use {
     pub(super) serial: Serial,
     /// The number of requests that were sent over the connection before.
-    pub(super) earlier: u32,
+    pub(super) earlier: usize,
 }
 
 /// A connection to one start of an endpoint.
@@ -63,8 +74,8 @@
     start: registry::Start,
     requests: http1::SendRequest<Full<Bytes>>,
     serial: Serial,
-    /// The number of requests that were sent over it.
-    sent: u32,
+    /// The ids of the requests that were sent over it; `None` for those without one.
+    sent: Vec<Option<Id>>,
 }
 
 impl Sender {
@@ -74,7 +85,7 @@
             start,
             requests,
             serial: Serial::next(),
-            sent: 0,
+            sent: Vec::new(),
         }
     }
 
@@ -83,15 +94,20 @@
         self.start
     }
 
-    /// Counts a request that is about to be sent, and returns its use of the connection.
-    pub(super) fn begin_use(&mut self) -> Use {
-        let earlier = self.sent;
-        self.sent += 1;
+    /// Records that a request with this id is about to be sent, and returns its use of the connection.
+    pub(super) fn begin_use(&mut self, id: Option<Id>) -> Use {
+        let earlier = self.sent.len();
+        self.sent.push(id);
         Use {
             serial: self.serial,
             earlier,
         }
     }
+
+    /// Returns whether a request with this id may be sent.
+    fn is_free_for(&self, id: Option<Id>) -> bool {
+        id.is_none() || !self.sent.contains(&id)
+    }
 }
 
 #[derive(Debug)]
@@ -107,6 +123,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pool {
     idle: Arc<Mutex<HashMap<name::Endpoint, Vec<Idle>>>>,
+    hasher: RandomState,
 }
 
 /// Why a request got no answer head.
@@ -118,19 +135,27 @@
 }
 
 impl Pool {
-    /// Returns a usable idle connection to a start of an endpoint, if there is one. Closes the
-    /// unusable ones that it finds before it, such as those to other starts.
+    /// Returns the hash of a request's id.
+    pub(super) fn id(&self, text: &str) -> Id {
+        Id(self.hasher.hash_one(text))
+    }
+
+    /// Returns a usable idle connection to a start of an endpoint that has carried no request with this id, if
+    /// there is one. Closes the unusable ones that it finds before it, such as those to other starts.
     pub(super) fn take(
         &self,
-        endpoint: &name::Endpoint,
-        start: registry::Start,
+        (endpoint, start): (&name::Endpoint, registry::Start),
+        id: Option<Id>,
         now: Duration,
     ) -> Option<Sender> {
         let mut idle = lock(&self.idle);
         let kept = idle.get_mut(endpoint)?;
-        while let Some(Idle { sender, until, .. }) = kept.pop() {
-            if sender.start == start && until > now && sender.requests.is_ready() {
-                return Some(sender);
+        for i in (0..kept.len()).rev() {
+            let Idle { sender, until, .. } = &kept[i];
+            if sender.start != start || *until <= now || !sender.requests.is_ready() {
+                kept.remove(i);
+            } else if sender.is_free_for(id) {
+                return Some(kept.remove(i).sender);
             }
         }
         None
@@ -158,7 +183,7 @@
         keep: Duration,
         now: Duration,
     ) {
-        if sender.requests.is_closed() || keep.is_zero() {
+        if sender.requests.is_closed() || keep.is_zero() || sender.sent.len() >= MAX_REQUESTS {
             return;
         }
         let until = now + keep;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -66,6 +66,7 @@
 mod stream_build;
 mod stream_soak;
 mod support;
+mod surplus;
 mod tenure;
 mod throttle;
 mod throttle_dispatch;
--- a/tests/testsuite/support/client.rs
+++ b/tests/testsuite/support/client.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// Reads an answer to its end.
+pub(crate) async fn whole(response: Response<Incoming>) -> std::io::Result<Answer> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.map_err(std::io::Error::other)?;
+    Ok(Answer {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body: body.to_bytes(),
+    })
+}
+
 /// Sends a request over a new connection and reads the answer.
 pub(crate) async fn ask(
     address: SocketAddr,
@@ -127,18 +138,7 @@
 ) -> std::io::Result<Answer> {
     let ask = async {
         let mut connection = Connection::open(address).await?;
-        let response = connection.send(method, path, headers, body).await?;
-        let (parts, body) = response.into_parts();
-        let body = body
-            .collect()
-            .await
-            .map_err(std::io::Error::other)?
-            .to_bytes();
-        Ok(Answer {
-            status: parts.status.as_u16(),
-            headers: parts.headers,
-            body,
-        })
+        whole(connection.send(method, path, headers, body).await?).await
     };
     tokio::time::timeout(ANSWER_TIMEOUT, ask)
         .await
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod deploy;
 pub(crate) mod forwarder;
 pub(crate) mod provider;
+pub(crate) mod raw;
 pub(crate) mod reader;
 pub(crate) mod rewriter;
 pub(crate) mod routed;
--- /dev/null
+++ b/tests/testsuite/surplus.rs
@@ -0,0 +1,198 @@
+//! Endpoints that send an answer again, late and in the place of the next one due on the same connection, with
+//! real processes: whose request an answer is taken for.
+
+use std::{
+    collections::HashMap,
+    path::Path,
+    sync::{Arc, Mutex},
+};
+
+use scalewood::core::registry::{Record, State};
+
+use crate::support::{
+    raw::{self, Connection, Listener, Request},
+    routed::{routing, text, System},
+};
+
+/// The header in which endpoints echo the id of a request.
+const ID: &str = "scalewood-id";
+/// The line of an answer to a request that did not run.
+const NOT_RUN: &str = "scalewood-verdict: not-run\r\n";
+
+/// How an endpoint answers a request; without an act it runs it and answers with its path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Act {
+    /// Answers that it did not run the request.
+    Refuse,
+    /// Runs the request and answers with an error.
+    Fail,
+    /// Runs the request and answers with its path.
+    Serve,
+    /// Sends the first two events of a stream and breaks off.
+    Break,
+}
+
+/// What an endpoint does and has done, over all its connections.
+#[derive(Debug, Default)]
+struct Endpoint {
+    /// What it does with the next requests for a path, in this order. It sends each of these answers again.
+    acts: HashMap<String, Vec<Act>>,
+    /// The paths of the requests that it ran.
+    runs: Vec<String>,
+}
+
+type Shared = Arc<Mutex<Endpoint>>;
+
+fn runs(endpoint: &Shared, path: &str) -> usize {
+    let endpoint = endpoint.lock().unwrap();
+    endpoint.runs.iter().filter(|ran| *ran == path).count()
+}
+
+fn plan(endpoint: &Shared, path: &str, acts: &[Act]) {
+    let mut endpoint = endpoint.lock().unwrap();
+    endpoint.acts.insert(path.to_owned(), acts.to_vec());
+}
+
+/// Returns events of a stream of six, from a number on.
+fn events(from: usize, until: usize) -> String {
+    let event = |number| format!("id: {number}\ndata: piece {number}\n\n");
+    (from..until).map(event).collect()
+}
+
+async fn serve(mut connection: Connection, endpoint: Shared) {
+    let mut again: Option<String> = None;
+    while let Some(request) = connection.request().await {
+        if let Some(again) = again.take() {
+            if !connection.write(again).await {
+                return;
+            }
+        }
+        let act = {
+            let mut endpoint = endpoint.lock().unwrap();
+            let planned = endpoint.acts.get_mut(&request.path);
+            let act = planned.and_then(|acts| (!acts.is_empty()).then(|| acts.remove(0)));
+            if act != Some(Act::Refuse) {
+                endpoint.runs.push(request.path.clone());
+            }
+            act
+        };
+        let answer = answer(&request, act.unwrap_or(Act::Serve));
+        if !connection.write(&answer).await || act == Some(Act::Break) {
+            return;
+        }
+        again = act.is_some().then_some(answer);
+    }
+}
+
+fn answer(request: &Request, act: Act) -> String {
+    let path = &request.path;
+    let first = request.header("last-event-id");
+    let first = first.map_or(0, |id| id.parse::<usize>().unwrap() + 1);
+    match act {
+        Act::Refuse => request.answer(ID, 503, NOT_RUN, "full"),
+        Act::Fail => request.answer(ID, 500, "", "failed"),
+        Act::Break => {
+            let whole = request.answer(ID, 200, "", &events(first, 6));
+            whole
+                .split_at(whole.len() - events(2, 6).len())
+                .0
+                .to_owned()
+        }
+        Act::Serve if path.starts_with("/s") && !path.starts_with("/safe") => {
+            request.answer(ID, 200, "", &events(first, 6))
+        }
+        Act::Serve => request.answer(ID, 200, "", path),
+    }
+}
+
+/// Starts a system with one endpoint, to which the box keeps one connection.
+async fn start(dir: &Path) -> (System, Shared, Listener) {
+    let system = System::start(1, dir);
+    assert_eq!(system.publish(&text(&routing(7))).await, 200);
+    let endpoint = Shared::default();
+    let served = endpoint.clone();
+    let address = (system.host, 9000).into();
+    let listener = raw::listen(address, move |connection| serve(connection, served.clone())).await;
+    let record = Record {
+        name: "i-0".parse().unwrap(),
+        service: "lm".parse().unwrap(),
+        zone: "z0".parse().unwrap(),
+        address,
+        slots: scalewood::core::unit::Slots(8),
+        state: State::Ready,
+        sequence: 1,
+        interruptible: false,
+        build: Default::default(),
+        incarnation: None,
+        warm_up: None,
+    };
+    system.announce(0, &record).await;
+    system.wait_served().await;
+    system.wait_retries().await;
+    (system, endpoint, listener)
+}
+
+/// Guards against a request that may run once, ran and was answered 503: a refusal that its endpoint sent again
+/// was taken for the answer to the next attempt over the same connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_is_sent_again_does_not_answer_the_next_attempt() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, _listener) = start(dir.path()).await;
+    for (i, refusals) in [1, 2].into_iter().enumerate() {
+        let path = format!("/unsafe/{i}");
+        plan(&endpoint, &path, &[Act::Refuse, Act::Refuse][..refusals]);
+        let answer = system.call("POST", &path, &format!("u{i}")).await.unwrap();
+        assert_eq!((answer.status, runs(&endpoint, &path)), (200, 1), "{path}");
+        assert_eq!(answer.body, path.as_bytes());
+    }
+}
+
+/// Guards against a caller who gets the answer to an earlier request of the same id, which callers choose.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_sent_again_does_not_answer_a_later_request_of_the_same_id() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, _listener) = start(dir.path()).await;
+    plan(&endpoint, "/unsafe/first", &[Act::Serve]);
+    let first = system.call("POST", "/unsafe/first", "same").await.unwrap();
+    assert_eq!(first.body, &b"/unsafe/first"[..]);
+    let second = system.call("POST", "/unsafe/second", "same").await.unwrap();
+    assert_eq!(second.body, &b"/unsafe/second"[..]);
+}
+
+/// Guards against a request that ran and was answered 503 since a refusal of an earlier request of the same id was
+/// sent again: boxes that forward a request to another one again send it under its id.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_is_sent_again_does_not_answer_a_later_request_of_the_same_id() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, _listener) = start(dir.path()).await;
+    plan(&endpoint, "/unsafe/full", &[Act::Refuse; 3]);
+    let full = system.call("POST", "/unsafe/full", "full").await.unwrap();
+    assert_eq!((full.status, runs(&endpoint, "/unsafe/full")), (503, 0));
+    let served = system.call("POST", "/unsafe/full", "full").await.unwrap();
+    assert_eq!((served.status, runs(&endpoint, "/unsafe/full")), (200, 1));
+}
+
+/// Guards against an endpoint's error, sent again, that takes the place of the answer of the next attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_error_that_is_sent_again_does_not_answer_the_next_attempt() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, _listener) = start(dir.path()).await;
+    plan(&endpoint, "/safe/error", &[Act::Fail]);
+    let answer = system.call("GET", "/safe/error", "e").await.unwrap();
+    assert_eq!(
+        (answer.status, &answer.body[..]),
+        (200, &b"/safe/error"[..])
+    );
+}
+
+/// Guards against a stream that is cut although its endpoint goes on with it: a refusal that was sent again was
+/// taken for the answer to the attempt that resumes it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_is_sent_again_does_not_answer_the_attempt_that_resumes_a_stream() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, _listener) = start(dir.path()).await;
+    plan(&endpoint, "/sresume/on", &[Act::Break, Act::Refuse]);
+    let answer = system.call("POST", "/sresume/on", "r").await.unwrap();
+    assert_eq!(String::from_utf8_lossy(&answer.body), events(0, 6));
+    assert_eq!(runs(&endpoint, "/sresume/on"), 2);
+}
