Native dialect: a refusal that bears another request's id refuses nothing

What callers saw: a request that may run once was answered 503 with the verdict not-run, or was sent again, though its endpoint ran it: a surplus refusal of another request came in the place of its answer.

Cause: `Native::classify` looked at the verdict and at status 421 before it compared the echoed id. The platform's dialect compares the id first.

Evidence: surplus::a_refusal_of_another_request_is_not_taken_for_the_answer, which failed on (an answer 503 to a request that its endpoint ran) and passes now.

Fix: the id is compared first, so such an answer is no answer to this request, and whether it ran is unknown.

--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -227,12 +227,15 @@
 
     fn classify(status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Disposition {
         let echoed = text(headers, ID_HEADER);
+        // An answer that belongs to another request says nothing of this one.
+        if echoed.is_some() && echoed != id {
+            return Disposition::Mismatched;
+        }
         if status == StatusCode::MISDIRECTED_REQUEST {
             return Disposition::Misdirected;
         }
         match text(headers, VERDICT_HEADER) {
             Some("not-run") => Disposition::Refused,
-            _ if echoed.is_some() && echoed != id => Disposition::Mismatched,
             _ => Disposition::Answer,
         }
     }
