Routes: an answer that names no request is only taken for the first one over its connection

What callers saw: the answer to another caller's request, if its request or its endpoint's answers carry no id.

Cause: a connection was kept whether or not its last answer named a request, and an answer without an id passed as that to any request. An endpoint that sends an answer again, in the place of the next one due, so answers a later request with it.

Fix: a connection is kept only after an answer that names its request, an answer over a kept connection has to name its own, and a request without an id gets a connection of its own. Endpoints that name no request are served over a new connection each time.

--- a/src/scalewood/ops/entry/dialect.rs
+++ b/src/scalewood/ops/entry/dialect.rs
@@ -99,6 +99,9 @@
     /// deadline.
     fn restore(headers: &mut HeaderMap, head: &Head, timeout: Duration);
 
+    /// Returns the id of the request that an endpoint's answer names, if it names one.
+    fn echoed_id(headers: &HeaderMap) -> Option<&str>;
+
     /// Classifies an endpoint's answer to the request of the given id.
     fn classify(status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Disposition;
 
@@ -225,8 +228,12 @@
         set(headers, LAST_EVENT_HEADER, head.last_event_id.as_deref());
     }
 
+    fn echoed_id(headers: &HeaderMap) -> Option<&str> {
+        text(headers, ID_HEADER)
+    }
+
     fn classify(status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Disposition {
-        let echoed = text(headers, ID_HEADER);
+        let echoed = Self::echoed_id(headers);
         // An answer that belongs to another request says nothing of this one.
         if echoed.is_some() && echoed != id {
             return Disposition::Mismatched;
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -400,6 +400,11 @@
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
         let target = &self.run.target;
         let id = self.routed.head.id.as_deref();
+        let is_reused = self.used.is_some_and(|used| used.earlier > 0);
+        if is_reused && D::echoed_id(response.headers()).is_none() {
+            // It may belong to an earlier request.
+            return Err(Failure::BROKEN);
+        }
         let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
         let board = &self.context.board;
         let service = &self.routed.call.key.service;
@@ -472,13 +477,17 @@
         }
     }
 
-    /// Keeps a connection whose answer, with these headers, was read to its end.
+    /// Keeps a connection whose answer, with these headers, was read to its end, if it names its request: a
+    /// copy that follows could not be told from the answer to the next one otherwise.
     pub(super) fn keep_connection(
         &self,
         endpoint: &name::Endpoint,
         sender: pool::Sender,
         headers: &hyper::HeaderMap,
     ) {
+        if D::echoed_id(headers).is_none() {
+            return;
+        }
         let keep = pool::keep_alive_time(headers);
         self.pool
             .give_back(endpoint, sender, keep, now(&self.board));
@@ -569,7 +578,8 @@
         let pool = &self.pool;
         let id = routed.head.id.as_deref().map(|id| pool.id(id));
         let to = (&target.endpoint, target.start);
-        while let Some(mut sender) = pool.take(to, id, now(&self.board)) {
+        let idle = || pool.take(to, id?, now(&self.board));
+        while let Some(mut sender) = idle() {
             if !permits() {
                 return Err(Failure::NOT_PERMITTED);
             }
--- a/src/scalewood/ops/entry/routed/pool.rs
+++ b/src/scalewood/ops/entry/routed/pool.rs
@@ -6,7 +6,8 @@
 //!
 //! An endpoint may send an answer again in the place of the next one due on the connection. Only the
 //! request's id tells whose answer it is, so a connection carries no two requests of the same id, whether
-//! they are attempts of one request, come from another box, or share an id by their callers' choice.
+//! they are attempts of one request, come from another box, or share an id by their callers' choice. A request
+//! without an id gets a connection of its own.
 
 use std::{
     collections::HashMap,
@@ -74,7 +75,7 @@
     start: registry::Start,
     requests: http1::SendRequest<Full<Bytes>>,
     serial: Serial,
-    /// The ids of the requests that were sent over it; `None` for those without one.
+    /// The ids of the requests that were sent over it; `None` for one without.
     sent: Vec<Option<Id>>,
 }
 
@@ -105,8 +106,8 @@
     }
 
     /// Returns whether a request with this id may be sent.
-    fn is_free_for(&self, id: Option<Id>) -> bool {
-        id.is_none() || !self.sent.contains(&id)
+    fn is_free_for(&self, id: Id) -> bool {
+        !self.sent.contains(&Some(id))
     }
 }
 
@@ -145,7 +146,7 @@
     pub(super) fn take(
         &self,
         (endpoint, start): (&name::Endpoint, registry::Start),
-        id: Option<Id>,
+        id: Id,
         now: Duration,
     ) -> Option<Sender> {
         let mut idle = lock(&self.idle);
--- a/tests/testsuite/support/raw.rs
+++ b/tests/testsuite/support/raw.rs
@@ -42,10 +42,16 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    /// Returns an answer to this request: it echoes the request's id under a name.
+    /// Removes a header by its name in lower case.
+    pub(crate) fn forget(&mut self, name: &str) {
+        self.headers.retain(|(known, _)| known != name);
+    }
+
+    /// Returns an answer to this request: it echoes the request's id under a name, if there is one.
     pub(crate) fn answer(&self, id_header: &str, status: u16, more: &str, body: &str) -> String {
-        let id = self.header(id_header).unwrap_or_default();
-        let more = format!("{id_header}: {id}\r\n{more}");
+        let id = self.header(id_header);
+        let id = id.map(|id| format!("{id_header}: {id}\r\n"));
+        let more = id.unwrap_or_default() + more;
         answer(status, &more, body)
     }
 }
--- a/tests/testsuite/surplus.rs
+++ b/tests/testsuite/surplus.rs
@@ -10,8 +10,9 @@
 use scalewood::core::registry::{Record, State};
 
 use crate::support::{
+    client,
     raw::{self, Connection, Listener, Request},
-    routed::{routing, text, System},
+    routed::{routing, text, System, HOST, KEY},
 };
 
 /// The header in which endpoints echo the id of a request.
@@ -39,6 +40,8 @@
     acts: HashMap<String, Vec<Act>>,
     /// The paths of the requests that it ran.
     runs: Vec<String>,
+    /// Whether its answers echo no id.
+    is_unnamed: bool,
 }
 
 type Shared = Arc<Mutex<Endpoint>>;
@@ -61,7 +64,7 @@
 
 async fn serve(mut connection: Connection, endpoint: Shared) {
     let mut again: Option<String> = None;
-    while let Some(request) = connection.request().await {
+    while let Some(mut request) = connection.request().await {
         if let Some(again) = again.take() {
             if !connection.write(again).await {
                 return;
@@ -74,6 +77,9 @@
             if act != Some(Act::Refuse) {
                 endpoint.runs.push(request.path.clone());
             }
+            if endpoint.is_unnamed {
+                request.forget(ID);
+            }
             act
         };
         let answer = answer(&request, act.unwrap_or(Act::Serve));
@@ -132,6 +138,15 @@
     (system, endpoint, listener)
 }
 
+/// Calls a route without an id.
+async fn call_unnamed(system: &System, path: &str) -> client::Answer {
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let mut connection = client::Connection::open(system.callers()).await.unwrap();
+    let sent = connection.send_to(HOST, "POST", path, &headers, "a body");
+    client::whole(sent.await.unwrap()).await.unwrap()
+}
+
 /// Guards against a request that may run once, ran and was answered 503: a refusal that its endpoint sent again
 /// was taken for the answer to the next attempt over the same connection.
 #[tokio::test(flavor = "multi_thread")]
@@ -215,3 +230,28 @@
         assert!(runs(&endpoint, &path) <= 1, "{path} ran twice");
     }
 }
+
+/// Guards against an answer that names no request, sent again, that is taken for the answer to another caller's
+/// request.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_an_id_is_not_taken_for_that_to_a_later_request() {
+    let dir = tempfile::tempdir().unwrap();
+    let (system, endpoint, _listener) = start(dir.path()).await;
+    plan(&endpoint, "/unsafe/mine", &[Act::Serve]);
+    let mine = call_unnamed(&system, "/unsafe/mine").await;
+    assert_eq!((mine.status, &mine.body[..]), (200, &b"/unsafe/mine"[..]));
+    let other = call_unnamed(&system, "/unsafe/other").await;
+    assert_eq!(
+        (other.status, &other.body[..]),
+        (200, &b"/unsafe/other"[..])
+    );
+    // An endpoint that names no request in any answer serves each over a connection of its own.
+    endpoint.lock().unwrap().is_unnamed = true;
+    for path in ["/safe/third", "/safe/fourth", "/safe/fifth"] {
+        plan(&endpoint, path, &[Act::Serve; 2]);
+        let answer = system.call("POST", path, path).await.unwrap();
+        assert_eq!((answer.status, &answer.body[..]), (200, path.as_bytes()));
+    }
+    assert_eq!(runs(&endpoint, "/safe/fourth"), 1);
+    assert_eq!(runs(&endpoint, "/safe/fifth"), 1);
+}
