Own API: a connection is kept only if the endpoint names the call in its answer

What callers saw: a caller of a plain service got the body of another caller's call, with status 200 (/call/1 twice for the calls 1 and 2, and so on).

Cause: answers to calls of scalewood's own API were matched to calls by the connection alone, and the connection was kept after each whole answer. An endpoint that sends an answer again, in the place of the next one due, so answers the next call, whoever sent it.

Fix: boxes have always sent `scalewood-request`, the id that they draw for a call. A connection is kept only if the answer echoes it, and an answer over a kept connection has to echo that of its own call. Other endpoints are served over a new connection each time, as streams were all along. The id is drawn for each call, and after anything but a whole answer the connection is closed, so no two calls of the same id meet on one. Weighed: waiting for a copy before a connection is kept (no time is long enough), another header (this one is sent already), a new connection always (an endpoint with many calls has no way out). The stand-ins echo the header.

Forwards between boxes keep their connections: the other end is a box, whose server sends one answer for each request. Polls of /health and /load, orders and health checks open a connection each.

--- a/src/bin/scalewood-standin/serve.rs
+++ b/src/bin/scalewood-standin/serve.rs
@@ -34,6 +34,8 @@
 
 /// A request whose text contains this ends the process once it runs.
 const CRASH_TEXT: &str = "end the endpoint";
+/// The header in which boxes name a request.
+const REQUEST_HEADER: &str = "scalewood-request";
 /// The exit code of a process that such a request ends.
 const CRASH_EXIT_CODE: i32 = 3;
 
@@ -139,7 +141,17 @@
     response
 }
 
+/// Answers a request, and echoes the id that a box gave it.
 async fn answer_to(standin: Arc<Standin>, request: Request<Incoming>) -> Response<Pieces> {
+    let id = request.headers().get(REQUEST_HEADER).cloned();
+    let mut response = answer_unnamed(standin, request).await;
+    if let Some(id) = id {
+        response.headers_mut().insert(REQUEST_HEADER, id);
+    }
+    response
+}
+
+async fn answer_unnamed(standin: Arc<Standin>, request: Request<Incoming>) -> Response<Pieces> {
     let path = request.uri().path().to_owned();
     if standin.faults().rest_ms > 0 && !path.starts_with("/standin/") {
         return turn_away(&standin, request).await;
@@ -273,7 +285,7 @@
 }
 
 async fn model(standin: Arc<Standin>, request: Request<Incoming>) -> Response<Pieces> {
-    let id = text_header(&request, "scalewood-request").unwrap_or_default();
+    let id = text_header(&request, REQUEST_HEADER).unwrap_or_default();
     let Some(body) = read::<Value>(request).await else {
         return whole(StatusCode::BAD_REQUEST, &json!({ "error": "no JSON" }));
     };
@@ -426,7 +438,7 @@
 }
 
 async fn plain(standin: Arc<Standin>, request: Request<Incoming>) -> Response<Pieces> {
-    let id = text_header(&request, "scalewood-request").unwrap_or_default();
+    let id = text_header(&request, REQUEST_HEADER).unwrap_or_default();
     let key = text_header(&request, "idempotency-key");
     let what = format!("{} {}", request.method(), request.uri());
     let faults = standin.faults();
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -31,7 +31,7 @@
         prompt::Prompt,
         reply::Refusal,
         turn::Turn,
-        upstream::Failure,
+        upstream::{self, Failure},
     },
 };
 
@@ -371,17 +371,23 @@
         let body = self.prompt.body(&self.call, &self.transcript);
         let outgoing = self.prompt.request(self.path, body);
         let request = outgoing.request(target.address, &self.call);
-        let (context, service) = (self.context.clone(), self.call.key.service.clone());
+        let (context, call) = (self.context.clone(), self.call.clone());
         let is_resumed = self.transcript.tokens.0 > 0;
         async move {
             let timeouts = (context.limits.connect_timeout, hedge::NO_LIMIT);
             let sent = context
                 .pool
                 .send(target.address, request?, timeouts, is_permitted);
+            let answered = sent.await?;
+            plain::names_call(&answered, &call)?;
             // The connection is not reused, because a stream is seldom read to its last byte.
-            let (_sender, response) = sent.await?;
-            let board = &context.board;
-            let disposition = answer_head::observe_native(board, &service, &target, &response);
+            let upstream::Answered {
+                sender: _sender,
+                response,
+                ..
+            } = answered;
+            let (board, service) = (&context.board, &call.key.service);
+            let disposition = answer_head::observe_native(board, service, &target, &response);
             if disposition == Disposition::Refused {
                 return Err(Failure::REFUSED);
             }
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -18,12 +18,12 @@
         call::{self, Call},
         claim, crash,
         crash::Target,
-        dialect::Disposition,
+        dialect::{self, Disposition},
         hedge, now,
         observer::Observer,
         prompt,
         reply::{Refusal, REQUEST_HEADER, VERDICT_HEADER},
-        upstream::{Failure, Pool},
+        upstream::{self, Failure, Pool},
         Limits, Shared,
     },
 };
@@ -359,6 +359,18 @@
     }
 }
 
+/// Returns whether an answer names its call by echoing [`REQUEST_HEADER`]. Only then its connection is used for
+/// another call: a copy of an answer, which the endpoint may send in the place of the next one, could not be told
+/// from that one otherwise. Fails if the answer may belong to an earlier call over the connection.
+pub(super) fn names_call(answered: &upstream::Answered, call: &Call) -> Result<bool, Failure> {
+    let echoed = dialect::text(answered.response.headers(), REQUEST_HEADER);
+    let is_named = echoed == Some(&*call.request.to_string());
+    if answered.is_reused && !is_named {
+        return Err(Failure::BROKEN);
+    }
+    Ok(is_named)
+}
+
 /// Sends a call to an endpoint and reads the complete answer. Tells a sink when the answer has begun.
 async fn exchange(
     context: &Context,
@@ -370,7 +382,11 @@
     let (address, limits) = (target.address, &context.limits);
     let timeouts = (limits.connect_timeout, hedge::NO_LIMIT);
     let sent = context.pool.send(address, request, timeouts, is_permitted);
-    let (sender, response) = sent.await?;
+    let answered = sent.await?;
+    let is_named = names_call(&answered, call)?;
+    let upstream::Answered {
+        sender, response, ..
+    } = answered;
     let disposition =
         answer_head::observe_native(&context.board, &call.key.service, &target, &response);
     if disposition == Disposition::Refused {
@@ -380,7 +396,9 @@
     let _ = sink.send(hedge::Message::Progress).await;
     let whole = Limited::new(body, limits.max_answer.0).collect().await;
     let body = whole.map_err(|_| Failure::BROKEN)?.to_bytes();
-    context.pool.give_back(address, sender);
+    if is_named {
+        context.pool.give_back(address, sender);
+    }
     let kind = context
         .board
         .view
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -115,12 +115,14 @@
             charge.is_written.store(true, Ordering::Relaxed);
             let sent = peers.send(peer.address, request, timeouts, || true).await;
             match sent {
-                Ok((_, response)) if response.headers().contains_key(UNAVAILABLE_HEADER) => {
+                Ok(answered) if is_given_back(&answered.response) => {
                     self.in_flight -= 1;
                     self.retry = charge.settle(false);
                     lock(&board.peers).avoid(&peer.name, now(&board));
                 }
-                Ok((sender, response)) => {
+                Ok(upstream::Answered {
+                    sender, response, ..
+                }) => {
                     charge.settle(true);
                     board.metrics.forwarded.inc();
                     self.observer.counted_elsewhere();
@@ -231,6 +233,11 @@
     }
 }
 
+/// Returns whether another box has given a request back.
+fn is_given_back(response: &Response<Incoming>) -> bool {
+    response.headers().contains_key(UNAVAILABLE_HEADER)
+}
+
 /// Returns whether answers with a status are given only to requests that did not run.
 pub(super) fn says_not_run(status: StatusCode) -> bool {
     matches!(
--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -185,6 +185,15 @@
 /// A connection over which requests are sent one after another.
 pub(super) type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// The head of an answer, and the connection over which the rest arrives.
+#[derive(Debug)]
+pub(super) struct Answered {
+    pub(super) sender: Sender,
+    pub(super) response: Response<Incoming>,
+    /// Whether other requests were sent over the connection before.
+    pub(super) is_reused: bool,
+}
+
 /// Idle connections that are kept for later requests.
 #[derive(Clone, Debug)]
 pub(super) struct Pool {
@@ -230,7 +239,7 @@
         request: Request<Full<Bytes>>,
         (connect, head): (Duration, Duration),
         is_permitted: impl Fn() -> bool,
-    ) -> Result<(Sender, Response<Incoming>), Failure> {
+    ) -> Result<Answered, Failure> {
         let mut request = request;
         // The endpoint may have closed an idle connection; hyper returns a request that it has
         // not started to write, and the next connection is tried.
@@ -239,7 +248,13 @@
                 return Err(Failure::NOT_PERMITTED);
             }
             match send_over(sender, address, request, head).await {
-                Ok(answered) => return Ok(answered),
+                Ok((sender, response)) => {
+                    return Ok(Answered {
+                        sender,
+                        response,
+                        is_reused: true,
+                    })
+                }
                 Err(SendError::NotWritten(returned)) => request = *returned,
                 Err(SendError::Failed(failure)) => return Err(failure),
             }
@@ -248,12 +263,15 @@
         if !is_permitted() {
             return Err(Failure::NOT_PERMITTED);
         }
-        send_over(sender, address, request, head)
-            .await
-            .map_err(|error| match error {
-                SendError::NotWritten(_) => Failure::UNREACHABLE,
-                SendError::Failed(failure) => failure,
-            })
+        match send_over(sender, address, request, head).await {
+            Ok((sender, response)) => Ok(Answered {
+                sender,
+                response,
+                is_reused: false,
+            }),
+            Err(SendError::NotWritten(_)) => Err(Failure::UNREACHABLE),
+            Err(SendError::Failed(failure)) => Err(failure),
+        }
     }
 }
 
--- a/tests/testsuite/surplus.rs
+++ b/tests/testsuite/surplus.rs
@@ -4,19 +4,29 @@
 use std::{
     collections::HashMap,
     path::Path,
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex,
+    },
 };
 
-use scalewood::core::registry::{Record, State};
+use scalewood::core::{
+    change::{self, Edit, Item},
+    config,
+    registry::{Record, State},
+};
 
 use crate::support::{
-    client,
+    client::{self, bearer},
+    deploy::{self, Deployment, Plan},
     raw::{self, Connection, Listener, Request},
     routed::{routing, text, System, HOST, KEY},
 };
 
 /// The header in which endpoints echo the id of a request.
 const ID: &str = "scalewood-id";
+/// The header in which endpoints of scalewood's own API name the call that they answer.
+const REQUEST: &str = "scalewood-request";
 /// The line of an answer to a request that did not run.
 const NOT_RUN: &str = "scalewood-verdict: not-run\r\n";
 
@@ -255,3 +265,108 @@
     assert_eq!(runs(&endpoint, "/safe/fourth"), 1);
     assert_eq!(runs(&endpoint, "/safe/fifth"), 1);
 }
+
+/// An endpoint of scalewood's own API that answers with the path of each call, and sends each answer again in
+/// the place of the next one due on the connection.
+async fn serve_own_api(
+    mut connection: Connection,
+    names_calls: bool,
+    connections: Arc<AtomicUsize>,
+) {
+    let header = if names_calls { REQUEST } else { "x-unknown" };
+    let mut again: Option<String> = None;
+    let mut is_counted = false;
+    while let Some(request) = connection.request().await {
+        if let Some(again) = again.take() {
+            if !connection.write(again).await {
+                return;
+            }
+        }
+        // The box polls endpoints over connections of their own.
+        if request.path.starts_with("/call") && !std::mem::replace(&mut is_counted, true) {
+            connections.fetch_add(1, Ordering::Relaxed);
+        }
+        let answer = request.answer(header, 200, "", &request.path);
+        if !connection.write(&answer).await {
+            return;
+        }
+        again = (!names_calls).then_some(answer);
+    }
+}
+
+/// Makes calls of a plain service, one after another. Returns their statuses and bodies, and how many connections
+/// the box opened for them.
+async fn call_own_api(names_calls: bool, paths: &[String]) -> (Vec<(u16, String)>, usize) {
+    let dir = tempfile::tempdir().unwrap();
+    let plan = Plan {
+        boxes: vec![1],
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(plan, dir.path()).await;
+    let connections = Arc::new(AtomicUsize::new(0));
+    let counted = connections.clone();
+    let address = deployment.address(9900);
+    let serve = move |connection| serve_own_api(connection, names_calls, counted.clone());
+    let _listener = raw::listen(address, serve).await;
+    let edits = deployment.initial_edits().into_iter();
+    let edit = edits.filter_map(|edit| match edit {
+        Edit::Set(Item::Endpoint(name, item)) if item.service.as_str() == "stock" => {
+            let item = config::Endpoint { address, ..item };
+            Some(Edit::Set(Item::Endpoint(name, item)))
+        }
+        _ => None,
+    });
+    let answer = deployment.apply(edit.collect(), "another address").await;
+    assert!(
+        matches!(answer, change::Answer::Accepted { .. }),
+        "{answer:?}"
+    );
+    let token = bearer(deploy::TEAM);
+    let headers = [
+        ("authorization", token.as_str()),
+        ("scalewood-class", "record"),
+    ];
+    let callers = deployment.entries[0].callers;
+    let call = async |path: &str| {
+        let path = format!("/services/stock{path}");
+        let answer = client::ask(callers, "POST", &path, &headers, "a call")
+            .await
+            .unwrap();
+        (
+            answer.status,
+            String::from_utf8_lossy(&answer.body).into_owned(),
+        )
+    };
+    deploy::wait("calls reach the endpoint", || async {
+        call("/call/first").await.1 == "/call/first"
+    })
+    .await;
+    let before = connections.load(Ordering::Relaxed);
+    let mut answers = Vec::new();
+    for path in paths {
+        answers.push(call(path).await);
+    }
+    (answers, connections.load(Ordering::Relaxed) - before)
+}
+
+/// Guards against a caller of scalewood's own API who gets the answer to another caller's call: answers that
+/// name no call were taken for those to later calls over the same connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_of_own_api_that_is_sent_again_does_not_answer_the_next_call() {
+    let paths: Vec<_> = (0..6).map(|i| format!("/call/{i}")).collect();
+    let (answers, _) = call_own_api(false, &paths).await;
+    let expected: Vec<_> = paths.into_iter().map(|path| (200, path)).collect();
+    assert_eq!(answers, expected);
+}
+
+/// Guards against a new connection for each call to an endpoint that names the calls in its answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_of_own_api_that_names_calls_keeps_its_connections() {
+    let paths: Vec<_> = (0..6).map(|i| format!("/call/{i}")).collect();
+    let (answers, opened) = call_own_api(true, &paths).await;
+    assert!(
+        answers.iter().all(|(status, _)| *status == 200),
+        "{answers:?}"
+    );
+    assert_eq!(opened, 0);
+}
