Answers of endpoints are received within one budget of memory, and a stream is silent until an event ends

What callers saw: a stream stayed with an endpoint that sends bytes but no whole event until its deadline (504, or cut for callers who give up after two seconds), and a request whose endpoint sends interim answers without end waited until its deadline. What operators saw: a box took memory with each endless answer: an event of a stream and a line of scalewood's own API without any bound, other bodies 8 MiB each, heads 400 KB each.

Cause: a stream's data was gathered until an event ended, with no bound but the deadline, and searched from its beginning for each frame; the watch for silence counted frames. Bodies were bounded one by one. Errors of own model engines, and polls of /health and /load, were read whole. hyper skips interim answers without a limit.

Fix: `buffer::Budget` is shared by all answers from their first byte until the caller has taken the last. An answer may hold what the others leave: one alone a half, two a third each, so endless ones share the budget and a part is always left (dynamic thresholds, as in shared-memory switches; weighed against a fixed share for each answer, which is too small for one or too large for many, and waiting for memory, where endless answers keep all others waiting). An answer over that has failed (3320), and is tried elsewhere where its route allows it. What is complete but not yet read by a slow caller counts too; its stream is read no further until there is room. `incoming::Body` hands out whole events, so silence is counted between events; it looks for their ends in new data only, and is used by own API too. Heads have 64 KiB and 16 interim answers at most. Errors of own engines are read for 4 KiB, refusals that are thrown away for 64 KiB, polls for 16 KiB.

Not covered: a body that is taken whole and comes slowly, bit by bit, without end is awaited until the deadline, as a slow proper one is.

--- a/src/scalewood/ops/entry/body.rs
+++ b/src/scalewood/ops/entry/body.rs
@@ -5,10 +5,11 @@
     task::{Context, Poll},
 };
 
-use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::ops::entry::buffer::Held;
+
 /// The maximum number of pieces of a stream that are queued for a slow caller.
 pub(super) const MAX_QUEUED_PIECES: usize = 32;
 
@@ -26,31 +27,31 @@
 impl std::error::Error for Truncated {}
 
 /// A piece of a stream, or the error that truncates it.
-pub(super) type Piece = Result<Bytes, Truncated>;
+pub(super) type Piece = Result<Held, Truncated>;
 
 /// The body of a response.
 #[derive(Debug)]
 pub(super) enum Answer {
     /// A complete body; `None` once it has been sent.
-    Whole(Option<Bytes>),
+    Whole(Option<Held>),
     /// Pieces that are sent as they arrive.
     Stream(mpsc::Receiver<Piece>),
 }
 
 impl Answer {
-    pub(super) fn whole(bytes: impl Into<Bytes>) -> Self {
+    pub(super) fn whole(bytes: impl Into<Held>) -> Self {
         Self::Whole(Some(bytes.into()))
     }
 }
 
 impl Body for Answer {
-    type Data = Bytes;
+    type Data = Held;
     type Error = Truncated;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+    ) -> Poll<Option<Result<Frame<Held>, Truncated>>> {
         match self.get_mut() {
             Answer::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Answer::Stream(pieces) => pieces
--- a/src/scalewood/ops/entry/caller.rs
+++ b/src/scalewood/ops/entry/caller.rs
@@ -27,6 +27,7 @@
     event,
     ops::entry::{
         body::Answer,
+        buffer,
         call::{self, Size},
         crash,
         dialect::Dialect,
@@ -84,13 +85,16 @@
         let forwards_at = forwards.local_addr().change_context(Error)?;
         *lock(&board.forwarded_at) = reach::reachable(forwards_at);
         event!(board.log, Listening, "what" => "forwards", "address" => %forwards_at);
-        let routes = routed::Context::new(board.clone(), settings.limits.clone());
+        let limits = settings.limits.clone();
+        let answers = buffer::Budget::new(limits.answer_memory, board.log.clone());
+        let routes = routed::Context::new(board.clone(), limits.clone(), answers.clone());
         tokio::spawn(routes.clone().sweep());
         tokio::spawn(routes.clone().forget_lost());
         let context = Context {
             board,
             pool: Pool::new(socket::ENDPOINT),
-            limits: settings.limits.clone(),
+            limits,
+            answers,
         };
         Ok(Self {
             listener,
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -42,6 +42,7 @@
 
 mod answer_head;
 mod body;
+mod buffer;
 mod call;
 mod caller;
 mod claim;
@@ -53,6 +54,7 @@
 mod fetch;
 mod health;
 mod hedge;
+mod incoming;
 mod link;
 mod member;
 mod model;
@@ -66,6 +68,7 @@
 mod rejection;
 mod reply;
 mod retries;
+mod rope;
 mod routed;
 mod server;
 mod status;
@@ -128,8 +131,11 @@
     pub max_silence: Duration,
     /// How long connecting to an endpoint may take.
     pub connect_timeout: Duration,
-    /// The largest answer that is not a stream.
+    /// The largest answer, or event of a stream.
     pub max_answer: unit::Size,
+    /// The memory for all answers together. An answer may take as much of it as the others leave: one alone up
+    /// to a half.
+    pub answer_memory: unit::Size,
 }
 
 impl Default for Limits {
@@ -140,6 +146,7 @@
             max_silence: Duration::from_secs(15),
             connect_timeout: Duration::from_secs(1),
             max_answer: unit::Size(8 << 20),
+            answer_memory: unit::Size(24 << 20),
         }
     }
 }
@@ -153,6 +160,7 @@
             max_silence: reader.duration("silence", default.max_silence),
             connect_timeout: reader.duration("connect", default.connect_timeout),
             max_answer: reader.size("answer", default.max_answer),
+            answer_memory: reader.size("answers", default.answer_memory),
         }
     }
 }
--- a/src/scalewood/ops/entry/model.rs
+++ b/src/scalewood/ops/entry/model.rs
@@ -5,12 +5,11 @@
 //! beginning of the answer. The caller sees one stream under one id. A stream that can't be resumed
 //! ends with an error event and a closed connection, never as if it were complete.
 
-use std::{future::Future, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Buf as _, Bytes};
 use eventsource_stream::Eventsource as _;
-use futures_util::StreamExt as _;
-use http_body_util::BodyExt as _;
+use futures_util::{stream, Stream, StreamExt as _};
 use hyper::{body::Incoming, header, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
@@ -21,10 +20,12 @@
     ops::entry::{
         answer_head,
         body::{self, Answer, Piece, Truncated},
+        buffer::Account,
         call::{self, Call},
         crash::Target,
         dialect::Disposition,
         hedge::{self, Message},
+        incoming::{self, Body, Kind},
         now,
         observer::Observer,
         plain::{self, Context},
@@ -37,6 +38,9 @@
 
 /// The data of a stream's last event.
 const END_MARK: &str = "[DONE]";
+/// How much of the body of an engine's error is read; its beginning is passed on.
+const MAX_ERROR_BODY: unit::Size = unit::Size(4 << 10);
+
 /// The parts of a stream that all attempts together have delivered to the caller.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Transcript {
@@ -111,6 +115,7 @@
         prompt,
         transcript: Transcript::default(),
         observer: Observer::new(&context.board, call),
+        queued: Account::new(&context.answers),
         pieces: pieces.clone(),
         head: Some(head),
     };
@@ -153,6 +158,8 @@
     prompt: Prompt,
     transcript: Transcript,
     observer: Observer,
+    /// The memory of pieces that the caller has not taken.
+    queued: Arc<Account>,
     pieces: mpsc::Sender<Piece>,
     /// Reports to the handler whether the answer starts or is refused; `None` once reported.
     head: Option<oneshot::Sender<Result<(), Refusal>>>,
@@ -325,6 +332,7 @@
                 return false;
             }
         }
+        let piece = self.queued.hold(piece).await;
         self.pieces.send(Ok(piece)).await.is_ok()
     }
 }
@@ -392,27 +400,29 @@
                 return Err(Failure::REFUSED);
             }
             let _ = sink.send(Message::Progress).await;
-            read(response, is_resumed, &sink).await
+            read(&context, response, is_resumed, &sink).await
         }
     }
 }
 
 /// Reads an engine's answer to its end and sends its parts to a sink.
 async fn read(
+    context: &Context,
     response: Response<Incoming>,
     is_resumed: bool,
     sink: &hedge::Sink<Part>,
 ) -> Result<(), Failure> {
     let status = response.status();
     if status != StatusCode::OK {
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|_| Failure::BROKEN)?.to_bytes();
+        let body = incoming::beginning(response.into_body(), MAX_ERROR_BODY).await?;
         let _ = sink
             .send(Message::Error(Part::ErrorStatus(status, body)))
             .await;
         return Ok(());
     }
-    let mut events = std::pin::pin!(response.into_body().into_data_stream().eventsource());
+    let (body, limits) = (response.into_body(), &context.limits);
+    let body = Body::new(body, &context.answers, limits.max_answer);
+    let mut events = std::pin::pin!(whole_events(body).eventsource());
     let mut has_text = false;
     loop {
         let Some(Ok(event)) = events.next().await else {
@@ -442,6 +452,18 @@
     }
 }
 
+/// Returns the data of a stream, cut between events. It ends where the stream ends or breaks off.
+fn whole_events(body: Body) -> impl Stream<Item = Result<Bytes, Failure>> {
+    stream::unfold(body, |mut body| async move {
+        let events = match body.part(Kind::Stream).await {
+            Ok(incoming::Part::Events(mut events)) => Ok(events.copy_to_bytes(events.remaining())),
+            Ok(_) => return None,
+            Err(failure) => Err(failure),
+        };
+        Some((events, body))
+    })
+}
+
 /// Returns the refusal for an engine's error answer, with the first 512 characters of its body.
 fn engine_error(status: StatusCode, body: &Bytes) -> Refusal {
     let text: String = String::from_utf8_lossy(body).chars().take(512).collect();
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -4,10 +4,10 @@
 //! can be retried whenever its endpoint fails. A call that is not repeatable is retried only if it
 //! did not run. If such a call has an idempotency key, the key is claimed before it is sent.
 
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{header, HeaderMap, Method, Response, StatusCode};
 
 use crate::{
@@ -15,11 +15,14 @@
     ops::entry::{
         answer_head,
         body::Answer,
+        buffer::{Budget, Held},
         call::{self, Call},
         claim, crash,
         crash::Target,
         dialect::{self, Disposition},
-        hedge, now,
+        hedge,
+        incoming::Body,
+        now,
         observer::Observer,
         prompt,
         reply::{Refusal, REQUEST_HEADER, VERDICT_HEADER},
@@ -86,6 +89,8 @@
     pub(super) board: Shared,
     pub(super) pool: Pool,
     pub(super) limits: Limits,
+    /// The memory for endpoints' answers.
+    pub(super) answers: Arc<Budget>,
 }
 
 /// Serves a call and returns the endpoint's complete answer. Claims the idempotency key first if
@@ -329,7 +334,7 @@
 pub(super) struct Reply {
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    body: Held,
     /// The tokens that a model's answer states; 0 for plain services.
     tokens: unit::Tokens,
 }
@@ -394,8 +399,8 @@
     }
     let (parts, body) = response.into_parts();
     let _ = sink.send(hedge::Message::Progress).await;
-    let whole = Limited::new(body, limits.max_answer.0).collect().await;
-    let body = whole.map_err(|_| Failure::BROKEN)?.to_bytes();
+    let mut body = Body::new(body, &context.answers, limits.max_answer);
+    let body = body.whole().await?;
     if is_named {
         context.pool.give_back(address, sender);
     }
--- a/src/scalewood/ops/entry/poll.rs
+++ b/src/scalewood/ops/entry/poll.rs
@@ -8,7 +8,7 @@
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Empty};
+use http_body_util::{BodyExt as _, Empty, Limited};
 use hyper::{Response, StatusCode};
 use serde::Deserialize;
 
@@ -24,6 +24,9 @@
 /// How long connecting to an endpoint may take, and how long its whole poll may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The longest body of an answer.
+const MAX_BODY_BYTES: usize = 16 << 10;
+
 /// The body of the answer to `GET /load`.
 #[derive(Debug, Deserialize)]
 struct Load {
@@ -105,11 +108,10 @@
     let dialled = upstream::dial::<Empty<Bytes>>(address, ANSWER_TIMEOUT, socket::ENDPOINT);
     let mut sender = dialled.await.ok()?;
     let request = hyper::Request::get(path).header("host", address.to_string());
-    let response = sender
-        .send_request(request.body(Empty::new()).ok()?)
-        .await
-        .ok()?;
+    let request = request.body(Empty::new()).ok()?;
+    let response = upstream::answer_to(&mut sender, request).await.ok()?;
     let (head, body) = response.into_parts();
-    let body = body.collect().await.ok()?.to_bytes();
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let body = body.ok()?.to_bytes();
     Some(Response::from_parts(head, body))
 }
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -14,24 +14,23 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{
-    body::{Body, Incoming},
-    header,
-    http::response,
-    Request, Response,
-};
+use http_body_util::Full;
+use hyper::{body::Incoming, header, http::response, Request, Response};
 use tokio::sync::{watch, Notify};
 
 use crate::{
-    core::{build, dispatch, name},
+    core::{build, dispatch, name, unit},
     event,
     ops::entry::{
-        answer_head, crash,
+        answer_head,
+        buffer::Held,
+        crash,
         crash::Target,
         dialect::{Dialect, Disposition},
-        dispatchers, now, reach, retries,
-        routed::{forward, incoming, pool, Context, Routed},
+        dispatchers,
+        incoming::{self, Body, Kind},
+        now, reach, retries,
+        routed::{forward, pool, Context, Routed},
         turn::Turn,
         upstream::{self, Failure},
     },
@@ -46,6 +45,8 @@
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the body of a refusal may take to arrive, for its connection to be kept.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+/// The longest body of a refusal after which its connection is kept.
+const MAX_REFUSAL_BODY: unit::Size = unit::Size(64 << 10);
 
 /// The run of a request at an endpoint: a slot that it holds there.
 #[derive(Debug)]
@@ -72,14 +73,14 @@
 pub(super) struct Opened {
     pub(super) via: Via,
     pub(super) parts: response::Parts,
-    pub(super) body: incoming::Body,
+    pub(super) body: Body,
 }
 
 /// An error with which an endpoint answered.
 #[derive(Debug)]
 pub(super) struct ErrorAnswer {
     pub(super) parts: response::Parts,
-    pub(super) body: Bytes,
+    pub(super) body: Held,
 }
 
 /// An attempt that failed.
@@ -238,7 +239,7 @@
         match self.answer(request).await {
             Ok((sender, response)) if !response.status().is_server_error() => {
                 let (parts, body) = response.into_parts();
-                let mut body = body.into();
+                let mut body = self.context.receive(body);
                 if let Err(failure) = self.begin(&parts, &mut body).await {
                     return Err(self.fail(failure, None).await);
                 }
@@ -259,7 +260,8 @@
         response: Response<Incoming>,
     ) -> Result<Opened, Failed> {
         let (parts, body) = response.into_parts();
-        let read = self.context.read(&self.routed, body).await;
+        let mut body = self.context.receive(body);
+        let read = self.context.read(&self.routed, &mut body).await;
         Err(match read {
             Ok(body) => {
                 let endpoint = &self.run.target.endpoint;
@@ -334,18 +336,15 @@
     }
 
     /// Waits until an answer whose head has arrived has begun, or no other attempt is open.
-    async fn begin(
-        &mut self,
-        parts: &response::Parts,
-        body: &mut incoming::Body,
-    ) -> Result<(), Failure> {
+    async fn begin(&mut self, parts: &response::Parts, body: &mut Body) -> Result<(), Failure> {
         let is_stream = self.routed.route.kind.is_stream() && parts.status.is_success();
+        let kind = if is_stream { Kind::Stream } else { Kind::Whole };
         let race = self.race.clone();
         let begun = async {
             tokio::select! {
                 biased;
                 () = race.narrowed_to(1) => Ok(()),
-                begun = body.begin(is_stream) => begun,
+                begun = body.begin(kind) => begun,
             }
         };
         self.unless_late(begun, || Failure::SILENT).await
@@ -413,8 +412,8 @@
             Disposition::Answer | Disposition::Mismatched => Err(Failure::BROKEN),
             Disposition::Refused => {
                 let (parts, body) = response.into_parts();
-                let whole = Limited::new(body, self.context.limits.max_answer.0).collect();
-                if let Ok(Ok(_)) = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, whole).await {
+                let whole = incoming::discard(body, MAX_REFUSAL_BODY);
+                if let Ok(true) = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, whole).await {
                     let endpoint = &target.endpoint;
                     self.context
                         .keep_connection(endpoint, sender, &parts.headers);
@@ -463,18 +462,15 @@
         routed.until.saturating_sub(now(&self.board))
     }
 
+    /// Begins to receive a body, within the memory for answers.
+    pub(super) fn receive(&self, body: Incoming) -> Body {
+        Body::new(body, &self.answers, self.limits.max_answer)
+    }
+
     /// Reads an endpoint's body to its end, at most until the request's deadline.
-    pub(super) async fn read(
-        &self,
-        routed: &Routed,
-        body: impl Body<Data = Bytes, Error = hyper::Error>,
-    ) -> Result<Bytes, Failure> {
-        let whole = Limited::new(body, self.limits.max_answer.0).collect();
-        match tokio::time::timeout(self.time_left(routed), whole).await {
-            Err(_) => Err(Failure::SILENT),
-            Ok(Ok(whole)) => Ok(whole.to_bytes()),
-            Ok(Err(_)) => Err(Failure::BROKEN),
-        }
+    pub(super) async fn read(&self, routed: &Routed, body: &mut Body) -> Result<Held, Failure> {
+        let whole = tokio::time::timeout(self.time_left(routed), body.whole()).await;
+        whole.unwrap_or(Err(Failure::SILENT))
     }
 
     /// Keeps a connection whose answer, with these headers, was read to its end, if it names its request: a
@@ -590,11 +586,11 @@
                     reach::record_answer(&self.board, service, false);
                     return Ok((sender, response));
                 }
-                Err(pool::Unsent::NotWritten(untouched)) => {
+                Err(upstream::Unsent::NotWritten(untouched)) => {
                     is_written.store(false, Ordering::Relaxed);
                     request = *untouched;
                 }
-                Err(pool::Unsent::Broken) => return Err(Failure::BROKEN),
+                Err(upstream::Unsent::Broken) => return Err(Failure::BROKEN),
             }
         }
         let mut timeout = self.limits.connect_timeout;
@@ -614,8 +610,8 @@
                 reach::record_answer(&self.board, service, true);
                 Ok((sender, response))
             }
-            Err(pool::Unsent::NotWritten(_)) => Err(Failure::UNREACHABLE),
-            Err(pool::Unsent::Broken) => Err(Failure::BROKEN),
+            Err(upstream::Unsent::NotWritten(_)) => Err(Failure::UNREACHABLE),
+            Err(upstream::Unsent::Broken) => Err(Failure::BROKEN),
         }
     }
 }
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -135,7 +135,7 @@
                     return Some(Ok(Opened {
                         via: Via::Box(link),
                         parts,
-                        body: body.into(),
+                        body: self.context.receive(body),
                     }));
                 }
                 Err(failure) => {
--- a/src/scalewood/ops/entry/routed/hedge.rs
+++ b/src/scalewood/ops/entry/routed/hedge.rs
@@ -6,18 +6,14 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::BodyExt as _;
-use hyper::body::Frame;
-
 use crate::{
     core::dispatch,
     ops::entry::{
         dialect::Dialect,
+        incoming::{Body, Part},
         now,
         routed::{
             attempt::{Opened, Via},
-            incoming,
             request::{Ending, Request, MIN_RECHECK_INTERVAL},
         },
         upstream::Failure,
@@ -35,8 +31,8 @@
 
 /// What follows in an answer.
 pub(super) enum Next {
-    /// A part of the answer, or its end.
-    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// A part of the answer, or why it broke off.
+    Part(Result<Part, Failure>),
     /// The answer of another endpoint, which takes the place of this one; and whether this one broke off
     /// meanwhile.
     Replacement(Box<Opened>, bool),
@@ -55,59 +51,55 @@
 
 impl<D: Dialect> Request<D> {
     /// Waits for the next part of an answer, and beside an endpoint that is silent for `patience` or longer for
-    /// another one that takes its place. `may_end` states whether the answer is complete if it ends here.
+    /// another one that takes its place. A stream is silent until an event has ended.
     pub(super) async fn next(
         &mut self,
-        (via, body): (&mut Via, &mut incoming::Body),
+        (via, body): (&mut Via, &mut Body),
         patience: Duration,
         progress: &Progress,
-        may_end: bool,
     ) -> Next {
+        let kind = self.kind();
         let left = self.time_left();
         let run = match via {
             Via::Endpoint { run, .. } if self.routed.route.kind.is_repeatable() => run,
             // The other box watches the endpoint, and the system the connection to the box.
             Via::Endpoint { .. } | Via::Box(_) => {
-                let frame = tokio::time::timeout(left, body.frame()).await;
-                return frame.map_or(Next::Nothing, Next::Frame);
+                let part = tokio::time::timeout(left, body.part(kind)).await;
+                return part.map_or(Next::Nothing, Next::Part);
             }
         };
         let endpoint = run.target.endpoint.clone();
         let least = left.min(patience);
-        let frame = self
+        let part = self
             .context
-            .unless_silent(&self.routed, &endpoint, least, body.frame());
-        if let Some(frame) = frame.await {
-            return Next::Frame(frame);
+            .unless_silent(&self.routed, &endpoint, least, body.part(kind));
+        if let Some(part) = part.await {
+            return Next::Part(part);
         }
         if self.time_left().is_zero() {
             return Next::Nothing;
         }
         self.context.report_silence(&self.routed, run);
         let reported_at = now(&self.context.board);
-        let next = self.next_beside(body, progress, may_end).await;
+        let next = self.next_beside(body, progress).await;
         // The attempts beside this one, or this one if it was replaced, have ended.
         self.end_others(1);
         match &next {
-            Next::Frame(Some(Ok(_))) => {
+            Next::Part(Ok(Part::Events(_) | Part::Data | Part::Blocked)) => {
                 self.last_endpoint = Some(endpoint);
                 self.context.report_return(&self.routed, run, reported_at);
             }
             Next::Replacement(_, true) => self.runs += 1,
             Next::Replacement(_, false) => self.ended += 1,
-            Next::Frame(_) | Next::Nothing => {}
+            Next::Part(_) | Next::Nothing => {}
         }
         next
     }
 
     /// Waits for the next part of a silent endpoint's answer, and for another endpoint that takes its place. If the
     /// answer breaks off while another endpoint is being asked, only that one is waited for.
-    async fn next_beside(
-        &mut self,
-        body: &mut incoming::Body,
-        progress: &Progress,
-        may_end: bool,
-    ) -> Next {
+    async fn next_beside(&mut self, body: &mut Body, progress: &Progress) -> Next {
+        let kind = self.kind();
         let deadline = tokio::time::sleep(self.time_left());
         let hedge = Hedge::default();
         let mut deadline = std::pin::pin!(deadline);
@@ -116,23 +108,21 @@
         loop {
             tokio::select! {
                 biased;
-                frame = body.frame(), if broken.is_none() => {
-                    let has_broken = match &frame {
-                        None => !may_end,
-                        Some(frame) => frame.is_err(),
-                    };
-                    if !has_broken || !hedge.is_asking.load(Ordering::Relaxed) {
-                        return Next::Frame(frame);
+                part = body.part(kind), if broken.is_none() => {
+                    let is_asking = hedge.is_asking.load(Ordering::Relaxed);
+                    match part {
+                        Err(failure) if is_asking => broken = Some(failure),
+                        part => return Next::Part(part),
                     }
                     hedge.is_last.store(true, Ordering::Relaxed);
-                    broken = Some(frame);
                 }
                 opened = replacement.as_mut() => {
                     return match (opened, broken) {
                         (Some(opened), broken) => {
                             Next::Replacement(Box::new(opened), broken.is_some())
                         },
-                        (None, broken) => Next::Frame(broken.flatten()),
+                        (None, Some(failure)) => Next::Part(Err(failure)),
+                        (None, None) => Next::Nothing,
                     };
                 }
                 () = deadline.as_mut() => return Next::Nothing,
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -5,7 +5,6 @@
 //! - `request`: a request, from its first attempt to its final answer.
 //! - `opening`: attempts, until one is answered or no further one is allowed.
 //! - `attempt`: one attempt at an endpoint, until its answer has begun.
-//! - `incoming`: the body of an answer, the beginning of which may be read ahead.
 //! - `hedge`: another attempt beside one whose answer has begun and pauses.
 //! - `retries`: decides whether and when another attempt follows.
 //! - `continuation`: where a stream began that goes on, and that it goes on only there.
@@ -26,6 +25,7 @@
     event,
     ops::entry::{
         body::Answer,
+        buffer,
         call::Call,
         crash,
         dialect::{Dialect, Head},
@@ -41,7 +41,6 @@
 mod continuation;
 mod forward;
 mod hedge;
-mod incoming;
 mod opening;
 mod outgoing;
 mod pool;
@@ -68,6 +67,8 @@
     /// The connections to other boxes, for requests that these serve for this one.
     peers: upstream::Pool,
     limits: Limits,
+    /// The memory for endpoints' answers.
+    answers: Arc<buffer::Budget>,
     longest: returning::Longest,
     /// When this box started, by the process's clock.
     started: Duration,
@@ -93,13 +94,14 @@
 }
 
 impl<D: Dialect> Context<D> {
-    pub(super) fn new(board: Shared, limits: Limits) -> Self {
+    pub(super) fn new(board: Shared, limits: Limits, answers: Arc<buffer::Budget>) -> Self {
         Self {
             started: now(&board),
             board,
             pool: pool::Pool::default(),
             peers: upstream::Pool::new(socket::PROCESS),
             limits,
+            answers,
             longest: returning::Longest::default(),
             dialect: PhantomData,
         }
--- a/src/scalewood/ops/entry/routed/opening.rs
+++ b/src/scalewood/ops/entry/routed/opening.rs
@@ -255,7 +255,7 @@
             tokio::select! {
                 biased;
                 () = race.narrowed_to(0) => Ok(()),
-                begun = opened.body.begin(self.is_stream()) => begun,
+                begun = opened.body.begin(self.kind()) => begun,
             }
         };
         let begun = tokio::time::timeout(self.time_left(), begun).await;
--- a/src/scalewood/ops/entry/routed/pool.rs
+++ b/src/scalewood/ops/entry/routed/pool.rs
@@ -23,7 +23,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1, header, HeaderMap, Request, Response};
+use hyper::{body::Incoming, header, HeaderMap, Request, Response};
 
 use crate::{
     core::{name, registry},
@@ -73,7 +73,7 @@
 #[derive(Debug)]
 pub(super) struct Sender {
     start: registry::Start,
-    requests: http1::SendRequest<Full<Bytes>>,
+    requests: upstream::Sender,
     serial: Serial,
     /// The ids of the requests that were sent over it; `None` for one without.
     sent: Vec<Option<Id>>,
@@ -81,7 +81,7 @@
 
 impl Sender {
     /// Wraps a new connection.
-    pub(super) fn new(start: registry::Start, requests: http1::SendRequest<Full<Bytes>>) -> Self {
+    pub(super) fn new(start: registry::Start, requests: upstream::Sender) -> Self {
         Self {
             start,
             requests,
@@ -127,14 +127,6 @@
     hasher: RandomState,
 }
 
-/// Why a request got no answer head.
-pub(super) enum Unsent {
-    /// No byte of the request was written.
-    NotWritten(Box<Request<Full<Bytes>>>),
-    /// The request may have been written.
-    Broken,
-}
-
 impl Pool {
     /// Returns the hash of a request's id.
     pub(super) fn id(&self, text: &str) -> Id {
@@ -224,18 +216,8 @@
     sender: &mut Sender,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, Unsent> {
-    let sent = if upstream::is_long(&request) {
-        let answer = sender.requests.try_send_request(request);
-        let answer = upstream::unless_dead(address, answer).await;
-        answer.ok_or(Unsent::Broken)?
-    } else {
-        sender.requests.try_send_request(request).await
-    };
-    sent.map_err(|mut error| match error.take_message() {
-        Some(request) => Unsent::NotWritten(Box::new(request)),
-        None => Unsent::Broken,
-    })
+) -> Result<Response<Incoming>, upstream::Unsent<Full<Bytes>>> {
+    upstream::answer_to_any(&mut sender.requests, address, request).await
 }
 
 /// Returns how long a connection may stay idle after an answer with these headers.
--- a/src/scalewood/ops/entry/routed/reply.rs
+++ b/src/scalewood/ops/entry/routed/reply.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::{header, http::response, Response, StatusCode};
 
 use crate::{
     core::{dispatch, verdict},
-    ops::entry::{body::Answer, dialect::Dialect, reply::Refusal, routed::outgoing},
+    ops::entry::{body::Answer, buffer::Held, dialect::Dialect, reply::Refusal, routed::outgoing},
 };
 
 /// Builds the answer for a refusal by this box.
@@ -27,7 +26,7 @@
 }
 
 /// Relays an endpoint's complete answer.
-pub(super) fn whole(parts: response::Parts, body: Bytes) -> Response<Answer> {
+pub(super) fn whole(parts: response::Parts, body: Held) -> Response<Answer> {
     let mut response = Response::new(Answer::whole(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = outgoing::end_to_end(parts.headers);
--- a/src/scalewood/ops/entry/routed/request.rs
+++ b/src/scalewood/ops/entry/routed/request.rs
@@ -10,7 +10,6 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
 use hyper::{http::response, Response, StatusCode};
 use tokio::task::JoinHandle;
 
@@ -19,8 +18,10 @@
     event,
     ops::entry::{
         body::Answer,
+        buffer::Held,
         crash,
         dialect::Dialect,
+        incoming::{Kind, Part},
         now,
         observer::Observer,
         reply::Refusal,
@@ -169,6 +170,15 @@
         self.routed.route.kind.is_stream()
     }
 
+    /// Returns what its answer is received as if it is a success.
+    pub(super) fn kind(&self) -> Kind {
+        if self.is_stream() {
+            Kind::Stream
+        } else {
+            Kind::Whole
+        }
+    }
+
     pub(super) fn now(&self) -> Duration {
         now(&self.context.board)
     }
@@ -228,7 +238,7 @@
     async fn read_whole(
         &mut self,
         opened: Opened,
-    ) -> ControlFlow<(Via, response::Parts, Result<Bytes, Failure>), Opened> {
+    ) -> ControlFlow<(Via, response::Parts, Result<Held, Failure>), Opened> {
         let Opened {
             mut via,
             parts,
@@ -236,16 +246,13 @@
         } = opened;
         if self.is_stream() {
             // A stream can't take the place of an answer with a whole body.
-            let read = self.context.read(&self.routed, body).await;
+            let read = self.context.read(&self.routed, &mut body).await;
             return ControlFlow::Break((via, parts, read));
         }
-        let max_bytes = self.context.limits.max_answer.0;
         let (patience, progress) = (self.patience(), Progress::default());
-        let mut whole = BytesMut::new();
         let read = loop {
             let answer = (&mut via, &mut body);
-            let next = self.next(answer, patience, &progress, true);
-            let frame = match next.await {
+            match self.next(answer, patience, &progress).await {
                 Next::Replacement(opened, has_broken) => {
                     if has_broken {
                         self.end_broken(via);
@@ -253,15 +260,9 @@
                     return ControlFlow::Continue(*opened);
                 }
                 Next::Nothing => break Err(Failure::SILENT),
-                Next::Frame(None) => break Ok(whole.freeze()),
-                Next::Frame(Some(Err(_))) => break Err(Failure::BROKEN),
-                Next::Frame(Some(Ok(frame))) => frame,
-            };
-            if let Ok(data) = frame.into_data() {
-                whole.extend_from_slice(&data);
-            }
-            if whole.len() > max_bytes {
-                break Err(Failure::BROKEN);
+                Next::Part(Ok(Part::End)) => break Ok(body.take_all()),
+                Next::Part(Ok(_)) => {}
+                Next::Part(Err(failure)) => break Err(failure),
             }
         };
         ControlFlow::Break((via, parts, read))
@@ -272,7 +273,7 @@
         &mut self,
         link: forward::Link,
         parts: response::Parts,
-        read: Result<Bytes, Failure>,
+        read: Result<Held, Failure>,
     ) -> Option<Response<Answer>> {
         match read {
             Ok(body) => {
@@ -290,7 +291,7 @@
         }
     }
 
-    fn done(&mut self, turn: Turn, parts: response::Parts, body: Bytes) -> Response<Answer> {
+    fn done(&mut self, turn: Turn, parts: response::Parts, body: Held) -> Response<Answer> {
         turn.report_first_token();
         self.observer.first();
         turn.end(dispatch::End::Done);
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -9,7 +9,6 @@
 
 use std::{future::Future, time::Duration};
 
-use bytes::{Bytes, BytesMut};
 use hyper::{http::response, Response};
 use tokio::sync::mpsc;
 
@@ -18,6 +17,7 @@
     ops::entry::{
         body::{self, Answer, Piece, Truncated},
         dialect::Dialect,
+        incoming::Part,
         now,
         routed::{
             attempt::{Opened, Run, Via},
@@ -144,17 +144,13 @@
             parts,
             mut body,
         } = opened;
-        let mut buffer = BytesMut::new();
         let mut sampler = pace::Sampler::default();
         let mut paused = Paused::default();
         loop {
-            let is_between_events = buffer.iter().all(u8::is_ascii_whitespace);
             let report = self.pause_report(&via, &paused);
             let answer = (&mut via, &mut body);
-            let next = self
-                .request
-                .next(answer, MAX_PAUSE, &self.progress, is_between_events);
-            let frame = match paused.watch(next, report).await {
+            let next = self.request.next(answer, MAX_PAUSE, &self.progress);
+            let events = match paused.watch(next, report).await {
                 Next::Replacement(opened, has_broken) => {
                     if has_broken {
                         self.request.end_broken(via);
@@ -162,17 +158,19 @@
                     return Relayed::Replaced(*opened);
                 }
                 Next::Nothing => return Relayed::Failed(via, Failure::SILENT),
-                Next::Frame(None) if is_between_events => return Relayed::Complete(via, parts),
-                Next::Frame(None | Some(Err(_))) => return Relayed::Failed(via, Failure::BROKEN),
-                Next::Frame(Some(Ok(frame))) => frame,
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            buffer.extend_from_slice(&data);
-            let Some(events) = self.take_events(&mut buffer) else {
-                continue;
+                Next::Part(Ok(Part::Events(events))) => events,
+                Next::Part(Ok(Part::End)) => return Relayed::Complete(via, parts),
+                Next::Part(Ok(Part::Data)) => continue,
+                Next::Part(Ok(Part::Blocked)) => {
+                    let freed = body.account().freed();
+                    match tokio::time::timeout(self.request.time_left(), freed).await {
+                        Ok(()) => continue,
+                        Err(_) => return Relayed::Failed(via, Failure::UNREAD),
+                    }
+                }
+                Next::Part(Err(failure)) => return Relayed::Failed(via, failure),
             };
+            self.record_id(&events);
             self.progress.events += 1;
             self.request.observer.token();
             if let Via::Endpoint { run, .. } = &via {
@@ -225,16 +223,13 @@
         }
     }
 
-    /// Removes the whole events from a buffer, and records the id of the last one.
-    fn take_events(&mut self, buffer: &mut BytesMut) -> Option<Bytes> {
-        let end = end_of_events(buffer)?;
-        let events = buffer.split_to(end).freeze();
+    /// Records the id of the last event.
+    fn record_id(&mut self, events: &[u8]) {
         let mut lines = events.rsplit(|byte| *byte == b'\n');
         let id = lines.find_map(|line| D::event_id(line));
         if let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()) {
             self.progress.last_id = Some(id.to_owned());
         }
-        Some(events)
     }
 }
 
@@ -265,12 +260,3 @@
         next.await
     }
 }
-
-/// Returns the position after the last whole event of a buffer.
-pub(super) fn end_of_events(buffer: &[u8]) -> Option<usize> {
-    let lf = buffer.windows(2).rposition(|pair| pair == b"\n\n");
-    let crlf = buffer.windows(4).rposition(|four| four == b"\r\n\r\n");
-    let lf = lf.map(|at| at + 2);
-    let crlf = crlf.map(|at| at + 4);
-    lf.max(crlf)
-}
--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -9,7 +9,10 @@
     future::Future,
     io::ErrorKind,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+    },
     time::Duration,
 };
 
@@ -21,7 +24,7 @@
     Request, Response,
 };
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, sync::Notify};
 
 use crate::{
     core::{dispatch, verdict},
@@ -31,6 +34,11 @@
 /// The maximum number of idle connections that are kept per endpoint address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// The longest head of an answer, and the most bytes that are read ahead of it.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// The most interim answers (status 1xx) that may come before an answer.
+const MAX_INTERIM_ANSWERS: u32 = 16;
+
 /// Why an attempt at an endpoint failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Failure {
@@ -105,7 +113,9 @@
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let stream = socket::Stream::new(stream, timeouts);
-        http1::handshake(TokioIo::new(stream)).await.ok()
+        let mut connection = http1::Builder::new();
+        connection.max_buf_size(MAX_HEAD_BYTES);
+        connection.handshake(TokioIo::new(stream)).await.ok()
     };
     let opened = tokio::time::timeout(within, open).await.ok().flatten();
     let (sender, connection) = opened.ok_or(Failure::UNREACHABLE)?;
@@ -116,6 +126,40 @@
     Ok(sender)
 }
 
+/// Why a request over a connection got no answer head.
+pub(super) enum Unsent<B> {
+    /// No byte of the request was written; it can be sent over another connection.
+    NotWritten(Box<Request<B>>),
+    /// The request may have been written.
+    Broken,
+}
+
+/// Sends a request over a connection and waits for the head of the answer.
+pub(super) async fn answer_to<B>(
+    sender: &mut http1::SendRequest<B>,
+    mut request: Request<B>,
+) -> Result<Response<Incoming>, Unsent<B>>
+where
+    B: hyper::body::Body + Send + 'static,
+{
+    let (count, too_many) = (AtomicU32::new(0), Arc::new(Notify::new()));
+    let limit = too_many.clone();
+    hyper::ext::on_informational(&mut request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
+            limit.notify_one();
+        }
+    });
+    let answered = tokio::select! {
+        biased;
+        () = too_many.notified() => return Err(Unsent::Broken),
+        answered = sender.try_send_request(request) => answered,
+    };
+    answered.map_err(|mut error| match error.take_message() {
+        Some(request) => Unsent::NotWritten(Box::new(request)),
+        None => Unsent::Broken,
+    })
+}
+
 /// The time after which the peer of a long request that it has not answered is checked. It doubles with each
 /// check.
 const FIRST_CHECK: Duration = Duration::from_millis(500);
@@ -126,15 +170,27 @@
 const SECOND_TRY: Duration = Duration::from_millis(500);
 
 /// Returns whether a request is so long that its peer's machine has to be checked, see [`socket::Stream`].
-pub(super) fn is_long(request: &Request<Full<Bytes>>) -> bool {
+fn is_long(request: &Request<Full<Bytes>>) -> bool {
     request.body().size_hint().lower() > socket::MIN_WINDOW as u64
 }
 
-/// Waits for the answer to a long request. Returns `None` if the peer's machine is found dead before.
-pub(super) async fn unless_dead<T>(
+/// Sends a request, which may be long, to an address over a connection and waits for the head of the answer.
+pub(super) async fn answer_to_any(
+    sender: &mut Sender,
     address: SocketAddr,
-    answer: impl Future<Output = T>,
-) -> Option<T> {
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, Unsent<Full<Bytes>>> {
+    let is_long = is_long(&request);
+    let answer = answer_to(sender, request);
+    if is_long {
+        let answer = unless_dead(address, answer).await;
+        return answer.unwrap_or(Err(Unsent::Broken));
+    }
+    answer.await
+}
+
+/// Waits for the answer to a long request. Returns `None` if the peer's machine is found dead before.
+async fn unless_dead<T>(address: SocketAddr, answer: impl Future<Output = T>) -> Option<T> {
     let mut answer = std::pin::pin!(answer);
     let mut wait = FIRST_CHECK;
     loop {
@@ -255,8 +311,8 @@
                         is_reused: true,
                     })
                 }
-                Err(SendError::NotWritten(returned)) => request = *returned,
-                Err(SendError::Failed(failure)) => return Err(failure),
+                Err((Unsent::NotWritten(returned), _)) => request = *returned,
+                Err((Unsent::Broken, failure)) => return Err(failure),
             }
         }
         let sender = dial(address, connect, self.timeouts).await?;
@@ -269,43 +325,23 @@
                 response,
                 is_reused: false,
             }),
-            Err(SendError::NotWritten(_)) => Err(Failure::UNREACHABLE),
-            Err(SendError::Failed(failure)) => Err(failure),
+            Err((Unsent::NotWritten(_), _)) => Err(Failure::UNREACHABLE),
+            Err((Unsent::Broken, failure)) => Err(failure),
         }
     }
 }
 
-/// Why a request over a connection got no answer head.
-enum SendError {
-    /// No byte of the request was written; it can be sent over another connection.
-    NotWritten(Box<Request<Full<Bytes>>>),
-    /// The request may have been written.
-    Failed(Failure),
-}
-
 /// Sends a request over a connection and waits for the answer's head.
 async fn send_over(
     mut sender: Sender,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     head: Duration,
-) -> Result<(Sender, Response<Incoming>), SendError> {
-    let is_long = is_long(&request);
-    let answer = sender.try_send_request(request);
-    let answer = async {
-        if is_long {
-            unless_dead(address, answer).await
-        } else {
-            Some(answer.await)
-        }
-    };
-    let answered = tokio::time::timeout(head, answer).await;
-    let answered = answered.map_err(|_| SendError::Failed(Failure::SILENT))?;
-    match answered.ok_or(SendError::Failed(Failure::BROKEN))? {
-        Ok(response) => Ok((sender, response)),
-        Err(mut error) => Err(match error.take_message() {
-            Some(request) => SendError::NotWritten(Box::new(request)),
-            None => SendError::Failed(Failure::BROKEN),
-        }),
+) -> Result<(Sender, Response<Incoming>), (Unsent<Full<Bytes>>, Failure)> {
+    let answer = answer_to_any(&mut sender, address, request);
+    match tokio::time::timeout(head, answer).await {
+        Ok(Ok(response)) => Ok((sender, response)),
+        Ok(Err(unsent)) => Err((unsent, Failure::BROKEN)),
+        Err(_) => Err((Unsent::Broken, Failure::SILENT)),
     }
 }
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -151,6 +151,7 @@
     StreamResumed = 3317, Info, "a stream goes on at an endpoint after an event";
     EndpointSilent = 3318, Info, "an endpoint sends nothing for a request, which may be tried at another one beside it";
     EndpointReturned = 3319, Info, "an endpoint goes on with an answer after it was silent";
+    AnswerTooLong = 3320, Warning, "an answer of an endpoint is given up since it is too long";
     ClaimsSettled = 3401, Info, "this box has read back its claims and votes again";
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod crash;
 mod crash_book;
 mod dispatch_large;
+mod endless;
 mod events;
 mod explain;
 mod failure;
--- a/tests/testsuite/support/deploy.rs
+++ b/tests/testsuite/support/deploy.rs
@@ -212,6 +212,14 @@
     }
 }
 
+/// Returns the most memory that a process has had, in bytes.
+pub(crate) fn peak_memory(process: &Process) -> usize {
+    let status = fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kib = line.unwrap().trim().trim_end_matches("kB").trim();
+    kib.parse::<usize>().unwrap() << 10
+}
+
 /// The parameters of a deployment.
 #[derive(Clone, Debug)]
 pub(crate) struct Plan {
--- a/tests/testsuite/support/raw.rs
+++ b/tests/testsuite/support/raw.rs
@@ -97,6 +97,11 @@
     pub(crate) async fn write(&mut self, bytes: impl AsRef<[u8]>) -> bool {
         self.stream.write_all(bytes.as_ref()).await.is_ok()
     }
+
+    /// Writes bytes again and again until the box closes the connection.
+    pub(crate) async fn write_endlessly(&mut self, bytes: impl AsRef<[u8]>) {
+        while self.write(bytes.as_ref()).await {}
+    }
 }
 
 /// Listens at an address and serves each connection with a function.
