--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -68,6 +68,7 @@
 mod stream_soak;
 mod support;
 mod surplus;
+mod surplus_soak;
 mod tenure;
 mod throttle;
 mod throttle_dispatch;
