Tests of forwards connect to the process that runs

Mostly the first process is ended before it writes; here it had written its port, 43747, half a second before the second one opened another. The last line is taken now; what the test demands is unchanged.

--- a/tests/testsuite/reach.rs
+++ b/tests/testsuite/reach.rs
@@ -715,9 +715,10 @@
 ) -> client::Answer {
     let log = site.system.dir.join(format!("e{}.log", i + 1));
     let log = std::fs::read_to_string(log).unwrap();
+    // A box that was started twice has written to one log.
     let line = log
         .lines()
-        .find(|line| line.contains("\"what\":\"forwards\""));
+        .rfind(|line| line.contains("\"what\":\"forwards\""));
     let line: serde_json::Value = serde_json::from_str(line.unwrap()).unwrap();
     let address = line["address"].as_str().unwrap().parse().unwrap();
     let bearer = format!("Bearer {KEY}");
