--- a/review/standins-2/src/deploy.rs
+++ b/review/standins-2/src/deploy.rs
@@ -72,8 +72,14 @@
     /// Whether each edge machine is ready, as the platform sees it.
     ready: Arc<Mutex<Vec<bool>>>,
     is_over: Arc<AtomicBool>,
+    /// The bounds of deployments whose engines start cold.
+    pub has_cold_bounds: bool,
 }
 
+/// `cold_overshoot` and `cold_slack` of those deployments.
+pub const COLD_OVERSHOOT: f64 = 1.5;
+pub const COLD_SLACK: f64 = 5.0;
+
 impl Deployment {
     /// Prepares machines, an edge in each of the first zones; starts none yet.
     pub fn new(edges: usize, record: &Record) -> Self {
@@ -102,6 +108,7 @@
             record: record.clone(),
             ready: Arc::new(Mutex::new(vec![false; edges])),
             is_over: Arc::default(),
+            has_cold_bounds: false,
         }
     }
 
@@ -132,6 +139,21 @@
             .iter()
             .map(|zone| ((*zone).to_owned(), Value::text("ro-central")));
         let number = |number: f64| Value::number(number);
+        let mut bounds = vec![
+            ("drain_ms", Value::number(DRAIN_MS)),
+            ("contact_ms", Value::number(CONTACT_MS)),
+            ("grace_s", Value::number(8)),
+            ("retry_ratio", number(0.2)),
+            ("retry_window_s", Value::number(10)),
+            ("retry_slack", Value::number(56)),
+        ];
+        if self.has_cold_bounds {
+            bounds.push(("cold_overshoot", number(COLD_OVERSHOOT)));
+            bounds.push(("cold_slack", number(COLD_SLACK)));
+        }
+        let bounds = bounds
+            .into_iter()
+            .map(|(name, value)| (name.to_owned(), value));
         let mut fields = vec![
             ("node_name", Value::text(&machine.name)),
             ("ip", Value::text(ip.to_string())),
@@ -145,17 +167,7 @@
             ("bootstrap", Value::Flag(machine.starts == 0)),
             ("heartbeat_ms", Value::number(crate::engine::HEARTBEAT_MS)),
             ("zones", Value::Table(zones.collect())),
-            (
-                "bounds",
-                Value::table([
-                    ("drain_ms", Value::number(DRAIN_MS)),
-                    ("contact_ms", Value::number(CONTACT_MS)),
-                    ("grace_s", Value::number(8)),
-                    ("retry_ratio", number(0.2)),
-                    ("retry_window_s", Value::number(10)),
-                    ("retry_slack", Value::number(56)),
-                ]),
-            ),
+            ("bounds", Value::Table(bounds.collect())),
         ];
         if machine.role == "core" {
             let data = self.folder.join(&machine.name);
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,12 +4,12 @@
 //! `TROUBLE=0` in the environment it does the same without the disruption.
 
 mod client;
+mod cold;
 mod deploy;
 mod engine;
 mod http;
 mod leaving;
 mod memory;
-mod paths;
 mod record;
 mod stopping;
 mod template;
@@ -38,8 +38,8 @@
     let verdict = match case.as_str() {
         "kill-all" => leaving::kill_all(&record, trouble),
         "kill-one" => leaving::kill_one(&record, trouble),
+        "cold" => cold::cold(&record, trouble),
         "bodies" => memory::bodies(&record, trouble),
-        "paths" => paths::paths(&record, trouble),
         "stop" => stopping::stop(&record, trouble),
         _ => Verdict::NotRun,
     };
