--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod deploy;
 mod engine;
+mod home;
 mod http;
 mod leaving;
 mod memory;
@@ -37,8 +38,8 @@
     deploy::limit(LIMIT_MS);
     let verdict = match case.as_str() {
         "kill-all" => leaving::kill_all(&record, trouble),
-        "kill-one" => leaving::kill_one(&record, trouble),
         "cold" => cold::cold(&record, trouble),
+        "home" => home::home(&record, trouble),
         "bodies" => memory::bodies(&record, trouble),
         "stop" => stopping::stop(&record, trouble),
         _ => Verdict::NotRun,
