Entry: requests that wait at a stopping box are answered before it ends

Callers saw connections closed without an answer: a stopped box exits after its drain time, and a request that waits for a slot ends only by a grant, its dispatcher's refusal or its deadline, which may be later.

Ruled out: requests cut in the midst of a run only; the dispatcher of the stopped box, which others take over.

A stopping box now plans its end. A request keeps its place while its run would still fit, by the longest recent run of its service, and gets a 503 as not run after that; what is left gets a 502 shortly before the end. Routes, the own API and forwarded requests go the same way.

--- a/src/scalewood/board/entry.rs
+++ b/src/scalewood/board/entry.rs
@@ -17,9 +17,9 @@
 use crate::{
     board::{feed, view},
     core::{
-        attempt, backoff, build, catchup, claim, config, crash, dispatch, limit, load, member,
-        name, origin, pace, reach, region, registry, rejection, residency, retry, throttle, unit,
-        usage, wall_clock, warm_up,
+        attempt, backoff, build, catchup, claim, config, crash, dispatch, estimate, limit, load,
+        member, name, origin, pace, reach, region, registry, rejection, residency, retry, stop,
+        throttle, unit, usage, wall_clock, warm_up,
     },
     util::{
         clock::Clock,
@@ -233,6 +233,10 @@
     pub config_announced: Notify,
     /// Whether this box is draining before it stops.
     pub draining: AtomicBool,
+    /// When this box ends, once it was told to stop.
+    pub stop: watch::Sender<Option<stop::Plan>>,
+    /// How long the longest of the recent runs at endpoints of each service took.
+    pub run_times: Sharded<name::Service, estimate::Peak>,
     /// Whether this box can accept connections from callers.
     pub accepts: AtomicBool,
     /// Whether this box accepts new requests.
@@ -322,6 +326,8 @@
             catchup: Mutex::default(),
             config_announced: Notify::new(),
             draining: AtomicBool::new(false),
+            stop: watch::Sender::new(None),
+            run_times: Sharded::default(),
             accepts: AtomicBool::new(true),
             ready: AtomicBool::new(false),
             last_beat_ms: AtomicU64::new(millis(now)),
--- a/src/scalewood/core/estimate.rs
+++ b/src/scalewood/core/estimate.rs
@@ -131,3 +131,23 @@
         self.value
     }
 }
+
+/// The weight of an observation that is below a [`Peak`].
+const PEAK_DECAY: f64 = 0.1;
+
+/// The largest of the recent durations. It follows a longer one at once and shorter ones slowly.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Peak(Duration);
+
+impl Peak {
+    /// Records an observation.
+    pub fn observe(&mut self, value: Duration) {
+        let decayed = self.0.mul_f64(1.0 - PEAK_DECAY) + value.mul_f64(PEAK_DECAY);
+        self.0 = value.max(decayed);
+    }
+
+    /// Returns the largest of the recent durations.
+    pub fn get(self) -> Duration {
+        self.0
+    }
+}
--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -44,6 +44,7 @@
 pub mod route;
 pub mod scaling;
 pub mod secret;
+pub mod stop;
 pub mod throttle;
 pub mod unit;
 pub mod usage;
--- a/src/scalewood/ops/entry/caller.rs
+++ b/src/scalewood/ops/entry/caller.rs
@@ -31,7 +31,7 @@
         call::{self, Size},
         crash,
         dialect::Dialect,
-        model,
+        drain, model,
         plain::{self, Context, Outgoing},
         prompt::Prompt,
         reach,
@@ -340,9 +340,20 @@
     let call = call::accept(&context.board, view, team, service, &parts.headers, input)?;
     caller.grant(call.class.deadline);
     if prompt.stream {
-        return model::serve(context, &call, path, prompt).await;
+        let serving = model::serve(context, &call, path, prompt);
+        return unless_ended(context, serving).await;
     }
-    plain::serve(context, &call, &prompt.outgoing(path, &call), None).await
+    let outgoing = prompt.outgoing(path, &call);
+    unless_ended(context, plain::serve(context, &call, &outgoing, None)).await
+}
+
+/// Returns the answer to a call, or that there is none when this box ends.
+async fn unless_ended(
+    context: &Context,
+    serving: impl Future<Output = Result<Response<Answer>, Refusal>>,
+) -> Result<Response<Answer>, Refusal> {
+    let served = drain::or_end(&context.board, serving).await;
+    served.unwrap_or_else(|| Err(drain::unfinished()))
 }
 
 /// Serves a request to a plain service.
@@ -380,7 +391,8 @@
         headers: parts.headers,
         body,
     };
-    plain::serve(context, &call, &outgoing, key.as_deref()).await
+    let serving = plain::serve(context, &call, &outgoing, key.as_deref());
+    unless_ended(context, serving).await
 }
 
 /// Returns the plain service of a name.
--- a/src/scalewood/ops/entry/hedge.rs
+++ b/src/scalewood/ops/entry/hedge.rs
@@ -15,7 +15,7 @@
     ops::entry::{
         call::Call,
         crash::Target,
-        dispatchers, now, plain,
+        dispatchers, drain, now, plain,
         reply::Refusal,
         retries::Allowance,
         turn::{Decision, Turn},
@@ -304,6 +304,7 @@
             Decision::Granted(endpoint) => return self.begin(request, turn, endpoint),
             Decision::Shed(reason, retry, _) => (self.call.shed_refusal(reason, retry), retry),
             Decision::HeldBack(retry) => (Refusal::held_back(retry, self.verdict), retry),
+            Decision::Stopping => (drain::refusal(self.verdict), drain::RETRY_AFTER),
         };
         if self.open.is_empty() {
             return Err(Refusal {
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -15,6 +15,7 @@
 //! - `origin`: tells voters where streams began, and asks them about those that are taken up.
 //! - `status`: reports this box's state to the voters.
 //! - `routed`: serves requests that go by routes.
+//! - `drain`: ends the open requests of a box that stops, before its process ends.
 //! - `caller`: the HTTP server for callers.
 
 use std::{
@@ -50,6 +51,7 @@
 pub mod dialect;
 mod directory;
 mod dispatchers;
+mod drain;
 mod exchange;
 mod fetch;
 mod health;
@@ -404,6 +406,7 @@
         event!(board.log, DrainCut, "why" => %error);
     }
     event!(board.log, Stopping, "box" => %settings.name);
+    drain::begin(board, settings.stop_grace, settings.drain_timeout);
     board.draining.store(true, Ordering::Relaxed);
     board.ready.store(false, Ordering::Relaxed);
     lock(&board.members).leave();
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -238,6 +238,13 @@
     response.headers().contains_key(UNAVAILABLE_HEADER)
 }
 
+/// Marks an answer as one by which a forwarded request is given back.
+pub(super) fn mark_given_back(response: &mut Response<Answer>) {
+    let given_back = HeaderValue::from_static("1");
+    let headers = response.headers_mut();
+    headers.insert(UNAVAILABLE_HEADER, given_back);
+}
+
 /// Returns whether answers with a status are given only to requests that did not run.
 pub(super) fn says_not_run(status: StatusCode) -> bool {
     matches!(
@@ -280,10 +287,7 @@
         let why = "this box can't serve the request; send it to another one";
         let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "not-served-here", why);
         let mut response = refusal.response();
-        let given_back = HeaderValue::from_static("1");
-        response
-            .headers_mut()
-            .insert(UNAVAILABLE_HEADER, given_back);
+        mark_given_back(&mut response);
         response
     }
 }
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -29,7 +29,7 @@
         call::Call,
         crash,
         dialect::{Dialect, Head},
-        dispatchers, now, reach,
+        dispatchers, drain, now, reach,
         reply::Refusal,
         upstream, Limits, Shared,
     },
@@ -180,10 +180,16 @@
             return self.refuse(&gone, id.as_deref());
         }
         let request = request::Request::new(self.clone(), routed);
-        if request.is_stream() {
-            stream::serve(request).await
-        } else {
-            request.serve_whole().await
+        let serving = async {
+            if request.is_stream() {
+                stream::serve(request).await
+            } else {
+                request.serve_whole().await
+            }
+        };
+        match drain::or_end(&self.board, serving).await {
+            Some(response) => response,
+            None => self.refuse(&drain::unfinished(), id.as_deref()),
         }
     }
 
--- a/src/scalewood/ops/entry/routed/opening.rs
+++ b/src/scalewood/ops/entry/routed/opening.rs
@@ -300,6 +300,7 @@
             }
             Some(Decision::Shed(reason, retry, cause)) => Err(Ending::Shed(reason, retry, cause)),
             Some(Decision::HeldBack(retry)) => Err(Ending::HeldBack(retry)),
+            Some(Decision::Stopping) => Err(Ending::Stopping),
             None => {
                 let reason = dispatch::Reason::Deadline;
                 Err(Ending::Shed(reason, LATE_RETRY_AFTER, None))
--- a/src/scalewood/ops/entry/routed/request.rs
+++ b/src/scalewood/ops/entry/routed/request.rs
@@ -21,6 +21,7 @@
         buffer::Held,
         crash,
         dialect::Dialect,
+        drain,
         incoming::{Kind, Part},
         now,
         observer::Observer,
@@ -53,6 +54,8 @@
     Shed(dispatch::Reason, Duration, Option<dispatch::Cause>),
     /// Endpoints crashed during the request; the caller may retry after the given time.
     HeldBack(Duration),
+    /// This box stops, and an answer could not be finished here any more.
+    Stopping,
     /// The last attempt failed, and no further one is allowed.
     Failed(dispatch::End),
     /// This box refuses it.
@@ -68,6 +71,7 @@
         let stated = match self {
             Ending::Shed(_, retry, _) | Ending::HeldBack(retry) => *retry,
             Ending::Refused(refusal) => refusal.retry_after.unwrap_or_default(),
+            Ending::Stopping => drain::RETRY_AFTER,
             Ending::Failed(_) | Ending::Own(_) => Duration::ZERO,
         };
         stated.clamp(MIN_RECHECK_INTERVAL, MAX_RECHECK_INTERVAL)
@@ -321,6 +325,7 @@
                 reply::shed::<D>(reason, retry, self.verdict)
             }
             Ending::HeldBack(retry) => Refusal::held_back(retry, self.verdict),
+            Ending::Stopping => return self.hand_over(),
             Ending::Failed(end) => reply::failed(end, self.verdict),
             Ending::Refused(refusal) => refusal,
             Ending::Own(own) => return self.pass_through(*own),
@@ -328,6 +333,16 @@
         self.refuse(&refusal)
     }
 
+    /// Returns the answer by which the request goes on at another box. If another box forwarded it,
+    /// that one finds a third.
+    fn hand_over(&mut self) -> Response<Answer> {
+        let mut response = self.refuse(&drain::refusal(self.verdict));
+        if self.routed.forwarded.is_some() && self.verdict == verdict::Verdict::NotRun {
+            forward::mark_given_back(&mut response);
+        }
+        response
+    }
+
     /// Returns an endpoint's own failure as the final answer.
     fn pass_through(&mut self, answer: ErrorAnswer) -> Response<Answer> {
         let ErrorAnswer { parts, body } = answer;
--- a/src/scalewood/ops/entry/turn.rs
+++ b/src/scalewood/ops/entry/turn.rs
@@ -14,7 +14,7 @@
     board::entry::Ticket,
     core::{attempt, dispatch, name, residency, unit},
     event,
-    ops::entry::{crash, dispatchers, now, throttle, Shared},
+    ops::entry::{crash, dispatchers, drain, now, throttle, Shared},
     util::{lock::lock, metric},
 };
 
@@ -29,6 +29,8 @@
     /// Endpoints crashed during the request, so it is sent to none. It may be retried after the
     /// given time.
     HeldBack(Duration),
+    /// This box stops, and an answer could not be finished here any more.
+    Stopping,
 }
 
 /// How long after its deadline a request waits for a dispatcher to shed it, and the time after
@@ -112,9 +114,11 @@
         }
     }
 
-    /// Waits until the request is granted a slot, shed or held back.
+    /// Waits until the request is granted a slot, shed or held back, or this box stops.
     pub(super) async fn wait(&mut self) -> Decision {
         let mut held_back = self.board.held_back.subscribe();
+        let last_start = drain::last_start(self.board.clone(), self.attempt.request);
+        let mut last_start = std::pin::pin!(last_start);
         loop {
             if crash::is_held_back(&self.board, &self.content) {
                 self.finish(|attempt, _| dispatch::Report::Withdraw(attempt));
@@ -125,6 +129,10 @@
             let order = tokio::select! {
                 order = tokio::time::timeout(left, self.orders.recv()) => order,
                 _ = held_back.changed() => continue,
+                () = last_start.as_mut() => {
+                    self.finish(|attempt, _| dispatch::Report::Withdraw(attempt));
+                    return Decision::Stopping;
+                }
             };
             let Ok(Some(order)) = order else {
                 // No dispatcher answered in time.
@@ -367,10 +375,23 @@
         };
         if end == dispatch::End::Done {
             crash::record_completed(&self.board, &self.content);
+            self.record_run();
         }
         self.finish(|attempt, tokens| dispatch::Report::End(attempt, end, tokens));
     }
 
+    /// Records how long the run has taken.
+    fn record_run(&self) {
+        let ran = self.with_ticket(|ticket| {
+            let (_, since) = ticket.held_at.as_ref()?;
+            Some((ticket.service.clone(), *since))
+        });
+        if let Some((service, since)) = ran.flatten() {
+            let took = now(&self.board).saturating_sub(since);
+            drain::record_run(&self.board, &service, took);
+        }
+    }
+
     /// Sends a report to the request's dispatcher, if one is known.
     fn report(&self, report: dispatch::Report) {
         self::report(&self.board, self.attempt, report);
