Control: no configuration is given out before a leader says what is committed

Boxes that started after a kill of all processes served by a configuration that had been replaced, and acknowledged as replaced, up to two seconds before. A voter without a leader published the one that its hints named as committed, and hints are written every two seconds.

A voter now publishes once it is caught up with a leader. The committed index leaves the hints.

routed::after_a_loss_of_power_what_was_in_force_is_served_before_a_leader asked for the fault: one voter of three gave out its configuration. The test that replaces it asks that the box of such a voter refuses as not run, and that with a second voter it serves by the endpoints of the hints before their next heartbeat.

--- a/src/scalewood/core/raft/mod.rs
+++ b/src/scalewood/core/raft/mod.rs
@@ -343,14 +343,6 @@
         voter
     }
 
-    /// Applies the entries that are known to have been committed before the start. Committed
-    /// entries are never removed, so the resulting state was once in force. It may not be the
-    /// newest, so this does not make the voter caught up.
-    pub fn apply_known_committed(&mut self, committed: Index) {
-        self.committed = self.committed.max(committed.min(self.log.last_index()));
-        self.apply_committed();
-    }
-
     /// Processes an input and returns the resulting effects.
     pub fn step(&mut self, input: Input<S>, now: Duration) -> Output<S> {
         match input {
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -356,7 +356,6 @@
         node,
         replica::Stored {
             writer,
-            committed: hints.committed,
             monitor: monitor.clone(),
         },
         feed.clone(),
@@ -381,11 +380,7 @@
         log.clone(),
     );
     soft_state.restore_hints(&hints);
-    tokio::spawn(
-        soft_state
-            .clone()
-            .store_hints(store, monitor.clone(), handle.clone()),
-    );
+    tokio::spawn(soft_state.clone().store_hints(store, monitor.clone()));
     let registry = registry::Server {
         soft_state: soft_state.clone(),
         feed,
@@ -520,7 +515,7 @@
         Ok(hints) => {
             event!(log, HintsRead, "paces" => hints.paces.len(),
                 "endpoints" => hints.endpoints.len(), "held_back" => hints.held_back.len(),
-                "suspected" => hints.suspected.len(), "committed" => %hints.committed);
+                "suspected" => hints.suspected.len());
             hints
         }
         Err(error) => {
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -15,9 +15,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    core::{load, name, origin, pace, raft, registry, retry, throttle, unit, usage, wall_clock},
+    core::{load, name, origin, pace, registry, retry, throttle, unit, usage, wall_clock},
     event,
-    ops::control::Handle,
     store::{hints, latency},
     util::{
         clock::{self, Clock as _},
@@ -267,13 +266,12 @@
         self,
         store: hints::Store,
         monitor: latency::Monitor<clock::System>,
-        handle: Handle,
     ) {
         let mut stored = hints::Hints::default();
         let mut failing = false;
         loop {
             tokio::time::sleep(HINTS_PERIOD).await;
-            let fresh = self.hints(handle.published().status.committed);
+            let fresh = self.hints();
             if fresh == stored {
                 continue;
             }
@@ -302,7 +300,7 @@
     }
 
     /// Returns the hints for the next start of this voter.
-    fn hints(&self, committed: raft::Index) -> hints::Hints {
+    fn hints(&self) -> hints::Hints {
         let (held_back, suspected) = lock(&self.hub).crashes().rows();
         let registry = lock(&self.registry);
         let since = self
@@ -323,7 +321,6 @@
             endpoints: endpoints.collect(),
             held_back,
             suspected,
-            committed,
         }
     }
 
--- a/src/scalewood/ops/control/replica.rs
+++ b/src/scalewood/ops/control/replica.rs
@@ -308,8 +308,6 @@
 pub(super) struct Stored {
     /// The journal.
     pub(super) writer: Writer,
-    /// The last entry that was known to be committed before the start.
-    pub(super) committed: raft::Index,
     /// Measures the writes to the data folder.
     pub(super) monitor: latency::Monitor<clock::System>,
 }
@@ -326,14 +324,13 @@
     let (commands, receiver) = mpsc::sync_channel(4096);
     let (fail, failed) = oneshot::channel();
     let persisted = stored.writer.persisted().clone();
-    let mut voter = raft::Voter::new(
+    let voter = raft::Voter::new(
         settings.raft.clone(),
         node,
         persisted,
         rand::random(),
         clock.now(),
     );
-    voter.apply_known_committed(stored.committed);
     let first = Published {
         status: voter.status(),
         ledger: Arc::new(voter.state().clone()),
@@ -537,15 +534,13 @@
         });
     }
 
-    /// Publishes committed configurations in the feed. Right after a start this is the last
-    /// configuration that is known to have been committed before the start: boxes without any
-    /// configuration use it until a leader is elected, and all others already have it or a later
-    /// one.
+    /// Publishes committed configurations in the feed, once a leader has said what is committed.
+    /// Before that, the journal may lack entries that were acknowledged, and may hold others that
+    /// were not.
     fn publish_feed(&self) {
         let ledger = self.voter.state();
         let published = self.feed.current().revision;
-        let is_feed_empty = published.0 == 0;
-        if !(self.voter.is_caught_up() || is_feed_empty) || ledger.revision() <= published {
+        if !self.voter.is_caught_up() || ledger.revision() <= published {
             return;
         }
         match ledger.steps_since(published) {
--- a/src/scalewood/store/hints.rs
+++ b/src/scalewood/store/hints.rs
@@ -1,8 +1,8 @@
 //! Hints: soft state of a voter that is kept over a restart, outside its journal.
 //!
-//! After a loss of power on all machines, voters and boxes continue from the last configuration
-//! and the last known endpoints instead of waiting for a leader and for each endpoint's next
-//! heartbeat. Hints are optional: a file that is missing, torn or unreadable is treated as absent.
+//! After a loss of power on all machines, boxes continue with the last known endpoints instead of
+//! waiting for each one's next heartbeat. What was acknowledged is not taken from here: hints may
+//! be seconds old. Hints are optional: a file that is missing, torn or unreadable is treated as absent.
 //! The file lies beside the journal in the voter's data folder.
 
 use std::{
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{crash, pace, raft, registry};
+use crate::core::{crash, pace, registry};
 
 /// The name of the file in the data folder.
 const FILE_NAME: &str = "hints.json";
@@ -32,8 +32,6 @@
     /// The other requests under which endpoints ended. Without this, an end that only a lost box
     /// had seen would be forgotten if all voters are lost at once.
     pub suspected: Vec<crash::Row>,
-    /// The index of the last entry of the journal that was known to be committed.
-    pub committed: raft::Index,
 }
 
 /// The file that holds a voter's hints.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 // no harm.
 #![allow(clippy::disallowed_methods)]
 
+mod acknowledged;
 mod admin;
 mod api_pause;
 mod build_dispatch;
