Control: the end of an endpoint is committed before it is acknowledged

Requests reached endpoints long after their end had been acknowledged: it was only in the memory of the voter that had received it. A kill of all processes restored the endpoint from the hints as ready, a kill of that voter alone lost the end before the others knew, and a late heartbeat made an endpoint ready that had said that it leaves. The hints held no warm-up either, so a cold endpoint was restored as warm.

Ruled out: the hints' period alone (the voters that did not receive the end never leave the endpoint out); boxes that ignore ends.

A departure is an entry of the log now and takes effect before that. Hints are given out by a voter that is caught up, without departed endpoints, and hold the warm-up that remains.

Cost: one entry, one sync at each voter, for each departure.

--- a/src/scalewood/core/ledger.rs
+++ b/src/scalewood/core/ledger.rs
@@ -16,7 +16,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::core::{
-    audit, change, config, cordon, fencing, json, name, raft, recent, route, scaling, unit, usage,
+    audit, change, config, cordon, departure, fencing, json, name, raft, recent, route, scaling,
+    unit, usage,
 };
 
 /// The number of answers remembered for resends: 20 days at 500 changes a day.
@@ -52,6 +53,8 @@
     Scale(Scale),
     /// An order that cordons or uncordons a zone.
     Cordon(cordon::Order),
+    /// An endpoint announced that it is leaving or gone.
+    Depart(departure::Departure),
 }
 
 /// A whole routing under the operator's own version. The highest version wins: once a routing was
@@ -123,6 +126,9 @@
     /// The state of cordons that is kept outside the document.
     #[serde(default)]
     cordons: cordon::History,
+    /// The departures of endpoints.
+    #[serde(default)]
+    departures: Arc<departure::Departures>,
 }
 
 impl Ledger {
@@ -142,6 +148,11 @@
         self.holder.as_ref()
     }
 
+    /// Returns the departures of endpoints.
+    pub fn departures(&self) -> &Arc<departure::Departures> {
+        &self.departures
+    }
+
     /// Returns the closed usage windows.
     pub fn usage(&self) -> &usage::Log {
         &self.usage
@@ -299,6 +310,10 @@
                 self.accepted()
             }
             Command::Cordon(order) => self.cordon(order),
+            Command::Depart(departure) => {
+                Arc::make_mut(&mut self.departures).record(departure);
+                self.accepted()
+            }
             Command::Usage(closed) => {
                 self.usage.close(closed);
                 self.accepted()
@@ -310,9 +325,11 @@
         let texts = match command {
             Command::Publish(publication) => publication.routing.len() + publication.source.len(),
             Command::Change(proposal) => json::size(proposal),
-            Command::Hold(_) | Command::Usage(_) | Command::Scale(_) | Command::Cordon(_) => {
-                json::size(command)
-            }
+            Command::Hold(_)
+            | Command::Usage(_)
+            | Command::Scale(_)
+            | Command::Cordon(_)
+            | Command::Depart(_) => json::size(command),
         };
         COMMAND_BYTES + texts
     }
@@ -320,7 +337,7 @@
     fn bytes(&self) -> usize {
         // A published document takes about as much as the operator's text.
         let source = self.source.as_ref().map_or(0, |source| source.len());
-        2 * source + self.answers.bytes() + self.records.bytes()
+        2 * source + self.answers.bytes() + self.records.bytes() + self.departures.bytes()
     }
 }
 
--- a/src/scalewood/core/mod.rs
+++ b/src/scalewood/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod cordon;
 pub mod crash;
+pub mod departure;
 pub mod difference;
 pub mod dispatch;
 pub mod estimate;
--- a/src/scalewood/core/registry/remembered.rs
+++ b/src/scalewood/core/registry/remembered.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use super::Record;
+use super::{Record, Start};
 use crate::core::name;
 
 /// The records that a voter stored itself, and those of other voters that started with it.
@@ -14,6 +14,8 @@
     /// The number of this voter's own records.
     own: usize,
     names: BTreeSet<name::Endpoint>,
+    /// The number of departures that were known when this voter's own records were stored.
+    departures: u64,
 }
 
 impl RestoredRecords {
@@ -24,9 +26,27 @@
             own: records.len(),
             names: records.iter().map(|record| record.name.clone()).collect(),
             records,
+            departures: 0,
         }
     }
 
+    /// States how many departures were known when the records were stored.
+    #[must_use]
+    pub fn recorded_after(self, departures: u64) -> Self {
+        Self { departures, ..self }
+    }
+
+    /// Returns the number of departures that were known when the records were stored.
+    pub fn departures(&self) -> u64 {
+        self.departures
+    }
+
+    /// Returns the start of a restored endpoint, or `None` if it reports none or is not restored.
+    pub fn start_of(&self, name: &name::Endpoint) -> Start {
+        let record = self.records.iter().find(|record| record.name == *name);
+        record.and_then(|record| record.incarnation)
+    }
+
     /// Adds the records of another voter; returns whether any of them is new.
     pub fn take(&mut self, records: Vec<Record>, now: Duration) -> bool {
         if now >= self.until {
--- a/src/scalewood/ops/control/link.rs
+++ b/src/scalewood/ops/control/link.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    core::{change, cordon, ledger, name, raft},
+    core::{change, cordon, departure, ledger, name, raft},
     event,
     ops::{control::memory, rpc},
     util::lock::lock,
@@ -222,6 +222,16 @@
         self.call(leader, call).await
     }
 
+    /// Forwards the departure of an endpoint to the leader.
+    pub(super) async fn forward_departure(
+        &self,
+        leader: Option<raft::Node>,
+        departure: departure::Departure,
+    ) -> Forwarded<change::Answer> {
+        let call = |client: Arc<WsClient>| async move { client.depart(departure).await };
+        self.call(leader, call).await
+    }
+
     /// Forwards a membership change to the leader.
     pub(super) async fn forward_members(
         &self,
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -376,10 +376,12 @@
         settings.timing,
         lender,
         knows_builds_since,
+        handle.watch(),
         clock,
         log.clone(),
     );
     soft_state.restore_hints(&hints);
+    tokio::spawn(soft_state.clone().follow_departures());
     tokio::spawn(soft_state.clone().store_hints(store, monitor.clone()));
     let registry = registry::Server {
         soft_state: soft_state.clone(),
@@ -515,7 +517,7 @@
         Ok(hints) => {
             event!(log, HintsRead, "paces" => hints.paces.len(),
                 "endpoints" => hints.endpoints.len(), "held_back" => hints.held_back.len(),
-                "suspected" => hints.suspected.len());
+                "suspected" => hints.suspected.len(), "departures" => hints.departures);
             hints
         }
         Err(error) => {
--- a/src/scalewood/ops/control/publish.rs
+++ b/src/scalewood/ops/control/publish.rs
@@ -27,7 +27,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
-    core::{change, cordon, json, ledger, name, region, registry, route},
+    core::{change, cordon, departure, json, ledger, name, region, registry, route},
     event,
     ops::control::{
         self, memory, metric::Metrics, refusal, registry::SoftState, unix_ms, Error, Handle,
@@ -230,10 +230,7 @@
             Call::Publish => self.publish::<D>(request).await,
             Call::Read => self.read().await,
             Call::Heartbeat(name) => self.announce::<D>(name, request).await,
-            Call::Leave(name) => {
-                self.soft_state.leave(&name);
-                reply(StatusCode::OK, "{}")
-            }
+            Call::Leave(name) => self.depart(self.soft_state.leave(&name)).await,
             Call::Cordon(change) => self.cordon(change, request).await,
             Call::Invalid(why) => failure(StatusCode::BAD_REQUEST, &why),
             Call::WrongMethod => failure(
@@ -260,13 +257,30 @@
         };
         match record.and_then(|record| self.check_record(record)) {
             Ok(record) => {
+                let departure = departure::Departure {
+                    name,
+                    start: record.incarnation,
+                    state: record.state,
+                };
                 self.soft_state.announce(record);
-                reply(StatusCode::OK, "{}")
+                if departure.state == registry::State::Ready {
+                    return reply(StatusCode::OK, "{}");
+                }
+                self.depart(departure).await
             }
             Err(refusal) => self.refuse_record(&name, &refusal),
         }
     }
 
+    /// Commits the departure of an endpoint and acknowledges it. It takes effect before that, but
+    /// a kill could make this voter and others forget it.
+    async fn depart(&self, departure: departure::Departure) -> Reply {
+        match with_timeout(self.handle.depart(departure)).await {
+            Forwarded::Answer(_) => reply(StatusCode::OK, "{}"),
+            Forwarded::NotLeader | Forwarded::Unknown | Forwarded::Refused(_) => unclear(),
+        }
+    }
+
     /// Checks that a record is valid and that its endpoint belongs to a configured service.
     fn check_record(
         &self,
--- a/src/scalewood/ops/control/registry.rs
+++ b/src/scalewood/ops/control/registry.rs
@@ -15,8 +15,11 @@
 use tokio::sync::watch;
 
 use crate::{
-    core::{load, name, origin, pace, registry, retry, throttle, unit, usage, wall_clock},
+    core::{
+        departure, load, name, origin, pace, registry, retry, throttle, unit, usage, wall_clock,
+    },
     event,
+    ops::control::replica::Published,
     store::{hints, latency},
     util::{
         clock::{self, Clock as _},
@@ -25,6 +28,7 @@
     wire::registry::{Gathered, Stamps},
 };
 
+mod departures;
 mod origins;
 mod peers;
 mod server;
@@ -64,6 +68,8 @@
     behind_since: Arc<Mutex<Option<(unit::Revision, Duration)>>>,
     /// When endpoints that fell silent were last looked for.
     swept_at: Arc<Mutex<Duration>>,
+    /// What this voter knows to be committed.
+    published: watch::Receiver<Published>,
     /// The paces that boxes reported of each endpoint.
     pace_reports: Arc<Mutex<BTreeMap<name::Endpoint, pace::Reports>>>,
     /// The endpoints that served before this process, or the process of another voter, started.
@@ -104,6 +110,7 @@
         timing: registry::Timing,
         lender: retry::Lender,
         knows_builds_since: Option<Duration>,
+        published: watch::Receiver<Published>,
         clock: clock::System,
         log: slog::Logger,
     ) -> Self {
@@ -114,6 +121,7 @@
             voters: Arc::default(),
             behind_since: Arc::default(),
             swept_at: Arc::default(),
+            published,
             pace_reports: Arc::default(),
             restored: Arc::default(),
             hub: Arc::default(),
@@ -148,7 +156,8 @@
     }
 
     /// Merges a heartbeat.
-    pub(super) fn announce(&self, record: registry::Record) {
+    pub(super) fn announce(&self, mut record: registry::Record) {
+        self.apply_departure(&mut record);
         let (name, state, sequence) = (record.name.clone(), record.state, record.sequence);
         let (service, build) = (record.service.clone(), record.build.clone());
         let incarnation = record.incarnation;
@@ -171,8 +180,19 @@
         }
     }
 
-    /// Records that an endpoint announced that it has shut down.
-    pub(super) fn leave(&self, name: &name::Endpoint) {
+    /// Records that an endpoint announced that it has shut down. Returns the departure, which is
+    /// to be committed before it is acknowledged.
+    pub(super) fn leave(&self, name: &name::Endpoint) -> departure::Departure {
+        let start = self.end(name);
+        departure::Departure {
+            name: name.clone(),
+            start,
+            state: registry::State::Gone,
+        }
+    }
+
+    /// Ends the known start of an endpoint; returns the start.
+    fn end(&self, name: &name::Endpoint) -> registry::Start {
         let (known, merged) = {
             let mut registry = lock(&self.registry);
             let known = registry.get(name).map(|record| record.incarnation);
@@ -190,6 +210,7 @@
         if merged.must_propagate() || ended.must_propagate() {
             self.notify();
         }
+        known.unwrap_or_else(|| lock(&self.restored).start_of(name))
     }
 
     /// Records the endpoints that, as a box reports, announced in responses that they are leaving.
@@ -301,6 +322,7 @@
 
     /// Returns the hints for the next start of this voter.
     fn hints(&self) -> hints::Hints {
+        let departures = self.departures();
         let (held_back, suspected) = lock(&self.hub).crashes().rows();
         let registry = lock(&self.registry);
         let since = self
@@ -310,10 +332,14 @@
         let own = lock(&self.own);
         let alive = own.heard_since(since);
         let records = alive.iter().filter_map(|name| own.get(name));
-        let ready = records.filter(|record| record.state == registry::State::Ready);
+        let ready = records.filter(|record| {
+            record.state == registry::State::Ready
+                && !departures.may_include(&record.name, record.incarnation)
+        });
         // The sequence number changes with each heartbeat, which alone does not justify a write.
         let endpoints = ready.map(|record| registry::Record {
             sequence: 0,
+            warm_up: self.stored_warm_up(&own, &record.name),
             ..record.clone()
         });
         hints::Hints {
@@ -321,6 +347,7 @@
             endpoints: endpoints.collect(),
             held_back,
             suspected,
+            departures: departures.count(),
         }
     }
 
@@ -334,7 +361,8 @@
         }
         registry.regrade();
         let until = self.clock.now() + registry.timing().restored_timeout();
-        *lock(&self.restored) = registry::RestoredRecords::new(hints.endpoints.clone(), until);
+        let restored = registry::RestoredRecords::new(hints.endpoints.clone(), until);
+        *lock(&self.restored) = restored.recorded_after(hints.departures);
     }
 
     /// Returns the hub that aggregates the loads of boxes.
--- a/src/scalewood/ops/control/registry/peers.rs
+++ b/src/scalewood/ops/control/registry/peers.rs
@@ -43,7 +43,8 @@
         self.record_peer(address, &update, now);
         let mut registry = lock(&self.registry);
         let stamp = registry.stamp();
-        for record in update.changed {
+        for mut record in update.changed {
+            self.apply_departure(&mut record);
             let (name, incarnation) = (record.name.clone(), record.incarnation);
             let sequence = record.sequence;
             if registry.merge(record, now) == registry::Merged::Restarted {
--- a/src/scalewood/ops/control/registry/server.rs
+++ b/src/scalewood/ops/control/registry/server.rs
@@ -67,7 +67,7 @@
 
 /// The kind of a follower, which decides what it is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Follower {
+pub(super) enum Follower {
     /// A box that is regularly sent the names of the endpoints that were heard.
     ByNames,
     /// A box or voter for which this voter vouches that endpoints are alive, and that is sent the
@@ -76,7 +76,7 @@
 }
 
 impl Follower {
-    fn is_voter(self) -> bool {
+    pub(super) fn is_voter(self) -> bool {
         self == Self::ByChanges(Tracker::Voter)
     }
 }
@@ -273,13 +273,9 @@
         let now = self.soft_state.clock.now();
         self.soft_state.sweep(now);
         cursor.sent_at = now;
-        let records = lock(&self.soft_state.restored);
-        let restored = if follower.is_voter() {
-            records.for_voter(&mut cursor.restored, now)
-        } else {
-            records.for_box(&mut cursor.restored, now)
-        };
-        drop(records);
+        let restored = self
+            .soft_state
+            .restored_for(follower, &mut cursor.restored, now);
         let mut update = RegistryUpdate {
             restored,
             revision: self.feed.current().revision,
--- a/src/scalewood/ops/control/replica.rs
+++ b/src/scalewood/ops/control/replica.rs
@@ -20,7 +20,7 @@
 use crate::{
     board::feed,
     core::{
-        change, ledger, name,
+        change, departure, ledger, name,
         raft::{self, State as _},
     },
     event,
@@ -66,6 +66,8 @@
     pub ledger: Arc<Ledger>,
     /// Until when it holds the leader's lease, by its monotonic clock; `None` if it does not.
     pub lease: Option<Duration>,
+    /// Whether the ledger includes all that was committed before this voter started.
+    pub is_caught_up: bool,
 }
 
 /// The callers that wait for the outcomes of their proposals.
@@ -216,6 +218,27 @@
         self.propose(ledger::Command::Publish(publication)).await
     }
 
+    /// Commits the departure of an endpoint, through the leader if that is another voter.
+    pub async fn depart(&self, departure: departure::Departure) -> Forwarded<change::Answer> {
+        match self.depart_here(departure.clone()).await {
+            Forwarded::NotLeader => {
+                let forwarded = self.links.forward_departure(self.leader(), departure);
+                forwarded.await
+            }
+            outcome => outcome,
+        }
+    }
+
+    /// Commits the departure of an endpoint if this voter leads.
+    pub async fn depart_here(&self, departure: departure::Departure) -> Forwarded<change::Answer> {
+        let ledger = self.published().ledger;
+        if ledger.departures().includes(&departure) {
+            let revision = ledger.revision();
+            return Forwarded::Answer(change::Answer::Accepted { revision });
+        }
+        self.propose(ledger::Command::Depart(departure)).await
+    }
+
     /// Returns the text of the current routing as the leader has it.
     pub async fn read(&self) -> Forwarded<Option<Arc<str>>> {
         match self.read_here() {
@@ -335,6 +358,7 @@
         status: voter.status(),
         ledger: Arc::new(voter.state().clone()),
         lease: None,
+        is_caught_up: false,
     };
     let (publish, published) = watch::channel(first);
     let waiters = Waiters::default();
@@ -398,7 +422,6 @@
 
 impl Thread {
     fn run(mut self, commands: &mpsc::Receiver<Command>) -> Result<(), journal::Error> {
-        self.publish_feed();
         let mut ticked_at = Duration::ZERO;
         loop {
             let mut output = raft::Output::default();
@@ -443,6 +466,7 @@
         self.publish.send_modify(|published| {
             published.status.leader = None;
             published.lease = None;
+            published.is_caught_up = false;
         });
         loop {
             let until = self.clock.now() + REOPEN_PERIOD;
@@ -505,9 +529,9 @@
 
     /// Publishes the voter's state, and logs changes of the leadership and the membership.
     fn publish(&mut self) {
-        self.publish_feed();
         let status = self.voter.status();
         let lease = self.voter.lease();
+        let is_caught_up = self.voter.is_caught_up();
         if self.was_leader != self.voter.is_leader() {
             self.was_leader = self.voter.is_leader();
             if self.was_leader {
@@ -520,7 +544,9 @@
         let log = &self.log;
         self.publish.send_if_modified(|published| {
             let has_new_commits = published.status.committed != status.committed;
-            let changed = published.status != status || published.lease != lease;
+            let changed = published.status != status
+                || published.lease != lease
+                || published.is_caught_up != is_caught_up;
             if published.status.members != status.members {
                 event!(log, VoterChanged, "voters" => status.members.voters().count(),
                     "learners" => status.members.learners().count());
@@ -530,8 +556,10 @@
             }
             published.status = status;
             published.lease = lease;
+            published.is_caught_up = is_caught_up;
             changed
         });
+        self.publish_feed();
     }
 
     /// Publishes committed configurations in the feed, once a leader has said what is committed.
--- a/src/scalewood/ops/control/server.rs
+++ b/src/scalewood/ops/control/server.rs
@@ -10,7 +10,7 @@
 use jsonrpsee::core::{async_trait, RpcResult};
 
 use crate::{
-    core::{change, cordon, ledger, name, raft, unit},
+    core::{change, cordon, departure, ledger, name, raft, unit},
     ops::control::Handle,
     util::{
         clock::{self, Clock as _},
@@ -100,6 +100,13 @@
         Ok(self.handle.cordon_here(order).await)
     }
 
+    async fn depart(
+        &self,
+        departure: departure::Departure,
+    ) -> RpcResult<Forwarded<change::Answer>> {
+        Ok(self.handle.depart_here(departure).await)
+    }
+
     async fn read(&self) -> RpcResult<Forwarded<Option<Arc<str>>>> {
         Ok(self.handle.read_here())
     }
--- a/src/scalewood/store/hints.rs
+++ b/src/scalewood/store/hints.rs
@@ -32,6 +32,9 @@
     /// The other requests under which endpoints ended. Without this, an end that only a lost box
     /// had seen would be forgotten if all voters are lost at once.
     pub suspected: Vec<crash::Row>,
+    /// The number of departures of endpoints that had been recorded. Of the endpoints, those that
+    /// departed later have to be left out.
+    pub departures: u64,
 }
 
 /// The file that holds a voter's hints.
--- a/src/scalewood/wire/control.rs
+++ b/src/scalewood/wire/control.rs
@@ -6,7 +6,7 @@
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 use serde::{Deserialize, Serialize};
 
-use crate::core::{change, cordon, ledger, name, raft, throttle, unit};
+use crate::core::{change, cordon, departure, ledger, name, raft, throttle, unit};
 
 /// A message between voters.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -87,6 +87,11 @@
     #[method(name = "cordon")]
     async fn cordon(&self, order: cordon::Order) -> RpcResult<Forwarded<change::Answer>>;
 
+    /// Proposes to record that an endpoint is leaving or gone, which it announced to another voter.
+    #[method(name = "depart")]
+    async fn depart(&self, departure: departure::Departure)
+        -> RpcResult<Forwarded<change::Answer>>;
+
     /// Returns the text of the routing in force; only the leader answers.
     #[method(name = "read")]
     async fn read(&self) -> RpcResult<Forwarded<Option<Arc<str>>>>;
