Entry: what has no status of a final answer is no answer

A caller of a route got the status 600 or 999 that an endpoint had sent, and a caller of the own API also 101, with the verdict that it had run. The library that reads answers takes these; it refuses 000, 099, one or no digit and a second status line, which became 502 before as well.

All ways to endpoints, polls and forwards read heads in one place, which now takes 200 to 599 only (RFC 9110, section 15); the rest counts as a broken answer, possibly run. bad_status::* failed before (999 on a route, 101 on the own API) and shows nine status lines on routes, three on the own API.

--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -9,6 +9,7 @@
     future::Future,
     io::ErrorKind,
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{
         atomic::{AtomicU32, Ordering},
         Arc, Mutex,
@@ -134,7 +135,12 @@
     Broken,
 }
 
-/// Sends a request over a connection and waits for the head of the answer.
+/// The statuses of final answers (RFC 9110, section 15). The library that reads them takes 600 to 999
+/// too, and 101, which only answers requests for another protocol.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Sends a request over a connection and waits for the head of the answer. What has no status of a
+/// final answer is none.
 pub(super) async fn answer_to<B>(
     sender: &mut http1::SendRequest<B>,
     mut request: Request<B>,
@@ -154,10 +160,14 @@
         () = too_many.notified() => return Err(Unsent::Broken),
         answered = sender.try_send_request(request) => answered,
     };
-    answered.map_err(|mut error| match error.take_message() {
-        Some(request) => Unsent::NotWritten(Box::new(request)),
-        None => Unsent::Broken,
-    })
+    match answered {
+        Ok(response) if FINAL_STATUSES.contains(&response.status().as_u16()) => Ok(response),
+        Ok(_) => Err(Unsent::Broken),
+        Err(mut error) => Err(match error.take_message() {
+            Some(request) => Unsent::NotWritten(Box::new(request)),
+            None => Unsent::Broken,
+        }),
+    }
 }
 
 /// The time after which the peer of a long request that it has not answered is checked. It doubles with each
--- a/tests/testsuite/acknowledged.rs
+++ b/tests/testsuite/acknowledged.rs
@@ -13,7 +13,7 @@
 
 use crate::support::{
     client, deploy,
-    routed::{self, max_in_window, text, Endpoint, System},
+    routed::{self, beat, max_in_window, text, Endpoint, System},
 };
 
 /// Longer than the time between two writes of a voter's hints.
@@ -37,29 +37,6 @@
     (system, endpoints)
 }
 
-/// Sends heartbeats of an endpoint to the voters in turn, until the task is ended.
-fn beat(system: &System, record: Record, from: u64) -> tokio::task::JoinHandle<()> {
-    let voters: Vec<_> = (0..3).map(|i| system.publish_address(i)).collect();
-    tokio::spawn(async move {
-        for sequence in from.. {
-            let record = Record {
-                sequence,
-                ..record.clone()
-            };
-            let path = format!("/v1/endpoints/{}", record.name);
-            let body = serde_json::to_string(&record).unwrap();
-            for voter in &voters {
-                let sent = client::ask(*voter, "PUT", &path, &[], body.clone());
-                let sent = tokio::time::timeout(Duration::from_secs(1), sent).await;
-                if matches!(sent, Ok(Ok(answer)) if answer.status == 200) {
-                    break;
-                }
-            }
-            tokio::time::sleep(Duration::from_millis(1000)).await;
-        }
-    })
-}
-
 /// Announces that an endpoint is gone, to the voters in turn from one on, until one acknowledges it.
 async fn leave(system: &System, endpoint: &Endpoint, first: usize) -> usize {
     let path = format!("/v1/endpoints/{}", endpoint.name);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod acknowledged;
 mod admin;
 mod api_pause;
+mod bad_status;
 mod build_dispatch;
 mod callers;
 mod catchup;
--- a/tests/testsuite/support/routed.rs
+++ b/tests/testsuite/support/routed.rs
@@ -871,6 +871,31 @@
     }
 }
 
+/// Sends heartbeats of an endpoint to the voters in turn, until the task is ended.
+pub(crate) fn beat(system: &System, record: Record, from: u64) -> tokio::task::JoinHandle<()> {
+    let voters: Vec<_> = (0..system.voters.len())
+        .map(|i| system.publish_address(i))
+        .collect();
+    tokio::spawn(async move {
+        for sequence in from.. {
+            let record = Record {
+                sequence,
+                ..record.clone()
+            };
+            let path = format!("/v1/endpoints/{}", record.name);
+            let body = serde_json::to_string(&record).unwrap();
+            for voter in &voters {
+                let sent = client::ask(*voter, "PUT", &path, &[], body.clone());
+                let sent = tokio::time::timeout(Duration::from_secs(1), sent).await;
+                if matches!(sent, Ok(Ok(answer)) if answer.status == 200) {
+                    break;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(1000)).await;
+        }
+    })
+}
+
 /// Returns the routing of all tests, with a version.
 pub(crate) fn routing(version: u64) -> Routing {
     let route = |prefix: &str, kind, tier| Route {
