--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -122,6 +122,8 @@
 /// Size and time limits of requests.
 #[derive(Clone, Debug)]
 pub struct Limits {
+    /// The memory of the process.
+    pub memory: unit::Size,
     /// The largest request body.
     pub max_body: unit::Size,
     /// How long the headers or the body of a request may take to arrive.
@@ -143,6 +145,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            memory: unit::Size(256 << 20),
             max_body: unit::Size(1 << 20),
             arrival_timeout: Duration::from_secs(10),
             max_silence: Duration::from_secs(15),
@@ -157,6 +160,7 @@
     fn read(reader: &mut settings::Reader<'_>) -> Self {
         let default = Self::default();
         Self {
+            memory: reader.size("memory", default.memory),
             max_body: reader.size("body", default.max_body),
             arrival_timeout: reader.duration("arrival", default.arrival_timeout),
             max_silence: reader.duration("silence", default.max_silence),
