Entry: bodies of requests share a budget that follows from the box's memory

Callers saw a box end: it ran out of memory while many sent bodies at once, and all that it served was lost.

A body is copied into blocks that take from it, and stays in them however often it is sent. It may hold as much as the others leave. If there is no memory, the largest body that does not get on gives way (408), or the new one is refused (503, Retry-After, not run), so no body waits for another. A length over the limit is refused before the body is read. A refusal while a body still arrives is read on for 2 s after its end: a reset would overtake the answer, as it did.

--- a/src/scalewood/core/fingerprint.rs
+++ b/src/scalewood/core/fingerprint.rs
@@ -58,9 +58,18 @@
     /// Returns the fingerprint of a request. Hashing a body of 4 MiB takes some 3 ms on a core with
     /// SHA instructions.
     pub fn of(head: HeadHash, body: &[u8]) -> Self {
+        Self::of_blocks(head, [body])
+    }
+
+    /// Returns the fingerprint of a request whose body is in blocks.
+    pub fn of_blocks<'a>(head: HeadHash, body: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hash = sha2::Sha256::new();
+        for block in body {
+            hash.update(block);
+        }
         Self {
             head,
-            body: first_64_bits(&sha2::Sha256::digest(body)),
+            body: first_64_bits(&hash.finalize()),
         }
     }
 
@@ -81,7 +90,16 @@
 impl Checksum {
     /// Returns the checksum of a request.
     pub fn of(head: HeadHash, body: &[u8]) -> Self {
-        let body = u64::from(crc32fast::hash(body));
+        Self::of_blocks(head, [body])
+    }
+
+    /// Returns the checksum of a request whose body is in blocks.
+    pub fn of_blocks<'a>(head: HeadHash, body: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hash = crc32fast::Hasher::new();
+        for block in body {
+            hash.update(block);
+        }
+        let body = u64::from(hash.finalize());
         // The head's hash is uniformly distributed, and so is the sum.
         Self(head.0.wrapping_add(body << 32 | body))
     }
--- a/src/scalewood/ops/entry/buffer.rs
+++ b/src/scalewood/ops/entry/buffer.rs
@@ -1,8 +1,9 @@
-//! Bounds the memory that a box spends on endpoints' answers, from their first byte until the caller has taken the last.
+//! Bounds the memory that a box spends on what callers and endpoints send: bodies of requests, and answers from their
+//! first byte until the caller has taken the last.
 //!
-//! All answers share a budget, and an answer may hold no more than what is left of it: one alone up to a half, two a
-//! third each, and so on. So answers without end share the budget evenly, however many there are, and a
-//! part of it is always left for others.
+//! All messages of a kind share a budget, and a message may hold no more than what is left of it: one alone up to a
+//! half, two a third each, and so on. So messages without end share the budget evenly, however many there are, and a
+//! part of it is always left for others. The budgets of all kinds are parts of a common one.
 
 use std::sync::{
     atomic::{AtomicUsize, Ordering},
@@ -10,40 +11,99 @@
 };
 
 use bytes::{Buf, Bytes};
-use tokio::sync::Notify;
+use tokio::sync::{futures::Notified, Notify};
 
 use crate::{core::unit, event};
 
-/// The memory for all answers.
+/// The memory for all messages of a kind.
 #[derive(Debug)]
 pub(super) struct Budget {
     max: usize,
     used: AtomicUsize,
+    parent: Option<Parent>,
+    freed: Notify,
     log: slog::Logger,
 }
 
+/// The budget that another one is a part of.
+#[derive(Debug)]
+struct Parent {
+    budget: Arc<Budget>,
+    /// What has to be left of it for others.
+    reserve: usize,
+}
+
 impl Budget {
     pub(super) fn new(max: unit::Size, log: slog::Logger) -> Arc<Self> {
         Arc::new(Self {
             max: max.0,
             used: AtomicUsize::new(0),
+            parent: None,
+            freed: Notify::new(),
             log,
         })
     }
 
-    /// Takes memory for an answer that holds `held` bytes; returns whether there was enough.
-    fn take(&self, held: usize, bytes: usize) -> bool {
+    /// Returns a budget whose memory is also taken from this one, of which `reserve` is left for others.
+    pub(super) fn part(self: &Arc<Self>, max: unit::Size, reserve: unit::Size) -> Arc<Self> {
+        Arc::new(Self {
+            max: max.0,
+            used: AtomicUsize::new(0),
+            parent: Some(Parent {
+                budget: self.clone(),
+                reserve: reserve.0,
+            }),
+            freed: Notify::new(),
+            log: self.log.clone(),
+        })
+    }
+
+    /// Returns the memory that is in use.
+    pub(super) fn used(&self) -> unit::Size {
+        unit::Size(self.used.load(Ordering::Relaxed))
+    }
+
+    /// Returns the most memory that may be in use.
+    pub(super) fn max(&self) -> unit::Size {
+        unit::Size(self.max)
+    }
+
+    /// Completes when some of the memory is returned after the call.
+    pub(super) fn freed(&self) -> Notified<'_> {
+        self.freed.notified()
+    }
+
+    /// Takes memory of which `reserve` bytes have to be left; returns whether there was enough.
+    fn take(&self, bytes: usize, reserve: usize) -> bool {
         let take = |used: usize| {
             let used = used.checked_add(bytes)?;
             let left = self.max.checked_sub(used)?;
-            (held + bytes <= left).then_some(used)
+            (reserve <= left).then_some(used)
         };
         let (set, get) = (Ordering::Relaxed, Ordering::Relaxed);
-        self.used.fetch_update(set, get, take).is_ok()
+        if self.used.fetch_update(set, get, take).is_err() {
+            return false;
+        }
+        let Some(Parent { budget, reserve }) = &self.parent else {
+            return true;
+        };
+        let is_taken = budget.take(bytes, *reserve);
+        if !is_taken {
+            self.used.fetch_sub(bytes, Ordering::Relaxed);
+        }
+        is_taken
+    }
+
+    fn give_back(&self, bytes: usize) {
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+        if let Some(parent) = &self.parent {
+            parent.budget.give_back(bytes);
+        }
+        self.freed.notify_waiters();
     }
 }
 
-/// The memory that one answer holds.
+/// The memory that one message holds.
 #[derive(Debug)]
 pub(super) struct Account {
     budget: Arc<Budget>,
@@ -91,7 +151,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Full;
 
-/// Memory that an answer may use.
+/// Memory that a message may use.
 #[derive(Debug)]
 pub(super) struct Permit {
     account: Arc<Account>,
@@ -104,7 +164,7 @@
         let Account { budget, held, .. } = &*self.account;
         // Other permits of the same account only shrink meanwhile.
         let now_held = held.load(Ordering::Relaxed);
-        if !budget.take(now_held, bytes) {
+        if !budget.take(bytes, now_held + bytes) {
             return Err(Full);
         }
         held.fetch_add(bytes, Ordering::Relaxed);
@@ -122,12 +182,12 @@
         }
     }
 
-    /// Adds another permit of the same answer.
+    /// Adds another permit of the same message.
     pub(super) fn join(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
     }
 
-    /// Returns whether the answer holds nothing beside this permit.
+    /// Returns whether the message holds nothing beside this permit.
     pub(super) fn is_all(&self) -> bool {
         self.account.held.load(Ordering::Relaxed) == self.bytes
     }
@@ -144,7 +204,7 @@
     fn drop(&mut self) {
         let account = &self.account;
         account.held.fetch_sub(self.bytes, Ordering::Relaxed);
-        account.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        account.budget.give_back(self.bytes);
         account.freed.notify_one();
     }
 }
--- a/src/scalewood/ops/entry/caller.rs
+++ b/src/scalewood/ops/entry/caller.rs
@@ -8,12 +8,13 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use error_stack::{Report, ResultExt as _};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{
-    body::Incoming, header, server::conn::http1, service::service_fn, Method, Request, Response,
-    StatusCode,
+    body::{Body as _, Incoming},
+    header,
+    server::conn::http1,
+    service::service_fn,
+    Method, Request, Response, StatusCode,
 };
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -26,12 +27,15 @@
     core::{config, name, unit},
     event,
     ops::entry::{
+        arrival::{Arrivals, Bounds},
         body::Answer,
-        buffer,
         call::{self, Size},
         crash,
         dialect::Dialect,
-        drain, model,
+        drain,
+        memory::Memory,
+        model,
+        payload::Payload,
         plain::{self, Context, Outgoing},
         prompt::Prompt,
         reach,
@@ -86,8 +90,15 @@
         *lock(&board.forwarded_at) = reach::reachable(forwards_at);
         event!(board.log, Listening, "what" => "forwards", "address" => %forwards_at);
         let limits = settings.limits.clone();
-        let answers = buffer::Budget::new(limits.answer_memory, board.log.clone());
-        let routes = routed::Context::new(board.clone(), limits.clone(), answers.clone());
+        let memory = Memory::new(&limits, &board.log);
+        let answers = memory.answers.clone();
+        let arrivals = Arrivals::new(board.clone(), memory.bodies.clone());
+        let routes = routed::Context::new(
+            board.clone(),
+            limits.clone(),
+            answers.clone(),
+            arrivals.clone(),
+        );
         tokio::spawn(routes.clone().sweep());
         tokio::spawn(routes.clone().forget_lost());
         let context = Context {
@@ -95,6 +106,7 @@
             pool: Pool::new(socket::ENDPOINT),
             limits,
             answers,
+            arrivals,
         };
         Ok(Self {
             listener,
@@ -186,15 +198,20 @@
             socket::Watch::default()
         });
         let stream = socket::Stream::watched(stream, timeouts, &caller);
-        let service = service_fn(move |request| {
+        let service = service_fn(move |request: Request<Incoming>| {
             let context = context.clone();
             let routes = routes.clone();
             let caller = caller.clone();
+            caller.set_reading(!request.body().is_end_stream());
             async move {
-                Ok::<_, Infallible>(match peer {
+                let mut response = match peer {
                     Peer::Caller => answer(&context, &routes, request, &caller).await,
                     Peer::Box => routes.serve_forwarded(request, &caller).await,
-                })
+                };
+                if caller.is_reading() {
+                    close_after(&mut response);
+                }
+                Ok::<_, Infallible>(response)
             }
         });
         let connection = http1::Builder::new()
@@ -235,12 +252,17 @@
         }
     };
     if context.board.is_draining() {
-        let close = header::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        close_after(&mut response);
     }
     response
 }
 
+/// Tells the caller that the connection is closed after an answer.
+fn close_after(response: &mut Response<Answer>) {
+    let close = header::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 /// Returns whether a request is served by the configured routing. If there is a routing, this holds
 /// for all requests but those to scalewood's own paths; and also if nothing is configured yet, in
 /// which case they are refused as not ready.
@@ -322,8 +344,8 @@
 ) -> Result<Response<Answer>, Refusal> {
     let team = call::authenticate(&context.board, view, request.headers())?;
     let (parts, body) = request.into_parts();
-    let body = read(context, body).await?;
-    let prompt = Prompt::read(&body)?;
+    let body = read(context, body, caller).await?;
+    let prompt = Prompt::read(&body.joined())?;
     let service = view.service_of(&prompt.model).ok_or_else(|| {
         let model: String = prompt.model.chars().take(name::MAX_LEN).collect();
         let why = format!(
@@ -372,7 +394,7 @@
     let (service, target) = rest.split_once('/').unwrap_or((rest, ""));
     let service = plain_service(view, service)?;
     let key = plain::key_of(&parts.headers)?.map(str::to_owned);
-    let body = read(context, body).await?;
+    let body = read(context, body, caller).await?;
     let size = Size {
         prompt: unit::Tokens(0),
         max_output: unit::Tokens(0),
@@ -416,25 +438,14 @@
 }
 
 /// Reads a request's body within the limits on size and time.
-async fn read(context: &Context, body: Incoming) -> Result<Bytes, Refusal> {
-    let limits = &context.limits;
-    let whole = Limited::new(body, limits.max_body.0).collect();
-    match tokio::time::timeout(limits.arrival_timeout, whole).await {
-        Err(_) => Err(Refusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "slow-body",
-            "the body did not arrive in time; send it faster",
-        )),
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "large-body",
-            format!("the body is over {}; send less", limits.max_body),
-        )),
-        Ok(Err(_)) => Err(Refusal::not_run(
-            StatusCode::BAD_REQUEST,
-            "broken-body",
-            "the body was incomplete; send all of it",
-        )),
-    }
+async fn read(
+    context: &Context,
+    body: Incoming,
+    caller: &socket::Watch,
+) -> Result<Payload, Refusal> {
+    let bounds = Bounds {
+        bytes: context.limits.max_body.0,
+        time: context.limits.arrival_timeout,
+    };
+    context.arrivals.receive(body, bounds, caller).await
 }
--- a/src/scalewood/ops/entry/crash.rs
+++ b/src/scalewood/ops/entry/crash.rs
@@ -12,7 +12,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use hyper::{http::request, Method};
 use tokio::net::TcpStream;
 
@@ -23,7 +22,7 @@
         name, registry,
     },
     event,
-    ops::entry::{now, reach, Shared},
+    ops::entry::{now, payload::Payload, reach, Shared},
     util::{clock::Clock as _, lock::lock},
 };
 
@@ -53,7 +52,7 @@
     method: Method,
     /// Path and query.
     target: String,
-    body: Bytes,
+    body: Payload,
     /// The hash of all but the body's content. Computed at first use, as is the fingerprint.
     head: OnceLock<HeadHash>,
     fingerprint: OnceLock<Fingerprint>,
@@ -62,7 +61,7 @@
 }
 
 impl Content {
-    pub(super) fn new(team: &name::Team, head: &request::Parts, body: Bytes) -> Self {
+    pub(super) fn new(team: &name::Team, head: &request::Parts, body: Payload) -> Self {
         let target = head.uri.path_and_query();
         let target = target.map_or("/", |target| target.as_str());
         Self(Arc::new(Request {
@@ -92,12 +91,12 @@
 
     /// Returns the checksum, which covers the body.
     fn checksum(&self) -> Checksum {
-        Checksum::of(self.head(), &self.0.body)
+        Checksum::of_blocks(self.head(), self.0.body.blocks())
     }
 
     /// Returns the fingerprint, which covers the body.
     pub(super) fn fingerprint(&self) -> Fingerprint {
-        let compute = || Fingerprint::of(self.head(), &self.0.body);
+        let compute = || Fingerprint::of_blocks(self.head(), self.0.body.blocks());
         *self.0.fingerprint.get_or_init(compute)
     }
 }
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -36,12 +36,13 @@
     util::{
         clock::{self, Clock as _},
         lock::lock,
-        settings, signal,
+        resource, settings, signal,
     },
     wire::{peer::PeerServer as _, source::SourceServer as _},
 };
 
 mod answer_head;
+mod arrival;
 mod body;
 mod buffer;
 mod call;
@@ -59,10 +60,11 @@
 mod incoming;
 mod link;
 mod member;
+mod memory;
 mod model;
 mod observer;
 mod origin;
-
+mod payload;
 mod plain;
 mod poll;
 mod prompt;
@@ -82,6 +84,9 @@
 /// The part of `stop_within` that is left over after the grace and drain times.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// The memory of a process whose settings state none, on a machine that has as much.
+const DEFAULT_MEMORY: unit::Size = unit::Size(256 << 20);
+
 /// Settings of an entry box's process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -122,7 +127,7 @@
 /// Size and time limits of requests.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// The memory of the process.
+    /// The memory of the process, at most that of the machine. All that it holds for callers takes a part of it.
     pub memory: unit::Size,
     /// The largest request body.
     pub max_body: unit::Size,
@@ -145,7 +150,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            memory: unit::Size(256 << 20),
+            memory: resource::memory().min(DEFAULT_MEMORY),
             max_body: unit::Size(1 << 20),
             arrival_timeout: Duration::from_secs(10),
             max_silence: Duration::from_secs(15),
@@ -159,7 +164,7 @@
 impl settings::Settings for Limits {
     fn read(reader: &mut settings::Reader<'_>) -> Self {
         let default = Self::default();
-        Self {
+        let limits = Self {
             memory: reader.size("memory", default.memory),
             max_body: reader.size("body", default.max_body),
             arrival_timeout: reader.duration("arrival", default.arrival_timeout),
@@ -167,7 +172,13 @@
             connect_timeout: reader.duration("connect", default.connect_timeout),
             max_answer: reader.size("answer", default.max_answer),
             answer_memory: reader.size("answers", default.answer_memory),
+        };
+        let least = memory::least_for(limits.max_body);
+        if limits.memory < least {
+            let why = format!("a body of {} needs more", limits.max_body);
+            reader.problem("memory", why, format!("{least}, or a smaller `body`"));
         }
+        limits
     }
 }
 
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -6,14 +6,13 @@
 
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{header, HeaderMap, Method, Response, StatusCode};
 
 use crate::{
     core::{self, config, dispatch, invariant, name, unit, verdict},
     ops::entry::{
         answer_head,
+        arrival::Arrivals,
         body::Answer,
         buffer::{Budget, Held},
         call::{self, Call},
@@ -24,6 +23,7 @@
         incoming::Body,
         now,
         observer::Observer,
+        payload::{self, Payload},
         prompt,
         reply::{Refusal, REQUEST_HEADER, VERDICT_HEADER},
         upstream::{self, Failure, Pool},
@@ -56,7 +56,7 @@
     /// Path and query.
     pub(super) target: String,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: Payload,
 }
 
 impl Outgoing {
@@ -66,7 +66,7 @@
         &self,
         address: SocketAddr,
         call: &Call,
-    ) -> Result<hyper::Request<Full<Bytes>>, Failure> {
+    ) -> Result<hyper::Request<payload::Body>, Failure> {
         let mut request = hyper::Request::builder()
             .method(self.method.clone())
             .uri(&self.target);
@@ -77,9 +77,7 @@
         }
         request = request.header(header::HOST, address.to_string());
         request = request.header(REQUEST_HEADER, call.request.to_string());
-        request
-            .body(Full::new(self.body.clone()))
-            .map_err(|_| Failure::REFUSED)
+        request.body(self.body.body()).map_err(|_| Failure::REFUSED)
     }
 }
 
@@ -91,6 +89,8 @@
     pub(super) limits: Limits,
     /// The memory for endpoints' answers.
     pub(super) answers: Arc<Budget>,
+    /// The bodies that are arriving.
+    pub(super) arrivals: Arrivals,
 }
 
 /// Serves a call and returns the endpoint's complete answer. Claims the idempotency key first if
@@ -380,7 +380,7 @@
 async fn exchange(
     context: &Context,
     call: &Call,
-    request: hyper::Request<Full<Bytes>>,
+    request: hyper::Request<payload::Body>,
     (target, is_permitted): (Target, impl Fn() -> bool),
     sink: &hedge::Sink<Reply>,
 ) -> Result<Reply, Failure> {
--- a/src/scalewood/ops/entry/prompt.rs
+++ b/src/scalewood/ops/entry/prompt.rs
@@ -10,6 +10,7 @@
     ops::entry::{
         call::{Call, Size},
         model::Transcript,
+        payload::Payload,
         plain::Outgoing,
         reply::Refusal,
     },
@@ -108,7 +109,7 @@
 
     /// Returns the body for an engine, with the tier as its priority and with the text delivered so
     /// far as the beginning of the answer.
-    pub(super) fn body(&self, call: &Call, transcript: &Transcript) -> Bytes {
+    pub(super) fn body(&self, call: &Call, transcript: &Transcript) -> Payload {
         let mut body = self.body.clone();
         if let Value::Object(fields) = &mut body {
             fields.insert("priority".into(), call.class.tier.0.into());
@@ -116,7 +117,7 @@
                 resume(fields, self.max_tokens(), transcript);
             }
         }
-        body.to_string().into()
+        Bytes::from(body.to_string()).into()
     }
 
     /// Returns the request for an engine that answers without a stream.
@@ -125,7 +126,7 @@
     }
 
     /// Returns the request that sends a body to an engine.
-    pub(super) fn request(&self, path: &str, body: Bytes) -> Outgoing {
+    pub(super) fn request(&self, path: &str, body: Payload) -> Outgoing {
         let mut headers = hyper::HeaderMap::new();
         let json = header::HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
--- a/src/scalewood/ops/entry/rope.rs
+++ b/src/scalewood/ops/entry/rope.rs
@@ -71,6 +71,12 @@
         Ok(())
     }
 
+    /// Returns all data in its blocks, and the permit for their memory.
+    pub(super) fn into_blocks(self) -> (Vec<Bytes>, Permit) {
+        let blocks = self.blocks.into_iter().map(BytesMut::freeze);
+        (blocks.collect(), self.permit)
+    }
+
     /// Takes the first `count` bytes, or all if there are fewer.
     pub(super) fn take(&mut self, count: usize) -> Held {
         let count = count.min(self.len);
--- a/src/scalewood/ops/entry/routed/attempt.rs
+++ b/src/scalewood/ops/entry/routed/attempt.rs
@@ -13,8 +13,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{body::Incoming, header, http::response, Request, Response};
 use tokio::sync::{watch, Notify};
 
@@ -29,7 +27,7 @@
         dialect::{Dialect, Disposition},
         dispatchers,
         incoming::{self, Body, Kind},
-        now, reach, retries,
+        now, payload, reach, retries,
         routed::{forward, pool, Context, Routed},
         turn::Turn,
         upstream::{self, Failure},
@@ -235,7 +233,7 @@
     /// Sends the request and waits until its answer serves the request, at most until the request's deadline: with
     /// its head if no other attempt is open, and once it has begun with more than that otherwise. Dropping the
     /// future ends the run. An answer with a server error counts as a failure, with its whole body.
-    pub(super) async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Opened, Failed> {
+    pub(super) async fn send(mut self, request: Request<payload::Body>) -> Result<Opened, Failed> {
         match self.answer(request).await {
             Ok((sender, response)) if !response.status().is_server_error() => {
                 let (parts, body) = response.into_parts();
@@ -298,7 +296,7 @@
     /// Sends the request and waits for the head of the answer, and checks it.
     async fn answer(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<payload::Body>,
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
         let endpoint = self.run.target.endpoint.clone();
         let sent_at = now(&self.context.board);
@@ -314,7 +312,7 @@
     /// Sends the request and waits for the head of the answer.
     async fn head(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<payload::Body>,
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
         let (context, routed) = (self.context.clone(), self.routed.clone());
         let permits = self.run.turn.permission(&self.run.target.endpoint);
@@ -564,7 +562,7 @@
         &self,
         routed: &Routed,
         target: &Target,
-        request: Request<Full<Bytes>>,
+        request: Request<payload::Body>,
         (permits, is_written, used): (&impl Fn() -> bool, &AtomicBool, &mut Option<pool::Use>),
     ) -> Result<(pool::Sender, Response<Incoming>), Failure> {
         let mut request = request;
--- a/src/scalewood/ops/entry/routed/forward.rs
+++ b/src/scalewood/ops/entry/routed/forward.rs
@@ -8,7 +8,6 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use http_body_util::Full;
 use hyper::{body::Incoming, header::HeaderValue, http::response, Request, Response, StatusCode};
 
 use crate::{
@@ -17,11 +16,10 @@
     ops::entry::{
         body::Answer,
         dialect::Dialect,
-        now, reach,
+        incoming, now, payload, reach,
         reply::Refusal,
         routed::{
             attempt::{Opened, Via},
-            read,
             request::{self, Ending},
             Context,
         },
@@ -206,7 +204,7 @@
     }
 
     /// Returns the request as this box received it, for another box.
-    fn forwarded_request(&self, after: Option<&str>) -> Option<Request<Full<bytes::Bytes>>> {
+    fn forwarded_request(&self, after: Option<&str>) -> Option<Request<payload::Body>> {
         let routed = &self.routed;
         let mut head = routed.head.clone();
         if let Some(after) = after {
@@ -274,8 +272,10 @@
             // Bytes that are left unread would reset the connection, and the answer could be lost.
             let view = self.board.view.load_full();
             let routing = view.document.routing.as_deref();
-            let max_bytes = routing.map_or(self.limits.max_body.0, |r| r.limits.body_bytes);
-            let _ = read(request.into_body(), max_bytes, self.limits.arrival_timeout).await;
+            let max = routing.map_or(self.limits.max_body, |r| unit::Size(r.limits.body_bytes));
+            let discarded = incoming::discard(request.into_body(), max);
+            let discarded = tokio::time::timeout(self.limits.arrival_timeout, discarded);
+            caller.set_reading(discarded.await != Ok(true));
             return self.give_back();
         }
         self.serve_from(request, caller, Some(forwarded)).await
--- a/src/scalewood/ops/entry/routed/mod.rs
+++ b/src/scalewood/ops/entry/routed/mod.rs
@@ -15,8 +15,6 @@
 
 use std::{collections::BTreeSet, marker::PhantomData, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{body::Incoming, header, Request, Response, StatusCode};
 
 use crate::{
@@ -24,6 +22,7 @@
     core::{config, name, residency, route, unit},
     event,
     ops::entry::{
+        arrival::{Arrivals, Bounds},
         body::Answer,
         buffer,
         call::Call,
@@ -69,6 +68,8 @@
     limits: Limits,
     /// The memory for endpoints' answers.
     answers: Arc<buffer::Budget>,
+    /// The bodies that are arriving.
+    arrivals: Arrivals,
     longest: returning::Longest,
     /// When this box started, by the process's clock.
     started: Duration,
@@ -94,7 +95,12 @@
 }
 
 impl<D: Dialect> Context<D> {
-    pub(super) fn new(board: Shared, limits: Limits, answers: Arc<buffer::Budget>) -> Self {
+    pub(super) fn new(
+        board: Shared,
+        limits: Limits,
+        answers: Arc<buffer::Budget>,
+        arrivals: Arrivals,
+    ) -> Self {
         Self {
             started: now(&board),
             board,
@@ -102,6 +108,7 @@
             peers: upstream::Pool::new(socket::PROCESS),
             limits,
             answers,
+            arrivals,
             longest: returning::Longest::default(),
             dialect: PhantomData,
         }
@@ -158,7 +165,10 @@
         let arrived = now(&self.board);
         let head = D::parse(request.headers());
         let id = head.id.clone();
-        let routed = match self.route(request, head, arrived, forwarded).await {
+        let routed = match self
+            .route(request, head, arrived, (forwarded, caller))
+            .await
+        {
             Ok(routed) => routed,
             Err(refusal) => return self.refuse(&refusal, id.as_deref()),
         };
@@ -209,7 +219,7 @@
         request: Request<Incoming>,
         head: Head,
         arrived: Duration,
-        forwarded: Option<Forwarded>,
+        (forwarded, connection): (Option<Forwarded>, &socket::Watch),
     ) -> Result<Routed, Refusal> {
         let view = self.board.view.load_full();
         let Some(routing) = view.document.routing.clone() else {
@@ -231,7 +241,11 @@
             Refusal::not_run(StatusCode::NOT_FOUND, "unknown-route", why)
         })?;
         let (team, rights) = authenticate(&view, &routing, route, head.key.as_deref())?;
-        let body = read(body, routing.limits.body_bytes, self.limits.arrival_timeout).await?;
+        let bounds = Bounds {
+            bytes: routing.limits.body_bytes,
+            time: self.limits.arrival_timeout,
+        };
+        let body = self.arrivals.receive(body, bounds, connection).await?;
         let public_team = || "public".parse().expect("the name is valid");
         let caller = team.clone().unwrap_or_else(public_team);
         let continuation = self.continuation(&head, route, &caller, forwarded.as_ref());
@@ -364,26 +378,3 @@
         content,
     }
 }
-
-/// Reads the body of a request, within the limits of size and time.
-async fn read(body: Incoming, max_bytes: usize, within: Duration) -> Result<Bytes, Refusal> {
-    let whole = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(within, whole).await {
-        Err(_) => Err(Refusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "slow-body",
-            "the body did not arrive in time; send it faster",
-        )),
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "large-body",
-            "the body is over the limit; send less",
-        )),
-        Ok(Err(_)) => Err(Refusal::not_run(
-            StatusCode::BAD_REQUEST,
-            "broken-body",
-            "the body was incomplete; send all of it",
-        )),
-    }
-}
--- a/src/scalewood/ops/entry/routed/opening.rs
+++ b/src/scalewood/ops/entry/routed/opening.rs
@@ -7,9 +7,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
-use http_body_util::Full;
 
 use crate::{
     core::{build, dispatch, name, verdict},
@@ -17,7 +15,7 @@
     ops::entry::{
         crash::Target,
         dialect::{Dialect, Instruction},
-        dispatchers, now, reach,
+        dispatchers, now, payload, reach,
         routed::{
             attempt::{Attempt, Charge, ErrorAnswer, Failed, Opened, Race, Run, Via},
             forward,
@@ -315,7 +313,7 @@
         endpoint: &name::Endpoint,
         after: Option<&str>,
         race: &Arc<Race>,
-    ) -> Result<(Attempt<D>, hyper::Request<Full<Bytes>>), Failed> {
+    ) -> Result<(Attempt<D>, hyper::Request<payload::Body>), Failed> {
         self.tries += 1;
         self.last_endpoint = Some(endpoint.clone());
         let board = self.context.board.clone();
@@ -480,7 +478,7 @@
 
 /// Sends an attempt, unless it could not be prepared.
 async fn send<D: Dialect>(
-    begun: Result<(Attempt<D>, hyper::Request<Full<Bytes>>), Failed>,
+    begun: Result<(Attempt<D>, hyper::Request<payload::Body>), Failed>,
 ) -> Result<Opened, Failed> {
     let (attempt, request) = begun?;
     attempt.send(request).await
--- a/src/scalewood/ops/entry/routed/outgoing.rs
+++ b/src/scalewood/ops/entry/routed/outgoing.rs
@@ -1,14 +1,13 @@
 //! Builds the request that is sent to an endpoint: the caller's own, without hop-by-hop and
 //! reserved headers, and with the system's instructions.
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{header, http::request, HeaderMap, Method, Request, Uri};
 
 use crate::{
     core::{dispatch, rendezvous, unit},
     ops::entry::{
         dialect::{self, Dialect, Head, Instruction},
+        payload::{self, Payload},
         upstream::Failure,
     },
 };
@@ -34,12 +33,12 @@
     method: Method,
     target: Uri,
     headers: HeaderMap,
-    body: Bytes,
+    body: Payload,
 }
 
 impl Outgoing {
     /// Removes hop-by-hop headers and [`Dialect::RESERVED_HEADERS`] from a caller's request.
-    pub(super) fn new<D: Dialect>(parts: request::Parts, body: Bytes) -> Self {
+    pub(super) fn new<D: Dialect>(parts: request::Parts, body: Payload) -> Self {
         let target = parts.uri.path_and_query().cloned();
         let mut headers = end_to_end(parts.headers);
         dialect::strip_reserved::<D>(&mut headers);
@@ -55,7 +54,7 @@
     pub(super) fn request<D: Dialect>(
         &self,
         instruction: &Instruction<'_>,
-    ) -> Result<Request<Full<Bytes>>, Failure> {
+    ) -> Result<Request<payload::Body>, Failure> {
         self.request_with(|headers| D::instruct(headers, instruction))
     }
 
@@ -63,13 +62,13 @@
     pub(super) fn request_with(
         &self,
         add: impl FnOnce(&mut HeaderMap),
-    ) -> Result<Request<Full<Bytes>>, Failure> {
+    ) -> Result<Request<payload::Body>, Failure> {
         let mut headers = self.headers.clone();
         add(&mut headers);
         let request = Request::builder()
             .method(self.method.clone())
             .uri(self.target.clone())
-            .body(Full::new(self.body.clone()));
+            .body(self.body.body());
         let mut request = request.map_err(|_| Failure::REFUSED)?;
         *request.headers_mut() = headers;
         Ok(request)
--- a/src/scalewood/ops/entry/routed/pool.rs
+++ b/src/scalewood/ops/entry/routed/pool.rs
@@ -21,13 +21,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{body::Incoming, header, HeaderMap, Request, Response};
 
 use crate::{
     core::{name, registry},
-    ops::entry::upstream,
+    ops::entry::{payload, upstream},
     util::lock::lock,
 };
 
@@ -215,8 +213,8 @@
 pub(super) async fn send(
     sender: &mut Sender,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, upstream::Unsent<Full<Bytes>>> {
+    request: Request<payload::Body>,
+) -> Result<Response<Incoming>, upstream::Unsent<payload::Body>> {
     upstream::answer_to_any(&mut sender.requests, address, request).await
 }
 
--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -17,8 +17,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{
     body::{Body as _, Incoming},
     client::conn::http1,
@@ -29,6 +27,7 @@
 
 use crate::{
     core::{dispatch, verdict},
+    ops::entry::payload,
     util::{lock::lock, socket},
 };
 
@@ -180,7 +179,7 @@
 const SECOND_TRY: Duration = Duration::from_millis(500);
 
 /// Returns whether a request is so long that its peer's machine has to be checked, see [`socket::Stream`].
-fn is_long(request: &Request<Full<Bytes>>) -> bool {
+fn is_long(request: &Request<payload::Body>) -> bool {
     request.body().size_hint().lower() > socket::MIN_WINDOW as u64
 }
 
@@ -188,8 +187,8 @@
 pub(super) async fn answer_to_any(
     sender: &mut Sender,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<Response<Incoming>, Unsent<Full<Bytes>>> {
+    request: Request<payload::Body>,
+) -> Result<Response<Incoming>, Unsent<payload::Body>> {
     let is_long = is_long(&request);
     let answer = answer_to(sender, request);
     if is_long {
@@ -249,7 +248,7 @@
 }
 
 /// A connection over which requests are sent one after another.
-pub(super) type Sender = http1::SendRequest<Full<Bytes>>;
+pub(super) type Sender = http1::SendRequest<payload::Body>;
 
 /// The head of an answer, and the connection over which the rest arrives.
 #[derive(Debug)]
@@ -302,7 +301,7 @@
     pub(super) async fn send(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<payload::Body>,
         (connect, head): (Duration, Duration),
         is_permitted: impl Fn() -> bool,
     ) -> Result<Answered, Failure> {
@@ -345,9 +344,9 @@
 async fn send_over(
     mut sender: Sender,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    request: Request<payload::Body>,
     head: Duration,
-) -> Result<(Sender, Response<Incoming>), (Unsent<Full<Bytes>>, Failure)> {
+) -> Result<(Sender, Response<Incoming>), (Unsent<payload::Body>, Failure)> {
     let answer = answer_to_any(&mut sender, address, request);
     match tokio::time::timeout(head, answer).await {
         Ok(Ok(response)) => Ok((sender, response)),
--- a/src/scalewood/util/metric.rs
+++ b/src/scalewood/util/metric.rs
@@ -107,6 +107,13 @@
     pub stage: &'static str,
 }
 
+/// The label of why a request was given up for lack of memory.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ShortageLabel {
+    /// `stalled` or `refused`.
+    pub why: &'static str,
+}
+
 /// The label of an invariant.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RuleLabel {
@@ -202,6 +209,8 @@
     pub retries_capacity: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// Answers during which an endpoint sent nothing for long, by stage.
     pub silences: Family<SilenceLabel, Counter>,
+    /// Requests that were refused for lack of memory for their body.
+    pub bodies_refused: Family<ShortageLabel, Counter>,
     /// Requests that are held back because endpoints ended under them.
     pub held_back: Gauge,
     /// Whether this process accepts new work.
@@ -250,6 +259,7 @@
             retries_left: Family::default(),
             retries_capacity: Family::default(),
             silences: Family::default(),
+            bodies_refused: Family::default(),
             held_back: Gauge::default(),
             ready: Gauge::default(),
             breaches: Family::default(),
@@ -258,6 +268,7 @@
         metrics.register_warm_up();
         metrics.register_forwards();
         metrics.register_retries();
+        metrics.register_shortages();
         metrics
     }
 }
@@ -470,6 +481,15 @@
         );
     }
 
+    fn register_shortages(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "bodies_refused",
+            "Requests refused for lack of memory for their body, by cause",
+            self.bodies_refused.clone(),
+        );
+    }
+
     /// Returns all metrics as text.
     pub fn render(&self) -> String {
         for rule in invariant::Rule::ALL {
--- a/src/scalewood/util/mod.rs
+++ b/src/scalewood/util/mod.rs
@@ -5,6 +5,7 @@
 pub mod lock;
 pub mod log;
 pub mod metric;
+pub mod resource;
 pub mod settings;
 pub mod signal;
 pub mod socket;
--- a/src/scalewood/util/socket.rs
+++ b/src/scalewood/util/socket.rs
@@ -2,12 +2,13 @@
 //! notified, while new connections between the same two hosts work.
 
 use std::{
+    future::Future as _,
     io::{self, IoSlice},
     mem::MaybeUninit,
     os::fd::{AsFd, BorrowedFd},
     pin::Pin,
     sync::{
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc,
     },
     task::{ready, Context, Poll},
@@ -18,6 +19,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::Sleep,
 };
 
 /// The timeouts between processes of the system: after one second without traffic the peer is
@@ -116,8 +118,18 @@
     has_answered: bool,
     /// Whether the last write left bytes of the current message unwritten.
     is_partial: bool,
+    /// Whether the peer may still send a body that is not read.
+    is_reading: Arc<AtomicBool>,
+    /// When an orderly close ends, once one has begun.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
+/// How long a closed connection is still read, if its peer may not have sent a whole body. A connection with unread
+/// data is reset when it is closed, and the peer could lose the answer.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+/// The bytes that are read and discarded at a time.
+const DISCARDED_BYTES: usize = 8 << 10;
+
 impl Stream {
     /// Sets the timeouts on a connection. If the operating system refuses them, a dead connection is
     /// detected late.
@@ -131,6 +143,8 @@
             sent: 0,
             has_answered: false,
             is_partial: false,
+            is_reading: Arc::default(),
+            linger: None,
         }
     }
 
@@ -139,6 +153,7 @@
     pub fn watched(inner: TcpStream, timeouts: Timeouts, watch: &Watch) -> Self {
         Self {
             grace: Some(watch.grace.clone()),
+            is_reading: watch.is_reading.clone(),
             ..Self::new(inner, timeouts)
         }
     }
@@ -223,8 +238,37 @@
         Pin::new(&mut self.inner).poll_flush(context)
     }
 
+    /// Closes the connection. If its peer may still be sending a body, it is read on for a while.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.inner).poll_shutdown(context))?;
+            if !self.is_reading.load(Ordering::Relaxed) {
+                return Poll::Ready(Ok(()));
+            }
+            self.linger = Some(Box::pin(tokio::time::sleep(LINGER_TIME)));
+        }
+        self.poll_discard(context).map(Ok)
+    }
+}
+
+impl Stream {
+    /// Reads and discards data until the peer closes the connection or the time to linger is over.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let is_over = self
+            .linger
+            .as_mut()
+            .map(|linger| linger.as_mut().poll(context));
+        if matches!(is_over, Some(Poll::Ready(()))) {
+            return Poll::Ready(());
+        }
+        loop {
+            let mut discarded = [MaybeUninit::uninit(); DISCARDED_BYTES];
+            let mut discarded = ReadBuf::uninit(&mut discarded);
+            match ready!(Pin::new(&mut self.inner).poll_read(context, &mut discarded)) {
+                Ok(()) if !discarded.filled().is_empty() => {}
+                _ => return Poll::Ready(()),
+            }
+        }
     }
 }
 
@@ -251,6 +295,8 @@
     /// A duplicate of the connection's descriptor; a connection without one counts as open.
     socket: Option<Arc<Socket>>,
     grace: Grace,
+    /// Whether the peer may still send a body that is not read.
+    is_reading: Arc<AtomicBool>,
 }
 
 impl Watch {
@@ -264,7 +310,7 @@
         let socket = SockRef::from(socket).try_clone()?;
         Ok(Self {
             socket: Some(Arc::new(socket)),
-            grace: Grace::default(),
+            ..Self::default()
         })
     }
 
@@ -274,6 +320,16 @@
         self.grace.set(unread);
     }
 
+    /// Sets whether the peer may still send a body that is not read.
+    pub fn set_reading(&self, is_reading: bool) {
+        self.is_reading.store(is_reading, Ordering::Relaxed);
+    }
+
+    /// Returns whether the peer may still send a body that is not read.
+    pub fn is_reading(&self) -> bool {
+        self.is_reading.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the peer has closed its side and all data that it sent has been read.
     pub fn is_closed(&self) -> bool {
         let Some(socket) = &self.socket else {
