Entry: answers are not joined, and the operating system buffers less of them

48 callers who read nothing of a stream took a box to 226 MiB with what its sockets held: the operating system buffers up to 4 MiB for each. Whole answers were joined at their end, which took their memory a second time outside of any permit: 108 MiB of 96 with all other mends in place (api::whole_legal_bodies). Sockets of callers and of other boxes have buffers of 64 KiB each way now, and an answer stays in the blocks in which it arrived.

--- a/src/scalewood/ops/entry/buffer.rs
+++ b/src/scalewood/ops/entry/buffer.rs
@@ -5,12 +5,16 @@
 //! half, two a third each, and so on. So messages without end share the budget evenly, however many there are, and a
 //! part of it is always left for others. The budgets of all kinds are parts of a common one.
 
-use std::sync::{
-    atomic::{AtomicUsize, Ordering},
-    Arc,
+use std::{
+    collections::VecDeque,
+    io::IoSlice,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
 };
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::sync::{futures::Notified, Notify};
 
 use crate::{core::unit, event};
@@ -143,7 +147,7 @@
             }
             self.freed().await;
         }
-        Held::new(part, permit)
+        Held::new(VecDeque::from([part]), permit)
     }
 }
 
@@ -209,49 +213,88 @@
     }
 }
 
-/// Bytes of an answer and the permit for their memory, if they came from an endpoint.
+/// Bytes of an answer in blocks, and the permit for their memory, if they came from an endpoint.
 #[derive(Debug, Default)]
 pub(super) struct Held {
-    bytes: Bytes,
+    blocks: VecDeque<Bytes>,
+    len: usize,
     _permit: Option<Permit>,
 }
 
 impl Held {
-    pub(super) fn new(bytes: Bytes, permit: Permit) -> Self {
+    pub(super) fn new(blocks: VecDeque<Bytes>, permit: Permit) -> Self {
         Self {
-            bytes,
+            len: blocks.iter().map(Bytes::len).sum(),
+            blocks,
             _permit: Some(permit),
         }
     }
+
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns all bytes as one block; copies them if there are several.
+    pub(super) fn joined(&self) -> Bytes {
+        match self.blocks.len() {
+            0 => Bytes::new(),
+            1 => self.blocks[0].clone(),
+            _ => {
+                let mut joined = BytesMut::with_capacity(self.len);
+                self.blocks
+                    .iter()
+                    .for_each(|block| joined.extend_from_slice(block));
+                joined.freeze()
+            }
+        }
+    }
 }
 
 impl<B: Into<Bytes>> From<B> for Held {
     fn from(bytes: B) -> Self {
+        let bytes = bytes.into();
         Self {
-            bytes: bytes.into(),
+            len: bytes.len(),
+            blocks: VecDeque::from([bytes]),
             _permit: None,
         }
     }
 }
 
-impl std::ops::Deref for Held {
-    type Target = [u8];
-
-    fn deref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl Buf for Held {
     fn remaining(&self) -> usize {
-        self.bytes.remaining()
+        self.len
     }
 
     fn chunk(&self) -> &[u8] {
-        self.bytes.chunk()
+        let mut blocks = self.blocks.iter();
+        blocks
+            .find(|block| !block.is_empty())
+            .map_or(&[], |block| block)
+    }
+
+    fn chunks_vectored<'a>(&'a self, slices: &mut [IoSlice<'a>]) -> usize {
+        let blocks = self.blocks.iter().filter(|block| !block.is_empty());
+        let mut count = 0;
+        for (slice, block) in slices.iter_mut().zip(blocks) {
+            *slice = IoSlice::new(block);
+            count += 1;
+        }
+        count
     }
 
     fn advance(&mut self, count: usize) {
-        self.bytes.advance(count);
+        assert!(count <= self.len, "there are {} bytes", self.len);
+        self.len -= count;
+        let mut left = count;
+        while let Some(block) = self.blocks.front_mut() {
+            let taken = left.min(block.len());
+            block.advance(taken);
+            left -= taken;
+            if !block.is_empty() {
+                return;
+            }
+            self.blocks.pop_front();
+        }
     }
 }
--- a/src/scalewood/ops/entry/caller.rs
+++ b/src/scalewood/ops/entry/caller.rs
@@ -89,6 +89,9 @@
         let forwards_at = forwards.local_addr().change_context(Error)?;
         *lock(&board.forwarded_at) = reach::reachable(forwards_at);
         event!(board.log, Listening, "what" => "forwards", "address" => %forwards_at);
+        for listener in [&listener, &forwards] {
+            socket::bound_buffers(listener);
+        }
         let limits = settings.limits.clone();
         let memory = Memory::new(&limits, &board.log);
         let answers = memory.answers.clone();
--- a/src/scalewood/ops/entry/plain.rs
+++ b/src/scalewood/ops/entry/plain.rs
@@ -413,7 +413,7 @@
         .get(&call.key.service)
         .map(|s| s.kind);
     let tokens = match kind {
-        Some(config::Kind::Model) => prompt::tokens_of(&body),
+        Some(config::Kind::Model) => prompt::tokens_of(&body.joined()),
         _ => unit::Tokens(0),
     };
     Ok(Reply {
--- a/src/scalewood/ops/entry/rope.rs
+++ b/src/scalewood/ops/entry/rope.rs
@@ -11,7 +11,7 @@
 
 /// The size of the first block.
 const MIN_BLOCK_BYTES: usize = 1 << 10;
-/// The size of a block of much data, unless data is added that is longer.
+/// The size of a block of much data.
 const MAX_BLOCK_BYTES: usize = 16 << 10;
 
 /// Data that grows at its end and is taken from its beginning.
@@ -54,19 +54,17 @@
         let spare = |block: &BytesMut| block.capacity() - block.len();
         let fits = self.blocks.back().map_or(0, spare).min(data.len());
         let (begin, rest) = data.split_at(fits);
-        let block = if rest.is_empty() {
-            None
-        } else {
-            let size = self.len.clamp(MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
-            let mut block = BytesMut::with_capacity(rest.len().max(size));
-            self.permit.grow(block.capacity())?;
-            block.extend_from_slice(rest);
-            Some(block)
-        };
+        let size = (self.len + rest.len()).next_power_of_two();
+        let size = size.clamp(MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
+        self.permit.grow(rest.len().div_ceil(size) * size)?;
         if let Some(last) = self.blocks.back_mut() {
             last.extend_from_slice(begin);
         }
-        self.blocks.extend(block);
+        for part in rest.chunks(size) {
+            let mut block = BytesMut::with_capacity(size);
+            block.extend_from_slice(part);
+            self.blocks.push_back(block);
+        }
         self.len += data.len();
         Ok(())
     }
@@ -81,18 +79,14 @@
     pub(super) fn take(&mut self, count: usize) -> Held {
         let count = count.min(self.len);
         self.len -= count;
-        let (first, mut permit) = self.take_from_first(count);
-        if first.len() == count {
-            return Held::new(first, permit);
-        }
-        let mut joined = BytesMut::with_capacity(count);
-        joined.extend_from_slice(&first);
-        while joined.len() < count {
-            let (next, more) = self.take_from_first(count - joined.len());
-            joined.extend_from_slice(&next);
+        let (mut blocks, mut taken, mut permit) = (VecDeque::new(), 0, self.account.permit());
+        while taken < count {
+            let (block, more) = self.take_from_first(count - taken);
+            taken += block.len();
+            blocks.push_back(block);
             permit.join(more);
         }
-        Held::new(joined.freeze(), permit)
+        Held::new(blocks, permit)
     }
 
     /// Takes `count` bytes of the first block, or all if there are fewer.
--- a/src/scalewood/ops/entry/routed/stream.rs
+++ b/src/scalewood/ops/entry/routed/stream.rs
@@ -170,7 +170,7 @@
                 }
                 Next::Part(Err(failure)) => return Relayed::Failed(via, failure),
             };
-            self.record_id(&events);
+            self.record_id(&events.joined());
             self.progress.events += 1;
             self.request.observer.token();
             if let Via::Endpoint { run, .. } = &via {
--- a/src/scalewood/util/socket.rs
+++ b/src/scalewood/util/socket.rs
@@ -91,6 +91,18 @@
     }
 }
 
+/// The bytes that the operating system buffers of what a peer sends or is sent. It takes up to twice as much memory
+/// for them.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// Bounds the memory that the operating system takes for the data of a connection. Connections that a listening
+/// socket accepts inherit the bounds. An operating system that refuses them uses its own.
+pub fn bound_buffers<'a>(socket: impl Into<SockRef<'a>>) {
+    let socket = socket.into();
+    let _ = socket.set_recv_buffer_size(BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(BUFFER_BYTES);
+}
+
 /// How much a peer that reads nothing surely acknowledges: less than the receive window of a new
 /// connection.
 pub const MIN_WINDOW: usize = 32 << 10;
