Listeners of all processes leave descriptors to others

400 idle connections to the port for checks, operators, publishing or other processes took all 256 descriptors: a box could not reach its endpoints, a voter not its boxes. Each port has a part of the descriptors now, and closes its idlest connection for a new one. The port for processes counts connections without a session there, and sessions by the library's own limit, which follows from the descriptors.

--- a/src/scalewood/ops/control/admin.rs
+++ b/src/scalewood/ops/control/admin.rs
@@ -6,12 +6,16 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use error_stack::{Report, ResultExt as _};
+use hyper_util::service::TowerToHyperService;
 use warp::{http::StatusCode, Filter, Rejection, Reply};
 
 use crate::{
     core::{change, config, name, raft, region, secret, verdict},
     event,
-    ops::control::{metric, registry, server, Error, Handle},
+    ops::{
+        control::{metric, registry, server, Error, Handle},
+        http,
+    },
     util::clock,
     wire::{
         admin::{Config, Failure, History, Provider},
@@ -21,6 +25,8 @@
 
 /// The largest request body, in bytes: a document with 27,000 teams fits.
 const MAX_BODY_BYTES: u64 = 8 << 20;
+/// The part of the process's descriptors for connections of operators: one of so many.
+const DESCRIPTOR_SHARE: usize = 16;
 
 /// The state that the API's handlers use.
 #[derive(Clone, Debug)]
@@ -47,6 +53,7 @@
 pub(super) async fn serve(
     address: SocketAddr,
     operators: BTreeMap<name::Operator, secret::Hash>,
+    descriptors: usize,
     admin: Admin,
 ) -> Result<(), Report<Error>> {
     let listener = tokio::net::TcpListener::bind(address)
@@ -57,11 +64,11 @@
         .into_iter()
         .map(|(name, hash)| (hash, name))
         .collect();
-    tokio::spawn(
-        warp::serve(routes(Arc::new(operators), admin))
-            .incoming(listener)
-            .run(),
-    );
+    let max = (descriptors / DESCRIPTOR_SHARE).max(1);
+    let listener = http::Listener::new(listener, "operators", max, admin.log.clone());
+    let listener = listener.change_context(Error)?;
+    let service = TowerToHyperService::new(warp::service(routes(Arc::new(operators), admin)));
+    tokio::spawn(listener.serve(move || service.clone()));
     Ok(())
 }
 
--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -19,7 +19,7 @@
     store::{folder, hints, identity, journal, latency},
     util::{
         clock::{self, Clock as _},
-        settings, signal,
+        resource, settings, signal,
     },
     wire::{control::ControlServer as _, registry::RegistryServer as _, source::SourceServer as _},
 };
@@ -81,6 +81,8 @@
     pub orders_per_second: unit::Rate,
     /// The settings of the tasks done for a provider.
     pub provider: provider::Settings,
+    /// The descriptors that the process may have open. Connections take a part of them.
+    pub descriptors: usize,
     /// The settings of the consensus protocol.
     pub raft: raft::Settings,
 }
@@ -103,6 +105,7 @@
             orders_per_second: unit::Rate::try_from(DEFAULT_ORDERS_PER_SECOND)
                 .expect("the default rate is valid"),
             provider: provider::Settings::default(),
+            descriptors: resource::descriptors(),
             raft: raft::Settings::default(),
         }
     }
@@ -187,6 +190,7 @@
             operators,
             orders_per_second: orders,
             provider: reader.object("provider"),
+            descriptors: reader.number("descriptors", default.descriptors),
             raft,
         }
     }
@@ -391,7 +395,7 @@
         address: settings.listen,
     };
     methods.merge(registry.into_rpc()).change_context(Error)?;
-    let rpc = rpc::serve(settings.listen, methods)
+    let rpc = rpc::serve_within(settings.listen, methods, settings.descriptors, log.clone())
         .await
         .change_context(Error)?;
     event!(log, Listening, "what" => "processes", "address" => %settings.listen);
@@ -420,9 +424,14 @@
         clock,
         log: log.clone(),
     };
-    admin::serve(settings.admin, settings.operators.clone(), admin)
-        .await
-        .change_context(Error)?;
+    admin::serve(
+        settings.admin,
+        settings.operators.clone(),
+        settings.descriptors,
+        admin,
+    )
+    .await
+    .change_context(Error)?;
     event!(log, Listening, "what" => "operators", "address" => %settings.admin);
     if let Some(address) = settings.publish {
         let api = publish::Api {
@@ -435,7 +444,7 @@
             clock,
             log: log.clone(),
         };
-        publish::serve::<D>(address, api).await?;
+        publish::serve::<D>(address, settings.descriptors, api).await?;
         event!(log, Listening, "what" => "publishing", "address" => %address);
     }
     let voters = reload::watch(settings.clone(), path, log.clone());
--- a/src/scalewood/ops/control/publish.rs
+++ b/src/scalewood/ops/control/publish.rs
@@ -5,7 +5,6 @@
 //! accepted is acknowledged or its outcome reported as unclear; it is never reported as refused.
 
 use std::{
-    convert::Infallible,
     future::Future,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -18,24 +17,24 @@
 use hyper::{
     body::{Body as _, Incoming},
     header,
-    server::conn::http1,
     service::service_fn,
     Method, Request, Response, StatusCode,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::error::Category;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use crate::{
     core::{change, cordon, departure, json, ledger, name, region, registry, route},
     event,
-    ops::control::{
-        self, memory, metric::Metrics, refusal, registry::SoftState, unix_ms, Error, Handle,
+    ops::{
+        control::{
+            self, memory, metric::Metrics, refusal, registry::SoftState, unix_ms, Error, Handle,
+        },
+        http,
     },
     util::{
         clock::{self, Clock as _},
         lock::lock,
-        socket,
     },
     wire::control::Forwarded,
 };
@@ -47,8 +46,8 @@
 /// The largest heartbeat, in bytes. A usual one has some hundred bytes, or some thousand if it
 /// names many models.
 const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
-/// How long a connection may be idle, and a request's head may take to arrive.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The eighths of the process's descriptors for connections to this API.
+const DESCRIPTOR_EIGHTHS: usize = 3;
 /// How long a request's body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a call may take to answer; callers try another voter after a second.
@@ -190,38 +189,27 @@
 }
 
 /// Starts to serve the API.
-pub(super) async fn serve<D: Dialect>(address: SocketAddr, api: Api) -> Result<(), Report<Error>> {
+pub(super) async fn serve<D: Dialect>(
+    address: SocketAddr,
+    descriptors: usize,
+    api: Api,
+) -> Result<(), Report<Error>> {
     let listener = TcpListener::bind(address)
         .await
         .change_context(Error)
         .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
-    tokio::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => drop(tokio::spawn(connection::<D>(stream, api.clone()))),
-                // For example out of file descriptors; waits until some may be free again.
-                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
-            }
-        }
-    });
-    Ok(())
-}
-
-/// Serves one connection.
-async fn connection<D: Dialect>(stream: TcpStream, api: Api) {
-    let _ = stream.set_nodelay(true);
-    // Otherwise the connection of an operator or endpoint that fell silent stays open for long.
-    let _ = socket::CALLER.apply(&stream);
-    let service = service_fn(move |request| {
+    let max = (descriptors / 8 * DESCRIPTOR_EIGHTHS).max(1);
+    let listener = http::Listener::new(listener, "publishing", max, api.log.clone());
+    let listener = listener.change_context(Error)?;
+    let service = move || {
         let api = api.clone();
-        async move { Ok::<_, Infallible>(api.answer::<D>(request).await) }
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
-    // Errors of a caller's connection need no handling here.
-    let _ = served.await;
+        service_fn(move |request| {
+            let api = api.clone();
+            async move { Ok(api.answer::<D>(request).await) }
+        })
+    };
+    tokio::spawn(listener.serve(service));
+    Ok(())
 }
 
 impl Api {
--- a/src/scalewood/ops/entry/health.rs
+++ b/src/scalewood/ops/entry/health.rs
@@ -3,20 +3,31 @@
 use std::{net::SocketAddr, sync::atomic::Ordering};
 
 use error_stack::{Report, ResultExt as _};
+use hyper_util::service::TowerToHyperService;
 use warp::{http::StatusCode, Filter};
 
-use crate::ops::entry::{Error, Shared};
+use crate::ops::{
+    entry::{Error, Shared},
+    http,
+};
+
+/// The part of the process's descriptors for checks: one of so many.
+const DESCRIPTOR_SHARE: usize = 16;
 
 /// Serves `/healthz`, `/metrics`, and readiness at the given path.
 pub(super) async fn serve(
     address: SocketAddr,
     ready_path: &'static str,
+    descriptors: usize,
     board: Shared,
 ) -> Result<(), Report<Error>> {
     let listener = tokio::net::TcpListener::bind(address)
         .await
         .change_context(Error)
         .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
+    let max = (descriptors / DESCRIPTOR_SHARE).max(1);
+    let listener = http::Listener::new(listener, "health", max, board.log.clone());
+    let listener = listener.change_context(Error)?;
     let with = warp::any().map(move || board.clone());
     let alive = warp::path!("healthz").map(|| "alive\n");
     let ready = warp::path::full()
@@ -37,6 +48,7 @@
         .and(with)
         .map(|board: Shared| board.metrics.render());
     let routes = warp::get().and(alive.or(ready).or(metrics));
-    tokio::spawn(warp::serve(routes).incoming(listener).run());
+    let service = TowerToHyperService::new(warp::service(routes));
+    tokio::spawn(listener.serve(move || service.clone()));
     Ok(())
 }
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -377,11 +377,17 @@
     methods
         .merge(source::Server::new(board.feed.clone()).into_rpc())
         .change_context(Error)?;
-    let rpc = rpc::serve(settings.listen, methods)
-        .await
-        .change_context(Error)?;
+    let rpc = rpc::serve_within(
+        settings.listen,
+        methods,
+        settings.limits.descriptors,
+        log.clone(),
+    )
+    .await
+    .change_context(Error)?;
     event!(log, Listening, "what" => "processes", "address" => %settings.listen);
-    health::serve(settings.health, D::READY_PATH, board.clone()).await?;
+    let descriptors = settings.limits.descriptors;
+    health::serve(settings.health, D::READY_PATH, descriptors, board.clone()).await?;
     event!(log, Listening, "what" => "health", "address" => %settings.health);
     let voters = reload::watch(settings.clone(), path, log.clone());
     spawn_controllers(&settings, &board, voters);
--- a/src/scalewood/ops/mod.rs
+++ b/src/scalewood/ops/mod.rs
@@ -7,6 +7,7 @@
 
 mod backoff;
 mod connection;
+mod http;
 pub mod operate;
 pub mod reload;
 pub mod rpc;
--- a/src/scalewood/ops/rpc.rs
+++ b/src/scalewood/ops/rpc.rs
@@ -4,18 +4,23 @@
 
 use error_stack::{Report, ResultExt as _};
 use jsonrpsee::{
-    server::{ServerBuilder, ServerConfig, ServerHandle},
+    server::{self, ServerBuilder, ServerConfig, ServerHandle},
     ws_client::{WsClient, WsClientBuilder},
     Methods,
 };
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::util::socket;
+use crate::{
+    ops::http,
+    util::{resource, socket},
+};
 
 /// The largest message, in bytes. The largest in use is a routing that is forwarded to the leader, as
 /// text and as the operator's text, with its quotes escaped.
 const MAX_MESSAGE_BYTES: u32 = 32 << 20;
-/// The most connections of a server.
+/// The part of the process's descriptors for connections that have no session yet: one of so many.
+const OPENING_SHARE: usize = 16;
+/// The most connections with a session of a server.
 const MAX_CONNECTIONS: u32 = 2048;
 /// The most subscriptions of one connection.
 const MAX_SUBSCRIPTIONS: u32 = 16;
@@ -51,10 +56,26 @@
     address: SocketAddr,
     methods: impl Into<Methods>,
 ) -> Result<ServerHandle, Report<Error>> {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    serve_within(address, methods, resource::descriptors(), log).await
+}
+
+/// Serves methods at an address, with connections that take a part of the process's descriptors.
+///
+/// # Errors
+///
+/// Fails if the address can't be listened on.
+pub async fn serve_within(
+    address: SocketAddr,
+    methods: impl Into<Methods>,
+    descriptors: usize,
+    log: slog::Logger,
+) -> Result<ServerHandle, Report<Error>> {
+    let max_connections = u32::try_from(descriptors / 2).unwrap_or(u32::MAX);
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
-        .max_connections(MAX_CONNECTIONS)
+        .max_connections(max_connections.clamp(1, MAX_CONNECTIONS))
         .max_subscriptions_per_connection(MAX_SUBSCRIPTIONS)
         .set_message_buffer_capacity(MAX_UNSENT_MESSAGES)
         .set_tcp_no_delay(true)
@@ -64,14 +85,33 @@
         .await
         .change_context(Error)
         .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
-    // Accepted connections inherit the options. Without them, messages to a silent peer would be
-    // sent for ever.
-    socket::PROCESS.apply(&listener).change_context(Error)?;
-    let listener = listener.into_std().change_context(Error)?;
-    let server = ServerBuilder::with_config(config)
-        .build_from_tcp(listener)
-        .change_context(Error)?;
-    Ok(server.start(methods))
+    let max_opening = (descriptors / OPENING_SHARE).max(1);
+    let listener = http::Listener::new(listener, "processes", max_opening, log);
+    let listener = listener.change_context(Error)?;
+    let service = ServerBuilder::with_config(config).to_service_builder();
+    let methods = methods.into();
+    let (stop, handle) = server::stop_channel();
+    tokio::spawn(async move {
+        loop {
+            let (stream, opening) = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = stop.clone().shutdown() => break,
+            };
+            // Without these timeouts, messages to a silent peer would be sent for ever.
+            let _ = socket::PROCESS.apply(&stream);
+            let service = service.clone().build(methods.clone(), stop.clone());
+            let stopped = stop.clone().shutdown();
+            tokio::spawn(async move {
+                // A connection with a session goes on in a task of its own.
+                let served = server::serve_with_graceful_shutdown(stream, service, stopped);
+                tokio::select! {
+                    _ = served => {}
+                    () = opening.closed() => {}
+                }
+            });
+        }
+    });
+    Ok(handle)
 }
 
 /// Connects to a process.
--- a/src/scalewood/util/event.rs
+++ b/src/scalewood/util/event.rs
@@ -51,6 +51,7 @@
     SettingsReloaded = 1007, Info, "the settings were read again";
     SettingsRefused = 1008, Warning, "the settings that were read again can't be used";
     ProcessStalled = 1009, Warning, "the process did not run for a while";
+    ListenerFull = 1010, Warning, "a connection to a port is closed, since there are too many";
     RevisionInForce = 2001, Info, "a configuration revision is in force here";
     SourceLost = 2002, Warning, "the source of configuration can't be reached";
     SourceFound = 2003, Info, "the configuration is followed from a source";
