Control: bodies are counted as they arrive, not by their pieces

A voter needed 170 MiB for two routings in chunks of one byte, though 16 MiB were set aside: the length was counted, not the list of the pieces. And two that stall without a length took all of that memory for 10 s, so that no operator could publish. Bodies are copied into one block that is counted as it grows, and a body may hold as much as the others leave. Heartbeats, which had no bound together, have 16 MiB.

--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -440,6 +440,7 @@
             metrics,
             refusals: Arc::default(),
             memory: publish::memory(),
+            heartbeats: publish::heartbeats(),
             zones: settings.zones.clone(),
             clock,
             log: log.clone(),
--- a/src/scalewood/ops/control/publish.rs
+++ b/src/scalewood/ops/control/publish.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt as _};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::{
     body::{Body as _, Incoming},
     header,
@@ -42,10 +42,12 @@
 /// The largest routing, in bytes. A larger one would not fit into the messages to voters and boxes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// The most bytes of routings that are read, checked or waiting for an answer at the same time.
-const MAX_BODIES_BYTES: usize = 16 << 20;
+const MAX_BODIES_BYTES: usize = 24 << 20;
 /// The largest heartbeat, in bytes. A usual one has some hundred bytes, or some thousand if it
 /// names many models.
 const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
+/// The most bytes of heartbeats that are read at the same time.
+const MAX_HEARTBEATS_BYTES: usize = 16 << 20;
 /// The eighths of the process's descriptors for connections to this API.
 const DESCRIPTOR_EIGHTHS: usize = 3;
 /// How long a request's body may take to arrive.
@@ -175,6 +177,8 @@
     pub(super) refusals: Arc<Mutex<refusal::Limiter>>,
     /// The memory of the routings that are being published.
     pub(super) memory: Arc<memory::Budget>,
+    /// The memory of the heartbeats that are being read.
+    pub(super) heartbeats: Arc<memory::Budget>,
     /// The configured availability zones.
     pub(super) zones: region::Map,
     pub(super) clock: clock::System,
@@ -188,6 +192,11 @@
     memory::Budget::new(MAX_BODIES_BYTES)
 }
 
+/// Returns the memory for the heartbeats that are read at the same time.
+pub(super) fn heartbeats() -> Arc<memory::Budget> {
+    memory::Budget::new(MAX_HEARTBEATS_BYTES)
+}
+
 /// Starts to serve the API.
 pub(super) async fn serve<D: Dialect>(
     address: SocketAddr,
@@ -235,8 +244,8 @@
         name: name::Endpoint,
         request: Request<Incoming>,
     ) -> Reply {
-        let record = match read_body(request, MAX_HEARTBEAT_BYTES).await {
-            Ok(body) => D::record(name.clone(), &body),
+        let record = match read_body(request, MAX_HEARTBEAT_BYTES, &self.heartbeats).await {
+            Ok(body) => D::record(name.clone(), &body.bytes),
             Err(BodyError::TooLarge) => Err(registry::Refusal::new(
                 registry::Reason::TooLong,
                 format!("it has over {MAX_HEARTBEAT_BYTES} bytes"),
@@ -320,18 +329,11 @@
 
     /// Reads, checks and commits a routing.
     async fn publish_body<D: Dialect>(&self, request: Request<Incoming>) -> Reply {
-        // Without a length it may be as long as any.
-        let length = request.body().size_hint().exact();
-        let length = length.and_then(|length| usize::try_from(length).ok());
-        let length = length.unwrap_or(MAX_BODY_BYTES).min(MAX_BODY_BYTES);
-        let Some(_share) = self.memory.take(length) else {
-            return unclear();
-        };
-        let body = match read_body(request, MAX_BODY_BYTES).await {
+        let body = match read_body(request, MAX_BODY_BYTES, &self.memory).await {
             Ok(body) => body,
             Err(error) => return error.reply(),
         };
-        let routing = match D::routing(&body) {
+        let routing = match D::routing(&body.bytes) {
             Ok(routing) => routing,
             Err(why) => return self.refuse(None, &why),
         };
@@ -340,7 +342,7 @@
             let why: Vec<_> = problems.iter().map(ToString::to_string).collect();
             return self.refuse(Some(routing.version), &why.join("; "));
         }
-        let Ok(source) = std::str::from_utf8(&body) else {
+        let Ok(source) = std::str::from_utf8(&body.bytes) else {
             return self.refuse(Some(routing.version), "the body is not UTF-8");
         };
         let version = routing.version;
@@ -462,6 +464,8 @@
     TooLarge,
     Aborted,
     TimedOut,
+    /// Too many bodies are being read.
+    NoMemory,
 }
 
 impl BodyError {
@@ -469,6 +473,10 @@
         match self {
             Self::TooLarge => failure(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
             Self::Aborted => failure(StatusCode::BAD_REQUEST, "the body broke off"),
+            Self::NoMemory => failure(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "too much is being sent to this voter; send the same to another one",
+            ),
             Self::TimedOut => failure(
                 StatusCode::REQUEST_TIMEOUT,
                 "the body did not arrive in time",
@@ -477,15 +485,63 @@
     }
 }
 
-/// Reads a body of at most `max_bytes`.
-async fn read_body(request: Request<Incoming>, max_bytes: usize) -> Result<Bytes, BodyError> {
-    let whole = Limited::new(request.into_body(), max_bytes).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, whole).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) => Err(BodyError::Aborted),
-        Err(_) => Err(BodyError::TimedOut),
+/// A body that was read, with the memory that it holds.
+struct ReadBody {
+    bytes: Vec<u8>,
+    /// Released with the body.
+    share: memory::Share,
+}
+
+impl ReadBody {
+    fn new(budget: &Arc<memory::Budget>) -> Self {
+        Self {
+            bytes: Vec::new(),
+            share: budget.share(),
+        }
     }
+
+    /// Adds data of a body that has at most `max_bytes`.
+    fn push(&mut self, data: &[u8], max_bytes: usize) -> Result<(), BodyError> {
+        let (len, capacity) = (self.bytes.len() + data.len(), self.bytes.capacity());
+        if len > max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        if len > capacity {
+            let grown = len.max(2 * capacity).min(max_bytes);
+            if !self.share.grow(grown - capacity) {
+                return Err(BodyError::NoMemory);
+            }
+            self.bytes.reserve_exact(grown - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
+/// Reads a body of at most `max_bytes`. It is copied, so that the memory that it takes does not depend on the pieces
+/// in which it arrives.
+async fn read_body(
+    request: Request<Incoming>,
+    max_bytes: usize,
+    budget: &Arc<memory::Budget>,
+) -> Result<ReadBody, BodyError> {
+    let mut body = request.into_body();
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    let mut read = ReadBody::new(budget);
+    let whole = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| BodyError::Aborted)?;
+            if let Some(data) = frame.data_ref() {
+                read.push(data, max_bytes)?;
+            }
+        }
+        Ok(())
+    };
+    let whole = tokio::time::timeout(BODY_TIMEOUT, whole).await;
+    whole.unwrap_or(Err(BodyError::TimedOut))?;
+    Ok(read)
 }
 
 /// Returns whether a call has a body that is not empty. If its headers announce one, this does not
