Entry: sockets to endpoints and other boxes buffer no more than those of callers

What an endpoint sends for a caller that does not read waits in the socket to the endpoint, and what a caller sent waits there for an endpoint that does not read: by the operating system's defaults up to 32 and 4 MiB each. No test counts these sockets; read, not measured.

--- a/src/scalewood/ops/entry/upstream.rs
+++ b/src/scalewood/ops/entry/upstream.rs
@@ -112,6 +112,7 @@
     let open = async {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
+        socket::bound_buffers(&stream);
         let stream = socket::Stream::new(stream, timeouts);
         let mut connection = http1::Builder::new();
         connection.max_buf_size(MAX_HEAD_BYTES);
