Listeners: voters have room for all boxes that connect at the same time

A voter kept a sixteenth of its descriptors for connections without a session yet, 256 of 4,096. After a start of all boxes it could accept more before their handshakes, and would close those of sound boxes. It keeps three sixteenths, which publishing gives: its connections are short.

--- a/src/scalewood/ops/control/mod.rs
+++ b/src/scalewood/ops/control/mod.rs
@@ -395,7 +395,11 @@
         address: settings.listen,
     };
     methods.merge(registry.into_rpc()).change_context(Error)?;
-    let rpc = rpc::serve_within(settings.listen, methods, settings.descriptors, log.clone())
+    let bounds = rpc::Bounds {
+        opening: settings.descriptors / 16 * 3,
+        sessions: settings.descriptors / 2,
+    };
+    let rpc = rpc::serve_within(settings.listen, methods, bounds, log.clone())
         .await
         .change_context(Error)?;
     event!(log, Listening, "what" => "processes", "address" => %settings.listen);
--- a/src/scalewood/ops/control/publish.rs
+++ b/src/scalewood/ops/control/publish.rs
@@ -48,8 +48,8 @@
 const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
 /// The most bytes of heartbeats that are read at the same time.
 const MAX_HEARTBEATS_BYTES: usize = 16 << 20;
-/// The eighths of the process's descriptors for connections to this API.
-const DESCRIPTOR_EIGHTHS: usize = 3;
+/// The sixteenths of the process's descriptors for connections to this API.
+const DESCRIPTOR_SIXTEENTHS: usize = 3;
 /// How long a request's body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a call may take to answer; callers try another voter after a second.
@@ -207,7 +207,7 @@
         .await
         .change_context(Error)
         .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
-    let max = (descriptors / 8 * DESCRIPTOR_EIGHTHS).max(1);
+    let max = (descriptors / 16 * DESCRIPTOR_SIXTEENTHS).max(1);
     let listener = http::Listener::new(listener, "publishing", max, api.log.clone());
     let listener = listener.change_context(Error)?;
     let service = move || {
--- a/src/scalewood/ops/entry/mod.rs
+++ b/src/scalewood/ops/entry/mod.rs
@@ -377,16 +377,15 @@
     methods
         .merge(source::Server::new(board.feed.clone()).into_rpc())
         .change_context(Error)?;
-    let rpc = rpc::serve_within(
-        settings.listen,
-        methods,
-        settings.limits.descriptors,
-        log.clone(),
-    )
-    .await
-    .change_context(Error)?;
-    event!(log, Listening, "what" => "processes", "address" => %settings.listen);
     let descriptors = settings.limits.descriptors;
+    let bounds = rpc::Bounds {
+        opening: descriptors / 16,
+        sessions: descriptors / 2,
+    };
+    let rpc = rpc::serve_within(settings.listen, methods, bounds, log.clone())
+        .await
+        .change_context(Error)?;
+    event!(log, Listening, "what" => "processes", "address" => %settings.listen);
     health::serve(settings.health, D::READY_PATH, descriptors, board.clone()).await?;
     event!(log, Listening, "what" => "health", "address" => %settings.health);
     let voters = reload::watch(settings.clone(), path, log.clone());
--- a/src/scalewood/ops/rpc.rs
+++ b/src/scalewood/ops/rpc.rs
@@ -10,16 +10,11 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{
-    ops::http,
-    util::{resource, socket},
-};
+use crate::{ops::http, util::socket};
 
 /// The largest message, in bytes. The largest in use is a routing that is forwarded to the leader, as
 /// text and as the operator's text, with its quotes escaped.
 const MAX_MESSAGE_BYTES: u32 = 32 << 20;
-/// The part of the process's descriptors for connections that have no session yet: one of so many.
-const OPENING_SHARE: usize = 16;
 /// The most connections with a session of a server.
 const MAX_CONNECTIONS: u32 = 2048;
 /// The most subscriptions of one connection.
@@ -57,10 +52,23 @@
     methods: impl Into<Methods>,
 ) -> Result<ServerHandle, Report<Error>> {
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    serve_within(address, methods, resource::descriptors(), log).await
+    let bounds = Bounds {
+        opening: MAX_CONNECTIONS as usize,
+        sessions: MAX_CONNECTIONS as usize,
+    };
+    serve_within(address, methods, bounds, log).await
+}
+
+/// The most connections of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Those without a session. Beyond them the oldest is closed for a new one.
+    pub opening: usize,
+    /// Those with a session, of which there are never more than 2,048.
+    pub sessions: usize,
 }
 
-/// Serves methods at an address, with connections that take a part of the process's descriptors.
+/// Serves methods at an address, with bounds on its connections.
 ///
 /// # Errors
 ///
@@ -68,14 +76,14 @@
 pub async fn serve_within(
     address: SocketAddr,
     methods: impl Into<Methods>,
-    descriptors: usize,
+    bounds: Bounds,
     log: slog::Logger,
 ) -> Result<ServerHandle, Report<Error>> {
-    let max_connections = u32::try_from(descriptors / 2).unwrap_or(u32::MAX);
+    let max_sessions = u32::try_from(bounds.sessions).unwrap_or(u32::MAX);
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
-        .max_connections(max_connections.clamp(1, MAX_CONNECTIONS))
+        .max_connections(max_sessions.clamp(1, MAX_CONNECTIONS))
         .max_subscriptions_per_connection(MAX_SUBSCRIPTIONS)
         .set_message_buffer_capacity(MAX_UNSENT_MESSAGES)
         .set_tcp_no_delay(true)
@@ -85,8 +93,7 @@
         .await
         .change_context(Error)
         .attach_with(|| format!("{address} can't be listened on; is it in use?"))?;
-    let max_opening = (descriptors / OPENING_SHARE).max(1);
-    let listener = http::Listener::new(listener, "processes", max_opening, log);
+    let listener = http::Listener::new(listener, "processes", bounds.opening.max(1), log);
     let listener = listener.change_context(Error)?;
     let service = ServerBuilder::with_config(config).to_service_builder();
     let methods = methods.into();
