Tests: connections with a part of a head or of a body, with few descriptors; what remains

The users measured that with 300 descriptors and 400 such clients no ordinary request was answered (CROWD.md).

--- a/tests/crowd/crowd.rs
+++ b/tests/crowd/crowd.rs
@@ -58,6 +58,8 @@
     Json(usize),
     /// A header without end.
     Head,
+    /// A part of a head.
+    HeadShort,
     /// A trailer section without end.
     Trailers,
     /// A chunk whose extension has no end.
@@ -221,6 +223,7 @@
             let body = json(length);
             (with_length(length), body, length)
         }
+        Shape::HeadShort => (head.to_owned(), Vec::new(), 0),
         Shape::Head => (format!("{head}x-endless: "), filler, ENDLESS),
         Shape::Trailers => {
             let begin = format!("{chunked}1\r\nx\r\n0\r\n");
--- a/tests/crowd/routes.rs
+++ b/tests/crowd/routes.rs
@@ -202,22 +202,39 @@
     check(&mut site, "/stream/crowd", Shape::Unread).await;
 }
 
-/// Guards against connections that take all descriptors, and against callers that find none free.
-#[tokio::test(flavor = "multi_thread")]
-async fn idle_connections() {
+/// Lets a crowd of connections send a shape to a box with few descriptors.
+async fn check_descriptors(head: &str, shape: Shape) {
     let _alone = alone().await;
     let mut site = Site::start().await;
     site.limit_descriptors().await;
     let callers = site.system.callers();
     let observer = Observer::start(site.entry(), callers);
-    let crowd = Crowd::gather(callers, "", Shape::Idle, CONNECTIONS).await;
+    let crowd = Crowd::gather(callers, head, shape, CONNECTIONS).await;
     site.assert_served("a body").await;
     let most = observer.descriptors();
-    println!("routes, idle: {most} descriptors");
+    println!("routes, {shape:?}: {most} descriptors");
     assert!(most <= DESCRIPTORS - FREE_DESCRIPTORS, "{most} descriptors");
     drop(crowd);
 }
 
+/// Guards against connections that take all descriptors, and against callers that find none free.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections() {
+    check_descriptors("", Shape::Idle).await;
+}
+
+/// Does the same for connections with the beginning of a head.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_with_a_part_of_a_head() {
+    check_descriptors(&head("/safe/crowd"), Shape::HeadShort).await;
+}
+
+/// Does the same for connections with a body that stops short.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_with_a_part_of_a_body() {
+    check_descriptors(&head("/safe/crowd"), Shape::SmallChunks(16)).await;
+}
+
 /// Guards against limits that refuse what is legal: a body of the largest size is served, in chunks of one byte too.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_legal_body_of_any_shape_is_served() {
